--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The front door: each target does all the set-up that it needs on a bare Debian machine.
+BUILD ?= build
+
+.PHONY: demo check bench lint model build setup
+
+demo: build
+	./scripts/demo.sh
+
+check: build
+	./scripts/check.sh
+
+bench: build
+	./scripts/bench.sh
+
+lint: build
+	./scripts/lint.sh
+
+model: setup
+	./scripts/model.sh
+
+build: setup
+	[ -f $(BUILD)/build.ninja ] || meson setup $(BUILD)
+	ninja -C $(BUILD)
+
+setup:
+	./scripts/setup.sh
--- /dev/null
+++ b/client/src/commands.c
@@ -0,0 +1,316 @@
+#include "commands.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <core/settings.h>
+
+#include "print.h"
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_CONFLICT 409
+#define HTTP_UNAVAILABLE 503
+
+static JsonObject *
+object_of (const ApiResult *result)
+{
+  if (!result->root || !JSON_NODE_HOLDS_OBJECT (result->root))
+    return NULL;
+  return json_node_get_object (result->root);
+}
+
+static void
+print_faults (JsonObject *object)
+{
+  JsonArray *faults;
+
+  if (!json_object_has_member (object, "faults"))
+    return;
+  faults = json_object_get_array_member (object, "faults");
+  for (guint i = 0; i < json_array_get_length (faults); i++)
+    fprintf (stderr, "  %s\n", json_array_get_string_element (faults, i));
+}
+
+/* Says what went wrong and what to do; the code for a call that did not succeed. */
+static ExitCode
+complain (const ApiResult *result, const Options *options)
+{
+  JsonObject *object = object_of (result);
+
+  if (result->status == 0)
+    {
+      fprintf (stderr, "switchmill: no answer: %s\n", result->error);
+      return CODE_UNREACHABLE;
+    }
+  if (options->json)
+    fputs (result->text, stdout);
+  if (object)
+    {
+      fprintf (stderr, "switchmill: %s\n",
+               json_object_get_string_member_with_default (object, "error", "failed"));
+      print_faults (object);
+      if (json_object_has_member (object, "advice"))
+        fprintf (stderr, "  %s\n", json_object_get_string_member (object, "advice"));
+    }
+  switch (result->status)
+    {
+    case HTTP_BAD_REQUEST:
+      return CODE_INVALID;
+    case HTTP_UNAUTHORIZED:
+      return CODE_DENIED;
+    case HTTP_CONFLICT:
+      return CODE_STALE;
+    case HTTP_UNAVAILABLE:
+      return CODE_UNKNOWN;
+    default:
+      return CODE_FAULT;
+    }
+}
+
+static ExitCode
+with_status (const Options *options, void (*print) (JsonObject *status, const char *only))
+{
+  ApiResult *result = api_call (&options->api, "GET", "/v1/status", NULL);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !object_of (result))
+    code = complain (result, options);
+  else if (options->json)
+    printf ("%s\n", result->text);
+  else
+    print (object_of (result), options->word_count ? options->words[0] : NULL);
+  api_result_free (result);
+  return code;
+}
+
+static void
+print_whole_status (JsonObject *status, const char *only)
+{
+  print_status (status);
+}
+
+static ExitCode
+run_status (const Options *options)
+{
+  return with_status (options, print_whole_status);
+}
+
+static ExitCode
+run_service (const Options *options)
+{
+  return with_status (options, print_services);
+}
+
+static ExitCode
+run_target (const Options *options)
+{
+  return with_status (options, print_targets);
+}
+
+static ExitCode
+run_events (const Options *options)
+{
+  ApiResult *result = api_call (&options->api, "GET", "/v1/events", NULL);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !result->root || !JSON_NODE_HOLDS_ARRAY (result->root))
+    code = complain (result, options);
+  else if (options->json)
+    printf ("%s\n", result->text);
+  else
+    print_events (json_node_get_array (result->root));
+  api_result_free (result);
+  return code;
+}
+
+static char *
+confirm_body (const Options *options,
+              const char *intent,
+              const char *id,
+              gint64 base_generation)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (JsonNode) root = NULL;
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "intent");
+  json_builder_add_string_value (builder, intent);
+  json_builder_set_member_name (builder, "base_generation");
+  json_builder_add_int_value (builder, base_generation);
+  json_builder_set_member_name (builder, "id");
+  json_builder_add_string_value (builder, id);
+  json_builder_set_member_name (builder, "force");
+  json_builder_add_boolean_value (builder, options->force);
+  json_builder_end_object (builder);
+  root = json_builder_get_root (builder);
+  return json_to_string (root, FALSE);
+}
+
+static ExitCode
+confirm (const Options *options,
+         const char *intent,
+         const char *id,
+         gint64 base_generation)
+{
+  g_autofree char *body = confirm_body (options, intent, id, base_generation);
+  ApiResult *result = api_call (&options->api, "POST", "/v1/confirm", body);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !object_of (result))
+    code = complain (result, options);
+  else if (options->json)
+    fputs (result->text, stdout);
+  else
+    printf ("accepted as generation %" G_GINT64_FORMAT "\n",
+            json_object_get_int_member (object_of (result), "generation"));
+  /* An answer that did not come says nothing of the write. */
+  if (result->status == 0)
+    {
+      fprintf (stderr, "  the plan may have been accepted; confirm it again\n");
+      code = CODE_UNKNOWN;
+    }
+  api_result_free (result);
+  return code;
+}
+
+/* Plans an intent, shows the plan, and confirms it where the operator said so. */
+static ExitCode
+plan (const Options *options, const char *intent, gboolean confirm_it)
+{
+  ApiResult *result = api_call (&options->api, "POST", "/v1/plan", intent);
+  JsonObject *object = object_of (result);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !object)
+    {
+      code = complain (result, options);
+      api_result_free (result);
+      return code;
+    }
+  if (options->json && !confirm_it)
+    printf ("%s\n", result->text);
+  else if (!options->json)
+    print_plan (object);
+  if (json_object_get_boolean_member (object, "below_floor") && !options->force)
+    {
+      fprintf (stderr, "switchmill: the plan takes healthy capacity below a floor\n"
+                       "  change it, or confirm it with --force\n");
+      code = CODE_BELOW_FLOOR;
+    }
+  else if (confirm_it)
+    code = confirm (options, intent, json_object_get_string_member (object, "id"),
+                    json_object_get_int_member (object, "base_generation"));
+  api_result_free (result);
+  return code;
+}
+
+static char *
+read_file (const char *path)
+{
+  g_autoptr (GError) error = NULL;
+  char *text = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    fprintf (stderr, "switchmill: %s\n", error->message);
+  return text;
+}
+
+static ExitCode
+run_plan (const Options *options)
+{
+  g_autofree char *intent = read_file (options->words[0]);
+
+  return intent ? plan (options, intent, options->yes) : CODE_FAULT;
+}
+
+static ExitCode
+run_confirm (const Options *options)
+{
+  g_autofree char *intent = read_file (options->words[0]);
+  gint64 base_generation;
+
+  if (!intent)
+    return CODE_FAULT;
+  if (!g_ascii_string_to_signed (options->words[2], 10, 0, G_MAXINT64, &base_generation,
+                                 NULL))
+    {
+      fprintf (stderr, "switchmill: %s is no generation\n", options->words[2]);
+      return CODE_USAGE;
+    }
+  return confirm (options, intent, options->words[1], base_generation);
+}
+
+/* An intent with one member, an array of the command's words. */
+static char *
+words_intent (const Options *options, const char *member)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (JsonNode) root = NULL;
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, member);
+  json_builder_begin_array (builder);
+  for (int i = 0; i < options->word_count; i++)
+    json_builder_add_string_value (builder, options->words[i]);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  root = json_builder_get_root (builder);
+  return json_to_string (root, FALSE);
+}
+
+static ExitCode
+run_drain (const Options *options)
+{
+  g_autofree char *intent = words_intent (options, "drain");
+
+  return plan (options, intent, options->yes);
+}
+
+static ExitCode
+run_restore (const Options *options)
+{
+  g_autofree char *intent = words_intent (options, "restore");
+
+  return plan (options, intent, options->yes);
+}
+
+static ExitCode
+run_check (const Options *options)
+{
+  g_autofree char *text = read_file (options->words[0]);
+  g_autofree char *list = NULL;
+  JsonFaults *faults;
+  Settings *settings;
+  ExitCode code;
+
+  if (!text)
+    return CODE_FAULT;
+  faults = json_faults_create ();
+  settings = settings_parse (text, -1, faults);
+  code = settings ? CODE_OK : CODE_INVALID;
+  list = json_faults_text (faults);
+  fputs (list, stderr);
+  if (settings && !options->json)
+    printf ("%s is valid\n", options->words[0]);
+  settings_destroy (settings);
+  json_faults_destroy (faults);
+  return code;
+}
+
+const Command commands[] = {
+  { "status", "", "show a node's whole view", 0, run_status },
+  { "service", "", "show the services", 0, run_service },
+  { "target", "", "show the targets and their verdicts", 0, run_target },
+  { "events", "", "show a node's last events", 0, run_events },
+  { "plan", "INTENT", "show what an intent file would change; --yes confirms it", 1,
+    run_plan },
+  { "confirm", "INTENT PLAN GENERATION", "confirm a plan shown before", 3, run_confirm },
+  { "drain", "TARGET...", "plan that targets take nothing new; --yes confirms", -1,
+    run_drain },
+  { "restore", "TARGET...", "plan that they take work again; --yes confirms", -1,
+    run_restore },
+  { "check", "SETTINGS", "check a node's settings file", 1, run_check },
+  { NULL, NULL, NULL, 0, NULL },
+};
--- /dev/null
+++ b/client/src/commands.h
@@ -0,0 +1,45 @@
+/*
+ * The commands of switchmill, and its exit codes.
+ */
+#ifndef CLIENT_COMMANDS_H
+#define CLIENT_COMMANDS_H
+
+#include "api.h"
+
+typedef enum
+{
+  CODE_OK = 0,
+  CODE_FAULT = 1,       /* a file cannot be read, or the node's answer is unexpected */
+  CODE_USAGE = 2,       /* wrong arguments */
+  CODE_INVALID = 3,     /* settings or intent are not valid */
+  CODE_DENIED = 4,      /* the token is nobody's */
+  CODE_STALE = 5,       /* another change came first: nothing was changed */
+  CODE_BELOW_FLOOR = 6, /* the plan breaks a floor: nothing was changed */
+  CODE_UNREACHABLE = 7, /* no answer from the node */
+  CODE_UNKNOWN = 8      /* it may have been accepted: confirm again */
+} ExitCode;
+
+/* What the command line says besides the command. */
+typedef struct
+{
+  Api api;
+  gboolean json;
+  gboolean force;
+  gboolean yes;
+  const char **words; /* the command's own arguments */
+  int word_count;
+} Options;
+
+typedef struct
+{
+  const char *name;
+  const char *arguments;
+  const char *summary;
+  int words; /* how many arguments it takes; -1 for one or more */
+  ExitCode (*run) (const Options *options);
+} Command;
+
+/* All commands; the last has no name. */
+extern const Command commands[];
+
+#endif
--- /dev/null
+++ b/client/src/print.c
@@ -0,0 +1,146 @@
+#include "print.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *
+text_of (JsonObject *object, const char *name)
+{
+  return json_object_get_string_member_with_default (object, name, "");
+}
+
+static gint64
+int_of (JsonObject *object, const char *name)
+{
+  return json_object_get_int_member_with_default (object, name, 0);
+}
+
+static JsonArray *
+array_of (JsonObject *object, const char *name)
+{
+  return json_object_has_member (object, name)
+             ? json_object_get_array_member (object, name)
+             : NULL;
+}
+
+static guint
+length_of (JsonArray *array)
+{
+  return array ? json_array_get_length (array) : 0;
+}
+
+void
+print_plan (JsonObject *plan)
+{
+  JsonArray *changes = array_of (plan, "changes");
+  JsonArray *capacity = array_of (plan, "capacity");
+
+  printf ("plan %s\nbase generation %" G_GINT64_FORMAT "\n", text_of (plan, "id"),
+          int_of (plan, "base_generation"));
+  if (length_of (changes) == 0)
+    printf ("  changes nothing\n");
+  for (guint i = 0; i < length_of (changes); i++)
+    printf ("  %s\n", json_array_get_string_element (changes, i));
+  for (guint i = 0; i < length_of (capacity); i++)
+    {
+      JsonObject *item = json_array_get_object_element (capacity, i);
+
+      printf ("  capacity %s: %" G_GINT64_FORMAT " healthy slots now, %" G_GINT64_FORMAT
+              " after, floor %" G_GINT64_FORMAT "%s\n",
+              text_of (item, "service"), int_of (item, "healthy_slots_now"),
+              int_of (item, "healthy_slots_after"), int_of (item, "floor_slots"),
+              json_object_get_boolean_member (item, "below_floor") ? "  BELOW THE FLOOR"
+                                                                   : "");
+    }
+}
+
+void
+print_services (JsonObject *status, const char *only)
+{
+  JsonArray *services = array_of (status, "services");
+
+  printf ("%-20s %-14s %7s %7s %10s %8s\n", "SERVICE", "TENANT", "FLOOR", "SLOTS",
+          "IN SERVICE", "TARGETS");
+  for (guint i = 0; i < length_of (services); i++)
+    {
+      JsonObject *service = json_array_get_object_element (services, i);
+
+      if (only && strcmp (text_of (service, "name"), only) != 0)
+        continue;
+      printf ("%-20s %-14s %7" G_GINT64_FORMAT " %7" G_GINT64_FORMAT
+              " %10" G_GINT64_FORMAT " %8u\n",
+              text_of (service, "name"), text_of (service, "tenant"),
+              int_of (service, "floor_slots"), int_of (service, "slots"),
+              int_of (service, "slots_in_service"),
+              length_of (array_of (service, "targets")));
+    }
+}
+
+void
+print_targets (JsonObject *status, const char *only)
+{
+  JsonArray *services = array_of (status, "services");
+
+  printf ("%-18s %-14s %-14s %-20s %8s %6s %9s %9s\n", "TARGET", "VM", "HALL", "VERDICT",
+          "SEVERITY", "IN USE", "MEAN MS", "FAILED %");
+  for (guint i = 0; i < length_of (services); i++)
+    {
+      JsonObject *service = json_array_get_object_element (services, i);
+      JsonArray *targets = array_of (service, "targets");
+
+      if (only && strcmp (text_of (service, "name"), only) != 0)
+        continue;
+      for (guint j = 0; j < length_of (targets); j++)
+        {
+          JsonObject *target = json_array_get_object_element (targets, j);
+
+          printf ("%-18s %-14s %-14s %-20s %8" G_GINT64_FORMAT " %6" G_GINT64_FORMAT
+                  " %9.1f %9.1f\n",
+                  text_of (target, "name"), text_of (target, "vm"),
+                  text_of (target, "hall"), text_of (target, "verdict"),
+                  int_of (target, "severity"), int_of (target, "in_use"),
+                  (double)int_of (target, "mean_latency_us") / 1e3,
+                  (double)int_of (target, "failures_ppm") / 1e4);
+        }
+    }
+}
+
+void
+print_status (JsonObject *status)
+{
+  JsonArray *members = array_of (status, "members");
+
+  printf ("node %s in %s, version %s\n", text_of (status, "node"),
+          text_of (status, "hall"), text_of (status, "version"));
+  printf ("generation %" G_GINT64_FORMAT ", %s%s, %" G_GINT64_FORMAT
+          " routes, %" G_GINT64_FORMAT " accounts, %" G_GINT64_FORMAT
+          " requests in flight\n",
+          int_of (status, "generation"),
+          json_object_get_boolean_member (status, "ready") ? "ready" : "not ready",
+          json_object_get_boolean_member (status, "stopping") ? ", stopping" : "",
+          int_of (status, "routes"), int_of (status, "accounts"),
+          int_of (status, "requests_in_flight"));
+  print_services (status, NULL);
+  print_targets (status, NULL);
+  for (guint i = 0; i < length_of (members); i++)
+    {
+      JsonObject *member = json_array_get_object_element (members, i);
+
+      printf ("member %-14s %-14s %-22s %s\n", text_of (member, "node"),
+              text_of (member, "hall"), text_of (member, "address"),
+              text_of (member, "status"));
+    }
+}
+
+void
+print_events (JsonArray *events)
+{
+  for (guint i = 0; i < length_of (events); i++)
+    {
+      JsonObject *event = json_array_get_object_element (events, i);
+
+      printf ("%6" G_GINT64_FORMAT " s ago  %-16s %-20s %s\n",
+              int_of (event, "seconds_ago"), text_of (event, "event"),
+              text_of (event, "subject"), text_of (event, "detail"));
+    }
+}
--- /dev/null
+++ b/client/src/print.h
@@ -0,0 +1,15 @@
+/*
+ * The client's output for people.
+ */
+#ifndef CLIENT_PRINT_H
+#define CLIENT_PRINT_H
+
+#include <json-glib/json-glib.h>
+
+void print_plan (JsonObject *plan);
+void print_status (JsonObject *status);
+void print_services (JsonObject *status, const char *only);
+void print_targets (JsonObject *status, const char *only);
+void print_events (JsonArray *events);
+
+#endif
--- /dev/null
+++ b/core/include/core/admission.h
@@ -0,0 +1,53 @@
+/*
+ * Admission at a sidecar, where the count is exact: slots, a limit that shrinks below
+ * them while the target is slower than it was, and a short queue by priority in which
+ * nothing waits that could not start in time.
+ */
+#ifndef CORE_ADMISSION_H
+#define CORE_ADMISSION_H
+
+#include <core/clock.h>
+
+typedef struct Admission Admission;
+
+typedef enum
+{
+  ADMISSION_START,  /* a slot has been taken */
+  ADMISSION_QUEUED, /* `item` waits; it comes back from admission_next or _expired */
+  ADMISSION_REFUSED
+} AdmissionAnswer;
+
+Admission *admission_create (guint slots, guint queue_max, Clock *clock);
+void admission_destroy (Admission *admission);
+
+/* New settings; what is in flight or waits is left alone. */
+void admission_resize (Admission *admission, guint slots, guint queue_max);
+
+/* Asks for a slot. `deadline_us` is on the sidecar's clock. */
+AdmissionAnswer
+admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us);
+
+/* An item that made room for one of a higher priority in a full queue, or NULL. */
+gpointer admission_displaced (Admission *admission);
+
+/* Gives a slot back; `took_us` is what the target needed, -1 when it says nothing. */
+void admission_release (Admission *admission, gint64 took_us);
+
+/* The next item whose turn it is, with its slot taken; NULL when none may start. */
+gpointer admission_next (Admission *admission);
+
+/* A waiting item whose time is over, taken out; NULL when there is none. */
+gpointer admission_expired (Admission *admission);
+
+/* Takes a waiting item out; FALSE when it does not wait. */
+gboolean admission_withdraw (Admission *admission, gpointer item);
+
+guint admission_in_use (const Admission *admission);
+guint admission_queued (const Admission *admission);
+guint admission_limit (const Admission *admission);
+/* When to come back: about the time that what is ahead will need. */
+gint64 admission_retry_after_us (const Admission *admission);
+/* When the first waiting item's time is over, or -1. */
+gint64 admission_next_expiry_us (const Admission *admission);
+
+#endif
--- /dev/null
+++ b/core/include/core/balancer.h
@@ -0,0 +1,107 @@
+/*
+ * The ingress's choice of a target: its view of targets and of the nodes before them,
+ * the floor, spread over the halls, trials of ejected targets, broken paths.
+ */
+#ifndef CORE_BALANCER_H
+#define CORE_BALANCER_H
+
+#include <core/clock.h>
+#include <core/config.h>
+
+typedef struct Balancer Balancer;
+
+/* What a sidecar says of one of its targets. */
+typedef struct
+{
+  const char *target;
+  guint64 incarnation; /* the sidecar's */
+  guint serial;        /* rises within one incarnation; an older one is dropped */
+  guint in_use;
+  guint limit;
+  guint queued;
+  guint latency_us;
+  guint failures_ppm;
+  guint samples;
+  guint severity;
+  gboolean draining;
+} TargetReport;
+
+/* How the targets of a service do, for a sidecar to compare its own with. */
+typedef struct
+{
+  guint latency_us;   /* median of the targets' medians; 0 when too few are known */
+  guint failures_ppm; /* likewise */
+} SiblingMedians;
+
+typedef struct
+{
+  const Target *target;  /* NULL when none can take it */
+  gboolean trial;        /* an ejected target, given a chance to show that it is well */
+  gint64 retry_after_us; /* for none */
+} BalancerChoice;
+
+/* `hall` is the ingress's own; `rand` and `clock` are borrowed. */
+Balancer *balancer_create (const char *hall, GRand *rand, Clock *clock);
+void balancer_destroy (Balancer *balancer);
+
+/* Forgets targets that the snapshot no longer names. */
+void balancer_prune (Balancer *balancer, const Snapshot *snapshot);
+
+void balancer_note_report (Balancer *balancer, const TargetReport *report);
+
+/* The part of a report that gossip carries, of the same sidecar and serial numbers. */
+void balancer_note_verdict (Balancer *balancer,
+                            const char *target,
+                            guint64 incarnation,
+                            guint serial,
+                            guint severity,
+                            gboolean draining);
+
+/*
+ * What the membership says of a node; nodes never spoken of count as reachable. Reports
+ * of another incarnation than the node's present one no longer count.
+ */
+void balancer_set_member (Balancer *balancer,
+                          const char *vm,
+                          guint64 incarnation,
+                          gboolean alive);
+
+/* How many ingresses share the fleet: they share the trials too. */
+void balancer_set_ingresses (Balancer *balancer, guint count);
+
+/* How a call to a node's sidecar went, for the breaker of the path there. */
+void balancer_note_path (Balancer *balancer, const char *vm, gboolean answered);
+
+/*
+ * Picks a target for one attempt, leaving out those in `tried` (names; may be NULL).
+ * Trials are given to repeatable requests only.
+ */
+BalancerChoice balancer_choose (Balancer *balancer,
+                                const Service *service,
+                                gboolean repeatable,
+                                const GPtrArray *tried);
+
+/* An attempt is on its way to a target, or has come back. */
+void balancer_begin (Balancer *balancer, const char *target);
+void balancer_end (Balancer *balancer, const char *target);
+
+/* The medians over the targets of a service that are not ejected. */
+SiblingMedians balancer_medians (Balancer *balancer, const Service *service);
+
+/* How the ingress sees one target. */
+typedef struct
+{
+  TargetReport report; /* `target` borrowed from the service */
+  gboolean known;      /* a report has come */
+  gboolean alive;
+  gboolean path_open; /* the breaker lets work through */
+  gboolean ejected;
+} TargetStatus;
+
+TargetStatus
+balancer_status (Balancer *balancer, const Service *service, const Target *target);
+
+/* Slots of a service that are in service now: available and not ejected. */
+guint balancer_slots_in_service (Balancer *balancer, const Service *service);
+
+#endif
--- /dev/null
+++ b/core/include/core/clock.h
@@ -0,0 +1,29 @@
+/*
+ * The runtime's clock: monotonic microseconds, which tests pause and advance.
+ * Never wall-clock time, and never compared between nodes.
+ */
+#ifndef CORE_CLOCK_H
+#define CORE_CLOCK_H
+
+#include <glib.h>
+
+#define MS_US G_GINT64_CONSTANT (1000)
+#define SECOND_US G_GINT64_CONSTANT (1000000)
+
+typedef struct Clock Clock;
+
+/* The machine's monotonic clock. */
+Clock *clock_create_monotonic (void);
+
+/* A clock that stands at `now_us` until it is told to move. */
+Clock *clock_create_manual (gint64 now_us);
+
+void clock_destroy (Clock *clock);
+
+/* Microseconds since an arbitrary origin; never goes back. */
+gint64 clock_now (const Clock *clock);
+
+/* Moves a manual clock forward; a monotonic clock ignores it. */
+void clock_advance (Clock *clock, gint64 by_us);
+
+#endif
--- /dev/null
+++ b/core/include/core/config.h
@@ -0,0 +1,144 @@
+/*
+ * The configuration: immutable parts, and snapshots that are made of them.
+ *
+ * A part is the JSON of one service, or of one shard of the routes or accounts. Its
+ * name is a key ("service/taliad", "routes/2a", "accounts/07"), its identity the
+ * SHA-256 of its text. A head names a generation and the digest of each part. Parts
+ * and snapshots are reference-counted; a change shares all parts that it leaves alone.
+ */
+#ifndef CORE_CONFIG_H
+#define CORE_CONFIG_H
+
+#include <core/json-view.h>
+
+#define CONFIG_SHARDS 64u
+#define CONFIG_PRIORITIES 4u
+#define CONFIG_DEADLINE_MAX_MS 60000
+
+typedef enum
+{
+  DETECTION_OFF,
+  DETECTION_CAREFUL, /* few false ejections */
+  DETECTION_QUICK    /* short detection time */
+} Detection;
+
+typedef enum
+{
+  TARGET_SERVING,
+  TARGET_LEAVING /* takes nothing new */
+} TargetState;
+
+/* One target of a service, in an operator's words. */
+typedef struct
+{
+  char *name;
+  char *vm; /* the node whose sidecar guards it */
+  char *hall;
+  char *address; /* where its HTTP is, on its own VM */
+  guint slots;
+  guint connections;
+  TargetState state;
+} Target;
+
+typedef struct
+{
+  char *name;
+  char *tenant;
+  guint floor_slots; /* ejections leave at least so many slots in service */
+  Detection detection;
+  guint queue; /* requests that may wait at one target */
+  guint retry_percent;
+  gsize answer_max;   /* bytes */
+  GPtrArray *targets; /* of Target, by name */
+} Service;
+
+typedef struct
+{
+  char *host;   /* "" for any */
+  char *prefix; /* matches itself and what follows a '/' */
+  char *service;
+  char *class;
+  guint methods; /* bits, 1 << ConfigMethod */
+  guint priority;
+  gboolean repeatable;
+  gboolean account; /* only for callers with an account of the service's tenant */
+  gint64 deadline_us;
+} Route;
+
+typedef struct
+{
+  char *id;
+  char *tenant;
+  char *key_sha256;
+} Account;
+
+typedef struct ConfigPart ConfigPart;
+typedef struct Snapshot Snapshot;
+
+/* Reads one part; NULL, with faults noted, when it is not valid. */
+ConfigPart *config_part_parse (const char *key, GBytes *text, JsonFaults *faults);
+ConfigPart *config_part_ref (ConfigPart *part);
+void config_part_unref (ConfigPart *part);
+const char *config_part_key (const ConfigPart *part);
+const char *config_part_digest (const ConfigPart *part);
+GBytes *config_part_text (const ConfigPart *part);
+/* The part's service, or NULL for a shard. */
+const Service *config_part_service (const ConfigPart *part);
+/* The part's routes or accounts, or NULL. */
+const GPtrArray *config_part_routes (const ConfigPart *part);
+const GPtrArray *config_part_accounts (const ConfigPart *part);
+
+/* The key of the shard that holds a route or an account. */
+char *config_route_shard (const char *host, const char *prefix);
+char *config_account_shard (const char *id);
+
+/* A head as text: generation, plans accepted lately, and parts by key. */
+typedef struct
+{
+  guint64 generation;
+  GPtrArray *plans;  /* of char *, newest last */
+  GHashTable *parts; /* key → digest */
+} ConfigHead;
+
+ConfigHead *config_head_create (guint64 generation);
+/* NULL, with faults noted, when it is not valid. */
+ConfigHead *config_head_parse (const char *text, gssize len, JsonFaults *faults);
+char *config_head_text (const ConfigHead *head);
+void config_head_destroy (ConfigHead *head);
+/* Adds an accepted plan's id and forgets the oldest over the bound. */
+void config_head_add_plan (ConfigHead *head, const char *id);
+gboolean config_head_has_plan (const ConfigHead *head, const char *id);
+
+/*
+ * A snapshot of `head` from `parts` (digest → ConfigPart), which hold every part that
+ * the head names; NULL when one is missing.
+ */
+Snapshot *snapshot_create (const ConfigHead *head, GHashTable *parts);
+/* Generation 0: nothing configured. */
+Snapshot *snapshot_create_empty (void);
+Snapshot *snapshot_ref (Snapshot *snapshot);
+void snapshot_unref (Snapshot *snapshot);
+guint64 snapshot_generation (const Snapshot *snapshot);
+const ConfigHead *snapshot_head (const Snapshot *snapshot);
+const Service *snapshot_service (const Snapshot *snapshot, const char *name);
+/* All services, by name; the array is the snapshot's. */
+const GPtrArray *snapshot_services (const Snapshot *snapshot);
+ConfigPart *snapshot_part (const Snapshot *snapshot, const char *key);
+ConfigPart *snapshot_part_by_digest (const Snapshot *snapshot, const char *digest);
+guint snapshot_route_count (const Snapshot *snapshot);
+guint snapshot_account_count (const Snapshot *snapshot);
+
+/* The route with the longest prefix of `path` under `host`, before any-host ones. */
+const Route *snapshot_route (const Snapshot *snapshot,
+                             const char *host,
+                             const char *path,
+                             const char *method);
+/* The account with this id, or NULL. */
+const Account *snapshot_account (const Snapshot *snapshot, const char *id);
+
+/* The target named so in a service, or NULL. */
+const Target *service_target (const Service *service, const char *name);
+/* Slots of the targets that are not leaving. */
+guint service_slots (const Service *service);
+
+#endif
--- /dev/null
+++ b/core/include/core/members.h
@@ -0,0 +1,119 @@
+/*
+ * The membership of a fleet by gossip, without I/O: who is there, at which address, in
+ * which incarnation. Probes go to one random member a second, through others when it
+ * does not answer; news travels on probes and answers; digests repair what got lost.
+ * No wall clock, and no clock of another node, is ever compared.
+ */
+#ifndef CORE_MEMBERS_H
+#define CORE_MEMBERS_H
+
+#include <core/clock.h>
+
+#define MEMBERS_BUCKETS 64u
+
+typedef enum
+{
+  MEMBER_ALIVE,
+  MEMBER_SUSPECT, /* did not answer; still counted as there */
+  MEMBER_DEAD,
+  MEMBER_LEFT /* said good-bye */
+} MemberStatus;
+
+/* What is known of one member. All texts are borrowed from its holder. */
+typedef struct
+{
+  const char *node;
+  const char *hall;
+  const char *address;
+  guint64 incarnation; /* random, new with each start */
+  guint32 epoch;       /* raised by the member alone, to overrule what is said of it */
+  MemberStatus status;
+  guint32 serial;  /* of the payload, within one epoch */
+  GBytes *payload; /* the member's own words, may be NULL */
+} Member;
+
+typedef struct Members Members;
+
+/* Time spans of the protocol. */
+typedef struct
+{
+  gint64 period_us;    /* between probes */
+  gint64 answer_us;    /* for a direct answer, before others are asked to help */
+  guint helpers;       /* how many are asked */
+  gint64 suspicion_us; /* at ten members; grows with the logarithm of the fleet */
+  gint64 forget_us;    /* how long the dead are remembered */
+} MembersTiming;
+
+extern const MembersTiming members_timing_default;
+
+typedef enum
+{
+  MEMBERS_PROBE,    /* ask `address` for an answer */
+  MEMBERS_PROBE_VIA /* ask `address` to probe `subject` */
+} MembersActionKind;
+
+typedef struct
+{
+  MembersActionKind kind;
+  char *address;
+  char *subject;  /* a node's name; NULL when a seed without a name is probed */
+  guint sequence; /* to be given back with the answer */
+} MembersAction;
+
+void members_action_free (MembersAction *action);
+
+/* Told of each member whose status, incarnation, address or payload has changed. */
+typedef void (*MembersChanged) (const Member *member, gpointer data);
+
+/* `self` gives node, hall, address and incarnation. `seeds` are addresses. */
+Members *members_create (const Member *self,
+                         const char *const *seeds,
+                         const MembersTiming *timing,
+                         GRand *rand,
+                         Clock *clock);
+void members_destroy (Members *members);
+void members_set_changed (Members *members, MembersChanged changed, gpointer data);
+
+/* When members_tick wants to be called next. */
+gint64 members_next_tick_us (const Members *members);
+/* Carries the protocol on; returns MembersActions, which the caller frees. */
+GPtrArray *members_tick (Members *members);
+
+/* An answer to the probe of that number has come, directly or through another. */
+void members_answered (Members *members, guint sequence);
+
+/* Takes in what another says of a member. */
+void members_merge (Members *members, const Member *rumour);
+
+/*
+ * News to put on a message to `to` (may be NULL), at most `max_bytes` by the estimate
+ * of members_weight; borrowed until the next call on `members`. The sender itself
+ * comes first, and what is known of `to` where it differs from `to`'s own words.
+ */
+GPtrArray *members_news (Members *members, const char *to, gsize max_bytes);
+
+/* About how many bytes a rumour takes on the wire. */
+gsize members_weight (const Member *member);
+
+/* Digests of the view: of all of it, and by bucket. Equal views have equal digests. */
+guint64 members_digest (const Members *members);
+void members_buckets (const Members *members, guint64 buckets[MEMBERS_BUCKETS]);
+/* The members in the buckets that differ from `buckets`; borrowed. */
+GPtrArray *members_differing (Members *members, const guint64 buckets[MEMBERS_BUCKETS]);
+
+const Member *members_self (const Members *members);
+const Member *members_find (const Members *members, const char *node);
+/* All that are known, self and the dead too; borrowed. */
+GPtrArray *members_all (Members *members);
+/* Members alive or suspect, self included. */
+guint members_count_alive (const Members *members);
+/* Whether any member that is not known dead was heard of besides self. */
+gboolean members_is_alive (const Member *member);
+
+/* Replaces self's payload; it is spread when it differs. */
+void members_set_payload (Members *members, GBytes *payload);
+
+/* Marks self as left; the news goes out with the messages that follow. */
+void members_leave (Members *members);
+
+#endif
--- /dev/null
+++ b/core/include/core/retry.h
@@ -0,0 +1,26 @@
+/*
+ * The retry budget of a service: retries may be a share of first attempts and no more,
+ * so that sick targets do not multiply the load. And the pause before a retry.
+ */
+#ifndef CORE_RETRY_H
+#define CORE_RETRY_H
+
+#include <glib.h>
+
+typedef struct RetryBudget RetryBudget;
+
+/* `percent` retries for each hundred first attempts, on the long run. */
+RetryBudget *retry_budget_create (guint percent);
+void retry_budget_destroy (RetryBudget *budget);
+void retry_budget_set_percent (RetryBudget *budget, guint percent);
+
+/* Notes a first attempt. */
+void retry_budget_deposit (RetryBudget *budget);
+
+/* Takes one retry out; FALSE when there is none left. */
+gboolean retry_budget_withdraw (RetryBudget *budget);
+
+/* A pause before retry number `retry` (from 1): full jitter over a doubling bound. */
+gint64 retry_pause_us (guint retry, GRand *rand);
+
+#endif
--- /dev/null
+++ b/core/src/base/clock.c
@@ -0,0 +1,68 @@
+#include <core/clock.h>
+
+typedef struct
+{
+  gint64 (*now) (const Clock *clock);
+} ClockKind;
+
+struct Clock
+{
+  const ClockKind *kind;
+  gint64 manual_us;
+};
+
+static gint64
+now_monotonic (const Clock *clock)
+{
+  return g_get_monotonic_time ();
+}
+
+static gint64
+now_manual (const Clock *clock)
+{
+  return clock->manual_us;
+}
+
+static const ClockKind monotonic = { now_monotonic };
+static const ClockKind manual = { now_manual };
+
+static Clock *
+create (const ClockKind *kind, gint64 now_us)
+{
+  Clock *clock = g_new0 (Clock, 1);
+
+  clock->kind = kind;
+  clock->manual_us = now_us;
+  return clock;
+}
+
+Clock *
+clock_create_monotonic (void)
+{
+  return create (&monotonic, 0);
+}
+
+Clock *
+clock_create_manual (gint64 now_us)
+{
+  return create (&manual, now_us);
+}
+
+void
+clock_destroy (Clock *clock)
+{
+  g_free (clock);
+}
+
+gint64
+clock_now (const Clock *clock)
+{
+  return clock->kind->now (clock);
+}
+
+void
+clock_advance (Clock *clock, gint64 by_us)
+{
+  g_return_if_fail (by_us >= 0);
+  clock->manual_us += by_us;
+}
--- /dev/null
+++ b/core/src/config/model.h
@@ -0,0 +1,39 @@
+/*
+ * The config area's own: reading and freeing of the things that parts hold.
+ */
+#ifndef CORE_CONFIG_MODEL_H
+#define CORE_CONFIG_MODEL_H
+
+#include <core/config.h>
+
+/* Each returns NULL or a partly filled thing, with faults noted, for a bad view. */
+Service *service_read (JsonView *view);
+Route *route_read (JsonView *view);
+Account *account_read (JsonView *view);
+
+void service_free (Service *service);
+void route_free (Route *route);
+void account_free (Account *account);
+
+/* Puts a shard into the order that lookups and digests rest on. */
+void routes_sort (GPtrArray *routes);
+void accounts_sort (GPtrArray *accounts);
+
+/* Appends the thing to a JSON being built. */
+void service_write (const Service *service, JsonBuilder *builder);
+void route_write (const Route *route, JsonBuilder *builder);
+void account_write (const Account *account, JsonBuilder *builder);
+
+/* The order of routes in a shard: by host, then by prefix. */
+int route_compare (const Route *route, const char *host, const char *prefix);
+
+/* The bit of a method, 0 for one that no route can name. */
+guint route_method_bit (const char *name);
+
+/* "host prefix", what a route is found by. */
+char *route_key (const char *host, const char *prefix);
+
+/* The builder's text, without white space; consumes the builder. */
+char *json_text (JsonBuilder *builder);
+
+#endif
--- /dev/null
+++ b/core/src/config/part.c
@@ -0,0 +1,205 @@
+#include "model.h"
+
+#include <string.h>
+
+struct ConfigPart
+{
+  gatomicrefcount refs;
+  char *key;
+  char *digest;
+  GBytes *text;
+  Service *service;
+  GPtrArray *routes;
+  GPtrArray *accounts;
+};
+
+static char *
+shard_key (const char *area, const char *name)
+{
+  return g_strdup_printf ("%s/%02x", area, g_str_hash (name) % CONFIG_SHARDS);
+}
+
+char *
+config_route_shard (const char *host, const char *prefix)
+{
+  g_autofree char *key = route_key (host, prefix);
+
+  return shard_key ("routes", key);
+}
+
+char *
+config_account_shard (const char *id)
+{
+  return shard_key ("accounts", id);
+}
+
+static void
+check_routes (const GPtrArray *routes, JsonFaults *faults)
+{
+  for (guint i = 1; i < routes->len; i++)
+    {
+      const Route *before = g_ptr_array_index (routes, i - 1);
+      const Route *route = g_ptr_array_index (routes, i);
+
+      if (route_compare (before, route->host, route->prefix) == 0 &&
+          (before->methods & route->methods))
+        json_faults_add (faults, "$.routes", "two routes share a method at \"%s%s\"",
+                         route->host, route->prefix);
+    }
+}
+
+static void
+check_accounts (const GPtrArray *accounts, JsonFaults *faults)
+{
+  for (guint i = 1; i < accounts->len; i++)
+    {
+      const Account *before = g_ptr_array_index (accounts, i - 1);
+      const Account *account = g_ptr_array_index (accounts, i);
+
+      if (strcmp (before->id, account->id) == 0)
+        json_faults_add (faults, "$.accounts", "two accounts have the id \"%s\"",
+                         account->id);
+    }
+}
+
+static void
+read_shard (ConfigPart *part, JsonView *view)
+{
+  gboolean routes = part->routes != NULL;
+  const char *area = routes ? "routes" : "accounts";
+  guint count = json_view_array_length (view, area);
+
+  for (guint i = 0; i < count; i++)
+    {
+      JsonView *item = json_view_array_object (view, area, i);
+
+      if (!item)
+        continue;
+      if (routes)
+        g_ptr_array_add (part->routes, route_read (item));
+      else
+        g_ptr_array_add (part->accounts, account_read (item));
+      json_view_close (item);
+    }
+}
+
+static void
+read_part (ConfigPart *part, JsonView *view, JsonFaults *faults)
+{
+  if (g_str_has_prefix (part->key, "service/"))
+    {
+      part->service = service_read (view);
+      if (strcmp (part->key + strlen ("service/"), part->service->name) != 0)
+        json_faults_add (faults, "$.name", "differs from the part's key %s", part->key);
+      return;
+    }
+  if (g_str_has_prefix (part->key, "routes/"))
+    part->routes = g_ptr_array_new_with_free_func ((GDestroyNotify)route_free);
+  else if (g_str_has_prefix (part->key, "accounts/"))
+    part->accounts = g_ptr_array_new_with_free_func ((GDestroyNotify)account_free);
+  else
+    {
+      json_faults_add (faults, "$", "%s is no key of a part", part->key);
+      return;
+    }
+  read_shard (part, view);
+  if (part->routes)
+    {
+      routes_sort (part->routes);
+      check_routes (part->routes, faults);
+      return;
+    }
+  accounts_sort (part->accounts);
+  check_accounts (part->accounts, faults);
+}
+
+ConfigPart *
+config_part_parse (const char *key, GBytes *text, JsonFaults *faults)
+{
+  guint before = json_faults_count (faults);
+  gsize len;
+  const char *data = g_bytes_get_data (text, &len);
+  JsonView *view = json_view_parse (data, (gssize)len, faults);
+  ConfigPart *part;
+
+  if (!view)
+    return NULL;
+  part = g_new0 (ConfigPart, 1);
+  g_atomic_ref_count_init (&part->refs);
+  part->key = g_strdup (key);
+  part->text = g_bytes_ref (text);
+  part->digest = g_compute_checksum_for_bytes (G_CHECKSUM_SHA256, text);
+  read_part (part, view, faults);
+  json_view_close (view);
+  if (json_faults_count (faults) == before)
+    return part;
+  config_part_unref (part);
+  return NULL;
+}
+
+ConfigPart *
+config_part_ref (ConfigPart *part)
+{
+  g_atomic_ref_count_inc (&part->refs);
+  return part;
+}
+
+void
+config_part_unref (ConfigPart *part)
+{
+  if (!part || !g_atomic_ref_count_dec (&part->refs))
+    return;
+  g_free (part->key);
+  g_free (part->digest);
+  g_bytes_unref (part->text);
+  service_free (part->service);
+  g_clear_pointer (&part->routes, g_ptr_array_unref);
+  g_clear_pointer (&part->accounts, g_ptr_array_unref);
+  g_free (part);
+}
+
+const char *
+config_part_key (const ConfigPart *part)
+{
+  return part->key;
+}
+
+const char *
+config_part_digest (const ConfigPart *part)
+{
+  return part->digest;
+}
+
+GBytes *
+config_part_text (const ConfigPart *part)
+{
+  return part->text;
+}
+
+const Service *
+config_part_service (const ConfigPart *part)
+{
+  return part->service;
+}
+
+const GPtrArray *
+config_part_routes (const ConfigPart *part)
+{
+  return part->routes;
+}
+
+const GPtrArray *
+config_part_accounts (const ConfigPart *part)
+{
+  return part->accounts;
+}
+
+char *
+json_text (JsonBuilder *builder)
+{
+  g_autoptr (JsonNode) root = json_builder_get_root (builder);
+  char *text = json_to_string (root, FALSE);
+
+  g_object_unref (builder);
+  return text;
+}
--- /dev/null
+++ b/core/src/config/service.c
@@ -0,0 +1,199 @@
+#include "model.h"
+
+#include <string.h>
+
+#include <core/names.h>
+
+#define SLOTS_MAX 100000
+#define ANSWER_DEFAULT (4 * 1024 * 1024)
+#define ANSWER_MAX (8 * 1024 * 1024)
+#define RETRY_DEFAULT 20
+
+static const char *const detection_names[] = { "off", "careful", "quick", NULL };
+static const char *const state_names[] = { "serving", "leaving", NULL };
+
+static void
+target_free (gpointer data)
+{
+  Target *target = data;
+
+  g_free (target->name);
+  g_free (target->vm);
+  g_free (target->hall);
+  g_free (target->address);
+  g_free (target);
+}
+
+static Target *
+target_read (JsonView *view)
+{
+  Target *target = g_new0 (Target, 1);
+
+  target->name = g_strdup (names_required (view, "name"));
+  target->vm = g_strdup (names_required (view, "vm"));
+  target->hall = g_strdup (names_required (view, "hall"));
+  target->address = g_strdup (names_required_address (view, "address"));
+  target->slots = (guint)json_view_int (view, "slots", 1, SLOTS_MAX, 1);
+  target->connections =
+      (guint)json_view_int (view, "connections", 1, SLOTS_MAX, target->slots);
+  target->state = json_view_choice (view, "state", state_names, TARGET_SERVING);
+  if (!json_view_has (view, "slots"))
+    json_faults_add (json_view_faults (view), json_view_path (view),
+                     "\"slots\" is missing");
+  if (target->connections < target->slots)
+    json_faults_add (json_view_faults (view), json_view_path (view),
+                     "has fewer connections than slots");
+  return target;
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(Target *const *)a)->name, (*(Target *const *)b)->name);
+}
+
+static void
+read_targets (Service *service, JsonView *view)
+{
+  guint count = json_view_array_length (view, "targets");
+
+  for (guint i = 0; i < count; i++)
+    {
+      JsonView *item = json_view_array_object (view, "targets", i);
+
+      if (!item)
+        continue;
+      g_ptr_array_add (service->targets, target_read (item));
+      json_view_close (item);
+    }
+  g_ptr_array_sort (service->targets, compare_names);
+  for (guint i = 1; i < service->targets->len; i++)
+    {
+      const Target *before = g_ptr_array_index (service->targets, i - 1);
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      if (*target->name && strcmp (before->name, target->name) == 0)
+        json_faults_add (json_view_faults (view), json_view_path (view),
+                         "two targets are named \"%s\"", target->name);
+    }
+}
+
+static guint
+all_slots (const Service *service)
+{
+  guint slots = 0;
+
+  for (guint i = 0; i < service->targets->len; i++)
+    slots += ((const Target *)g_ptr_array_index (service->targets, i))->slots;
+  return slots;
+}
+
+Service *
+service_read (JsonView *view)
+{
+  Service *service = g_new0 (Service, 1);
+
+  service->targets = g_ptr_array_new_with_free_func (target_free);
+  service->name = g_strdup (names_required (view, "name"));
+  service->tenant = g_strdup (names_required (view, "tenant"));
+  service->floor_slots = (guint)json_view_int (view, "floor_slots", 0, G_MAXINT, 0);
+  service->detection =
+      json_view_choice (view, "detection", detection_names, DETECTION_CAREFUL);
+  service->queue = (guint)json_view_int (view, "queue", 0, SLOTS_MAX, 0);
+  service->retry_percent =
+      (guint)json_view_int (view, "retry_percent", 0, 100, RETRY_DEFAULT);
+  service->answer_max =
+      (gsize)json_view_int (view, "answer_max", 1, ANSWER_MAX, ANSWER_DEFAULT);
+  read_targets (service, view);
+  if (service->floor_slots > all_slots (service))
+    json_faults_add (json_view_faults (view), json_view_path (view),
+                     "the floor of %u slots is over the capacity of %u",
+                     service->floor_slots, all_slots (service));
+  return service;
+}
+
+void
+service_free (Service *service)
+{
+  if (!service)
+    return;
+  g_free (service->name);
+  g_free (service->tenant);
+  g_ptr_array_unref (service->targets);
+  g_free (service);
+}
+
+static void
+write_string (JsonBuilder *builder, const char *key, const char *value)
+{
+  json_builder_set_member_name (builder, key);
+  json_builder_add_string_value (builder, value);
+}
+
+static void
+write_int (JsonBuilder *builder, const char *key, gint64 value)
+{
+  json_builder_set_member_name (builder, key);
+  json_builder_add_int_value (builder, value);
+}
+
+static void
+target_write (const Target *target, JsonBuilder *builder)
+{
+  json_builder_begin_object (builder);
+  write_string (builder, "name", target->name);
+  write_string (builder, "vm", target->vm);
+  write_string (builder, "hall", target->hall);
+  write_string (builder, "address", target->address);
+  write_int (builder, "slots", target->slots);
+  write_int (builder, "connections", target->connections);
+  write_string (builder, "state", state_names[target->state]);
+  json_builder_end_object (builder);
+}
+
+void
+service_write (const Service *service, JsonBuilder *builder)
+{
+  json_builder_begin_object (builder);
+  write_string (builder, "name", service->name);
+  write_string (builder, "tenant", service->tenant);
+  write_int (builder, "floor_slots", service->floor_slots);
+  write_string (builder, "detection", detection_names[service->detection]);
+  write_int (builder, "queue", service->queue);
+  write_int (builder, "retry_percent", service->retry_percent);
+  write_int (builder, "answer_max", (gint64)service->answer_max);
+  json_builder_set_member_name (builder, "targets");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < service->targets->len; i++)
+    target_write (g_ptr_array_index (service->targets, i), builder);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+}
+
+const Target *
+service_target (const Service *service, const char *name)
+{
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      if (strcmp (target->name, name) == 0)
+        return target;
+    }
+  return NULL;
+}
+
+guint
+service_slots (const Service *service)
+{
+  guint slots = 0;
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      if (target->state == TARGET_SERVING)
+        slots += target->slots;
+    }
+  return slots;
+}
--- /dev/null
+++ b/core/src/config/settings.c
@@ -0,0 +1,202 @@
+#include <core/settings.h>
+
+#include <string.h>
+
+#include <core/config.h>
+#include <core/names.h>
+
+#define TOKEN_MAX 255
+#define TOKEN_MIN 16
+#define MB (1024 * 1024)
+
+static const char *const log_names[] = { "error", "warning", "info", "debug", NULL };
+
+static void
+operator_free (gpointer data)
+{
+  OperatorAccount *account = data;
+
+  g_free (account->name);
+  g_free (account->token);
+  g_free (account);
+}
+
+static char *
+read_token (JsonView *view, const char *key)
+{
+  const char *token = json_view_required (view, key, TOKEN_MAX);
+
+  if (*token && strlen (token) < TOKEN_MIN)
+    json_faults_add (json_view_faults (view), json_view_path (view),
+                     "\"%s\" must be at least %d bytes long", key, TOKEN_MIN);
+  return g_strdup (token);
+}
+
+static void
+read_listen (Settings *settings, JsonView *view)
+{
+  JsonView *listen = json_view_object (view, "listen");
+
+  if (!listen)
+    {
+      json_faults_add (json_view_faults (view), "$.listen", "is missing");
+      return;
+    }
+  settings->callers_address = g_strdup (names_required_address (listen, "callers"));
+  settings->operators_address = g_strdup (names_required_address (listen, "operators"));
+  settings->nodes_address = g_strdup (names_required_address (listen, "nodes"));
+  json_view_close (listen);
+  if (*settings->callers_address &&
+      (strcmp (settings->callers_address, settings->operators_address) == 0 ||
+       strcmp (settings->callers_address, settings->nodes_address) == 0 ||
+       strcmp (settings->operators_address, settings->nodes_address) == 0))
+    json_faults_add (json_view_faults (view), "$.listen", "the addresses must differ");
+}
+
+static void
+read_operators (Settings *settings, JsonView *view)
+{
+  guint count = json_view_array_length (view, "operators");
+
+  for (guint i = 0; i < count; i++)
+    {
+      JsonView *item = json_view_array_object (view, "operators", i);
+      OperatorAccount *account;
+
+      if (!item)
+        continue;
+      account = g_new0 (OperatorAccount, 1);
+      account->name = g_strdup (names_required (item, "name"));
+      account->token = read_token (item, "token");
+      g_ptr_array_add (settings->operators, account);
+      json_view_close (item);
+    }
+}
+
+static void
+read_peers (Settings *settings, JsonView *view)
+{
+  guint count = json_view_array_length (view, "peers");
+  GPtrArray *peers = g_ptr_array_new ();
+
+  for (guint i = 0; i < count; i++)
+    {
+      const char *peer = json_view_array_string (view, "peers", i, NAME_MAX_LEN);
+      g_autofree char *path = g_strdup_printf ("$.peers[%u]", i);
+
+      if (!peer)
+        continue;
+      if (!names_address_valid (peer))
+        json_faults_add (json_view_faults (view), path,
+                         "must be an IP number and a port");
+      g_ptr_array_add (peers, g_strdup (peer));
+    }
+  g_ptr_array_add (peers, NULL);
+  settings->peers = (char **)g_ptr_array_free (peers, FALSE);
+}
+
+static void
+read_limits (Settings *settings, JsonView *view)
+{
+  JsonView *limits = json_view_object (view, "limits");
+  g_autoptr (JsonNode) empty = NULL;
+
+  if (!limits)
+    {
+      empty = json_node_new (JSON_NODE_OBJECT);
+      json_node_take_object (empty, json_object_new ());
+      limits = json_view_create (empty, "$.limits", json_view_faults (view));
+    }
+  settings->connections_max =
+      (guint)json_view_int (limits, "connections", 1, 100000, 2000);
+  settings->header_max = (gsize)json_view_int (limits, "header_bytes", 2048, MB, 32768);
+  settings->body_max = (gsize)json_view_int (limits, "body_bytes", 0, 8 * MB, 4 * MB);
+  settings->read_us = 1000 * json_view_int (limits, "read_ms", 100, 600000, 10000);
+  settings->stop_us = 1000 * json_view_int (limits, "stop_ms", 0, 3600000, 70000);
+  settings->fence_window_us =
+      1000 * json_view_int (limits, "fence_window_ms", 2 * CONFIG_DEADLINE_MAX_MS,
+                            3600000, 600000);
+  settings->fence_entries_max =
+      (guint)json_view_int (limits, "fence_entries", 16, 1000000, 65536);
+  settings->fence_answers_max =
+      (gsize)json_view_int (limits, "fence_answer_bytes", 0, 64 * MB, 8 * MB);
+  json_view_close (limits);
+}
+
+Settings *
+settings_parse (const char *text, gssize len, JsonFaults *faults)
+{
+  guint before = json_faults_count (faults);
+  JsonView *view = json_view_parse (text, len, faults);
+  Settings *settings;
+
+  if (!view)
+    return NULL;
+  settings = g_new0 (Settings, 1);
+  settings->operators = g_ptr_array_new_with_free_func (operator_free);
+  settings->node = g_strdup (names_required (view, "node"));
+  settings->hall = g_strdup (names_required (view, "hall"));
+  read_listen (settings, view);
+  settings->advertise_address =
+      json_view_has (view, "advertise")
+          ? g_strdup (names_required_address (view, "advertise"))
+          : g_strdup (settings->nodes_address);
+  settings->platform_address = g_strdup (names_required_address (view, "platform"));
+  settings->fleet_token = read_token (view, "fleet_token");
+  settings->log = json_view_choice (view, "log", log_names, LOG_INFO);
+  read_peers (settings, view);
+  read_operators (settings, view);
+  read_limits (settings, view);
+  json_view_close (view);
+  if (json_faults_count (faults) == before)
+    return settings;
+  settings_destroy (settings);
+  return NULL;
+}
+
+void
+settings_destroy (Settings *settings)
+{
+  if (!settings)
+    return;
+  g_free (settings->node);
+  g_free (settings->hall);
+  g_free (settings->callers_address);
+  g_free (settings->operators_address);
+  g_free (settings->nodes_address);
+  g_free (settings->advertise_address);
+  g_free (settings->platform_address);
+  g_free (settings->fleet_token);
+  g_strfreev (settings->peers);
+  g_ptr_array_unref (settings->operators);
+  g_free (settings);
+}
+
+gboolean
+settings_secret_equal (const char *a, const char *b)
+{
+  gsize len = strlen (a);
+  guint8 differs = len != strlen (b);
+
+  /* With different lengths `a` is compared with itself, for the same time. */
+  if (differs)
+    b = a;
+  for (gsize i = 0; i < len; i++)
+    differs |= (guint8)(a[i] ^ b[i]);
+  return !differs;
+}
+
+const char *
+settings_operator (const Settings *settings, const char *token)
+{
+  const char *name = NULL;
+
+  for (guint i = 0; i < settings->operators->len; i++)
+    {
+      const OperatorAccount *account = g_ptr_array_index (settings->operators, i);
+
+      if (settings_secret_equal (account->token, token))
+        name = account->name;
+    }
+  return name;
+}
--- /dev/null
+++ b/core/src/config/snapshot.c
@@ -0,0 +1,280 @@
+#include "model.h"
+
+#include <string.h>
+
+struct Snapshot
+{
+  gatomicrefcount refs;
+  ConfigHead *head;
+  GHashTable *by_key;    /* key → ConfigPart, which it owns */
+  GHashTable *by_digest; /* digest → ConfigPart, borrowed */
+  GPtrArray *services;   /* of Service, by name, borrowed from the parts */
+  ConfigPart *route_parts[CONFIG_SHARDS];
+  ConfigPart *account_parts[CONFIG_SHARDS];
+};
+
+static gint
+compare_services (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(Service *const *)a)->name, (*(Service *const *)b)->name);
+}
+
+static ConfigHead *
+copy_head (const ConfigHead *head)
+{
+  ConfigHead *copy = config_head_create (head->generation);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer digest;
+
+  for (guint i = 0; i < head->plans->len; i++)
+    g_ptr_array_add (copy->plans, g_strdup (g_ptr_array_index (head->plans, i)));
+  g_hash_table_iter_init (&iter, head->parts);
+  while (g_hash_table_iter_next (&iter, &key, &digest))
+    g_hash_table_insert (copy->parts, g_strdup (key), g_strdup (digest));
+  return copy;
+}
+
+static guint
+shard_of_key (const char *key)
+{
+  return (guint)g_ascii_strtoull (strchr (key, '/') + 1, NULL, 16) % CONFIG_SHARDS;
+}
+
+static void
+take_part (Snapshot *snapshot, ConfigPart *part)
+{
+  const char *key = config_part_key (part);
+
+  g_hash_table_insert (snapshot->by_key, (char *)key, config_part_ref (part));
+  g_hash_table_insert (snapshot->by_digest, (char *)config_part_digest (part), part);
+  if (config_part_service (part))
+    g_ptr_array_add (snapshot->services, (Service *)config_part_service (part));
+  else if (config_part_routes (part))
+    snapshot->route_parts[shard_of_key (key)] = part;
+  else
+    snapshot->account_parts[shard_of_key (key)] = part;
+}
+
+Snapshot *
+snapshot_create_empty (void)
+{
+  Snapshot *snapshot = g_new0 (Snapshot, 1);
+
+  g_atomic_ref_count_init (&snapshot->refs);
+  snapshot->head = config_head_create (0);
+  snapshot->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            (GDestroyNotify)config_part_unref);
+  snapshot->by_digest = g_hash_table_new (g_str_hash, g_str_equal);
+  snapshot->services = g_ptr_array_new ();
+  return snapshot;
+}
+
+Snapshot *
+snapshot_create (const ConfigHead *head, GHashTable *parts)
+{
+  Snapshot *snapshot = snapshot_create_empty ();
+  GHashTableIter iter;
+  gpointer digest;
+
+  config_head_destroy (snapshot->head);
+  snapshot->head = copy_head (head);
+  g_hash_table_iter_init (&iter, head->parts);
+  while (g_hash_table_iter_next (&iter, NULL, &digest))
+    {
+      ConfigPart *part = g_hash_table_lookup (parts, digest);
+
+      if (!part)
+        {
+          snapshot_unref (snapshot);
+          return NULL;
+        }
+      take_part (snapshot, part);
+    }
+  g_ptr_array_sort (snapshot->services, compare_services);
+  return snapshot;
+}
+
+Snapshot *
+snapshot_ref (Snapshot *snapshot)
+{
+  g_atomic_ref_count_inc (&snapshot->refs);
+  return snapshot;
+}
+
+void
+snapshot_unref (Snapshot *snapshot)
+{
+  if (!snapshot || !g_atomic_ref_count_dec (&snapshot->refs))
+    return;
+  config_head_destroy (snapshot->head);
+  g_hash_table_unref (snapshot->by_digest);
+  g_hash_table_unref (snapshot->by_key);
+  g_ptr_array_unref (snapshot->services);
+  g_free (snapshot);
+}
+
+guint64
+snapshot_generation (const Snapshot *snapshot)
+{
+  return snapshot->head->generation;
+}
+
+const ConfigHead *
+snapshot_head (const Snapshot *snapshot)
+{
+  return snapshot->head;
+}
+
+ConfigPart *
+snapshot_part (const Snapshot *snapshot, const char *key)
+{
+  return g_hash_table_lookup (snapshot->by_key, key);
+}
+
+ConfigPart *
+snapshot_part_by_digest (const Snapshot *snapshot, const char *digest)
+{
+  return g_hash_table_lookup (snapshot->by_digest, digest);
+}
+
+const Service *
+snapshot_service (const Snapshot *snapshot, const char *name)
+{
+  g_autofree char *key = g_strconcat ("service/", name, NULL);
+  ConfigPart *part = snapshot_part (snapshot, key);
+
+  return part ? config_part_service (part) : NULL;
+}
+
+const GPtrArray *
+snapshot_services (const Snapshot *snapshot)
+{
+  return snapshot->services;
+}
+
+guint
+snapshot_route_count (const Snapshot *snapshot)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < CONFIG_SHARDS; i++)
+    if (snapshot->route_parts[i])
+      count += config_part_routes (snapshot->route_parts[i])->len;
+  return count;
+}
+
+guint
+snapshot_account_count (const Snapshot *snapshot)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < CONFIG_SHARDS; i++)
+    if (snapshot->account_parts[i])
+      count += config_part_accounts (snapshot->account_parts[i])->len;
+  return count;
+}
+
+/* The places of the first route at or after (host, prefix) in a sorted shard. */
+static guint
+lower_bound (const GPtrArray *routes, const char *host, const char *prefix)
+{
+  guint low = 0;
+  guint high = routes->len;
+
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+
+      if (route_compare (g_ptr_array_index (routes, middle), host, prefix) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static const Route *
+find_exact (const Snapshot *snapshot, const char *host, const char *prefix, guint method)
+{
+  g_autofree char *key = config_route_shard (host, prefix);
+  const ConfigPart *part = snapshot->route_parts[shard_of_key (key)];
+  const GPtrArray *routes;
+
+  if (!part)
+    return NULL;
+  routes = config_part_routes (part);
+  for (guint i = lower_bound (routes, host, prefix); i < routes->len; i++)
+    {
+      const Route *route = g_ptr_array_index (routes, i);
+
+      if (route_compare (route, host, prefix) != 0)
+        return NULL;
+      if (route->methods & method)
+        return route;
+    }
+  return NULL;
+}
+
+static const Route *
+find_longest (const Snapshot *snapshot, const char *host, const char *path, guint method)
+{
+  g_autofree char *prefix = g_strdup (path);
+  const Route *route;
+  char *slash;
+
+  for (;;)
+    {
+      route = find_exact (snapshot, host, prefix, method);
+      slash = strrchr (prefix, '/');
+      if (route || !slash || strcmp (prefix, "/") == 0)
+        return route;
+      /* "/" itself is the last prefix to try. */
+      slash[slash == prefix ? 1 : 0] = '\0';
+    }
+}
+
+const Route *
+snapshot_route (const Snapshot *snapshot,
+                const char *host,
+                const char *path,
+                const char *method)
+{
+  guint bit = route_method_bit (method);
+  const Route *route = NULL;
+
+  if (!bit)
+    return NULL;
+  if (*host)
+    route = find_longest (snapshot, host, path, bit);
+  return route ? route : find_longest (snapshot, "", path, bit);
+}
+
+const Account *
+snapshot_account (const Snapshot *snapshot, const char *id)
+{
+  g_autofree char *key = config_account_shard (id);
+  const ConfigPart *part = snapshot->account_parts[shard_of_key (key)];
+  const GPtrArray *accounts;
+  guint low = 0;
+  guint high;
+
+  if (!part)
+    return NULL;
+  accounts = config_part_accounts (part);
+  high = accounts->len;
+  while (low < high)
+    {
+      guint middle = low + (high - low) / 2;
+      const Account *account = g_ptr_array_index (accounts, middle);
+      int order = strcmp (account->id, id);
+
+      if (order == 0)
+        return account;
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/core/src/health/eject.c
@@ -0,0 +1,46 @@
+#include <core/eject.h>
+
+#include <string.h>
+
+/* The worst sick item that has not been looked at yet, or NULL. */
+static EjectItem *
+worst (EjectItem *items, guint count, const gboolean *seen)
+{
+  EjectItem *found = NULL;
+
+  for (guint i = 0; i < count; i++)
+    {
+      EjectItem *item = &items[i];
+
+      if (seen[i] || !item->available || item->severity == 0)
+        continue;
+      if (!found || item->severity > found->severity ||
+          (item->severity == found->severity && strcmp (item->name, found->name) < 0))
+        found = item;
+    }
+  return found;
+}
+
+guint
+eject_apply (EjectItem *items, guint count, guint floor_slots)
+{
+  g_autofree gboolean *seen = g_new0 (gboolean, count + 1);
+  guint stay = 0;
+  EjectItem *item;
+
+  for (guint i = 0; i < count; i++)
+    {
+      items[i].ejected = FALSE;
+      if (items[i].available)
+        stay += items[i].slots;
+    }
+  while ((item = worst (items, count, seen)))
+    {
+      seen[item - items] = TRUE;
+      if (stay < item->slots || stay - item->slots < floor_slots)
+        continue;
+      item->ejected = TRUE;
+      stay -= item->slots;
+    }
+  return stay;
+}
--- /dev/null
+++ b/core/src/request/admission.c
@@ -0,0 +1,253 @@
+#include <core/admission.h>
+
+/* Weights of the running means: recent work, and what is normal for the target. */
+#define RECENT_SHARE 8
+#define NORMAL_SHARE 256
+/* Slower than this many times its normal, a target is given less at once. */
+#define SLOW_FACTOR 2
+/* The limit never falls below this share of the slots. */
+#define LIMIT_FLOOR_DIVISOR 4
+/* How many answers lie between two changes of the limit. */
+#define LIMIT_STEP_ANSWERS 8
+#define TOOK_DEFAULT_US (10 * MS_US)
+#define RETRY_AFTER_MIN_US (100 * MS_US)
+
+typedef struct
+{
+  gpointer item;
+  guint priority;
+  gint64 deadline_us;
+} Waiting;
+
+struct Admission
+{
+  Clock *clock;
+  guint slots;
+  guint limit;
+  guint queue_max;
+  guint in_use;
+  GArray *queue; /* of Waiting: by priority, then by arrival */
+  gpointer displaced;
+  gint64 recent_us;
+  gint64 normal_us;
+  guint answers;
+};
+
+Admission *
+admission_create (guint slots, guint queue_max, Clock *clock)
+{
+  Admission *admission = g_new0 (Admission, 1);
+
+  admission->clock = clock;
+  admission->slots = slots;
+  admission->limit = slots;
+  admission->queue_max = queue_max;
+  admission->queue = g_array_new (FALSE, FALSE, sizeof (Waiting));
+  return admission;
+}
+
+void
+admission_destroy (Admission *admission)
+{
+  if (!admission)
+    return;
+  g_array_unref (admission->queue);
+  g_free (admission);
+}
+
+void
+admission_resize (Admission *admission, guint slots, guint queue_max)
+{
+  admission->queue_max = queue_max;
+  if (slots == admission->slots)
+    return;
+  admission->slots = slots;
+  admission->limit = slots;
+}
+
+static gint64
+took_us (const Admission *admission)
+{
+  return admission->recent_us ? admission->recent_us : TOOK_DEFAULT_US;
+}
+
+/* How long the item at place `ahead` of the queue is likely to wait. */
+static gint64
+expected_wait_us (const Admission *admission, guint ahead)
+{
+  return (gint64)(ahead + 1) * took_us (admission) / MAX (admission->limit, 1);
+}
+
+static guint
+place_for (const Admission *admission, guint priority)
+{
+  guint place = admission->queue->len;
+
+  while (place > 0 &&
+         g_array_index (admission->queue, Waiting, place - 1).priority > priority)
+    place--;
+  return place;
+}
+
+/* Makes room in a full queue, when its last item matters less than the new one. */
+static gboolean
+displace (Admission *admission, guint priority)
+{
+  guint last = admission->queue->len - 1;
+  Waiting *waiting;
+
+  if (admission->queue->len == 0)
+    return FALSE;
+  waiting = &g_array_index (admission->queue, Waiting, last);
+  if (waiting->priority <= priority)
+    return FALSE;
+  admission->displaced = waiting->item;
+  g_array_remove_index (admission->queue, last);
+  return TRUE;
+}
+
+AdmissionAnswer
+admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us)
+{
+  Waiting waiting = { item, priority, deadline_us };
+  gint64 now = clock_now (admission->clock);
+  guint place = place_for (admission, priority);
+
+  if (deadline_us <= now)
+    return ADMISSION_REFUSED;
+  if (admission->in_use < admission->limit && admission->queue->len == 0)
+    {
+      admission->in_use++;
+      return ADMISSION_START;
+    }
+  /* What could not start and finish in time would only waste the slot. */
+  if (now + expected_wait_us (admission, place) + took_us (admission) > deadline_us)
+    return ADMISSION_REFUSED;
+  if (admission->queue->len >= admission->queue_max && !displace (admission, priority))
+    return ADMISSION_REFUSED;
+  g_array_insert_val (admission->queue, place, waiting);
+  return ADMISSION_QUEUED;
+}
+
+gpointer
+admission_displaced (Admission *admission)
+{
+  return g_steal_pointer (&admission->displaced);
+}
+
+static void
+adapt (Admission *admission)
+{
+  guint floor = MAX (1, admission->slots / LIMIT_FLOOR_DIVISOR);
+
+  if (++admission->answers % LIMIT_STEP_ANSWERS != 0)
+    return;
+  if (admission->recent_us > SLOW_FACTOR * admission->normal_us)
+    admission->limit = MAX (floor, admission->limit - MAX (1, admission->limit / 8));
+  else
+    admission->limit = MIN (admission->slots, admission->limit + 1);
+}
+
+void
+admission_release (Admission *admission, gint64 took)
+{
+  g_return_if_fail (admission->in_use > 0);
+  admission->in_use--;
+  if (took < 0)
+    return;
+  if (admission->normal_us == 0)
+    {
+      admission->recent_us = MAX (took, 1);
+      admission->normal_us = MAX (took, 1);
+    }
+  admission->recent_us += (took - admission->recent_us) / RECENT_SHARE;
+  /* What is normal rises slowly and falls at once, so that a slow spell stands out. */
+  if (took < admission->normal_us)
+    admission->normal_us += (took - admission->normal_us) / RECENT_SHARE;
+  else
+    admission->normal_us += (took - admission->normal_us) / NORMAL_SHARE;
+  admission->normal_us = MAX (admission->normal_us, 1);
+  adapt (admission);
+}
+
+gpointer
+admission_next (Admission *admission)
+{
+  gpointer item;
+
+  if (admission->queue->len == 0 || admission->in_use >= admission->limit)
+    return NULL;
+  item = g_array_index (admission->queue, Waiting, 0).item;
+  g_array_remove_index (admission->queue, 0);
+  admission->in_use++;
+  return item;
+}
+
+gpointer
+admission_expired (Admission *admission)
+{
+  gint64 now = clock_now (admission->clock);
+
+  for (guint i = 0; i < admission->queue->len; i++)
+    {
+      Waiting *waiting = &g_array_index (admission->queue, Waiting, i);
+      gpointer item = waiting->item;
+
+      if (waiting->deadline_us > now)
+        continue;
+      g_array_remove_index (admission->queue, i);
+      return item;
+    }
+  return NULL;
+}
+
+gboolean
+admission_withdraw (Admission *admission, gpointer item)
+{
+  for (guint i = 0; i < admission->queue->len; i++)
+    if (g_array_index (admission->queue, Waiting, i).item == item)
+      {
+        g_array_remove_index (admission->queue, i);
+        return TRUE;
+      }
+  return FALSE;
+}
+
+guint
+admission_in_use (const Admission *admission)
+{
+  return admission->in_use;
+}
+
+guint
+admission_queued (const Admission *admission)
+{
+  return admission->queue->len;
+}
+
+guint
+admission_limit (const Admission *admission)
+{
+  return admission->limit;
+}
+
+gint64
+admission_retry_after_us (const Admission *admission)
+{
+  return MAX (expected_wait_us (admission, admission->queue->len), RETRY_AFTER_MIN_US);
+}
+
+gint64
+admission_next_expiry_us (const Admission *admission)
+{
+  gint64 first = -1;
+
+  for (guint i = 0; i < admission->queue->len; i++)
+    {
+      gint64 due = g_array_index (admission->queue, Waiting, i).deadline_us;
+
+      if (first < 0 || due < first)
+        first = due;
+    }
+  return first;
+}
--- /dev/null
+++ b/core/src/request/balancer.c
@@ -0,0 +1,449 @@
+#include <core/balancer.h>
+
+#include <string.h>
+
+#include <core/eject.h>
+#include "path.h"
+
+/* Each ejected target gets about one trial in so long, from all ingresses together. */
+#define TRIAL_EVERY_US (SECOND_US / 2)
+/* Above this share of its slots in use, a hall's pick is weighed against other halls. */
+#define SPILL_PERCENT 80u
+#define LATENCY_UNKNOWN_US 1000u
+#define RETRY_AFTER_US SECOND_US
+#define MEDIAN_SAMPLES_MIN 10u
+
+typedef struct
+{
+  TargetReport report; /* `target` unused */
+  gboolean known;
+  guint outstanding; /* this ingress's own, on their way */
+  gint64 trial_due_us;
+} View;
+
+struct Balancer
+{
+  char *hall;
+  GRand *rand;
+  Clock *clock;
+  GHashTable *views; /* target → View */
+  GHashTable *paths; /* node → Path */
+  guint ingresses;
+};
+
+/* One target of the service being chosen from. */
+typedef struct
+{
+  const Target *target;
+  View *view;
+  gboolean local;
+} Candidate;
+
+Balancer *
+balancer_create (const char *hall, GRand *rand, Clock *clock)
+{
+  Balancer *balancer = g_new0 (Balancer, 1);
+
+  balancer->hall = g_strdup (hall);
+  balancer->rand = rand;
+  balancer->clock = clock;
+  balancer->ingresses = 1;
+  balancer->views = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  balancer->paths = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return balancer;
+}
+
+void
+balancer_destroy (Balancer *balancer)
+{
+  if (!balancer)
+    return;
+  g_hash_table_unref (balancer->views);
+  g_hash_table_unref (balancer->paths);
+  g_free (balancer->hall);
+  g_free (balancer);
+}
+
+static View *
+view_of (Balancer *balancer, const char *target)
+{
+  View *view = g_hash_table_lookup (balancer->views, target);
+
+  if (view)
+    return view;
+  view = g_new0 (View, 1);
+  g_hash_table_insert (balancer->views, g_strdup (target), view);
+  return view;
+}
+
+static Path *
+path_of (Balancer *balancer, const char *vm)
+{
+  Path *path = g_hash_table_lookup (balancer->paths, vm);
+
+  if (path)
+    return path;
+  path = g_new0 (Path, 1);
+  g_hash_table_insert (balancer->paths, g_strdup (vm), path);
+  return path;
+}
+
+void
+balancer_prune (Balancer *balancer, const Snapshot *snapshot)
+{
+  g_autoptr (GHashTable) named = g_hash_table_new (g_str_hash, g_str_equal);
+  const GPtrArray *services = snapshot_services (snapshot);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  for (guint i = 0; i < services->len; i++)
+    {
+      const Service *service = g_ptr_array_index (services, i);
+
+      for (guint j = 0; j < service->targets->len; j++)
+        g_hash_table_add (named,
+                          ((Target *)g_ptr_array_index (service->targets, j))->name);
+    }
+  g_hash_table_iter_init (&iter, balancer->views);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((View *)value)->outstanding == 0 && !g_hash_table_contains (named, key))
+      g_hash_table_iter_remove (&iter);
+}
+
+void
+balancer_note_report (Balancer *balancer, const TargetReport *report)
+{
+  View *view = view_of (balancer, report->target);
+
+  /* Incarnations have no order: another one's report stands for itself. */
+  if (view->known && report->incarnation == view->report.incarnation &&
+      report->serial < view->report.serial)
+    return;
+  view->report = *report;
+  view->report.target = NULL;
+  view->known = TRUE;
+}
+
+void
+balancer_note_verdict (Balancer *balancer,
+                       const char *target,
+                       guint64 incarnation,
+                       guint serial,
+                       guint severity,
+                       gboolean draining)
+{
+  View *view = view_of (balancer, target);
+  gboolean same = view->report.incarnation == incarnation;
+
+  if (same && serial < view->report.serial)
+    return;
+  if (!same)
+    view->report = (TargetReport){ .incarnation = incarnation };
+  view->report.serial = serial;
+  view->report.severity = severity;
+  view->report.draining = draining;
+}
+
+void
+balancer_set_member (Balancer *balancer,
+                     const char *vm,
+                     guint64 incarnation,
+                     gboolean alive)
+{
+  Path *path = path_of (balancer, vm);
+
+  /* A node that came anew, or back, starts with a clean path. */
+  if (alive && (path->dead || path->incarnation != incarnation))
+    *path = (Path){ 0 };
+  path->incarnation = incarnation;
+  path->dead = !alive;
+}
+
+/* Whether what is held of a target comes from its sidecar's present incarnation. */
+static gboolean
+is_current (const View *view, const Path *path)
+{
+  return path->incarnation == 0 || view->report.incarnation == path->incarnation;
+}
+
+void
+balancer_set_ingresses (Balancer *balancer, guint count)
+{
+  balancer->ingresses = MAX (count, 1);
+}
+
+void
+balancer_note_path (Balancer *balancer, const char *vm, gboolean answered)
+{
+  path_note (path_of (balancer, vm), answered, clock_now (balancer->clock));
+}
+
+static void
+fill_items (Balancer *balancer, const Service *service, EjectItem *items)
+{
+  gint64 now = clock_now (balancer->clock);
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+      const View *view = view_of (balancer, target->name);
+      const Path *path = path_of (balancer, target->vm);
+      gboolean current = is_current (view, path);
+      gboolean weigh = current && service->detection != DETECTION_OFF;
+
+      items[i].name = target->name;
+      items[i].slots = target->slots;
+      items[i].severity = weigh ? view->report.severity : 0;
+      items[i].available = target->state == TARGET_SERVING &&
+                           !(current && view->report.draining) && path_usable (path, now);
+    }
+}
+
+static gboolean
+was_tried (const GPtrArray *tried, const char *name)
+{
+  for (guint i = 0; tried && i < tried->len; i++)
+    if (strcmp (g_ptr_array_index (tried, i), name) == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Takes an ejected target's turn for a trial, and sets the next. */
+static gboolean
+trial_is_due (Balancer *balancer, View *view)
+{
+  gint64 now = clock_now (balancer->clock);
+  gint64 every = TRIAL_EVERY_US * balancer->ingresses;
+
+  if (now < view->trial_due_us)
+    return FALSE;
+  view->trial_due_us =
+      now + (gint64)(every * g_rand_double_range (balancer->rand, 0.5, 1.5));
+  return TRUE;
+}
+
+static double
+load_of (const Candidate *candidate)
+{
+  const View *view = candidate->view;
+  guint slots =
+      view->known && view->report.limit ? view->report.limit : candidate->target->slots;
+
+  return (double)(MAX (view->report.in_use, view->outstanding) + view->report.queued +
+                  1) /
+         slots;
+}
+
+static double
+score_of (const Candidate *candidate)
+{
+  guint latency = MAX (candidate->view->report.latency_us, LATENCY_UNKNOWN_US);
+
+  return load_of (candidate) * latency;
+}
+
+/* The better of two taken at random, among those that are (not) of this hall. */
+static const Candidate *
+pick_two (Balancer *balancer, const GArray *candidates, gboolean local)
+{
+  const Candidate *best = NULL;
+  guint seen = 0;
+  guint first;
+  guint second;
+  guint count = 0;
+
+  for (guint i = 0; i < candidates->len; i++)
+    if (g_array_index (candidates, Candidate, i).local == local)
+      count++;
+  if (count == 0)
+    return NULL;
+  first = (guint)g_rand_int_range (balancer->rand, 0, (gint32)count);
+  second = (guint)g_rand_int_range (balancer->rand, 0, (gint32)count);
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
+
+      if (candidate->local != local)
+        continue;
+      if ((seen == first || seen == second) &&
+          (!best || score_of (candidate) < score_of (best)))
+        best = candidate;
+      seen++;
+    }
+  return best;
+}
+
+static const Target *
+pick (Balancer *balancer, const GArray *candidates)
+{
+  const Candidate *local = pick_two (balancer, candidates, TRUE);
+  const Candidate *other = pick_two (balancer, candidates, FALSE);
+
+  if (!local && !other)
+    return NULL;
+  if (!other)
+    return local->target;
+  if (!local)
+    return other->target;
+  if (load_of (local) * 100 <= SPILL_PERCENT || load_of (local) <= load_of (other))
+    return local->target;
+  return other->target;
+}
+
+static void
+add_candidate (Balancer *balancer, GArray *candidates, const Target *target)
+{
+  Candidate candidate = { target, view_of (balancer, target->name),
+                          strcmp (target->hall, balancer->hall) == 0 };
+
+  g_array_append_val (candidates, candidate);
+}
+
+/*
+ * With every path broken, the ones that the membership still holds alive are tried:
+ * a breaker that is wrong must not answer for the whole service.
+ */
+static void
+add_last_resorts (Balancer *balancer,
+                  const Service *service,
+                  const GPtrArray *tried,
+                  GArray *candidates)
+{
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      const View *view = view_of (balancer, target->name);
+      const Path *path = path_of (balancer, target->vm);
+
+      if (target->state == TARGET_SERVING && !path->dead &&
+          !(is_current (view, path) && view->report.draining) &&
+          !was_tried (tried, target->name))
+        add_candidate (balancer, candidates, target);
+    }
+}
+
+BalancerChoice
+balancer_choose (Balancer *balancer,
+                 const Service *service,
+                 gboolean repeatable,
+                 const GPtrArray *tried)
+{
+  BalancerChoice choice = { .retry_after_us = RETRY_AFTER_US };
+  guint count = service->targets->len;
+  g_autofree EjectItem *items = g_new0 (EjectItem, count + 1);
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  gboolean any_available = FALSE;
+
+  fill_items (balancer, service, items);
+  eject_apply (items, count, service->floor_slots);
+  for (guint i = 0; i < count; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      any_available |= items[i].available;
+      if (!items[i].available || was_tried (tried, target->name))
+        continue;
+      if (!items[i].ejected)
+        add_candidate (balancer, candidates, target);
+      else if (repeatable && !tried &&
+               trial_is_due (balancer, view_of (balancer, target->name)))
+        {
+          choice.target = target;
+          choice.trial = TRUE;
+          return choice;
+        }
+    }
+  if (!any_available)
+    add_last_resorts (balancer, service, tried, candidates);
+  choice.target = pick (balancer, candidates);
+  return choice;
+}
+
+void
+balancer_begin (Balancer *balancer, const char *target)
+{
+  view_of (balancer, target)->outstanding++;
+}
+
+void
+balancer_end (Balancer *balancer, const char *target)
+{
+  View *view = view_of (balancer, target);
+
+  if (view->outstanding > 0)
+    view->outstanding--;
+}
+
+static gint
+compare_uints (gconstpointer a, gconstpointer b)
+{
+  guint x = *(const guint *)a;
+  guint y = *(const guint *)b;
+
+  return (x > y) - (x < y);
+}
+
+static guint
+median (GArray *values)
+{
+  if (values->len == 0)
+    return 0;
+  g_array_sort (values, compare_uints);
+  return g_array_index (values, guint, (values->len - 1) / 2);
+}
+
+SiblingMedians
+balancer_medians (Balancer *balancer, const Service *service)
+{
+  g_autoptr (GArray) latencies = g_array_new (FALSE, FALSE, sizeof (guint));
+  g_autoptr (GArray) failures = g_array_new (FALSE, FALSE, sizeof (guint));
+  SiblingMedians medians = { 0 };
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+      const View *view = view_of (balancer, target->name);
+
+      if (!view->known || view->report.samples < MEDIAN_SAMPLES_MIN)
+        continue;
+      g_array_append_val (latencies, view->report.latency_us);
+      g_array_append_val (failures, view->report.failures_ppm);
+    }
+  /* One target is no measure for itself, nor is one other: which of two is the slow one?
+   */
+  if (latencies->len < 2)
+    return medians;
+  medians.latency_us = median (latencies);
+  medians.failures_ppm = median (failures);
+  return medians;
+}
+
+TargetStatus
+balancer_status (Balancer *balancer, const Service *service, const Target *target)
+{
+  guint count = service->targets->len;
+  g_autofree EjectItem *items = g_new0 (EjectItem, count + 1);
+  const View *view = view_of (balancer, target->name);
+  const Path *path = path_of (balancer, target->vm);
+  TargetStatus status = { view->report, view->known, !path->dead, FALSE, FALSE };
+
+  status.path_open = path_usable (path, clock_now (balancer->clock));
+  status.report.target = target->name;
+  fill_items (balancer, service, items);
+  eject_apply (items, count, service->floor_slots);
+  for (guint i = 0; i < count; i++)
+    if (strcmp (items[i].name, target->name) == 0)
+      status.ejected = items[i].ejected;
+  return status;
+}
+
+guint
+balancer_slots_in_service (Balancer *balancer, const Service *service)
+{
+  g_autofree EjectItem *items = g_new0 (EjectItem, service->targets->len + 1);
+
+  fill_items (balancer, service, items);
+  return eject_apply (items, service->targets->len, service->floor_slots);
+}
--- /dev/null
+++ b/core/src/request/dispatch.c
@@ -0,0 +1,237 @@
+#include <core/dispatch.h>
+
+/* Past the deadline the sidecar answers by itself; this is for its answer's way. */
+#define ANSWER_GRACE_US (250 * MS_US)
+/* How long after the deadline the fence is still asked before "unknown" is said. */
+#define ASK_GRACE_US (500 * MS_US)
+#define ASK_MIN_US (100 * MS_US)
+#define ASK_HOLD_MAX_US (2 * SECOND_US)
+/* A caller is told to come back after this when nobody knows better. */
+#define RETRY_AFTER_DEFAULT_US SECOND_US
+
+struct Dispatch
+{
+  DispatchPolicy policy;
+  RetryBudget *budget;
+  GRand *rand;
+  Clock *clock;
+  guint attempts;
+  guint asks;
+  gboolean asking;
+  gboolean may_have_run;
+  Reason reason; /* of the last attempt that came to nothing */
+  gint64 retry_after_us;
+};
+
+Dispatch *
+dispatch_create (const DispatchPolicy *policy,
+                 RetryBudget *budget,
+                 GRand *rand,
+                 Clock *clock)
+{
+  Dispatch *dispatch = g_new0 (Dispatch, 1);
+
+  dispatch->policy = *policy;
+  dispatch->budget = budget;
+  dispatch->rand = rand;
+  dispatch->clock = clock;
+  dispatch->retry_after_us = RETRY_AFTER_DEFAULT_US;
+  return dispatch;
+}
+
+void
+dispatch_destroy (Dispatch *dispatch)
+{
+  g_free (dispatch);
+}
+
+guint
+dispatch_attempts (const Dispatch *dispatch)
+{
+  return dispatch->attempts;
+}
+
+static gint64
+remaining (const Dispatch *dispatch)
+{
+  return dispatch->policy.deadline_us - clock_now (dispatch->clock);
+}
+
+static DispatchStep
+answer (Dispatch *dispatch, Outcome outcome, Reason reason)
+{
+  DispatchStep step = { .kind = DISPATCH_ANSWER, .outcome = outcome, .reason = reason };
+
+  step.retry_after_us = dispatch->retry_after_us;
+  return step;
+}
+
+/* The end of the line without an answer: what can be said depends on what was risked. */
+static DispatchStep
+give_up (Dispatch *dispatch, Reason reason)
+{
+  return answer (dispatch, dispatch->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+                 reason);
+}
+
+DispatchStep
+dispatch_begin (Dispatch *dispatch)
+{
+  DispatchStep step = { .kind = DISPATCH_CHOOSE };
+
+  retry_budget_deposit (dispatch->budget);
+  return step;
+}
+
+DispatchStep
+dispatch_chosen (Dispatch *dispatch, gboolean found, gint64 retry_after_us)
+{
+  DispatchStep step = { .kind = DISPATCH_SEND };
+  gint64 left = remaining (dispatch);
+
+  if (!found)
+    {
+      if (retry_after_us > 0)
+        dispatch->retry_after_us = retry_after_us;
+      return give_up (dispatch, dispatch->reason ? dispatch->reason : REASON_NO_TARGET);
+    }
+  if (left <= 0)
+    return give_up (dispatch, REASON_DEADLINE);
+  dispatch->attempts++;
+  step.remaining_us = left;
+  step.wait_us = left + ANSWER_GRACE_US;
+  /* A silent sidecar must leave time for another target, or for the fence. */
+  if (dispatch->attempts < dispatch->policy.attempts_max && !dispatch->policy.pinned)
+    step.wait_us = MAX (left / 2, MIN (left, ASK_MIN_US));
+  return step;
+}
+
+static gboolean
+reason_is_free (Reason reason)
+{
+  return reason == REASON_DRAINING || reason == REASON_NONE;
+}
+
+static DispatchStep
+retry (Dispatch *dispatch, Reason reason, gboolean at_once)
+{
+  DispatchStep step = { .kind = at_once ? DISPATCH_CHOOSE : DISPATCH_PAUSE };
+
+  dispatch->reason = reason;
+  if (dispatch->policy.pinned || dispatch->attempts >= dispatch->policy.attempts_max ||
+      remaining (dispatch) <= 0)
+    return give_up (dispatch, reason);
+  /* A departure is no sign of overload, and its refusal costs next to nothing. */
+  if (!reason_is_free (reason) && !retry_budget_withdraw (dispatch->budget))
+    return give_up (dispatch, reason);
+  if (at_once)
+    return step;
+  step.wait_us = retry_pause_us (dispatch->attempts, dispatch->rand);
+  if (step.wait_us >= remaining (dispatch))
+    return give_up (dispatch, reason);
+  return step;
+}
+
+static DispatchStep
+ask (Dispatch *dispatch)
+{
+  DispatchStep step = { .kind = DISPATCH_ASK };
+  gint64 left = remaining (dispatch);
+
+  dispatch->asking = TRUE;
+  dispatch->asks++;
+  if (left + ASK_GRACE_US <= 0)
+    return answer (dispatch, OUTCOME_UNKNOWN, REASON_LOST);
+  step.hold_us = CLAMP (left, 0, ASK_HOLD_MAX_US);
+  step.wait_us = MIN (step.hold_us + ASK_GRACE_US, left + ASK_GRACE_US);
+  return step;
+}
+
+static DispatchStep
+refused (Dispatch *dispatch, Reason reason, gint64 retry_after_us)
+{
+  dispatch->asking = FALSE;
+  if (retry_after_us > 0)
+    dispatch->retry_after_us = retry_after_us;
+  return retry (dispatch, reason, dispatch->attempts < 2);
+}
+
+static DispatchStep
+failed (Dispatch *dispatch, Reason reason)
+{
+  dispatch->may_have_run = TRUE;
+  if (!dispatch->policy.repeatable)
+    return answer (dispatch, OUTCOME_UNKNOWN, reason);
+  return retry (dispatch, reason, FALSE);
+}
+
+DispatchStep
+dispatch_sent (Dispatch *dispatch,
+               DispatchReport report,
+               Reason reason,
+               gint64 retry_after_us)
+{
+  switch (report)
+    {
+    case DISPATCH_DONE:
+      return answer (dispatch, OUTCOME_DONE, REASON_NONE);
+    case DISPATCH_REFUSED:
+      return refused (dispatch, reason, retry_after_us);
+    case DISPATCH_UNSENT:
+      return refused (dispatch, REASON_LOST, 0);
+    case DISPATCH_FAILED:
+    case DISPATCH_UNSURE:
+      return failed (dispatch, reason);
+    default:
+      if (dispatch->policy.repeatable)
+        return failed (dispatch, REASON_LOST);
+      return ask (dispatch);
+    }
+}
+
+static DispatchStep
+pause_before_ask (Dispatch *dispatch)
+{
+  DispatchStep step = { .kind = DISPATCH_PAUSE };
+
+  step.wait_us = retry_pause_us (dispatch->asks, dispatch->rand);
+  if (step.wait_us >= remaining (dispatch) + ASK_GRACE_US)
+    return answer (dispatch, OUTCOME_UNKNOWN, REASON_LOST);
+  return step;
+}
+
+DispatchStep
+dispatch_asked (Dispatch *dispatch,
+                DispatchReport report,
+                Reason reason,
+                gint64 retry_after_us)
+{
+  switch (report)
+    {
+    case DISPATCH_DONE:
+      return answer (dispatch, OUTCOME_DONE, REASON_NONE);
+    case DISPATCH_REFUSED:
+      return refused (dispatch, reason, retry_after_us);
+    case DISPATCH_STARTED:
+      if (remaining (dispatch) <= 0)
+        return answer (dispatch, OUTCOME_UNKNOWN, REASON_TIMEOUT);
+      return ask (dispatch);
+    case DISPATCH_FAILED:
+    case DISPATCH_UNSURE:
+      return failed (dispatch, reason);
+    default:
+      return pause_before_ask (dispatch);
+    }
+}
+
+DispatchStep
+dispatch_resume (Dispatch *dispatch)
+{
+  DispatchStep step = { .kind = DISPATCH_CHOOSE };
+
+  if (dispatch->asking)
+    return ask (dispatch);
+  if (remaining (dispatch) <= 0)
+    return give_up (dispatch, REASON_DEADLINE);
+  return step;
+}
--- /dev/null
+++ b/core/src/request/path.c
@@ -0,0 +1,31 @@
+#include "path.h"
+
+/* So many calls in a row without any answer break a path. */
+#define LOSSES_TO_BREAK 3u
+#define PAUSE_FIRST_US G_GINT64_CONSTANT (1000000)
+#define PAUSE_DOUBLINGS_MAX 5u
+
+void
+path_note (Path *path, gboolean answered, gint64 now_us)
+{
+  if (answered)
+    {
+      path->losses = 0;
+      path->opened = 0;
+      path->closed_until_us = 0;
+      return;
+    }
+  if (++path->losses < LOSSES_TO_BREAK)
+    return;
+  /* After the pause one more loss is enough to break it again. */
+  path->losses = LOSSES_TO_BREAK - 1;
+  path->closed_until_us =
+      now_us + (PAUSE_FIRST_US << MIN (path->opened, PAUSE_DOUBLINGS_MAX));
+  path->opened++;
+}
+
+gboolean
+path_usable (const Path *path, gint64 now_us)
+{
+  return !path->dead && now_us >= path->closed_until_us;
+}
--- /dev/null
+++ b/core/src/request/retry.c
@@ -0,0 +1,63 @@
+#include <core/retry.h>
+
+/* Budgets are counted in hundredths of a retry. */
+#define ONE_RETRY 100
+/* What a quiet service may spend at once, and what a busy one may save. */
+#define START_RETRIES 10
+#define SAVED_RETRIES 100
+#define PAUSE_FIRST_US 5000
+#define PAUSE_MAX_US 250000
+
+struct RetryBudget
+{
+  guint percent;
+  gint hundredths;
+};
+
+RetryBudget *
+retry_budget_create (guint percent)
+{
+  RetryBudget *budget = g_new0 (RetryBudget, 1);
+
+  budget->percent = percent;
+  budget->hundredths = percent ? START_RETRIES * ONE_RETRY : 0;
+  return budget;
+}
+
+void
+retry_budget_destroy (RetryBudget *budget)
+{
+  g_free (budget);
+}
+
+void
+retry_budget_set_percent (RetryBudget *budget, guint percent)
+{
+  budget->percent = percent;
+  if (!percent)
+    budget->hundredths = 0;
+}
+
+void
+retry_budget_deposit (RetryBudget *budget)
+{
+  budget->hundredths =
+      MIN (budget->hundredths + (gint)budget->percent, SAVED_RETRIES * ONE_RETRY);
+}
+
+gboolean
+retry_budget_withdraw (RetryBudget *budget)
+{
+  if (budget->hundredths < ONE_RETRY)
+    return FALSE;
+  budget->hundredths -= ONE_RETRY;
+  return TRUE;
+}
+
+gint64
+retry_pause_us (guint retry, GRand *rand)
+{
+  gint64 bound = PAUSE_FIRST_US << MIN (retry - 1, 10u);
+
+  return g_rand_int_range (rand, 0, (gint32)MIN (bound, PAUSE_MAX_US) + 1);
+}
--- /dev/null
+++ b/daemon/src/calls.c
@@ -0,0 +1,149 @@
+#include "calls.h"
+
+#include "config-sync.h"
+#include "gossip.h"
+#include "log.h"
+#include "sidecar.h"
+
+/* Whether a caller's own words name a member that is there, or one that is new. */
+static gboolean
+is_member (Node *node, const sw_rumour *from)
+{
+  const Member *member;
+
+  gossip_merge_rumour (node, from);
+  member = members_find (node->members, from->node);
+  return member && member->incarnation == from->incarnation && members_is_alive (member);
+}
+
+static void
+on_hello (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_hello_args args = { 0 };
+  sw_hello_res res = { 0 };
+
+  if (!xdr_sw_hello_args (in, &args) ||
+      !settings_secret_equal (args.token, node->settings->fleet_token) ||
+      !is_member (node, &args.from))
+    {
+      metrics_add (node->metrics, METRIC_RPC_DENIED, 1);
+      log_event (G_LOG_LEVEL_WARNING, "peer-denied", "SUBJECT",
+                 args.from.node ? args.from.node : "", NULL);
+      rpc_conn_deny (conn, xid);
+    }
+  else
+    {
+      rpc_conn_set_peer (conn, args.from.node);
+      res.welcome = TRUE;
+      sidecar_stamp (node->sidecar, &res.stamp);
+      sidecar_states (node->sidecar, &res);
+      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_hello_res, &res);
+      g_free (res.states.states_val);
+    }
+  xdr_free ((xdrproc_t)xdr_sw_hello_args, (char *)&args);
+}
+
+static void
+on_submit (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_submit_args args = { 0 };
+
+  if (xdr_sw_submit_args (in, &args))
+    sidecar_submit (node->sidecar, conn, xid, &args);
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_submit_args, (char *)&args);
+}
+
+static void
+on_fence (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_fence_args args = { 0 };
+
+  if (xdr_sw_fence_args (in, &args))
+    sidecar_fence (node->sidecar, conn, xid, &args);
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_fence_args, (char *)&args);
+}
+
+static void
+on_head (Node *node, RpcConn *conn, guint32 xid)
+{
+  sw_head_res res = { 0 };
+
+  config_sync_answer_head (node->config, &res);
+  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_head_res, &res);
+}
+
+static void
+on_part (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_part_args args = { 0 };
+  sw_part_res res = { 0 };
+
+  if (xdr_sw_part_args (in, &args))
+    {
+      config_sync_answer_part (node->config, &args, &res);
+      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_part_res, &res);
+    }
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_part_args, (char *)&args);
+}
+
+static void
+on_view (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_view_args args = { 0 };
+  sw_view_res res = { 0 };
+
+  if (xdr_sw_view_args (in, &args))
+    {
+      gossip_answer_view (node, &args, &res);
+      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_view_res, &res);
+      g_free (res.rumours.rumours_val);
+    }
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_view_args, (char *)&args);
+}
+
+void
+calls_handle (RpcConn *conn, const WireCall *call, XDR *in, gpointer data)
+{
+  Node *node = data;
+
+  if (call->procedure == SW_HELLO)
+    {
+      on_hello (node, conn, call->xid, in);
+      return;
+    }
+  if (!rpc_conn_peer (conn))
+    {
+      metrics_add (node->metrics, METRIC_RPC_DENIED, 1);
+      rpc_conn_deny (conn, call->xid);
+      return;
+    }
+  switch (call->procedure)
+    {
+    case SW_SUBMIT:
+      on_submit (node, conn, call->xid, in);
+      break;
+    case SW_FENCE:
+      on_fence (node, conn, call->xid, in);
+      break;
+    case SW_HEAD:
+      on_head (node, conn, call->xid);
+      break;
+    case SW_PART:
+      on_part (node, conn, call->xid, in);
+      break;
+    case SW_VIEW:
+      on_view (node, conn, call->xid, in);
+      break;
+    default:
+      rpc_conn_deny (conn, call->xid);
+      break;
+    }
+}
--- /dev/null
+++ b/daemon/src/config-sync.h
@@ -0,0 +1,37 @@
+/*
+ * The configuration in force at this node: from the platform where it answers, from
+ * other nodes where it does not. Only a higher generation ever replaces it.
+ */
+#ifndef DAEMON_CONFIG_SYNC_H
+#define DAEMON_CONFIG_SYNC_H
+
+#include <core/config.h>
+#include <wire/message.h>
+
+#include "node.h"
+
+/* The platform's keys. */
+#define CONFIG_HEAD_KEY "switchmill/head"
+#define CONFIG_PART_KEY "switchmill/part/"
+
+ConfigSync *config_sync_create (Node *node);
+void config_sync_destroy (ConfigSync *sync);
+
+/* The snapshot in force; borrowed until control returns to the loop. */
+Snapshot *config_sync_snapshot (const ConfigSync *sync);
+
+/* Whether this node may serve: it has asked, and has the highest that it could find. */
+gboolean config_sync_ready (const ConfigSync *sync);
+
+/* Another node has said which generation is in force there. */
+void config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation);
+
+/* Reads the head from the platform now rather than at the next occasion. */
+void config_sync_poll (ConfigSync *sync);
+
+/* Answers for other nodes; the results borrow from the sync. */
+void config_sync_answer_head (ConfigSync *sync, sw_head_res *res);
+void
+config_sync_answer_part (ConfigSync *sync, const sw_part_args *args, sw_part_res *res);
+
+#endif
--- /dev/null
+++ b/daemon/src/confirm.c
@@ -0,0 +1,196 @@
+#include "confirm.h"
+
+#include <string.h>
+
+#include "config-sync.h"
+#include "platform.h"
+
+/* How often an unanswered call is made again. */
+#define TRIES_MAX 4u
+#define TRY_PAUSE_US (200 * MS_US)
+
+typedef struct
+{
+  Node *node;
+  Plan *plan;
+  ConfirmDone done;
+  gpointer data;
+  LoopTimer *timer;
+  void (*next) (gpointer data); /* what the timer does */
+  guint part;                   /* the next to write */
+  guint tries;
+  char *version; /* of the head that the plan was made on */
+} Confirm;
+
+static void read_head (gpointer data);
+static void write_part (gpointer data);
+
+static void
+finish (Confirm *confirm, ConfirmOutcome outcome)
+{
+  guint64 generation = plan_head (confirm->plan)->generation;
+
+  if (outcome == CONFIRM_ACCEPTED)
+    config_sync_poll (confirm->node->config);
+  confirm->done (outcome, generation, confirm->data);
+  loop_timer_destroy (confirm->timer);
+  plan_destroy (confirm->plan);
+  g_free (confirm->version);
+  g_free (confirm);
+}
+
+static void
+on_timer (gpointer data)
+{
+  Confirm *confirm = data;
+
+  confirm->next (confirm);
+}
+
+/* Does `next` again after a pause; gives up when it has been done often enough. */
+static void
+try_again (Confirm *confirm, void (*next) (gpointer data))
+{
+  if (++confirm->tries >= TRIES_MAX)
+    {
+      finish (confirm, CONFIRM_UNKNOWN);
+      return;
+    }
+  confirm->next = next;
+  loop_timer_start (confirm->timer, TRY_PAUSE_US);
+}
+
+static void
+on_head_written (const PlatformResult *result, gpointer data)
+{
+  Confirm *confirm = data;
+
+  if (result->outcome == PLATFORM_OK)
+    {
+      finish (confirm, CONFIRM_ACCEPTED);
+      return;
+    }
+  /*
+   * An answer may have been lost after the write took effect, and the same write sent
+   * again then meets its own result as a conflict. Only the head itself can tell.
+   */
+  if (result->outcome == PLATFORM_CONFLICT)
+    read_head (confirm);
+  else
+    try_again (confirm, read_head);
+}
+
+static void
+write_head (Confirm *confirm)
+{
+  g_autofree char *text = config_head_text (plan_head (confirm->plan));
+
+  platform_put (confirm->node, CONFIG_HEAD_KEY, confirm->version, text, strlen (text),
+                on_head_written, confirm);
+}
+
+/* Whether the head as read is the one that the plan was made on. */
+static void
+judge_head (Confirm *confirm, const ConfigHead *head, const char *version)
+{
+  guint64 generation = head ? head->generation : 0;
+
+  if (head && config_head_has_plan (head, plan_id (confirm->plan)))
+    {
+      finish (confirm, CONFIRM_ACCEPTED);
+      return;
+    }
+  if (generation != plan_base_generation (confirm->plan))
+    {
+      finish (confirm, CONFIRM_STALE);
+      return;
+    }
+  g_free (confirm->version);
+  confirm->version = g_strdup (head ? version : "");
+  write_part (confirm);
+}
+
+static void
+on_head_read (const PlatformResult *result, gpointer data)
+{
+  Confirm *confirm = data;
+  JsonFaults *faults;
+  ConfigHead *head;
+
+  if (result->outcome == PLATFORM_MISSING)
+    {
+      judge_head (confirm, NULL, "");
+      return;
+    }
+  if (result->outcome != PLATFORM_OK)
+    {
+      try_again (confirm, read_head);
+      return;
+    }
+  faults = json_faults_create ();
+  head = config_head_parse ((const char *)result->body->data, result->body->len, faults);
+  json_faults_destroy (faults);
+  if (head)
+    judge_head (confirm, head, result->version);
+  else
+    finish (confirm, CONFIRM_UNKNOWN);
+  config_head_destroy (head);
+}
+
+static void
+read_head (gpointer data)
+{
+  Confirm *confirm = data;
+
+  platform_get (confirm->node, CONFIG_HEAD_KEY, on_head_read, confirm);
+}
+
+static void
+on_part_written (const PlatformResult *result, gpointer data)
+{
+  Confirm *confirm = data;
+
+  /* A part that is there already is this part: its key is its digest. */
+  if (result->outcome == PLATFORM_OK || result->outcome == PLATFORM_CONFLICT)
+    {
+      confirm->part++;
+      write_part (confirm);
+      return;
+    }
+  try_again (confirm, write_part);
+}
+
+static void
+write_part (gpointer data)
+{
+  Confirm *confirm = data;
+  const GPtrArray *parts = plan_parts (confirm->plan);
+  g_autofree char *key = NULL;
+  const ConfigPart *part;
+  const void *text;
+  gsize len;
+
+  if (confirm->part >= parts->len)
+    {
+      write_head (confirm);
+      return;
+    }
+  part = g_ptr_array_index (parts, confirm->part);
+  key = g_strconcat (CONFIG_PART_KEY, config_part_digest (part), NULL);
+  text = g_bytes_get_data (config_part_text (part), &len);
+  platform_put (confirm->node, key, "", text, len, on_part_written, confirm);
+}
+
+void
+confirm_start (Node *node, Plan *plan, ConfirmDone done, gpointer data)
+{
+  Confirm *confirm = g_new0 (Confirm, 1);
+
+  confirm->node = node;
+  confirm->plan = plan;
+  confirm->done = done;
+  confirm->data = data;
+  confirm->version = g_strdup ("");
+  confirm->timer = loop_timer_create (node->loop, on_timer, confirm);
+  read_head (confirm);
+}
--- /dev/null
+++ b/daemon/src/gossip.h
@@ -0,0 +1,28 @@
+/*
+ * The membership's datagrams, and what they bring about: alive and dead nodes and
+ * targets' verdicts for the balancer, newer configurations for the sync.
+ */
+#ifndef DAEMON_GOSSIP_H
+#define DAEMON_GOSSIP_H
+
+#include <wire/message.h>
+
+#include "node.h"
+
+/* NULL, with `error` set, when the nodes' address cannot be bound. */
+Gossip *gossip_create (Node *node, GError **error);
+void gossip_destroy (Gossip *gossip);
+
+/* A member as a rumour whose texts are borrowed from it. */
+void gossip_fill_rumour (const Member *member, sw_rumour *rumour);
+
+/* Takes a rumour in. */
+void gossip_merge_rumour (Node *node, const sw_rumour *rumour);
+
+/* Tells a few members at once, rather than with the next probe. */
+void gossip_push (Gossip *gossip);
+
+/* The members in the buckets that differ; `rumours` is to be freed, its texts not. */
+void gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res);
+
+#endif
--- /dev/null
+++ b/daemon/src/metrics.c
@@ -0,0 +1,150 @@
+#include "metrics.h"
+
+#include <core/histogram.h>
+
+typedef struct
+{
+  char *tenant;
+  char *class;
+  guint64 outcomes[OUTCOME_COUNT];
+  Histogram *latency;
+} ClassStats;
+
+struct Metrics
+{
+  guint64 counters[METRIC_COUNT];
+  GHashTable *classes; /* "tenant class" → ClassStats */
+};
+
+static const char *const counter_names[METRIC_COUNT] = {
+  "switchmill_attempts_total",          "switchmill_retries_total",
+  "switchmill_fence_questions_total",   "switchmill_trials_total",
+  "switchmill_sidecar_started_total",   "switchmill_sidecar_refused_total",
+  "switchmill_sidecar_failed_total",    "switchmill_rpc_denied_total",
+  "switchmill_config_applied_total",    "switchmill_platform_calls_total",
+  "switchmill_gossip_sent_bytes_total", "switchmill_gossip_received_bytes_total",
+};
+
+/* Upper bounds of the exposed buckets, in microseconds. */
+static const gint64 bounds_us[] = { 500,     1000,    2000,    5000,    10000,
+                                    25000,   50000,   100000,  250000,  500000,
+                                    1000000, 2500000, 5000000, 30000000 };
+
+static void
+stats_free (gpointer data)
+{
+  ClassStats *stats = data;
+
+  g_free (stats->tenant);
+  g_free (stats->class);
+  histogram_destroy (stats->latency);
+  g_free (stats);
+}
+
+Metrics *
+metrics_create (void)
+{
+  Metrics *metrics = g_new0 (Metrics, 1);
+
+  metrics->classes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stats_free);
+  return metrics;
+}
+
+void
+metrics_destroy (Metrics *metrics)
+{
+  if (!metrics)
+    return;
+  g_hash_table_unref (metrics->classes);
+  g_free (metrics);
+}
+
+void
+metrics_add (Metrics *metrics, Metric metric, guint64 by)
+{
+  metrics->counters[metric] += by;
+}
+
+void
+metrics_set (Metrics *metrics, Metric metric, guint64 value)
+{
+  metrics->counters[metric] = value;
+}
+
+guint64
+metrics_get (const Metrics *metrics, Metric metric)
+{
+  return metrics->counters[metric];
+}
+
+static ClassStats *
+stats_of (Metrics *metrics, const char *tenant, const char *class)
+{
+  g_autofree char *key = g_strconcat (tenant, " ", class, NULL);
+  ClassStats *stats = g_hash_table_lookup (metrics->classes, key);
+
+  if (stats)
+    return stats;
+  stats = g_new0 (ClassStats, 1);
+  stats->tenant = g_strdup (tenant);
+  stats->class = g_strdup (class);
+  stats->latency = histogram_create ();
+  g_hash_table_insert (metrics->classes, g_steal_pointer (&key), stats);
+  return stats;
+}
+
+void
+metrics_request (Metrics *metrics,
+                 const char *tenant,
+                 const char *class,
+                 Outcome outcome,
+                 gint64 took_us)
+{
+  ClassStats *stats = stats_of (metrics, tenant, class);
+
+  stats->outcomes[outcome]++;
+  histogram_add (stats->latency, took_us);
+}
+
+static void
+append_class (GString *text, const ClassStats *stats)
+{
+  g_autofree char *labels =
+      g_strdup_printf ("tenant=\"%s\",class=\"%s\"", stats->tenant, stats->class);
+
+  for (guint i = 0; i < OUTCOME_COUNT; i++)
+    g_string_append_printf (
+        text, "switchmill_requests_total{%s,outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+        labels, outcome_name (i), stats->outcomes[i]);
+  for (guint i = 0; i < G_N_ELEMENTS (bounds_us); i++)
+    g_string_append_printf (
+        text, "switchmill_request_seconds_bucket{%s,le=\"%g\"} %" G_GUINT64_FORMAT "\n",
+        labels, (double)bounds_us[i] / 1e6,
+        histogram_count_below (stats->latency, bounds_us[i]));
+  g_string_append_printf (
+      text, "switchmill_request_seconds_bucket{%s,le=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
+      labels, histogram_count (stats->latency));
+  g_string_append_printf (text, "switchmill_request_seconds_sum{%s} %g\n", labels,
+                          (double)histogram_sum_us (stats->latency) / 1e6);
+  g_string_append_printf (text,
+                          "switchmill_request_seconds_count{%s} %" G_GUINT64_FORMAT "\n",
+                          labels, histogram_count (stats->latency));
+}
+
+char *
+metrics_text (const Metrics *metrics)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < METRIC_COUNT; i++)
+    g_string_append_printf (text, "# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
+                            counter_names[i], counter_names[i], metrics->counters[i]);
+  g_string_append (text, "# TYPE switchmill_requests_total counter\n"
+                         "# TYPE switchmill_request_seconds histogram\n");
+  g_hash_table_iter_init (&iter, metrics->classes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    append_class (text, value);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/daemon/src/metrics.h
@@ -0,0 +1,46 @@
+/*
+ * The node's own counters, and a histogram for each tenant and class.
+ */
+#ifndef DAEMON_METRICS_H
+#define DAEMON_METRICS_H
+
+#include <core/outcome.h>
+#include <glib.h>
+
+typedef struct Metrics Metrics;
+
+typedef enum
+{
+  METRIC_ATTEMPTS,
+  METRIC_RETRIES,
+  METRIC_FENCE_QUESTIONS,
+  METRIC_TRIALS,
+  METRIC_SIDECAR_STARTED,
+  METRIC_SIDECAR_REFUSED,
+  METRIC_SIDECAR_FAILED,
+  METRIC_RPC_DENIED,
+  METRIC_CONFIG_APPLIED,
+  METRIC_PLATFORM_CALLS,
+  METRIC_GOSSIP_SENT_BYTES,
+  METRIC_GOSSIP_RECEIVED_BYTES,
+  METRIC_COUNT
+} Metric;
+
+Metrics *metrics_create (void);
+void metrics_destroy (Metrics *metrics);
+
+void metrics_add (Metrics *metrics, Metric metric, guint64 by);
+void metrics_set (Metrics *metrics, Metric metric, guint64 value);
+guint64 metrics_get (const Metrics *metrics, Metric metric);
+
+/* Notes a caller's request: how it came out, and how long it took. */
+void metrics_request (Metrics *metrics,
+                      const char *tenant,
+                      const char *class,
+                      Outcome outcome,
+                      gint64 took_us);
+
+/* All of it in the usual text exposition. */
+char *metrics_text (const Metrics *metrics);
+
+#endif
--- /dev/null
+++ b/daemon/src/node-run.h
@@ -0,0 +1,25 @@
+/*
+ * The life of a node: made from its settings, run by the loop, stopped as planned.
+ */
+#ifndef DAEMON_NODE_RUN_H
+#define DAEMON_NODE_RUN_H
+
+#include "node.h"
+
+typedef struct NodeRun NodeRun;
+
+/* NULL, with `error` set, when an address cannot be bound. All arguments are borrowed. */
+NodeRun *
+node_run_create (const Settings *settings, Clock *clock, Loop *loop, GError **error);
+void node_run_destroy (NodeRun *run);
+
+/*
+ * A planned stop: nothing new is taken, what is in flight ends, then the loop quits. A
+ * second call, or the settings' time, ends it at once.
+ */
+void node_run_stop (NodeRun *run);
+
+/* How many requests the stop has cut. */
+guint node_run_cut (const NodeRun *run);
+
+#endif
--- /dev/null
+++ b/daemon/src/node.c
@@ -0,0 +1,176 @@
+#include "node-run.h"
+
+#include <apr_general.h>
+
+#include "calls.h"
+#include "config-sync.h"
+#include "gossip.h"
+#include "ingress.h"
+#include "log.h"
+#include "operators.h"
+#include "peers.h"
+#include "sidecar.h"
+
+#define PEER_CONNECTIONS_MAX 4096u
+#define PEER_IDLE_US (300 * SECOND_US)
+/* A planned stop lasts at least this long, for the news of it to get round. */
+#define STOP_LINGER_US (1500 * MS_US)
+#define STOP_CHECK_US (50 * MS_US)
+
+struct NodeRun
+{
+  Node node;
+  RpcServer *rpc;
+  LoopTimer *stop;
+  gint64 stop_began_us;
+  guint cut;
+  gboolean hurried;
+};
+
+static gint64
+stop_age (const NodeRun *run)
+{
+  return clock_now (run->node.clock) - run->stop_began_us;
+}
+
+static guint
+in_flight (const NodeRun *run)
+{
+  return ingress_active (run->node.ingress) + sidecar_active (run->node.sidecar);
+}
+
+static void
+end (NodeRun *run)
+{
+  g_autofree char *cut = NULL;
+
+  run->cut = in_flight (run);
+  cut = g_strdup_printf ("%u", run->cut);
+  log_event (run->cut ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, "stopped", "REQUESTS_CUT",
+             cut, NULL);
+  loop_quit (run->node.loop);
+}
+
+static void
+on_stop_check (gpointer data)
+{
+  NodeRun *run = data;
+  gboolean quiet = in_flight (run) == 0 && stop_age (run) >= STOP_LINGER_US;
+
+  if (quiet || run->hurried || stop_age (run) >= run->node.settings->stop_us)
+    {
+      members_leave (run->node.members);
+      gossip_push (run->node.gossip);
+      end (run);
+      return;
+    }
+  loop_timer_start (run->stop, STOP_CHECK_US);
+}
+
+void
+node_run_stop (NodeRun *run)
+{
+  Node *node = &run->node;
+
+  if (node->stopping)
+    {
+      run->hurried = TRUE;
+      return;
+    }
+  node->stopping = TRUE;
+  run->stop_began_us = clock_now (node->clock);
+  log_event (G_LOG_LEVEL_INFO, "stopping", NULL);
+  sidecar_drain (node->sidecar);
+  ingress_drain (node->ingress);
+  loop_timer_start (run->stop, STOP_CHECK_US);
+}
+
+static guint64
+new_incarnation (void)
+{
+  guint64 number = 0;
+
+  /* Random and not counted: this node keeps nothing from one start to the next. */
+  while (number == 0)
+    apr_generate_random_bytes ((unsigned char *)&number, sizeof number);
+  return number;
+}
+
+static gboolean
+create_listeners (NodeRun *run, GError **error)
+{
+  Node *node = &run->node;
+  RpcLimits limits = { PEER_CONNECTIONS_MAX, PEER_IDLE_US };
+
+  node->gossip = gossip_create (node, error);
+  if (!node->gossip)
+    return FALSE;
+  run->rpc = rpc_server_create (node->loop, node->settings->nodes_address, &limits,
+                                calls_handle, node, error);
+  if (!run->rpc)
+    return FALSE;
+  node->ingress = ingress_create (node, error);
+  if (!node->ingress)
+    return FALSE;
+  node->operators = operators_create (node, error);
+  return node->operators != NULL;
+}
+
+NodeRun *
+node_run_create (const Settings *settings, Clock *clock, Loop *loop, GError **error)
+{
+  NodeRun *run = g_new0 (NodeRun, 1);
+  Node *node = &run->node;
+  Member self = { .node = settings->node, .hall = settings->hall };
+
+  node->settings = settings;
+  node->clock = clock;
+  node->loop = loop;
+  node->rand = g_rand_new ();
+  node->incarnation = new_incarnation ();
+  node->metrics = metrics_create ();
+  node->events = events_create (clock);
+  node->http = http_client_create (loop);
+  self.address = settings->advertise_address;
+  self.incarnation = node->incarnation;
+  node->members = members_create (&self, (const char *const *)settings->peers,
+                                  &members_timing_default, node->rand, clock);
+  node->balancer = balancer_create (settings->hall, node->rand, clock);
+  node->peers = peers_create (node);
+  node->sidecar = sidecar_create (node);
+  node->config = config_sync_create (node);
+  run->stop = loop_timer_create (loop, on_stop_check, run);
+  if (create_listeners (run, error))
+    return run;
+  node_run_destroy (run);
+  return NULL;
+}
+
+void
+node_run_destroy (NodeRun *run)
+{
+  Node *node = &run->node;
+
+  /* What calls back goes first, then what would be called. */
+  http_client_destroy (node->http);
+  operators_destroy (node->operators);
+  rpc_server_destroy (run->rpc);
+  peers_destroy (node->peers);
+  gossip_destroy (node->gossip);
+  ingress_destroy (node->ingress);
+  config_sync_destroy (node->config);
+  sidecar_destroy (node->sidecar);
+  balancer_destroy (node->balancer);
+  members_destroy (node->members);
+  events_destroy (node->events);
+  metrics_destroy (node->metrics);
+  loop_timer_destroy (run->stop);
+  g_rand_free (node->rand);
+  g_free (run);
+}
+
+guint
+node_run_cut (const NodeRun *run)
+{
+  return run->cut;
+}
--- /dev/null
+++ b/daemon/src/node.h
@@ -0,0 +1,45 @@
+/*
+ * What the parts of one node share. Each part is opaque and has its own header.
+ */
+#ifndef DAEMON_NODE_H
+#define DAEMON_NODE_H
+
+#include <core/balancer.h>
+#include <core/members.h>
+#include <core/settings.h>
+#include <io/http-client.h>
+#include <io/loop.h>
+#include <io/rpc.h>
+
+#include "events.h"
+#include "metrics.h"
+
+typedef struct Peers Peers;
+typedef struct Gossip Gossip;
+typedef struct ConfigSync ConfigSync;
+typedef struct Sidecar Sidecar;
+typedef struct Ingress Ingress;
+typedef struct Operators Operators;
+
+typedef struct
+{
+  const Settings *settings;
+  Clock *clock;
+  Loop *loop;
+  GRand *rand;
+  guint64 incarnation; /* random, new with each start */
+  Metrics *metrics;
+  Events *events;
+  HttpClient *http;
+  Members *members;
+  Balancer *balancer;
+  Peers *peers;
+  Gossip *gossip;
+  ConfigSync *config;
+  Sidecar *sidecar;
+  Ingress *ingress;
+  Operators *operators;
+  gboolean stopping;
+} Node;
+
+#endif
--- /dev/null
+++ b/daemon/src/peers.c
@@ -0,0 +1,228 @@
+#include "peers.h"
+
+#include <string.h>
+
+#include "gossip.h"
+
+/* A reading older than this is renewed, long before the fence's window is over. */
+#define READING_MAX_AGE_US (30 * SECOND_US)
+#define CHECK_TIMEOUT_US (500 * MS_US)
+
+typedef struct
+{
+  Peers *peers;
+  char *vm;
+  char *address;
+  RpcPeer *rpc;
+  gboolean open;
+  guint connection; /* on which the session was opened */
+  PeerStamp stamp;
+  gint64 stamped_us; /* on this node's clock */
+} Peer;
+
+typedef struct
+{
+  Peers *peers;
+  char *vm;
+  PeersOpened opened;
+  gpointer data;
+} Opening;
+
+struct Peers
+{
+  Node *node;
+  GHashTable *table; /* vm → Peer */
+  gboolean closing;  /* calls that are dropped must not lead to new ones */
+};
+
+static const RpcProcedure hello = { SW_HELLO, (xdrproc_t)xdr_sw_hello_args,
+                                    (xdrproc_t)xdr_sw_hello_res, sizeof (sw_hello_res) };
+
+static void
+peer_free (gpointer data)
+{
+  Peer *peer = data;
+
+  rpc_peer_destroy (peer->rpc);
+  g_free (peer->vm);
+  g_free (peer->address);
+  g_free (peer);
+}
+
+Peers *
+peers_create (Node *node)
+{
+  Peers *peers = g_new0 (Peers, 1);
+
+  peers->node = node;
+  peers->table = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  return peers;
+}
+
+void
+peers_destroy (Peers *peers)
+{
+  if (!peers)
+    return;
+  peers->closing = TRUE;
+  g_hash_table_unref (peers->table);
+  g_free (peers);
+}
+
+/* The peer at the address that the membership knows now; NULL when it knows none. */
+static Peer *
+peer_of (Peers *peers, const char *vm)
+{
+  const Member *member = members_find (peers->node->members, vm);
+  Peer *peer = g_hash_table_lookup (peers->table, vm);
+
+  if (!member || peers->closing)
+    return NULL;
+  if (peer && strcmp (peer->address, member->address) == 0)
+    return peer;
+  peer = g_new0 (Peer, 1);
+  peer->peers = peers;
+  peer->vm = g_strdup (vm);
+  peer->address = g_strdup (member->address);
+  peer->rpc = rpc_peer_create (peers->node->loop, member->address);
+  g_hash_table_replace (peers->table, peer->vm, peer);
+  return peer;
+}
+
+static gboolean
+is_fresh (const Peer *peer)
+{
+  return peer->open && peer->connection == rpc_peer_connection (peer->rpc) &&
+         clock_now (peer->peers->node->clock) - peer->stamped_us < READING_MAX_AGE_US;
+}
+
+static void
+note_stamp (Peer *peer, const sw_stamp *stamp)
+{
+  if (strcmp (stamp->node, peer->vm) != 0)
+    return;
+  /* Answers overtake each other: only a later reading of the same clock is taken. */
+  if (peer->open && peer->stamp.incarnation == stamp->incarnation &&
+      (gint64)stamp->clock_us < peer->stamp.reading_us)
+    return;
+  peer->stamp.incarnation = stamp->incarnation;
+  peer->stamp.reading_us = (gint64)stamp->clock_us;
+  peer->stamped_us = clock_now (peer->peers->node->clock);
+}
+
+void
+peers_note_stamp (Peers *peers, const sw_stamp *stamp)
+{
+  Peer *peer = g_hash_table_lookup (peers->table, stamp->node);
+
+  if (peer && peer->open && peer->stamp.incarnation == stamp->incarnation)
+    note_stamp (peer, stamp);
+}
+
+void
+peers_note_state (Peers *peers, const sw_stamp *stamp, const sw_target_state *state)
+{
+  TargetReport report = {
+    .target = state->target,
+    .incarnation = stamp->incarnation,
+    .serial = state->serial,
+    .in_use = state->in_use,
+    .limit = state->limit,
+    .queued = state->queued,
+    .latency_us = state->latency_us,
+    .failures_ppm = state->failures_ppm,
+    .samples = state->samples,
+    .severity = state->severity,
+    .draining = state->draining,
+  };
+
+  if (*state->target)
+    balancer_note_report (peers->node->balancer, &report);
+}
+
+static void
+on_hello (RpcOutcome outcome, void *result, gpointer data)
+{
+  Opening *opening = data;
+  Peers *peers = opening->peers;
+  Peer *peer = g_hash_table_lookup (peers->table, opening->vm);
+  sw_hello_res *res = result;
+  const PeerStamp *stamp = NULL;
+
+  balancer_note_path (peers->node->balancer, opening->vm, outcome == RPC_OK);
+  if (peer && outcome == RPC_OK && res->welcome &&
+      strcmp (res->stamp.node, opening->vm) == 0)
+    {
+      peer->open = TRUE;
+      peer->connection = rpc_peer_connection (peer->rpc);
+      peer->stamp.incarnation = res->stamp.incarnation;
+      peer->stamp.reading_us = (gint64)res->stamp.clock_us;
+      peer->stamped_us = clock_now (peers->node->clock);
+      for (guint i = 0; i < res->states.states_len; i++)
+        peers_note_state (peers, &res->stamp, &res->states.states_val[i]);
+      stamp = &peer->stamp;
+    }
+  if (opening->opened)
+    opening->opened (stamp, opening->data);
+  g_free (opening->vm);
+  g_free (opening);
+}
+
+static void
+say_hello (Peers *peers, Peer *peer, gint64 timeout_us, PeersOpened opened, gpointer data)
+{
+  Opening *opening = g_new0 (Opening, 1);
+  sw_hello_args args = { .token = peers->node->settings->fleet_token };
+
+  opening->peers = peers;
+  opening->vm = g_strdup (peer->vm);
+  opening->opened = opened;
+  opening->data = data;
+  gossip_fill_rumour (members_self (peers->node->members), &args.from);
+  rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening);
+}
+
+void
+peers_open (
+    Peers *peers, const char *vm, gint64 timeout_us, PeersOpened opened, gpointer data)
+{
+  Peer *peer = peer_of (peers, vm);
+
+  if (!peer)
+    {
+      opened (NULL, data);
+      return;
+    }
+  if (is_fresh (peer))
+    {
+      opened (&peer->stamp, data);
+      return;
+    }
+  say_hello (peers, peer, timeout_us, opened, data);
+}
+
+void
+peers_check (Peers *peers, const char *vm)
+{
+  Peer *peer = peer_of (peers, vm);
+
+  if (peer)
+    say_hello (peers, peer, CHECK_TIMEOUT_US, NULL, NULL);
+}
+
+void
+peers_call (Peers *peers,
+            const char *vm,
+            const RpcProcedure *procedure,
+            void *args,
+            gint64 timeout_us,
+            RpcDoneFunc done,
+            gpointer data)
+{
+  Peer *peer = peer_of (peers, vm);
+
+  if (peer)
+    rpc_peer_call (peer->rpc, procedure, args, timeout_us, done, data);
+  else
+    done (RPC_UNSENT, NULL, data);
+}
--- /dev/null
+++ b/daemon/src/peers.h
@@ -0,0 +1,46 @@
+/*
+ * RPC connections to other nodes, and what their sidecars last said: a session holds
+ * the incarnation and a reading of the sidecar's clock that each attempt must carry.
+ */
+#ifndef DAEMON_PEERS_H
+#define DAEMON_PEERS_H
+
+#include <wire/message.h>
+
+#include "node.h"
+
+/* What an attempt or a question is addressed with. */
+typedef struct
+{
+  guint64 incarnation;
+  gint64 reading_us; /* of the sidecar's clock */
+} PeerStamp;
+
+Peers *peers_create (Node *node);
+void peers_destroy (Peers *peers);
+
+/* Runs once, perhaps inside peers_open; `stamp` is NULL when the node cannot be reached.
+ */
+typedef void (*PeersOpened) (const PeerStamp *stamp, gpointer data);
+
+/* Makes sure that there is a session with a node, on its present connection. */
+void peers_open (
+    Peers *peers, const char *vm, gint64 timeout_us, PeersOpened opened, gpointer data);
+
+/* Calls a node; RPC_UNSENT when its address is not known. */
+void peers_call (Peers *peers,
+                 const char *vm,
+                 const RpcProcedure *procedure,
+                 void *args,
+                 gint64 timeout_us,
+                 RpcDoneFunc done,
+                 gpointer data);
+
+/* Takes the stamp and the state that came with an answer. */
+void peers_note_stamp (Peers *peers, const sw_stamp *stamp);
+void peers_note_state (Peers *peers, const sw_stamp *stamp, const sw_target_state *state);
+
+/* Asks whether a node answers at all, for the breaker of its path. */
+void peers_check (Peers *peers, const char *vm);
+
+#endif
--- /dev/null
+++ b/daemon/src/platform.c
@@ -0,0 +1,131 @@
+#include "platform.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_US (3 * SECOND_US)
+#define WATCH_MS 20000
+#define ANSWER_MAX (2u * 1024 * 1024)
+#define HTTP_OK 200
+#define HTTP_CREATED 201
+#define HTTP_NOT_MODIFIED 304
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_PRECONDITION_FAILED 412
+
+typedef struct
+{
+  PlatformDone done;
+  gpointer data;
+} Call;
+
+static PlatformOutcome
+outcome_of (const HttpResult *result)
+{
+  if (result->outcome != HTTP_CALL_OK)
+    return PLATFORM_FAILED;
+  switch (result->status)
+    {
+    case HTTP_OK:
+    case HTTP_CREATED:
+      return PLATFORM_OK;
+    case HTTP_NOT_MODIFIED:
+      return PLATFORM_UNCHANGED;
+    case HTTP_NOT_FOUND:
+      return PLATFORM_MISSING;
+    case HTTP_CONFLICT:
+    case HTTP_PRECONDITION_FAILED:
+      return PLATFORM_CONFLICT;
+    default:
+      return PLATFORM_FAILED;
+    }
+}
+
+static void
+on_done (const HttpResult *http, gpointer data)
+{
+  Call *call = data;
+  PlatformResult result = { outcome_of (http), NULL, http->body };
+
+  result.version = http_headers_get (http->headers, "ETag");
+  if (!result.version)
+    result.version = "";
+  call->done (&result, call->data);
+  g_free (call);
+}
+
+static void
+send_order (Node *node, HttpOrder *order, PlatformDone done, gpointer data)
+{
+  Call *call = g_new0 (Call, 1);
+
+  call->done = done;
+  call->data = data;
+  order->answer_max = ANSWER_MAX;
+  if (!order->timeout_us)
+    order->timeout_us = CALL_TIMEOUT_US;
+  metrics_add (node->metrics, METRIC_PLATFORM_CALLS, 1);
+  http_client_send (node->http, order, on_done, call);
+}
+
+static char *
+object_url (const Node *node, const char *key)
+{
+  return g_strdup_printf ("http://%s/v1/objects/%s", node->settings->platform_address,
+                          key);
+}
+
+void
+platform_get (Node *node, const char *key, PlatformDone done, gpointer data)
+{
+  g_autofree char *url = object_url (node, key);
+  HttpOrder order = { .method = "GET", .url = url };
+
+  send_order (node, &order, done, data);
+}
+
+void
+platform_watch (
+    Node *node, const char *key, const char *version, PlatformDone done, gpointer data)
+{
+  g_autofree char *base = object_url (node, key);
+  g_autofree char *escaped = g_uri_escape_string (version, NULL, FALSE);
+  g_autofree char *url =
+      g_strdup_printf ("%s?after=%s&wait_ms=%d", base, escaped, WATCH_MS);
+  HttpOrder order = { .method = "GET", .url = url };
+
+  order.timeout_us = WATCH_MS * MS_US + CALL_TIMEOUT_US;
+  send_order (node, &order, done, data);
+}
+
+void
+platform_put (Node *node,
+              const char *key,
+              const char *version,
+              const void *body,
+              gsize len,
+              PlatformDone done,
+              gpointer data)
+{
+  g_autofree char *url = object_url (node, key);
+  g_autoptr (GArray) headers = http_headers_new ();
+  HttpOrder order = { .method = "PUT", .url = url, .headers = headers };
+
+  if (*version)
+    http_headers_add (headers, "If-Match", version);
+  else
+    http_headers_add (headers, "If-None-Match", "*");
+  order.body = body;
+  order.body_len = len;
+  order.has_body = TRUE;
+  send_order (node, &order, done, data);
+}
+
+void
+platform_vms (Node *node, PlatformDone done, gpointer data)
+{
+  g_autofree char *url =
+      g_strdup_printf ("http://%s/v1/vms", node->settings->platform_address);
+  HttpOrder order = { .method = "GET", .url = url };
+
+  send_order (node, &order, done, data);
+}
--- /dev/null
+++ b/daemon/src/platform.h
@@ -0,0 +1,47 @@
+/*
+ * The platform's object API: objects with versions, conditional writes and watches.
+ *
+ *   GET /v1/objects/KEY                  200 with an ETag, or 404
+ *   GET /v1/objects/KEY?after=VERSION&wait_ms=N   held until the version differs; 304
+ *   PUT /v1/objects/KEY, If-Match: VERSION or If-None-Match: *   200, or 412
+ *   GET /v1/vms                          the (lagging) list of VMs
+ */
+#ifndef DAEMON_PLATFORM_H
+#define DAEMON_PLATFORM_H
+
+#include "node.h"
+
+typedef enum
+{
+  PLATFORM_OK,
+  PLATFORM_MISSING,   /* no such object */
+  PLATFORM_UNCHANGED, /* a watch's time ran out */
+  PLATFORM_CONFLICT,  /* a conditional write found another version */
+  PLATFORM_FAILED     /* nothing is known; a write may have taken effect */
+} PlatformOutcome;
+
+typedef struct
+{
+  PlatformOutcome outcome;
+  const char *version; /* for OK, of the object */
+  const GByteArray *body;
+} PlatformResult;
+
+typedef void (*PlatformDone) (const PlatformResult *result, gpointer data);
+
+void platform_get (Node *node, const char *key, PlatformDone done, gpointer data);
+/* `version` is the one seen last, "" for a missing object. */
+void platform_watch (
+    Node *node, const char *key, const char *version, PlatformDone done, gpointer data);
+/* Writes only over `version`; "" to create. */
+void platform_put (Node *node,
+                   const char *key,
+                   const char *version,
+                   const void *body,
+                   gsize len,
+                   PlatformDone done,
+                   gpointer data);
+/* The list of VMs, as JSON. */
+void platform_vms (Node *node, PlatformDone done, gpointer data);
+
+#endif
--- /dev/null
+++ b/daemon/src/sidecar-target.c
@@ -0,0 +1,60 @@
+#include "sidecar-target.h"
+
+SidecarTarget *
+sidecar_target_create (const Service *service, const Target *config, Clock *clock)
+{
+  SidecarTarget *target = g_new0 (SidecarTarget, 1);
+
+  target->name = g_strdup (config->name);
+  target->admission = admission_create (config->slots, service->queue, clock);
+  target->detection = service->detection;
+  target->detector = detector_create (service->detection, clock);
+  sidecar_target_update (target, service, config, clock);
+  return target;
+}
+
+void
+sidecar_target_destroy (SidecarTarget *target)
+{
+  admission_destroy (target->admission);
+  detector_destroy (target->detector);
+  g_free (target->name);
+  g_free (target->service);
+  g_free (target->address);
+  g_free (target);
+}
+
+void
+sidecar_target_update (SidecarTarget *target,
+                       const Service *service,
+                       const Target *config,
+                       Clock *clock)
+{
+  g_free (target->service);
+  target->service = g_strdup (service->name);
+  g_free (target->address);
+  target->address = g_strdup (config->address);
+  target->state = config->state;
+  target->answer_max = service->answer_max;
+  target->present = TRUE;
+  admission_resize (target->admission, config->slots, service->queue);
+  if (target->detection == service->detection)
+    return;
+  target->detection = service->detection;
+  detector_destroy (target->detector);
+  target->detector = detector_create (service->detection, clock);
+}
+
+void
+sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state)
+{
+  state->target = target->name;
+  state->serial = ++target->serial;
+  state->in_use = admission_in_use (target->admission);
+  state->limit = admission_limit (target->admission);
+  state->queued = admission_queued (target->admission);
+  detector_summary (target->detector, &state->latency_us, &state->failures_ppm,
+                    &state->samples);
+  state->severity = detector_severity (target->detector);
+  state->draining = draining || target->state == TARGET_LEAVING || !target->present;
+}
--- /dev/null
+++ b/daemon/src/sidecar-target.h
@@ -0,0 +1,43 @@
+/*
+ * One target of this VM: its settings, admission, and detection.
+ */
+#ifndef DAEMON_SIDECAR_TARGET_H
+#define DAEMON_SIDECAR_TARGET_H
+
+#include <core/admission.h>
+#include <core/config.h>
+#include <core/detector.h>
+#include <wire/message.h>
+
+typedef struct
+{
+  char *name;
+  char *service;
+  char *address;
+  TargetState state;
+  Detection detection;
+  gsize answer_max;
+  Admission *admission;
+  Detector *detector;
+  guint32 serial;
+  guint told_severity; /* as last published */
+  gboolean told_leaving;
+  gboolean told;    /* it has been published at all */
+  gboolean present; /* named by the configuration in force */
+} SidecarTarget;
+
+SidecarTarget *
+sidecar_target_create (const Service *service, const Target *target, Clock *clock);
+void sidecar_target_destroy (SidecarTarget *target);
+
+/* Takes new settings. */
+void sidecar_target_update (SidecarTarget *target,
+                            const Service *service,
+                            const Target *config,
+                            Clock *clock);
+
+/* What is said of it in answers; the text is borrowed. Raises the serial. */
+void
+sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state);
+
+#endif
--- /dev/null
+++ b/daemon/src/sidecar.c
@@ -0,0 +1,785 @@
+#include "sidecar.h"
+
+#include <string.h>
+
+#include <core/fence.h>
+#include <wire/convert.h>
+
+#include "gossip.h"
+#include "log.h"
+#include "sidecar-target.h"
+
+#define HTTP_SERVER_ERROR 500
+/* How often verdicts, waiting requests and overdue ones are looked at. */
+#define SWEEP_US (50 * MS_US)
+/* A running request this much slower than its siblings counts against the target. */
+#define OVERDUE_FACTOR 20
+#define OVERDUE_MIN_US (500 * MS_US)
+#define DEADLINE_HEADER "Switchmill-Deadline-Ms"
+#define ATTEMPT_HEADER "Switchmill-Attempt"
+
+/* Somebody who waits for the end of an attempt. */
+typedef struct
+{
+  RpcConn *conn;
+  guint32 xid;
+  gint64 until_us; /* -1 for as long as it takes */
+} Waiter;
+
+/* One attempt at a target of this VM. */
+typedef struct
+{
+  Sidecar *sidecar;
+  SidecarTarget *target;
+  FenceEntry *entry;   /* NULL for repeatable work */
+  sw_submit_args args; /* owned copy */
+  GArray *waiters;
+  gint64 deadline_us;
+  gint64 started_us;
+  gboolean running;
+  gboolean overdue;
+} Submission;
+
+struct Sidecar
+{
+  Node *node;
+  Fence *fence;
+  GHashTable *targets;     /* name → SidecarTarget */
+  GHashTable *submissions; /* set of Submission */
+  LoopTimer *sweep;
+  gboolean draining;
+};
+
+static void start (Submission *submission);
+static void publish (Sidecar *sidecar);
+
+void
+sidecar_stamp (const Sidecar *sidecar, sw_stamp *stamp)
+{
+  stamp->node = sidecar->node->settings->node;
+  stamp->incarnation = fence_incarnation (sidecar->fence);
+  stamp->clock_us = (guint64)clock_now (sidecar->node->clock);
+}
+
+static void
+fill_attempt (const sw_attempt *attempt, AttemptId *id)
+{
+  id->node = attempt->node;
+  id->incarnation = attempt->incarnation;
+  id->counter = attempt->counter;
+}
+
+/* Completes an answer with the sidecar's stamp and the target's state, and sends it. */
+static void
+reply (Sidecar *sidecar,
+       RpcConn *conn,
+       guint32 xid,
+       SidecarTarget *target,
+       sw_submit_res *res)
+{
+  sidecar_stamp (sidecar, &res->stamp);
+  res->state.target = "";
+  if (target)
+    sidecar_target_state (target, sidecar->draining, &res->state);
+  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, res);
+}
+
+static void
+reply_plain (Sidecar *sidecar,
+             RpcConn *conn,
+             guint32 xid,
+             SidecarTarget *target,
+             const sw_attempt *attempt,
+             sw_result result,
+             sw_reason reason)
+{
+  sw_submit_res res = { .attempt = *attempt, .result = result, .reason = reason };
+
+  if (result == SW_REFUSED && target)
+    res.retry_after_ms = (u_int)(admission_retry_after_us (target->admission) / MS_US);
+  if (result == SW_REFUSED)
+    metrics_add (sidecar->node->metrics, METRIC_SIDECAR_REFUSED, 1);
+  reply (sidecar, conn, xid, target, &res);
+}
+
+static void
+clear_waiter (gpointer data)
+{
+  rpc_conn_unref (((Waiter *)data)->conn);
+}
+
+static void
+add_waiter (Submission *submission, RpcConn *conn, guint32 xid, gint64 until_us)
+{
+  Waiter waiter = { rpc_conn_ref (conn), xid, until_us };
+
+  g_array_append_val (submission->waiters, waiter);
+}
+
+static void
+submission_free (Submission *submission)
+{
+  g_hash_table_remove (submission->sidecar->submissions, submission);
+  if (submission->entry)
+    fence_entry_set_data (submission->entry, NULL);
+  xdr_free ((xdrproc_t)xdr_sw_submit_args, (char *)&submission->args);
+  g_array_unref (submission->waiters);
+  g_free (submission);
+}
+
+/* Answers all that wait, and ends the submission. */
+static void
+finish (Submission *submission, sw_submit_res *res)
+{
+  Sidecar *sidecar = submission->sidecar;
+
+  res->attempt = submission->args.attempt;
+  for (guint i = 0; i < submission->waiters->len; i++)
+    {
+      const Waiter *waiter = &g_array_index (submission->waiters, Waiter, i);
+
+      reply (sidecar, waiter->conn, waiter->xid, submission->target, res);
+    }
+  submission_free (submission);
+}
+
+/* Ends a submission that never started. */
+static void
+refuse (Submission *submission, sw_reason reason)
+{
+  sw_submit_res res = { .result = SW_REFUSED, .reason = reason };
+
+  if (submission->entry && fence_entry_state (submission->entry) == FENCE_QUEUED)
+    fence_refuse (submission->entry);
+  res.retry_after_ms =
+      (u_int)(admission_retry_after_us (submission->target->admission) / MS_US);
+  metrics_add (submission->sidecar->node->metrics, METRIC_SIDECAR_REFUSED, 1);
+  finish (submission, &res);
+}
+
+static void
+start_waiting (SidecarTarget *target)
+{
+  Submission *next;
+
+  while ((next = admission_next (target->admission)))
+    start (next);
+}
+
+static void
+fill_answer (const HttpResult *result, sw_answer *answer)
+{
+  guint count = MIN (result->headers->len, SW_HEADERS_MAX);
+
+  answer->status = result->status;
+  answer->headers.headers_val = g_new0 (sw_header, count + 1);
+  answer->body.body_val = (char *)result->body->data;
+  answer->body.body_len = result->body->len;
+  for (guint i = 0; i < count; i++)
+    {
+      const HttpHeader *header = &g_array_index (result->headers, HttpHeader, i);
+      sw_header *out = &answer->headers.headers_val[answer->headers.headers_len];
+
+      if (http_header_is_hop (header->name) ||
+          g_ascii_strcasecmp (header->name, ATTEMPT_HEADER) == 0)
+        continue;
+      out->name = header->name;
+      out->value = header->value;
+      answer->headers.headers_len++;
+    }
+}
+
+static char *
+attempt_text (const sw_attempt *attempt)
+{
+  return g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
+                          attempt->node, (guint64)attempt->incarnation,
+                          (guint64)attempt->counter);
+}
+
+/* A target that echoes attempts must echo this one: else the answer is another's. */
+static gboolean
+is_crossed (const Submission *submission, const HttpResult *result)
+{
+  const char *echo = http_headers_get (result->headers, ATTEMPT_HEADER);
+  g_autofree char *own = NULL;
+
+  if (!echo)
+    return FALSE;
+  own = attempt_text (&submission->args.attempt);
+  return strcmp (echo, own) != 0;
+}
+
+static void
+judge (const Submission *submission, const HttpResult *result, sw_submit_res *res)
+{
+  static const sw_reason reasons[] = {
+    [HTTP_CALL_OK] = SW_REASON_NONE,
+    [HTTP_CALL_UNSENT] = SW_REASON_CONNECT,
+    [HTTP_CALL_TIMEOUT] = SW_REASON_TIMEOUT,
+    [HTTP_CALL_BROKEN] = SW_REASON_BROKEN,
+    [HTTP_CALL_TOO_LARGE] = SW_REASON_TOO_LARGE,
+  };
+
+  res->reason = reasons[result->outcome];
+  res->target_us = (u_int)result->took_us;
+  res->result = SW_FAILED;
+  if (result->outcome == HTTP_CALL_UNSENT)
+    res->result = SW_REFUSED;
+  if (result->outcome != HTTP_CALL_OK)
+    return;
+  if (is_crossed (submission, result))
+    {
+      res->reason = SW_REASON_CROSSED;
+      return;
+    }
+  res->result = SW_DONE;
+  fill_answer (result, &res->answer);
+}
+
+static void
+observe (const Submission *submission, gboolean failed, gint64 took_us)
+{
+  DetectorSample sample = { failed, took_us, submission->args.sibling_latency_us,
+                            submission->args.sibling_failures_ppm };
+
+  detector_observe (submission->target->detector, &sample);
+}
+
+/* Keeps the whole answer for an ingress that may have lost it. */
+static void
+record_end (Submission *submission, sw_submit_res *res)
+{
+  Sidecar *sidecar = submission->sidecar;
+  g_autoptr (GBytes) packed = NULL;
+
+  if (!submission->entry)
+    return;
+  res->attempt = submission->args.attempt;
+  sidecar_stamp (sidecar, &res->stamp);
+  res->state.target = "";
+  packed = wire_pack ((xdrproc_t)xdr_sw_submit_res, res);
+  fence_finish (sidecar->fence, submission->entry, packed);
+}
+
+static void
+on_target_done (const HttpResult *result, gpointer data)
+{
+  Submission *submission = data;
+  Sidecar *sidecar = submission->sidecar;
+  SidecarTarget *target = submission->target;
+  sw_submit_res res = { 0 };
+  gboolean failed;
+
+  judge (submission, result, &res);
+  failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
+  if (!submission->overdue)
+    observe (submission, failed, result->took_us);
+  if (failed)
+    metrics_add (sidecar->node->metrics, METRIC_SIDECAR_FAILED, 1);
+  admission_release (target->admission, failed ? -1 : result->took_us);
+  record_end (submission, &res);
+  finish (submission, &res);
+  g_free (res.answer.headers.headers_val);
+  start_waiting (target);
+}
+
+static GArray *
+request_headers (const Submission *submission, gint64 left_us)
+{
+  GArray *headers = http_headers_new ();
+  const sw_submit_args *args = &submission->args;
+  g_autofree char *attempt = attempt_text (&args->attempt);
+  g_autofree char *left = g_strdup_printf ("%" G_GINT64_FORMAT, left_us / MS_US);
+
+  for (u_int i = 0; i < args->headers.headers_len; i++)
+    http_headers_add (headers, args->headers.headers_val[i].name,
+                      args->headers.headers_val[i].value);
+  http_headers_add (headers, ATTEMPT_HEADER, attempt);
+  http_headers_add (headers, DEADLINE_HEADER, left);
+  return headers;
+}
+
+/* Starts an attempt whose slot has been taken. */
+static void
+start (Submission *submission)
+{
+  Sidecar *sidecar = submission->sidecar;
+  SidecarTarget *target = submission->target;
+  const sw_submit_args *args = &submission->args;
+  gint64 now = clock_now (sidecar->node->clock);
+  g_autoptr (GArray) headers = NULL;
+  g_autofree char *url = NULL;
+  HttpOrder order = { .method = args->method };
+
+  if (now >= submission->deadline_us)
+    {
+      admission_release (target->admission, -1);
+      refuse (submission, SW_REASON_DEADLINE);
+      return;
+    }
+  /* The record comes before the first byte: a start that is not recorded never happens.
+   */
+  if (submission->entry && !fence_start (submission->entry))
+    {
+      admission_release (target->admission, -1);
+      refuse (submission, SW_REASON_FENCED);
+      return;
+    }
+  submission->running = TRUE;
+  submission->started_us = now;
+  headers = request_headers (submission, submission->deadline_us - now);
+  url = g_strdup_printf ("http://%s%s", target->address, args->path);
+  order.url = url;
+  order.headers = headers;
+  order.body = args->body.body_val;
+  order.body_len = args->body.body_len;
+  order.has_body = args->body.body_len > 0 || strcmp (args->method, "POST") == 0 ||
+                   strcmp (args->method, "PUT") == 0 ||
+                   strcmp (args->method, "PATCH") == 0;
+  order.timeout_us = submission->deadline_us - now;
+  order.answer_max = target->answer_max;
+  metrics_add (sidecar->node->metrics, METRIC_SIDECAR_STARTED, 1);
+  http_client_send (sidecar->node->http, &order, on_target_done, submission);
+}
+
+/* An attempt that the table knows already: a copy, or a ticket used again. */
+static void
+answer_known (Sidecar *sidecar,
+              RpcConn *conn,
+              guint32 xid,
+              SidecarTarget *target,
+              FenceEntry *entry,
+              const sw_attempt *attempt,
+              gint64 until_us)
+{
+  Submission *submission = fence_entry_data (entry);
+  sw_submit_res res = { 0 };
+
+  if (submission)
+    {
+      add_waiter (submission, conn, xid, until_us);
+      return;
+    }
+  if (fence_entry_state (entry) == FENCE_TOMBSTONE)
+    {
+      reply_plain (sidecar, conn, xid, target, attempt, SW_REFUSED, SW_REASON_FENCED);
+      return;
+    }
+  if (!fence_entry_answer (entry) ||
+      !wire_unpack ((xdrproc_t)xdr_sw_submit_res, fence_entry_answer (entry), &res))
+    {
+      reply_plain (sidecar, conn, xid, target, attempt, SW_UNKNOWN, SW_REASON_DUPLICATE);
+      return;
+    }
+  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, &res);
+  xdr_free ((xdrproc_t)xdr_sw_submit_res, (char *)&res);
+}
+
+static Submission *
+submission_create (Sidecar *sidecar, SidecarTarget *target, const sw_submit_args *args)
+{
+  Submission *submission = g_new0 (Submission, 1);
+  g_autoptr (GBytes) packed = wire_pack ((xdrproc_t)xdr_sw_submit_args, (void *)args);
+
+  submission->sidecar = sidecar;
+  submission->target = target;
+  submission->waiters = g_array_new (FALSE, FALSE, sizeof (Waiter));
+  g_array_set_clear_func (submission->waiters, clear_waiter);
+  submission->deadline_us =
+      clock_now (sidecar->node->clock) + (gint64)args->remaining_ms * MS_US;
+  wire_unpack ((xdrproc_t)xdr_sw_submit_args, packed, &submission->args);
+  g_hash_table_add (sidecar->submissions, submission);
+  return submission;
+}
+
+/* Takes an unrepeatable attempt into the fence. FALSE when it has been answered. */
+static gboolean
+pass_fence (Sidecar *sidecar,
+            RpcConn *conn,
+            guint32 xid,
+            SidecarTarget *target,
+            const sw_submit_args *args,
+            FenceEntry **entry)
+{
+  AttemptId id;
+
+  fill_attempt (&args->attempt, &id);
+  switch (
+      fence_submit (sidecar->fence, &id, args->sidecar, (gint64)args->clock_us, entry))
+    {
+    case FENCE_NEW:
+      return TRUE;
+    case FENCE_KNOWN:
+      answer_known (sidecar, conn, xid, target, *entry, &args->attempt, -1);
+      return FALSE;
+    case FENCE_INCARNATION:
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_UNKNOWN,
+                   SW_REASON_INCARNATION);
+      return FALSE;
+    case FENCE_STALE:
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_UNKNOWN,
+                   SW_REASON_STALE);
+      return FALSE;
+    default:
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                   SW_REASON_OVERLOAD);
+      return FALSE;
+    }
+}
+
+static gboolean
+is_leaving (const Sidecar *sidecar, const SidecarTarget *target)
+{
+  return sidecar->draining || target->state == TARGET_LEAVING || !target->present;
+}
+
+static void
+offer (Submission *submission)
+{
+  SidecarTarget *target = submission->target;
+  Submission *displaced;
+
+  switch (admission_offer (target->admission, submission, submission->args.priority,
+                           submission->deadline_us))
+    {
+    case ADMISSION_START:
+      start (submission);
+      break;
+    case ADMISSION_QUEUED:
+      displaced = admission_displaced (target->admission);
+      if (displaced)
+        refuse (displaced, SW_REASON_OVERLOAD);
+      break;
+    default:
+      refuse (submission, SW_REASON_OVERLOAD);
+      break;
+    }
+}
+
+void
+sidecar_submit (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args)
+{
+  SidecarTarget *target = g_hash_table_lookup (sidecar->targets, args->target);
+  FenceEntry *entry = NULL;
+  Submission *submission;
+
+  if (!args->repeatable && !pass_fence (sidecar, conn, xid, target, args, &entry))
+    return;
+  if (!target || is_leaving (sidecar, target))
+    {
+      if (entry)
+        fence_refuse (entry);
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                   target ? SW_REASON_DRAINING : SW_REASON_NO_TARGET);
+      return;
+    }
+  submission = submission_create (sidecar, target, args);
+  submission->entry = entry;
+  if (entry)
+    fence_entry_set_data (entry, submission);
+  add_waiter (submission, conn, xid, -1);
+  offer (submission);
+}
+
+void
+sidecar_fence (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_fence_args *args)
+{
+  SidecarTarget *target = g_hash_table_lookup (sidecar->targets, args->target);
+  gint64 until = clock_now (sidecar->node->clock) + (gint64)args->wait_ms * MS_US;
+  Submission *queued;
+  FenceEntry *entry;
+  AttemptId id;
+
+  fill_attempt (&args->attempt, &id);
+  switch (fence_ask (sidecar->fence, &id, args->sidecar, (gint64)args->clock_us, &entry))
+    {
+    case FENCE_NOT_RUN:
+      queued = entry ? fence_entry_data (entry) : NULL;
+      if (queued)
+        {
+          admission_withdraw (queued->target->admission, queued);
+          refuse (queued, SW_REASON_FENCED);
+        }
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                   SW_REASON_FENCED);
+      break;
+    case FENCE_RUNNING:
+    case FENCE_OVER:
+      answer_known (sidecar, conn, xid, target, entry, &args->attempt, until);
+      break;
+    default:
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_UNKNOWN,
+                   SW_REASON_STALE);
+      break;
+    }
+}
+
+static void
+answer_late_waiters (Submission *submission, gint64 now)
+{
+  for (guint i = submission->waiters->len; i-- > 0;)
+    {
+      const Waiter *waiter = &g_array_index (submission->waiters, Waiter, i);
+
+      if (waiter->until_us < 0 || waiter->until_us > now)
+        continue;
+      reply_plain (submission->sidecar, waiter->conn, waiter->xid, submission->target,
+                   &submission->args.attempt, SW_STARTED, SW_REASON_NONE);
+      g_array_remove_index (submission->waiters, i);
+    }
+}
+
+/* A request that hangs speaks against its target long before its deadline does. */
+static void
+check_overdue (Submission *submission, gint64 now)
+{
+  gint64 bound =
+      MAX ((gint64)submission->args.sibling_latency_us * OVERDUE_FACTOR, OVERDUE_MIN_US);
+
+  if (!submission->running || submission->overdue ||
+      !submission->args.sibling_latency_us || now - submission->started_us < bound)
+    return;
+  submission->overdue = TRUE;
+  observe (submission, TRUE, now - submission->started_us);
+}
+
+static void
+on_sweep (gpointer data)
+{
+  Sidecar *sidecar = data;
+  gint64 now = clock_now (sidecar->node->clock);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      answer_late_waiters (value, now);
+      check_overdue (value, now);
+    }
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+      Submission *expired;
+
+      while ((expired = admission_expired (target->admission)))
+        refuse (expired, SW_REASON_DEADLINE);
+    }
+  publish (sidecar);
+  loop_timer_start (sidecar->sweep, SWEEP_US);
+}
+
+static void
+note_verdict (Sidecar *sidecar, SidecarTarget *target, gboolean leaving)
+{
+  guint severity = detector_severity (target->detector);
+
+  if ((severity > 0) != (target->told_severity > 0))
+    events_add (sidecar->node->events, severity ? "target-sick" : "target-well",
+                target->name, detector_why (target->detector));
+  if (leaving != target->told_leaving)
+    events_add (sidecar->node->events, leaving ? "target-leaving" : "target-serving",
+                target->name, NULL);
+  target->told_severity = severity;
+  target->told_leaving = leaving;
+  target->told = TRUE;
+}
+
+/* Puts verdicts that have changed into this member's words, and spreads them at once. */
+static void
+publish (Sidecar *sidecar)
+{
+  g_autofree sw_verdict *list = NULL;
+  sw_verdicts verdicts = { 0 };
+  g_autoptr (GBytes) payload = NULL;
+  gboolean changed = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+      gboolean leaving = is_leaving (sidecar, target);
+      guint severity = detector_severity (target->detector);
+
+      if (severity == target->told_severity && leaving == target->told_leaving)
+        continue;
+      note_verdict (sidecar, target, leaving);
+      changed = TRUE;
+    }
+  if (!changed)
+    return;
+  list = g_new0 (sw_verdict, SW_VERDICTS_MAX);
+  verdicts.list.list_val = list;
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value) &&
+         verdicts.list.list_len < SW_VERDICTS_MAX)
+    {
+      SidecarTarget *target = value;
+
+      if (target->told)
+        list[verdicts.list.list_len++] =
+            (sw_verdict){ target->name, ++target->serial, target->told_severity,
+                          target->told_leaving };
+    }
+  payload = wire_pack ((xdrproc_t)xdr_sw_verdicts, &verdicts);
+  members_set_payload (sidecar->node->members, payload);
+  gossip_push (sidecar->node->gossip);
+}
+
+Sidecar *
+sidecar_create (Node *node)
+{
+  const Settings *settings = node->settings;
+  FenceLimits limits = { settings->fence_window_us, settings->fence_entries_max,
+                         settings->fence_answers_max };
+  Sidecar *sidecar = g_new0 (Sidecar, 1);
+
+  sidecar->node = node;
+  sidecar->fence = fence_create (&limits, node->incarnation, node->clock);
+  sidecar->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            (GDestroyNotify)sidecar_target_destroy);
+  sidecar->submissions = g_hash_table_new (NULL, NULL);
+  sidecar->sweep = loop_timer_create (node->loop, on_sweep, sidecar);
+  loop_timer_start (sidecar->sweep, SWEEP_US);
+  return sidecar;
+}
+
+void
+sidecar_destroy (Sidecar *sidecar)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (!sidecar)
+    return;
+  loop_timer_destroy (sidecar->sweep);
+  for (;;)
+    {
+      g_hash_table_iter_init (&iter, sidecar->submissions);
+      if (!g_hash_table_iter_next (&iter, &key, NULL))
+        break;
+      submission_free (key);
+    }
+  g_hash_table_unref (sidecar->submissions);
+  g_hash_table_unref (sidecar->targets);
+  fence_destroy (sidecar->fence);
+  g_free (sidecar);
+}
+
+static void
+take_target (Sidecar *sidecar, const Service *service, const Target *config)
+{
+  SidecarTarget *target = g_hash_table_lookup (sidecar->targets, config->name);
+
+  if (target)
+    {
+      sidecar_target_update (target, service, config, sidecar->node->clock);
+      return;
+    }
+  target = sidecar_target_create (service, config, sidecar->node->clock);
+  g_hash_table_insert (sidecar->targets, target->name, target);
+}
+
+void
+sidecar_apply (Sidecar *sidecar, const Snapshot *snapshot)
+{
+  const GPtrArray *services = snapshot_services (snapshot);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((SidecarTarget *)value)->present = FALSE;
+  for (guint i = 0; i < services->len; i++)
+    {
+      const Service *service = g_ptr_array_index (services, i);
+
+      for (guint j = 0; j < service->targets->len; j++)
+        {
+          const Target *target = g_ptr_array_index (service->targets, j);
+
+          if (strcmp (target->vm, sidecar->node->settings->node) == 0)
+            take_target (sidecar, service, target);
+        }
+    }
+  /* A target that has gone is kept while requests of it run. */
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+
+      if (!target->present && admission_in_use (target->admission) == 0 &&
+          admission_queued (target->admission) == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+  publish (sidecar);
+}
+
+void
+sidecar_states (Sidecar *sidecar, sw_hello_res *res)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  res->states.states_val = g_new0 (sw_target_state, SW_STATES_MAX);
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value) &&
+         res->states.states_len < SW_STATES_MAX)
+    sidecar_target_state (value, sidecar->draining,
+                          &res->states.states_val[res->states.states_len++]);
+}
+
+void
+sidecar_drain (Sidecar *sidecar)
+{
+  sidecar->draining = TRUE;
+  publish (sidecar);
+}
+
+guint
+sidecar_active (const Sidecar *sidecar)
+{
+  return g_hash_table_size (sidecar->submissions);
+}
+
+void
+sidecar_write_status (Sidecar *sidecar, JsonBuilder *builder)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  json_builder_begin_array (builder);
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+      sw_target_state state = { 0 };
+
+      sidecar_target_state (target, sidecar->draining, &state);
+      json_builder_begin_object (builder);
+      json_builder_set_member_name (builder, "target");
+      json_builder_add_string_value (builder, target->name);
+      json_builder_set_member_name (builder, "severity");
+      json_builder_add_int_value (builder, state.severity);
+      json_builder_set_member_name (builder, "why");
+      json_builder_add_string_value (builder, detector_why (target->detector));
+      json_builder_set_member_name (builder, "in_use");
+      json_builder_add_int_value (builder, state.in_use);
+      json_builder_set_member_name (builder, "limit");
+      json_builder_add_int_value (builder, state.limit);
+      json_builder_set_member_name (builder, "queued");
+      json_builder_add_int_value (builder, state.queued);
+      json_builder_set_member_name (builder, "mean_latency_us");
+      json_builder_add_int_value (builder, state.latency_us);
+      json_builder_set_member_name (builder, "failures_ppm");
+      json_builder_add_int_value (builder, state.failures_ppm);
+      json_builder_set_member_name (builder, "leaving");
+      json_builder_add_boolean_value (builder, state.draining);
+      json_builder_end_object (builder);
+    }
+  json_builder_end_array (builder);
+}
--- /dev/null
+++ b/daemon/src/sidecar.h
@@ -0,0 +1,39 @@
+/*
+ * The sidecar: guards the targets on this node's VM. Nothing reaches them but here.
+ */
+#ifndef DAEMON_SIDECAR_H
+#define DAEMON_SIDECAR_H
+
+#include <core/config.h>
+#include <wire/message.h>
+
+#include "node.h"
+
+Sidecar *sidecar_create (Node *node);
+void sidecar_destroy (Sidecar *sidecar);
+
+/* Takes the targets of this VM from a new configuration. */
+void sidecar_apply (Sidecar *sidecar, const Snapshot *snapshot);
+
+/* Takes calls; each is answered through `conn`, now or later. `args` is borrowed. */
+void
+sidecar_submit (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args);
+void
+sidecar_fence (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_fence_args *args);
+
+/* This sidecar's incarnation and clock, as of now; texts borrowed from the settings. */
+void sidecar_stamp (const Sidecar *sidecar, sw_stamp *stamp);
+
+/* The states of all targets; the array is the caller's to free, its texts not. */
+void sidecar_states (Sidecar *sidecar, sw_hello_res *res);
+
+/* Takes nothing new from now on. */
+void sidecar_drain (Sidecar *sidecar);
+
+/* Requests that run or wait at this VM's targets. */
+guint sidecar_active (const Sidecar *sidecar);
+
+/* Appends an array of the targets with their verdicts and why. */
+void sidecar_write_status (Sidecar *sidecar, JsonBuilder *builder);
+
+#endif
--- /dev/null
+++ b/io/src/http-client.c
@@ -0,0 +1,307 @@
+#include <io/http-client.h>
+
+#include <curl/curl.h>
+#include <string.h>
+
+struct HttpClient
+{
+  Loop *loop;
+  CURLM *multi;
+  LoopTimer *timer;
+  GHashTable *calls; /* set of HttpCall */
+};
+
+struct HttpCall
+{
+  HttpClient *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  GByteArray *body;
+  gsize answer_max;
+  gboolean too_large;
+  gint64 began_us;
+  HttpResult result;
+  HttpDoneFunc done;
+  gpointer data;
+};
+
+static void
+call_free (HttpCall *call)
+{
+  g_hash_table_remove (call->client->calls, call);
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  g_byte_array_unref (call->body);
+  g_array_unref (call->result.headers);
+  g_byte_array_unref (call->result.body);
+  g_free (call);
+}
+
+static HttpCallOutcome
+outcome_of (const HttpCall *call, CURLcode code)
+{
+  if (call->too_large)
+    return HTTP_CALL_TOO_LARGE;
+  switch (code)
+    {
+    case CURLE_OK:
+      return HTTP_CALL_OK;
+    case CURLE_COULDNT_CONNECT:
+      return HTTP_CALL_UNSENT;
+    case CURLE_OPERATION_TIMEDOUT:
+      return HTTP_CALL_TIMEOUT;
+    default:
+      return HTTP_CALL_BROKEN;
+    }
+}
+
+static void
+reap (gpointer data)
+{
+  HttpClient *client = data;
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)))
+    {
+      HttpCall *call;
+      long status = 0;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+      call->result.outcome = outcome_of (call, message->data.result);
+      call->result.status = (guint)status;
+      call->result.took_us = clock_now (loop_clock (client->loop)) - call->began_us;
+      call->done (&call->result, call->data);
+      call_free (call);
+    }
+}
+
+static void
+on_timer (gpointer data)
+{
+  HttpClient *client = data;
+  int running;
+
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (client);
+}
+
+static int
+on_curl_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  HttpClient *client = data;
+
+  if (timeout_ms < 0)
+    loop_timer_stop (client->timer);
+  else
+    loop_timer_start (client->timer, timeout_ms * MS_US);
+  return 0;
+}
+
+static void
+on_ready (int fd, LoopEvents ready, gpointer data)
+{
+  HttpClient *client = data;
+  int mask = 0;
+  int running;
+
+  if (ready & LOOP_READ)
+    mask |= CURL_CSELECT_IN;
+  if (ready & LOOP_WRITE)
+    mask |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (client->multi, fd, mask, &running);
+  reap (client);
+}
+
+static int
+on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  HttpClient *client = data;
+  LoopFd *watch = socket_data;
+  LoopEvents events = 0;
+
+  if (what == CURL_POLL_REMOVE)
+    {
+      loop_fd_destroy (watch);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= LOOP_READ;
+  if (what & CURL_POLL_OUT)
+    events |= LOOP_WRITE;
+  if (watch)
+    loop_fd_set (watch, events);
+  else
+    curl_multi_assign (client->multi, fd,
+                       loop_fd_create (client->loop, fd, events, on_ready, client));
+  return 0;
+}
+
+HttpClient *
+http_client_create (Loop *loop)
+{
+  HttpClient *client = g_new0 (HttpClient, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  client->loop = loop;
+  client->calls = g_hash_table_new (NULL, NULL);
+  client->timer = loop_timer_create (loop, on_timer, client);
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  return client;
+}
+
+void
+http_client_destroy (HttpClient *client)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (!client)
+    return;
+  for (;;)
+    {
+      g_hash_table_iter_init (&iter, client->calls);
+      if (!g_hash_table_iter_next (&iter, &key, NULL))
+        break;
+      call_free (key);
+    }
+  curl_multi_cleanup (client->multi);
+  loop_timer_destroy (client->timer);
+  g_hash_table_unref (client->calls);
+  g_free (client);
+}
+
+static size_t
+on_header (char *text, size_t size, size_t count, void *data)
+{
+  HttpCall *call = data;
+  size_t len = size * count;
+  g_autofree char *line = g_strndup (text, len);
+  char *colon = strchr (line, ':');
+
+  /* A new status line, as after an interim answer: what came before is not the answer. */
+  if (g_str_has_prefix (line, "HTTP/"))
+    g_array_set_size (call->result.headers, 0);
+  else if (colon)
+    {
+      *colon = '\0';
+      http_headers_add (call->result.headers, g_strstrip (line), g_strstrip (colon + 1));
+    }
+  return len;
+}
+
+static size_t
+on_body (char *bytes, size_t size, size_t count, void *data)
+{
+  HttpCall *call = data;
+  size_t len = size * count;
+
+  if (call->result.body->len + len > call->answer_max)
+    {
+      call->too_large = TRUE;
+      return 0;
+    }
+  g_byte_array_append (call->result.body, (const guint8 *)bytes, (guint)len);
+  return len;
+}
+
+static void
+set_headers (HttpCall *call, const HttpOrder *order)
+{
+  for (guint i = 0; order->headers && i < order->headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (order->headers, HttpHeader, i);
+      g_autofree char *line = NULL;
+
+      if (http_header_is_hop (header->name))
+        continue;
+      line = *header->value ? g_strdup_printf ("%s: %s", header->name, header->value)
+                            : g_strdup_printf ("%s;", header->name);
+      call->headers = curl_slist_append (call->headers, line);
+    }
+  /* An empty value takes libcurl's own header out. */
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  if (!order->headers || !http_headers_get (order->headers, "Accept"))
+    call->headers = curl_slist_append (call->headers, "Accept:");
+  if (!order->headers || !http_headers_get (order->headers, "Content-Type"))
+    call->headers = curl_slist_append (call->headers, "Content-Type:");
+}
+
+static void
+set_body (HttpCall *call, const HttpOrder *order)
+{
+  if (g_strcmp0 (order->method, "HEAD") == 0)
+    curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L);
+  if (!order->has_body)
+    return;
+  g_byte_array_append (call->body, order->body, (guint)order->body_len);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)order->body_len);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS,
+                    call->body->len ? (char *)call->body->data : "");
+}
+
+static void
+set_options (HttpCall *call, const HttpOrder *order)
+{
+  CURL *easy = call->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, order->url);
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_HTTP09_ALLOWED, 0L);
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, order->timeout_us / MS_US));
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, order->reuse ? 0L : 1L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, order->reuse ? 0L : 1L);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  set_body (call, order);
+  set_headers (call, order);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, order->method);
+}
+
+HttpCall *
+http_client_send (HttpClient *client,
+                  const HttpOrder *order,
+                  HttpDoneFunc done,
+                  gpointer data)
+{
+  HttpCall *call = g_new0 (HttpCall, 1);
+
+  call->client = client;
+  call->done = done;
+  call->data = data;
+  call->answer_max = order->answer_max;
+  call->began_us = clock_now (loop_clock (client->loop));
+  call->body = g_byte_array_new ();
+  call->result.headers = http_headers_new ();
+  call->result.body = g_byte_array_new ();
+  call->easy = curl_easy_init ();
+  set_options (call, order);
+  g_hash_table_add (client->calls, call);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
+}
+
+void
+http_call_cancel (HttpCall *call)
+{
+  call_free (call);
+}
--- /dev/null
+++ b/io/src/http-server.c
@@ -0,0 +1,494 @@
+#include <io/http-server.h>
+
+#include <gio/gio.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <io/socket.h>
+
+#define SWEEP_US (SECOND_US / 4)
+#define SLOW_ANSWER                                                                      \
+  "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+/* One connection of a caller; kept by libmicrohttpd as its socket context. */
+typedef struct
+{
+  HttpServer *server;
+  int fd;
+  gint64 reading_since_us; /* 0 while a request is being answered */
+} Conn;
+
+struct HttpServer
+{
+  Loop *loop;
+  int fd;
+  struct MHD_Daemon *daemon;
+  LoopFd *watch;
+  LoopTimer *sweep;
+  HttpLimits limits;
+  HttpHandler handler;
+  gpointer data;
+  GHashTable *conns; /* set of Conn */
+  guint active;
+  gboolean woken; /* a connection was resumed since the daemon last ran */
+};
+
+struct HttpRequest
+{
+  gatomicrefcount refs;
+  HttpServer *server;
+  struct MHD_Connection *connection; /* NULL once the exchange has ended */
+  Conn *conn;
+  char *method;
+  char *target;
+  char *path;
+  GArray *headers;
+  GByteArray *body;
+  gboolean handled;
+  gboolean suspended;
+  gboolean dropped;
+  guint status;
+  struct MHD_Response *response;
+};
+
+HttpRequest *
+http_request_ref (HttpRequest *request)
+{
+  g_atomic_ref_count_inc (&request->refs);
+  return request;
+}
+
+void
+http_request_unref (HttpRequest *request)
+{
+  if (!g_atomic_ref_count_dec (&request->refs))
+    return;
+  if (request->response)
+    MHD_destroy_response (request->response);
+  g_free (request->method);
+  g_free (request->target);
+  g_free (request->path);
+  g_array_unref (request->headers);
+  g_byte_array_unref (request->body);
+  g_free (request);
+}
+
+static enum MHD_Result
+copy_header (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  http_headers_add (data, key, value);
+  return MHD_YES;
+}
+
+/* Keeps the raw target, which libmicrohttpd hands out before it decodes it. */
+static void *
+on_uri (void *data, const char *uri, struct MHD_Connection *connection)
+{
+  HttpRequest *request = g_new0 (HttpRequest, 1);
+
+  g_atomic_ref_count_init (&request->refs);
+  request->target = g_strdup (uri);
+  request->headers = http_headers_new ();
+  request->body = g_byte_array_new ();
+  return request;
+}
+
+static enum MHD_Result
+answer_early (struct MHD_Connection *connection, guint status, const char *why)
+{
+  g_autofree char *text = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
+  struct MHD_Response *response =
+      MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "Connection", "close");
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  MHD_add_response_header (response, "Switchmill-Outcome", "not-run");
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static guint
+count_headers (const GArray *headers, const char *name)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < headers->len; i++)
+    if (g_ascii_strcasecmp (g_array_index (headers, HttpHeader, i).name, name) == 0)
+      count++;
+  return count;
+}
+
+/* Why a request's framing cannot be trusted, or NULL (RFC 9112, section 6.3). */
+static const char *
+framing_fault (const GArray *headers)
+{
+  guint lengths = count_headers (headers, "Content-Length");
+  guint encodings = count_headers (headers, "Transfer-Encoding");
+
+  if (lengths > 1 || encodings > 1)
+    return "more than one Content-Length or Transfer-Encoding";
+  if (lengths && encodings)
+    return "both Content-Length and Transfer-Encoding";
+  if (encodings &&
+      g_ascii_strcasecmp (http_headers_get (headers, "Transfer-Encoding"), "chunked"))
+    return "a transfer coding other than chunked";
+  return NULL;
+}
+
+static enum MHD_Result
+begin (HttpServer *server,
+       HttpRequest *request,
+       struct MHD_Connection *connection,
+       const char *url,
+       const char *method)
+{
+  const union MHD_ConnectionInfo *info;
+  const char *fault;
+  const char *length;
+  guint64 bytes;
+
+  request->connection = connection;
+  request->method = g_strdup (method);
+  request->path = g_strdup (url);
+  info = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  request->conn = info ? info->socket_context : NULL;
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, request->headers);
+  fault = framing_fault (request->headers);
+  if (fault)
+    return answer_early (connection, MHD_HTTP_BAD_REQUEST, fault);
+  length = http_headers_get (request->headers, "Content-Length");
+  if (length && !g_ascii_string_to_unsigned (length, 10, 0, G_MAXINT64, &bytes, NULL))
+    return answer_early (connection, MHD_HTTP_BAD_REQUEST,
+                         "Content-Length is not a number");
+  if (length && bytes > server->limits.body_max)
+    return answer_early (connection, MHD_HTTP_CONTENT_TOO_LARGE, "the body is too large");
+  request->server = server;
+  server->active++;
+  return MHD_YES;
+}
+
+static enum MHD_Result
+queue (HttpRequest *request)
+{
+  enum MHD_Result result =
+      MHD_queue_response (request->connection, request->status, request->response);
+
+  if (request->conn)
+    request->conn->reading_since_us = 0;
+  return result;
+}
+
+static enum MHD_Result
+on_access (void *data,
+           struct MHD_Connection *connection,
+           const char *url,
+           const char *method,
+           const char *version,
+           const char *upload,
+           size_t *upload_size,
+           void **context)
+{
+  HttpServer *server = data;
+  HttpRequest *request = *context;
+
+  if (!request->method)
+    return begin (server, request, connection, url, method);
+  if (*upload_size > 0)
+    {
+      if (request->body->len + *upload_size > server->limits.body_max)
+        return MHD_NO; /* a chunked body over the bound: nothing can be answered any more
+                        */
+      g_byte_array_append (request->body, (const guint8 *)upload, (guint)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (request->dropped)
+    return MHD_NO;
+  if (request->response)
+    return queue (request);
+  if (!request->handled)
+    {
+      request->handled = TRUE;
+      if (request->conn)
+        request->conn->reading_since_us = 0;
+      server->handler (request, server->data);
+      if (request->dropped)
+        return MHD_NO;
+      if (request->response)
+        return queue (request);
+    }
+  request->suspended = TRUE;
+  MHD_suspend_connection (connection);
+  return MHD_YES;
+}
+
+static void
+on_completed (void *data,
+              struct MHD_Connection *connection,
+              void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  HttpServer *server = data;
+  HttpRequest *request = *context;
+
+  if (!request)
+    return;
+  *context = NULL;
+  if (request->server)
+    server->active--;
+  if (request->conn)
+    request->conn->reading_since_us = clock_now (loop_clock (server->loop));
+  request->connection = NULL;
+  request->conn = NULL;
+  http_request_unref (request);
+}
+
+static void
+on_connection (void *data,
+               struct MHD_Connection *connection,
+               void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  HttpServer *server = data;
+  const union MHD_ConnectionInfo *info;
+  Conn *conn = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    {
+      g_hash_table_remove (server->conns, conn);
+      g_free (conn);
+      *context = NULL;
+      return;
+    }
+  info = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  conn = g_new0 (Conn, 1);
+  conn->server = server;
+  conn->fd = info->connect_fd;
+  conn->reading_since_us = clock_now (loop_clock (server->loop));
+  g_hash_table_add (server->conns, conn);
+  *context = conn;
+}
+
+/*
+ * libmicrohttpd's own time-out counts from the last byte, so that a caller who sends
+ * one byte now and then would hold a connection for ever. This one counts from the start.
+ */
+static void
+on_sweep (gpointer data)
+{
+  HttpServer *server = data;
+  gint64 oldest = clock_now (loop_clock (server->loop)) - server->limits.read_us;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, server->conns);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      Conn *conn = key;
+
+      if (!conn->reading_since_us || conn->reading_since_us > oldest)
+        continue;
+      conn->reading_since_us = 0;
+      if (send (conn->fd, SLOW_ANSWER, strlen (SLOW_ANSWER),
+                MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+        g_debug ("a slow caller had gone already");
+      shutdown (conn->fd, SHUT_RDWR);
+    }
+  loop_timer_start (server->sweep, SWEEP_US);
+}
+
+static void
+on_ready (int fd, LoopEvents ready, gpointer data)
+{
+  HttpServer *server = data;
+
+  server->woken = FALSE;
+  MHD_run (server->daemon);
+}
+
+static gint64
+on_prepare (gpointer data)
+{
+  HttpServer *server = data;
+  MHD_UNSIGNED_LONG_LONG wait_ms;
+
+  /* libmicrohttpd 0.9.75 does not count a resumed connection in its time-out. */
+  if (server->woken ||
+      (MHD_get_timeout (server->daemon, &wait_ms) == MHD_YES && wait_ms == 0))
+    {
+      server->woken = FALSE;
+      MHD_run (server->daemon);
+    }
+  if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
+    return -1;
+  return (gint64)wait_ms * MS_US;
+}
+
+HttpServer *
+http_server_create (Loop *loop,
+                    const char *address,
+                    const HttpLimits *limits,
+                    HttpHandler handler,
+                    gpointer data,
+                    GError **error)
+{
+  const union MHD_DaemonInfo *info;
+  HttpServer *server;
+  int fd = socket_listen (address, error);
+
+  if (fd < 0)
+    return NULL;
+  server = g_new0 (HttpServer, 1);
+  server->loop = loop;
+  server->fd = fd;
+  server->limits = *limits;
+  server->handler = handler;
+  server->data = data;
+  server->conns = g_hash_table_new (NULL, NULL);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
+      MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, limits->connections_max,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits->header_max,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
+      on_connection, server, MHD_OPTION_END);
+  if (!server->daemon)
+    {
+      g_set_error (error, G_IO_ERROR, G_IO_ERROR_FAILED, "cannot serve HTTP on %s",
+                   address);
+      close (fd);
+      g_hash_table_unref (server->conns);
+      g_free (server);
+      return NULL;
+    }
+  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  server->watch = loop_fd_create (loop, info->epoll_fd, LOOP_READ, on_ready, server);
+  loop_add_prepare (loop, on_prepare, server);
+  server->sweep = loop_timer_create (loop, on_sweep, server);
+  loop_timer_start (server->sweep, SWEEP_US);
+  return server;
+}
+
+void
+http_server_quiesce (HttpServer *server)
+{
+  if (server->fd < 0)
+    return;
+  MHD_quiesce_daemon (server->daemon);
+  close (server->fd);
+  server->fd = -1;
+}
+
+void
+http_server_destroy (HttpServer *server)
+{
+  if (!server)
+    return;
+  loop_remove_prepare (server->loop, server);
+  loop_timer_destroy (server->sweep);
+  loop_fd_destroy (server->watch);
+  MHD_stop_daemon (server->daemon);
+  g_hash_table_unref (server->conns);
+  g_free (server);
+}
+
+guint
+http_server_active (const HttpServer *server)
+{
+  return server->active;
+}
+
+const char *
+http_request_method (const HttpRequest *request)
+{
+  return request->method;
+}
+
+const char *
+http_request_target (const HttpRequest *request)
+{
+  return request->target;
+}
+
+const char *
+http_request_path (const HttpRequest *request)
+{
+  return request->path;
+}
+
+const char *
+http_request_argument (const HttpRequest *request, const char *name)
+{
+  if (!request->connection)
+    return NULL;
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+const GArray *
+http_request_headers (const HttpRequest *request)
+{
+  return request->headers;
+}
+
+const char *
+http_request_header (const HttpRequest *request, const char *name)
+{
+  return http_headers_get (request->headers, name);
+}
+
+const GByteArray *
+http_request_body (const HttpRequest *request)
+{
+  return request->body;
+}
+
+static void
+wake (HttpRequest *request)
+{
+  if (!request->suspended || !request->connection)
+    return;
+  request->suspended = FALSE;
+  request->server->woken = TRUE;
+  MHD_resume_connection (request->connection);
+}
+
+void
+http_request_answer (HttpRequest *request,
+                     guint status,
+                     const GArray *headers,
+                     const void *body,
+                     gsize len)
+{
+  g_return_if_fail (!request->response);
+  request->status = status;
+  request->response =
+      MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY);
+  for (guint i = 0; headers && i < headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      if (!http_header_is_hop (header->name))
+        MHD_add_response_header (request->response, header->name, header->value);
+    }
+  wake (request);
+}
+
+void
+http_request_drop (HttpRequest *request)
+{
+  request->dropped = TRUE;
+  wake (request);
+}
+
+void
+http_request_answer_json (HttpRequest *request, guint status, const char *json)
+{
+  g_autoptr (GArray) headers = http_headers_new ();
+
+  http_headers_add (headers, "Content-Type", "application/json");
+  http_request_answer (request, status, headers, json, strlen (json));
+}
--- /dev/null
+++ b/io/src/loop.c
@@ -0,0 +1,309 @@
+#include <io/loop.h>
+
+#include <apr_general.h>
+#include <apr_poll.h>
+#include <apr_portable.h>
+
+/* How many ready descriptors one wait may report. */
+#define POLLSET_SIZE 4096
+
+struct LoopFd
+{
+  Loop *loop;
+  int fd;
+  apr_pool_t *pool;
+  apr_pollfd_t poll;
+  LoopEvents events;
+  LoopFdFunc func;
+  gpointer data;
+  gboolean dead;
+};
+
+struct LoopTimer
+{
+  Loop *loop;
+  GSequenceIter *place; /* NULL while stopped */
+  gint64 due_us;
+  LoopTimerFunc func;
+  gpointer data;
+};
+
+typedef struct
+{
+  LoopPrepareFunc func;
+  gpointer data;
+} Prepare;
+
+struct Loop
+{
+  Clock *clock;
+  apr_pool_t *pool;
+  apr_pollset_t *pollset;
+  GSequence *timers;
+  GArray *prepares;
+  GPtrArray *dead; /* watches destroyed while events are handed out */
+  gboolean quit;
+};
+
+Loop *
+loop_create (Clock *clock)
+{
+  Loop *loop = g_new0 (Loop, 1);
+
+  apr_initialize ();
+  apr_pool_create (&loop->pool, NULL);
+  if (apr_pollset_create (&loop->pollset, POLLSET_SIZE, loop->pool, APR_POLLSET_NOCOPY) !=
+      APR_SUCCESS)
+    {
+      apr_pool_destroy (loop->pool);
+      apr_terminate ();
+      g_free (loop);
+      return NULL;
+    }
+  loop->clock = clock;
+  loop->timers = g_sequence_new (NULL);
+  loop->prepares = g_array_new (FALSE, FALSE, sizeof (Prepare));
+  loop->dead = g_ptr_array_new ();
+  return loop;
+}
+
+static void
+free_dead (Loop *loop)
+{
+  for (guint i = 0; i < loop->dead->len; i++)
+    {
+      LoopFd *watch = g_ptr_array_index (loop->dead, i);
+
+      apr_pool_destroy (watch->pool);
+      g_free (watch);
+    }
+  g_ptr_array_set_size (loop->dead, 0);
+}
+
+void
+loop_destroy (Loop *loop)
+{
+  if (!loop)
+    return;
+  free_dead (loop);
+  g_ptr_array_unref (loop->dead);
+  g_sequence_free (loop->timers);
+  g_array_unref (loop->prepares);
+  apr_pollset_destroy (loop->pollset);
+  apr_pool_destroy (loop->pool);
+  apr_terminate ();
+  g_free (loop);
+}
+
+Clock *
+loop_clock (Loop *loop)
+{
+  return loop->clock;
+}
+
+static void
+run_due_timers (Loop *loop)
+{
+  gint64 now = clock_now (loop->clock);
+
+  for (;;)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
+      LoopTimer *timer;
+
+      if (g_sequence_iter_is_end (first))
+        return;
+      timer = g_sequence_get (first);
+      if (timer->due_us > now)
+        return;
+      loop_timer_stop (timer);
+      timer->func (timer->data);
+    }
+}
+
+static gint64
+longest_wait (Loop *loop)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
+  gint64 wait = -1;
+
+  if (!g_sequence_iter_is_end (first))
+    {
+      LoopTimer *timer = g_sequence_get (first);
+
+      wait = MAX (0, timer->due_us - clock_now (loop->clock));
+    }
+  for (guint i = 0; i < loop->prepares->len; i++)
+    {
+      Prepare *prepare = &g_array_index (loop->prepares, Prepare, i);
+      gint64 own = prepare->func (prepare->data);
+
+      if (own >= 0 && (wait < 0 || own < wait))
+        wait = own;
+    }
+  return wait;
+}
+
+static void
+hand_out (Loop *loop, const apr_pollfd_t *ready, apr_int32_t count)
+{
+  for (apr_int32_t i = 0; i < count; i++)
+    {
+      LoopFd *watch = ready[i].client_data;
+      LoopEvents events = 0;
+
+      if (watch->dead)
+        continue;
+      if (ready[i].rtnevents & (APR_POLLIN | APR_POLLHUP | APR_POLLERR))
+        events |= LOOP_READ;
+      if (ready[i].rtnevents & (APR_POLLOUT | APR_POLLERR))
+        events |= LOOP_WRITE;
+      watch->func (watch->fd, events, watch->data);
+    }
+}
+
+void
+loop_run (Loop *loop)
+{
+  loop->quit = FALSE;
+  while (!loop->quit)
+    {
+      const apr_pollfd_t *ready = NULL;
+      apr_int32_t count = 0;
+      gint64 wait;
+
+      run_due_timers (loop);
+      if (loop->quit)
+        break;
+      wait = longest_wait (loop);
+      if (apr_pollset_poll (loop->pollset, wait, &count, &ready) == APR_SUCCESS)
+        hand_out (loop, ready, count);
+      free_dead (loop);
+    }
+}
+
+void
+loop_quit (Loop *loop)
+{
+  loop->quit = TRUE;
+}
+
+void
+loop_add_prepare (Loop *loop, LoopPrepareFunc func, gpointer data)
+{
+  Prepare prepare = { func, data };
+
+  g_array_append_val (loop->prepares, prepare);
+}
+
+void
+loop_remove_prepare (Loop *loop, gpointer data)
+{
+  for (guint i = 0; i < loop->prepares->len; i++)
+    if (g_array_index (loop->prepares, Prepare, i).data == data)
+      {
+        g_array_remove_index (loop->prepares, i);
+        return;
+      }
+}
+
+static void
+pollset_add (LoopFd *watch)
+{
+  watch->poll.reqevents = 0;
+  if (watch->events & LOOP_READ)
+    watch->poll.reqevents |= APR_POLLIN;
+  if (watch->events & LOOP_WRITE)
+    watch->poll.reqevents |= APR_POLLOUT;
+  if (watch->events)
+    apr_pollset_add (watch->loop->pollset, &watch->poll);
+}
+
+LoopFd *
+loop_fd_create (Loop *loop, int fd, LoopEvents events, LoopFdFunc func, gpointer data)
+{
+  LoopFd *watch = g_new0 (LoopFd, 1);
+  apr_socket_t *socket = NULL;
+
+  watch->loop = loop;
+  watch->fd = fd;
+  watch->func = func;
+  watch->data = data;
+  watch->events = events;
+  apr_pool_create (&watch->pool, NULL);
+  apr_os_sock_put (&socket, &fd, watch->pool);
+  watch->poll.desc_type = APR_POLL_SOCKET;
+  watch->poll.desc.s = socket;
+  watch->poll.client_data = watch;
+  watch->poll.p = watch->pool;
+  pollset_add (watch);
+  return watch;
+}
+
+void
+loop_fd_set (LoopFd *watch, LoopEvents events)
+{
+  if (events == watch->events)
+    return;
+  if (watch->events)
+    apr_pollset_remove (watch->loop->pollset, &watch->poll);
+  watch->events = events;
+  pollset_add (watch);
+}
+
+void
+loop_fd_destroy (LoopFd *watch)
+{
+  if (!watch)
+    return;
+  if (watch->events)
+    apr_pollset_remove (watch->loop->pollset, &watch->poll);
+  watch->dead = TRUE;
+  g_ptr_array_add (watch->loop->dead, watch);
+}
+
+static gint
+compare_due (gconstpointer a, gconstpointer b, gpointer data)
+{
+  gint64 da = ((const LoopTimer *)a)->due_us;
+  gint64 db = ((const LoopTimer *)b)->due_us;
+
+  return (da > db) - (da < db);
+}
+
+LoopTimer *
+loop_timer_create (Loop *loop, LoopTimerFunc func, gpointer data)
+{
+  LoopTimer *timer = g_new0 (LoopTimer, 1);
+
+  timer->loop = loop;
+  timer->func = func;
+  timer->data = data;
+  return timer;
+}
+
+void
+loop_timer_start (LoopTimer *timer, gint64 delay_us)
+{
+  loop_timer_stop (timer);
+  timer->due_us = clock_now (timer->loop->clock) + MAX (delay_us, 0);
+  timer->place = g_sequence_insert_sorted (timer->loop->timers, timer, compare_due, NULL);
+}
+
+void
+loop_timer_stop (LoopTimer *timer)
+{
+  if (!timer->place)
+    return;
+  g_sequence_remove (timer->place);
+  timer->place = NULL;
+}
+
+void
+loop_timer_destroy (LoopTimer *timer)
+{
+  if (!timer)
+    return;
+  loop_timer_stop (timer);
+  g_free (timer);
+}
--- /dev/null
+++ b/wire/src/record.c
@@ -0,0 +1,57 @@
+#include <wire/record.h>
+
+#define LAST_FRAGMENT 0x80000000u
+#define MARK_SIZE 4u
+
+static guint32
+read_mark (const guint8 *p)
+{
+  return (guint32)p[0] << 24 | (guint32)p[1] << 16 | (guint32)p[2] << 8 | p[3];
+}
+
+void
+record_append (GByteArray *out, const GByteArray *message)
+{
+  guint32 mark = GUINT32_TO_BE (LAST_FRAGMENT | message->len);
+
+  g_byte_array_append (out, (const guint8 *)&mark, MARK_SIZE);
+  g_byte_array_append (out, message->data, message->len);
+}
+
+RecordState
+record_take (GByteArray *in, gsize max, GByteArray *message)
+{
+  gsize at = 0;
+  gsize total = 0;
+  gboolean last = FALSE;
+
+  while (!last)
+    {
+      guint32 mark;
+      guint32 len;
+
+      if (in->len - at < MARK_SIZE)
+        return RECORD_MORE;
+      mark = read_mark (in->data + at);
+      len = mark & ~LAST_FRAGMENT;
+      last = (mark & LAST_FRAGMENT) != 0;
+      total += len;
+      /* An empty fragment that is not the last would let a peer spin us for nothing. */
+      if (total > max || (len == 0 && !last))
+        return RECORD_BAD;
+      if (in->len - at - MARK_SIZE < len)
+        return RECORD_MORE;
+      at += MARK_SIZE + len;
+    }
+
+  g_byte_array_set_size (message, 0);
+  for (gsize i = 0; i < at;)
+    {
+      guint32 len = read_mark (in->data + i) & ~LAST_FRAGMENT;
+
+      g_byte_array_append (message, in->data + i + MARK_SIZE, len);
+      i += MARK_SIZE + len;
+    }
+  g_byte_array_remove_range (in, 0, (guint)at);
+  return RECORD_READY;
+}
--- /dev/null
+++ b/wire/switchmill.x
@@ -0,0 +1,211 @@
+/*
+ * Messages between the nodes of a fleet (ONC RPC, RFC 5531; XDR, RFC 4506).
+ *
+ * Times: *_us are microseconds of the clock of the node that the field names,
+ * *_ms are spans in milliseconds. No field holds a wall-clock time.
+ */
+
+const SW_NAME_MAX = 64;
+const SW_BODY_MAX = 16777216;
+const SW_TEXT_MAX = 16384;
+const SW_HEADERS_MAX = 128;
+const SW_STATES_MAX = 256;
+const SW_RUMOURS_MAX = 64;
+const SW_VERDICTS_MAX = 64;
+const SW_PAYLOAD_MAX = 2048;
+const SW_BUCKETS = 64;
+const SW_MEMBERS_MAX = 4096;
+
+/* One try at a request: unique for ever, for a node never reuses an incarnation. */
+struct sw_attempt {
+  string node<SW_NAME_MAX>;
+  unsigned hyper incarnation;
+  unsigned hyper counter;
+};
+
+struct sw_header {
+  string name<256>;
+  string value<SW_TEXT_MAX>;
+};
+
+/* What a sidecar says of one of its targets, in each answer and in gossip. */
+struct sw_target_state {
+  string target<SW_NAME_MAX>;
+  unsigned int serial;        /* rises with each change, within one incarnation */
+  unsigned int in_use;
+  unsigned int limit;
+  unsigned int queued;
+  unsigned int latency_us;    /* recent mean of the target's own answers */
+  unsigned int failures_ppm;  /* recent failures in a million */
+  unsigned int samples;       /* how many answers the two figures rest on */
+  unsigned int severity;      /* 0 healthy; higher is worse */
+  bool draining;
+};
+
+/* The sidecar's clock and incarnation at the moment of the answer. */
+struct sw_stamp {
+  string node<SW_NAME_MAX>;
+  unsigned hyper incarnation;
+  unsigned hyper clock_us;
+};
+
+/* What gossip tells of a target that is not, or was not always, simply well. */
+struct sw_verdict {
+  string target<SW_NAME_MAX>;
+  unsigned int serial;        /* of the target's state when this was said */
+  unsigned int severity;
+  bool draining;
+};
+
+/* The payload of a rumour. Targets that it leaves out have always been well. */
+struct sw_verdicts {
+  sw_verdict list<SW_VERDICTS_MAX>;
+};
+
+/*
+ * One member as gossip tells it. A higher epoch wins, then a higher status, then a
+ * higher serial; only the member itself raises its epoch and its serial.
+ */
+struct sw_rumour {
+  string node<SW_NAME_MAX>;
+  string hall<SW_NAME_MAX>;
+  string address<SW_NAME_MAX>;  /* IP number and RPC port */
+  unsigned hyper incarnation;   /* random, new with each start */
+  unsigned int epoch;
+  unsigned int status;
+  unsigned int serial;
+  opaque payload<SW_PAYLOAD_MAX>;
+};
+
+/* Opens a connection: who calls, as gossip would tell it. */
+struct sw_hello_args {
+  sw_rumour from;
+  string token<256>;
+};
+
+struct sw_hello_res {
+  bool welcome;
+  sw_stamp stamp;
+  sw_target_state states<SW_STATES_MAX>;
+};
+
+struct sw_submit_args {
+  sw_attempt attempt;
+  unsigned hyper sidecar;      /* the incarnation addressed */
+  unsigned hyper clock_us;     /* the sidecar's clock as the sender last saw it */
+  string target<SW_NAME_MAX>;
+  string tenant<SW_NAME_MAX>;
+  unsigned int remaining_ms;
+  unsigned int priority;       /* 0 first */
+  bool repeatable;
+  unsigned int sibling_latency_us;   /* medians over the service, as the ingress sees them; */
+  unsigned int sibling_failures_ppm; /* 0 for not known */
+  string method<32>;
+  string path<SW_TEXT_MAX>;
+  sw_header headers<SW_HEADERS_MAX>;
+  opaque body<SW_BODY_MAX>;
+};
+
+enum sw_result {
+  SW_DONE = 0,        /* the target's whole answer */
+  SW_REFUSED = 1,     /* proof that nothing ran, and that nothing will */
+  SW_FAILED = 2,      /* sent to the target, without a whole answer */
+  SW_STARTED = 3,     /* fence only: running still */
+  SW_UNKNOWN = 4      /* fence only: too old to tell, or no room to record */
+};
+
+enum sw_reason {
+  SW_REASON_NONE = 0,
+  SW_REASON_OVERLOAD = 1,
+  SW_REASON_DRAINING = 2,
+  SW_REASON_INCARNATION = 3,
+  SW_REASON_STALE = 4,
+  SW_REASON_DEADLINE = 5,
+  SW_REASON_NO_TARGET = 6,
+  SW_REASON_DUPLICATE = 7,
+  SW_REASON_FENCED = 8,
+  SW_REASON_CONNECT = 9,
+  SW_REASON_BROKEN = 10,
+  SW_REASON_TIMEOUT = 11,
+  SW_REASON_CROSSED = 12,
+  SW_REASON_TOO_LARGE = 13
+};
+
+struct sw_answer {
+  unsigned int status;
+  sw_header headers<SW_HEADERS_MAX>;
+  opaque body<SW_BODY_MAX>;
+};
+
+struct sw_submit_res {
+  sw_attempt attempt;          /* echoed; one that differs is dropped */
+  sw_result result;
+  sw_reason reason;
+  unsigned int retry_after_ms;
+  unsigned int target_us;      /* time the target took */
+  sw_answer answer;
+  sw_stamp stamp;
+  sw_target_state state;
+};
+
+struct sw_fence_args {
+  sw_attempt attempt;
+  unsigned hyper sidecar;
+  unsigned hyper clock_us;
+  string target<SW_NAME_MAX>;
+  unsigned int wait_ms;        /* how long the answer may be held while it runs */
+};
+
+/* A ticket is an attempt id bound to one sidecar incarnation before any request. */
+struct sw_ticket_args {
+  string target<SW_NAME_MAX>;
+};
+
+/* A probe or its answer, in one datagram. */
+struct sw_gossip {
+  string token<256>;
+  string from<SW_NAME_MAX>;
+  unsigned hyper generation;    /* of the configuration in force at the sender */
+  unsigned hyper digest;        /* of the sender's view of members */
+  string subject<SW_NAME_MAX>;  /* for SW_PROBE_VIA: whom to probe */
+  sw_rumour rumours<SW_RUMOURS_MAX>;
+};
+
+struct sw_head_res {
+  unsigned hyper generation;
+  opaque head<1048576>;
+};
+
+struct sw_part_args {
+  string digest<SW_NAME_MAX>;
+};
+
+struct sw_part_res {
+  bool found;
+  opaque part<1048576>;
+};
+
+/* A comparison of views: one digest for each bucket of members. */
+struct sw_view_args {
+  unsigned hyper buckets<SW_BUCKETS>;
+};
+
+/* The members in the buckets that differ. */
+struct sw_view_res {
+  sw_rumour rumours<SW_MEMBERS_MAX>;
+};
+
+program SWITCHMILL_PROGRAM {
+  version SWITCHMILL_V1 {
+    void SW_NULL (void) = 0;
+    sw_hello_res SW_HELLO (sw_hello_args) = 1;
+    sw_submit_res SW_SUBMIT (sw_submit_args) = 2;
+    sw_submit_res SW_FENCE (sw_fence_args) = 3;
+    sw_stamp SW_TICKET (sw_ticket_args) = 4;
+    sw_gossip SW_PROBE (sw_gossip) = 5;
+    sw_gossip SW_PROBE_VIA (sw_gossip) = 6;
+    sw_head_res SW_HEAD (void) = 7;
+    sw_part_res SW_PART (sw_part_args) = 8;
+    sw_view_res SW_VIEW (sw_view_args) = 9;
+  } = 1;
+} = 0x20057a11;
