Loop: a timer that falls due between two clock readings was waited for without end

Cause: MAX (0, due - clock_now ()) reads the clock twice; when the second reading passes the due time the wait is negative, which the pollset takes for 'for ever'. Every process with few descriptors could hang: seen as bid-engine requests answered 'unknown' after half their deadline, with the target holding 4 of 4 requests and epoll_wait (..., -4). Ruled out: libcurl losing a socket event (strace: all requests sent, all waits for input armed), the admission queue (requests were in flight, not queued), fd reuse. Change: one reading; waits are also rounded up to whole milliseconds, for the pollset cuts them and the loop spun through the last one. Test: test_timer_due_between_two_readings_is_not_lost, on a clock that each reading moves on; with the old line it does not return within 5 s, now it passes.

--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -21,9 +21,12 @@
 void clock_destroy (Clock *clock);
 
 /* Microseconds since an arbitrary origin; never goes back. */
-gint64 clock_now (const Clock *clock);
+gint64 clock_now (Clock *clock);
 
 /* Moves a manual clock forward; a monotonic clock ignores it. */
 void clock_advance (Clock *clock, gint64 by_us);
 
+/* Lets each reading of a manual clock move it on, as time passes between two looks. */
+void clock_set_step (Clock *clock, gint64 step_us);
+
 #endif
--- a/core/src/base/clock.c
+++ b/core/src/base/clock.c
@@ -2,25 +2,29 @@
 
 typedef struct
 {
-  gint64 (*now) (const Clock *clock);
+  gint64 (*now) (Clock *clock);
 } ClockKind;
 
 struct Clock
 {
   const ClockKind *kind;
   gint64 manual_us;
+  gint64 step_us;
 };
 
 static gint64
-now_monotonic (const Clock *clock)
+now_monotonic (Clock *clock)
 {
   return g_get_monotonic_time ();
 }
 
 static gint64
-now_manual (const Clock *clock)
+now_manual (Clock *clock)
 {
-  return clock->manual_us;
+  gint64 now = clock->manual_us;
+
+  clock->manual_us += clock->step_us;
+  return now;
 }
 
 static const ClockKind monotonic = { now_monotonic };
@@ -55,7 +59,7 @@
 }
 
 gint64
-clock_now (const Clock *clock)
+clock_now (Clock *clock)
 {
   return clock->kind->now (clock);
 }
@@ -66,3 +70,9 @@
   g_return_if_fail (by_us >= 0);
   clock->manual_us += by_us;
 }
+
+void
+clock_set_step (Clock *clock, gint64 step_us)
+{
+  clock->step_us = step_us;
+}
--- a/io/src/loop.c
+++ b/io/src/loop.c
@@ -131,7 +131,11 @@
     {
       LoopTimer *timer = g_sequence_get (first);
 
-      wait = MAX (0, timer->due_us - clock_now (loop->clock));
+      /* Read once: MAX would read the clock twice, and what was left could turn negative,
+         which the pollset takes for a wait without end. */
+      gint64 left = timer->due_us - clock_now (loop->clock);
+
+      wait = MAX (0, left);
     }
   for (guint i = 0; i < loop->prepares->len; i++)
     {
@@ -141,7 +145,9 @@
       if (own >= 0 && (wait < 0 || own < wait))
         wait = own;
     }
-  return wait;
+  /* The pollset cuts to whole milliseconds: cut short, the last one would be a busy wait.
+   */
+  return wait > 0 ? (wait + MS_US - 1) / MS_US * MS_US : wait;
 }
 
 static void
--- /dev/null
+++ b/io/tests/test-loop.c
@@ -0,0 +1,104 @@
+/* The loop on a clock of the test's: timers fire in order, none is lost. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <io/loop.h>
+
+typedef struct
+{
+  Clock *clock;
+  Loop *loop;
+  LoopTimer *timer;
+  guint fired;
+} Fixture;
+
+static void
+on_timer (gpointer data)
+{
+  Fixture *fixture = data;
+
+  fixture->fired++;
+  loop_quit (fixture->loop);
+}
+
+static void
+test_timer_due_between_two_readings_is_not_lost (void **state)
+{
+  Fixture fixture = { .clock = clock_create_manual (1000) };
+
+  fixture.loop = loop_create (fixture.clock);
+  fixture.timer = loop_timer_create (fixture.loop, on_timer, &fixture);
+  clock_set_step (fixture.clock, 1);
+  for (guint span = 0; span < 20; span++)
+    {
+      loop_timer_start (fixture.timer, span);
+      loop_run (fixture.loop);
+      assert_int_equal (fixture.fired, span + 1);
+    }
+  loop_timer_destroy (fixture.timer);
+  loop_destroy (fixture.loop);
+  clock_destroy (fixture.clock);
+}
+
+typedef struct
+{
+  Loop *loop;
+  GString *order;
+  const char *name;
+  gboolean last;
+} Named;
+
+static void
+on_named (gpointer data)
+{
+  Named *named = data;
+
+  g_string_append (named->order, named->name);
+  if (named->last)
+    loop_quit (named->loop);
+}
+
+static void
+test_timers_fire_by_time_and_can_be_moved_and_stopped (void **state)
+{
+  Clock *clock = clock_create_manual (0);
+  Loop *loop = loop_create (clock);
+  GString *order = g_string_new (NULL);
+  Named a = { loop, order, "a", FALSE };
+  Named b = { loop, order, "b", FALSE };
+  Named c = { loop, order, "c", TRUE };
+  LoopTimer *ta = loop_timer_create (loop, on_named, &a);
+  LoopTimer *tb = loop_timer_create (loop, on_named, &b);
+  LoopTimer *tc = loop_timer_create (loop, on_named, &c);
+  LoopTimer *stopped = loop_timer_create (loop, on_named, &c);
+
+  loop_timer_start (tb, 10);
+  loop_timer_start (stopped, 15);
+  loop_timer_start (tc, 30);
+  loop_timer_start (ta, 40);
+  loop_timer_start (ta, 20);
+  loop_timer_stop (stopped);
+  clock_advance (clock, 30);
+  loop_run (loop);
+  assert_string_equal (order->str, "bac");
+  loop_timer_destroy (ta);
+  loop_timer_destroy (tb);
+  loop_timer_destroy (tc);
+  loop_timer_destroy (stopped);
+  g_string_free (order, TRUE);
+  loop_destroy (loop);
+  clock_destroy (clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_timer_due_between_two_readings_is_not_lost),
+    cmocka_unit_test (test_timers_fire_by_time_and_can_be_moved_and_stopped),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
