--- a/core/include/core/fence.h
+++ b/core/include/core/fence.h
@@ -97,6 +97,9 @@
                         gint64 reading_us,
                         FenceEntry **entry);
 
+/* The entry of an attempt, or NULL; changes nothing. */
+FenceEntry *fence_find (Fence *fence, const AttemptId *id);
+
 FenceState fence_entry_state (const FenceEntry *entry);
 const AttemptId *fence_entry_id (const FenceEntry *entry);
 /* The answer that was kept, or NULL. */
--- a/core/src/request/fence.c
+++ b/core/src/request/fence.c
@@ -286,6 +286,12 @@
   return FENCE_NOT_RUN;
 }
 
+FenceEntry *
+fence_find (Fence *fence, const AttemptId *id)
+{
+  return g_hash_table_lookup (fence->entries, id);
+}
+
 FenceState
 fence_entry_state (const FenceEntry *entry)
 {
