Requests between real processes under kills, freezes, one-way cuts and hostile callers

Change: a harness (tests/proc/fleet.c), a relay that cuts one direction, and seven tests: truncated, crossed, half and over-long answers; hang-ups before the answer; a killed sidecar; a seeded run of SIGSTOP, SIGKILL and one-way cuts under load, with what callers were told compared with what the targets ran, id by id; 200 overlapping callers with a digest each; hostile callers.

--- a/core/include/core/eject.h
+++ b/core/include/core/eject.h
@@ -18,7 +18,8 @@
 
 /*
  * Ejects sick targets, the worst first (equals by name), each only when the slots
- * that stay in service, available and not ejected, are still at or above the floor.
+ * that stay in service, available and not ejected, are still at or above the floor, and
+ * never the last one.
  * The same items give the same result on every node. Returns the slots that stay.
  */
 guint eject_apply (EjectItem *items, guint count, guint floor_slots);
--- a/core/src/health/eject.c
+++ b/core/src/health/eject.c
@@ -37,8 +37,8 @@
   while ((item = worst (items, count, seen)))
     {
       seen[item - items] = TRUE;
-      if (stay < item->slots || stay - item->slots < floor_slots)
-        continue;
+      if (stay < item->slots || stay - item->slots < MAX (floor_slots, 1))
+        continue; /* even without a floor one target stays: any answer beats none */
       item->ejected = TRUE;
       stay -= item->slots;
     }
--- a/core/tests/test-fence.c
+++ b/core/tests/test-fence.c
@@ -227,7 +227,8 @@
   if (world->over || packet->counter != world->counter)
     return;
   if (packet->kind == KIND_SENT && world->step.kind == DISPATCH_SEND)
-    take_step (world, dispatch_sent (world->dispatch, packet->report, REASON_OVERLOAD, 0));
+    take_step (world,
+               dispatch_sent (world->dispatch, packet->report, REASON_OVERLOAD, 0));
   else if (packet->kind == KIND_ASKED && world->step.kind == DISPATCH_ASK)
     take_step (world, dispatch_asked (world->dispatch, packet->report, REASON_FENCED, 0));
 }
@@ -311,8 +312,8 @@
   world.dispatch = dispatch_create (&policy, world.budget, world.rand, world.clock);
   for (guint i = 0; i < SIDECARS; i++)
     {
-      world.sidecars[i].clock
-          = clock_create_manual (g_rand_int_range (world.rand, 0, 1000) * SECOND_US);
+      world.sidecars[i].clock =
+          clock_create_manual (g_rand_int_range (world.rand, 0, 1000) * SECOND_US);
       boot (&world, i);
     }
   take_step (&world, dispatch_begin (world.dispatch));
@@ -371,10 +372,12 @@
     {
       AttemptId id = id_of (i);
 
-      assert_int_equal (fence_submit (fence, &id, 5, clock_now (clock), &entry), FENCE_NEW);
+      assert_int_equal (fence_submit (fence, &id, 5, clock_now (clock), &entry),
+                        FENCE_NEW);
     }
   late = id_of (100);
-  assert_int_equal (fence_submit (fence, &late, 5, clock_now (clock), &entry), FENCE_FULL);
+  assert_int_equal (fence_submit (fence, &late, 5, clock_now (clock), &entry),
+                    FENCE_FULL);
   assert_int_equal (fence_size (fence), 64);
   /* Room comes back; the copy of what was refused must still not run. */
   for (guint64 i = 0; i < 64; i++)
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -9,15 +9,20 @@
 #include <io/socket.h>
 
 #define SWEEP_US (SECOND_US / 4)
+/* An open connection without a request is kept so many times the reading time. */
+#define IDLE_FACTOR 8
 #define SLOW_ANSWER                                                                      \
-  "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+  "HTTP/1.1 408 Request Timeout\r\nSwitchmill-Outcome: not-run\r\n"                      \
+  "Connection: close\r\nContent-Length: 0\r\n\r\n"
 
 /* One connection of a caller; kept by libmicrohttpd as its socket context. */
 typedef struct
 {
   HttpServer *server;
   int fd;
-  gint64 reading_since_us; /* 0 while a request is being answered */
+  gint64 reading_since_us; /* 0 while no request is being read */
+  gint64 idle_since_us;    /* 0 while there is a request */
+  gboolean refused;        /* told that nothing ran: nothing that still comes may run */
 } Conn;
 
 struct HttpServer
@@ -82,12 +87,28 @@
   return MHD_YES;
 }
 
+static Conn *
+conn_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info ? info->socket_context : NULL;
+}
+
 /* Keeps the raw target, which libmicrohttpd hands out before it decodes it. */
 static void *
 on_uri (void *data, const char *uri, struct MHD_Connection *connection)
 {
   HttpRequest *request = g_new0 (HttpRequest, 1);
+  Conn *conn = conn_of (connection);
 
+  if (conn)
+    {
+      conn->idle_since_us = 0;
+      if (!conn->reading_since_us)
+        conn->reading_since_us = clock_now (loop_clock (conn->server->loop));
+    }
   g_atomic_ref_count_init (&request->refs);
   request->target = g_strdup (uri);
   request->headers = http_headers_new ();
@@ -146,7 +167,6 @@
        const char *url,
        const char *method)
 {
-  const union MHD_ConnectionInfo *info;
   const char *fault;
   const char *length;
   guint64 bytes;
@@ -154,8 +174,7 @@
   request->connection = connection;
   request->method = g_strdup (method);
   request->path = g_strdup (url);
-  info = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  request->conn = info ? info->socket_context : NULL;
+  request->conn = conn_of (connection);
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, request->headers);
   fault = framing_fault (request->headers);
   if (fault)
@@ -195,6 +214,8 @@
   HttpServer *server = data;
   HttpRequest *request = *context;
 
+  if (request->conn && request->conn->refused)
+    return MHD_NO;
   if (!request->method)
     return begin (server, request, connection, url, method);
   if (*upload_size > 0)
@@ -241,7 +262,10 @@
   if (request->server)
     server->active--;
   if (request->conn)
-    request->conn->reading_since_us = clock_now (loop_clock (server->loop));
+    {
+      request->conn->reading_since_us = 0;
+      request->conn->idle_since_us = clock_now (loop_clock (server->loop));
+    }
   request->connection = NULL;
   request->conn = NULL;
   http_request_unref (request);
@@ -273,6 +297,17 @@
   *context = conn;
 }
 
+/* The whole request may lie in the socket's buffer by now: it must not run any more. */
+static void
+refuse_slow (Conn *conn)
+{
+  conn->refused = TRUE;
+  conn->reading_since_us = 0;
+  if (send (conn->fd, SLOW_ANSWER, strlen (SLOW_ANSWER), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+    g_debug ("a slow caller had gone already");
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
 /*
  * libmicrohttpd's own time-out counts from the last byte, so that a caller who sends
  * one byte now and then would hold a connection for ever. This one counts from the start.
@@ -281,7 +316,7 @@
 on_sweep (gpointer data)
 {
   HttpServer *server = data;
-  gint64 oldest = clock_now (loop_clock (server->loop)) - server->limits.read_us;
+  gint64 now = clock_now (loop_clock (server->loop));
   GHashTableIter iter;
   gpointer key;
 
@@ -290,13 +325,11 @@
     {
       Conn *conn = key;
 
-      if (!conn->reading_since_us || conn->reading_since_us > oldest)
-        continue;
-      conn->reading_since_us = 0;
-      if (send (conn->fd, SLOW_ANSWER, strlen (SLOW_ANSWER),
-                MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-        g_debug ("a slow caller had gone already");
-      shutdown (conn->fd, SHUT_RDWR);
+      if (conn->reading_since_us && now - conn->reading_since_us > server->limits.read_us)
+        refuse_slow (conn);
+      else if (conn->idle_since_us &&
+               now - conn->idle_since_us > IDLE_FACTOR * server->limits.read_us)
+        shutdown (conn->fd, SHUT_RDWR);
     }
   loop_timer_start (server->sweep, SWEEP_US);
 }
--- a/standins/src/load.c
+++ b/standins/src/load.c
@@ -55,6 +55,7 @@
 static gint64 next_us;
 static LoopTimer *pace;
 static char *run_name;
+static FILE *ids; /* each id with its outcome, where asked for */
 
 static gboolean send_one (void);
 
@@ -94,6 +95,9 @@
   Class *class = call->class;
   const char *outcome = http_headers_get (result->headers, "Switchmill-Outcome");
 
+  if (ids)
+    fprintf (ids, "%s %s\n", call->id,
+             result->outcome != HTTP_CALL_OK || !outcome ? "lost" : outcome);
   if (result->outcome != HTTP_CALL_OK)
     {
       class->lost++;
@@ -316,9 +320,13 @@
   struct arg_str *account = arg_str0 ("a", "account", "ID:KEY", "a caller's account");
   struct arg_int *seed =
       arg_int0 (NULL, "seed", "N", "for bodies and the mix (default 1)");
+  struct arg_file *list =
+      arg_file0 (NULL, "ids", "FILE", "write each id with its outcome");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_end *end = arg_end (8);
-  void *table[] = { to, what, parallel, per_second, span, account, seed, json, end };
+  void *table[] = {
+    to, what, parallel, per_second, span, account, seed, list, json, end
+  };
   g_autofree char *authorization = NULL;
   int code;
 
@@ -350,7 +358,10 @@
   if (account->count)
     authorization = g_strconcat ("Bearer ", account->sval[0], NULL);
   bearer = authorization;
+  ids = list->count ? fopen (list->filename[0], "w") : NULL;
   code = run (span->count ? span->dval[0] : 5.0);
+  if (ids)
+    fclose (ids);
   if (json->count)
     print_json ();
   else
--- /dev/null
+++ b/standins/src/relay.c
@@ -0,0 +1,236 @@
+/*
+ * A stand-in for a link that can break in one direction: forwards TCP connections and
+ * UDP datagrams to one address, and holds back (TCP) or drops (UDP) what goes one way.
+ *
+ * GET /_control?forth=0|1&back=0|1 on the control address opens and closes the ways.
+ */
+#include <io/http-server.h>
+#include <io/loop.h>
+#include <io/socket.h>
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CHUNK 65536
+#define HEADER_MAX 8192
+
+typedef struct
+{
+  int fd;
+  LoopFd *watch;
+  GByteArray *out; /* waits to be written here */
+  gboolean ended;
+} Side;
+
+typedef struct
+{
+  Side near; /* who connected */
+  Side far;
+} Pair;
+
+typedef struct
+{
+  struct sockaddr_in peer;
+  int fd;
+} Flow;
+
+static Loop *loop;
+static const char *target;
+static gboolean forth = TRUE;
+static gboolean back = TRUE;
+static GPtrArray *pairs;
+static GPtrArray *flows;
+static int udp;
+
+static void
+pair_free (Pair *pair)
+{
+  g_ptr_array_remove_fast (pairs, pair);
+  loop_fd_destroy (pair->near.watch);
+  loop_fd_destroy (pair->far.watch);
+  close (pair->near.fd);
+  close (pair->far.fd);
+  g_byte_array_unref (pair->near.out);
+  g_byte_array_unref (pair->far.out);
+  g_free (pair);
+}
+
+static void
+flush (Side *side, gboolean open)
+{
+  while (open && side->out->len > 0)
+    {
+      gssize n = send (side->fd, side->out->data, side->out->len, MSG_NOSIGNAL);
+
+      if (n < 0)
+        break;
+      g_byte_array_remove_range (side->out, 0, (guint)n);
+    }
+  loop_fd_set (side->watch,
+               (side->ended ? 0 : LOOP_READ) | (open && side->out->len ? LOOP_WRITE : 0));
+}
+
+/* An end of the stream is news too: it is held back with the rest of its direction. */
+static void
+settle (Pair *pair)
+{
+  flush (&pair->far, forth);
+  flush (&pair->near, back);
+  if (pair->near.ended && forth && pair->far.out->len == 0)
+    pair_free (pair);
+  else if (pair->far.ended && back && pair->near.out->len == 0)
+    pair_free (pair);
+}
+
+static void
+read_side (Pair *pair, Side *from, Side *to)
+{
+  guint8 chunk[CHUNK];
+  gssize n = recv (from->fd, chunk, sizeof chunk, 0);
+
+  if (n > 0)
+    g_byte_array_append (to->out, chunk, (guint)n);
+  else
+    from->ended = TRUE;
+  settle (pair);
+}
+
+static void
+on_near (int fd, LoopEvents ready, gpointer data)
+{
+  Pair *pair = data;
+
+  if (ready & LOOP_READ && !pair->near.ended)
+    read_side (pair, &pair->near, &pair->far);
+  else
+    settle (pair);
+}
+
+static void
+on_far (int fd, LoopEvents ready, gpointer data)
+{
+  Pair *pair = data;
+
+  if (ready & LOOP_READ && !pair->far.ended)
+    read_side (pair, &pair->far, &pair->near);
+  else
+    settle (pair);
+}
+
+static void
+on_connection (int fd, LoopEvents ready, gpointer data)
+{
+  int accepted;
+
+  while ((accepted = socket_accept (fd)) >= 0)
+    {
+      Pair *pair = g_new0 (Pair, 1);
+
+      pair->near.fd = accepted;
+      pair->far.fd = socket_connect (target);
+      pair->near.out = g_byte_array_new ();
+      pair->far.out = g_byte_array_new ();
+      pair->near.watch = loop_fd_create (loop, accepted, LOOP_READ, on_near, pair);
+      pair->far.watch = loop_fd_create (loop, pair->far.fd, LOOP_READ, on_far, pair);
+      g_ptr_array_add (pairs, pair);
+    }
+}
+
+static void
+on_flow_back (int fd, LoopEvents ready, gpointer data)
+{
+  Flow *flow = data;
+  guint8 chunk[CHUNK];
+  gssize n = recv (fd, chunk, sizeof chunk, 0);
+
+  if (n > 0 && back)
+    sendto (udp, chunk, (gsize)n, 0, (struct sockaddr *)&flow->peer, sizeof flow->peer);
+}
+
+static Flow *
+flow_of (const struct sockaddr_in *peer)
+{
+  struct sockaddr_in to;
+  Flow *flow;
+
+  for (guint i = 0; i < flows->len; i++)
+    {
+      flow = g_ptr_array_index (flows, i);
+      if (flow->peer.sin_port == peer->sin_port)
+        return flow;
+    }
+  flow = g_new0 (Flow, 1);
+  flow->peer = *peer;
+  flow->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  socket_address_parse (target, &to);
+  if (connect (flow->fd, (struct sockaddr *)&to, sizeof to) < 0)
+    abort ();
+  loop_fd_create (loop, flow->fd, LOOP_READ, on_flow_back, flow);
+  g_ptr_array_add (flows, flow);
+  return flow;
+}
+
+static void
+on_datagram (int fd, LoopEvents ready, gpointer data)
+{
+  struct sockaddr_in peer;
+  socklen_t len = sizeof peer;
+  guint8 chunk[CHUNK];
+  gssize n;
+
+  while ((n = recvfrom (fd, chunk, sizeof chunk, 0, (struct sockaddr *)&peer, &len)) >= 0)
+    if (forth && send (flow_of (&peer)->fd, chunk, (gsize)n, MSG_NOSIGNAL) < 0)
+      g_debug ("the far side does not listen");
+}
+
+static void
+on_control (HttpRequest *request, gpointer data)
+{
+  const char *f = http_request_argument (request, "forth");
+  const char *b = http_request_argument (request, "back");
+
+  if (f)
+    forth = *f == '1';
+  if (b)
+    back = *b == '1';
+  for (guint i = pairs->len; i-- > 0;)
+    settle (g_ptr_array_index (pairs, i));
+  http_request_answer_json (request, 200, "{}\n");
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GError) error = NULL;
+  HttpLimits limits = { 64, HEADER_MAX, 0, 10 * SECOND_US };
+  struct sockaddr_in local;
+  int tcp;
+
+  if (argc != 4 || !socket_address_parse (argv[1], &local))
+    {
+      fprintf (stderr, "usage: standin-relay LISTEN TARGET CONTROL\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  loop = loop_create (clock_create_monotonic ());
+  pairs = g_ptr_array_new ();
+  flows = g_ptr_array_new ();
+  target = argv[2];
+  tcp = socket_listen (argv[1], &error);
+  udp = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  if (tcp < 0 || bind (udp, (struct sockaddr *)&local, sizeof local) < 0 ||
+      !http_server_create (loop, argv[3], &limits, on_control, NULL, &error))
+    {
+      fprintf (stderr, "standin-relay: %s\n", error ? error->message : "cannot bind");
+      return 1;
+    }
+  loop_fd_create (loop, tcp, LOOP_READ, on_connection, NULL);
+  loop_fd_create (loop, udp, LOOP_READ, on_datagram, NULL);
+  loop_run (loop);
+  return 0;
+}
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -10,7 +10,7 @@
  *   silent (never), hangup (runs, closes without an answer), half (half, then silence).
  *   flap_ms: faults are on and off by turns of that length.
  * /_health always answers well. /_runs: totals, and how many ids ran more than once.
- * /_runs?id=ID: how often that one ran.
+ * /_runs?id=ID: how often that one ran. /_ids: all ids, each with how often it ran.
  */
 #include <io/loop.h>
 #include <io/socket.h>
@@ -312,6 +312,20 @@
                           total, g_hash_table_size (runs), twice, peak, busy);
 }
 
+static char *
+ids_text (void)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer id;
+  gpointer count;
+
+  g_hash_table_iter_init (&iter, runs);
+  while (g_hash_table_iter_next (&iter, &id, &count))
+    g_string_append_printf (text, "%s %u\n", (char *)id, GPOINTER_TO_UINT (count));
+  return g_string_free (text, FALSE);
+}
+
 static void
 answer_own (Conn *conn)
 {
@@ -319,8 +333,12 @@
 
   if (g_str_has_prefix (conn->path, "/_control"))
     control (conn->path);
-  text = g_str_has_prefix (conn->path, "/_runs") ? runs_text (conn->path)
-                                                 : g_strdup ("ok\n");
+  if (g_str_has_prefix (conn->path, "/_runs"))
+    text = runs_text (conn->path);
+  else if (g_str_has_prefix (conn->path, "/_ids"))
+    text = ids_text ();
+  else
+    text = g_strdup ("ok\n");
   answer (conn, 200, text, NULL, 0);
   g_byte_array_remove_range (conn->in, 0, (guint)(conn->body_at + conn->body_len));
   g_clear_pointer (&conn->path, g_free);
--- /dev/null
+++ b/tests/proc/fleet.h
@@ -0,0 +1,86 @@
+/*
+ * A small fleet of real processes for the process tests: one platform, targets, nodes
+ * and relays on loopback. Only this harness starts processes; the product's never do.
+ */
+#ifndef TESTS_FLEET_H
+#define TESTS_FLEET_H
+
+#include <glib.h>
+
+#define FLEET_NODES_MAX 8
+
+typedef struct Fleet Fleet;
+
+/* One HTTP answer; status 0 for none. */
+typedef struct
+{
+  long status;
+  char *outcome;
+  char *retry_after;
+  char *body;
+} Answer;
+
+/* `nodes` nodes, each with a target (slots, latency) beside it; nothing runs yet. */
+Fleet *fleet_create (guint nodes);
+/* Ends what is left by SIGKILL and removes the files. */
+void fleet_destroy (Fleet *fleet);
+
+/* A cmocka teardown: ends the fleet of a test that failed before its end. */
+int fleet_teardown (void **state);
+
+void fleet_start_platform (Fleet *fleet);
+void fleet_start_target (Fleet *fleet, guint i, guint slots, guint latency_ms);
+void fleet_start_node (Fleet *fleet, guint i);
+/* Lets the others reach node `i` through a relay; before the node is started. */
+void fleet_start_relay (Fleet *fleet, guint i);
+/* Platform, all targets and nodes; waits until every node is ready. */
+void fleet_start (Fleet *fleet, guint slots, guint latency_ms);
+
+void fleet_signal_node (Fleet *fleet, guint i, int signal);
+void fleet_kill_target (Fleet *fleet, guint i);
+/* Waits for a node to end; its exit code, or -1 for a signal. */
+int fleet_wait_node (Fleet *fleet, guint i);
+
+/* Calls: "GET" and so on; NULL body for none. The caller frees the answer. */
+Answer *fleet_call (Fleet *fleet,
+                    guint node,
+                    const char *method,
+                    const char *path,
+                    const char *id,
+                    const char *body);
+Answer *fleet_operate (
+    Fleet *fleet, guint node, const char *method, const char *path, const char *body);
+void answer_free (Answer *answer);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (Answer, answer_free)
+
+/* Stand-ins' controls: the query, as "answer=silent". */
+void fleet_control_target (Fleet *fleet, guint i, const char *query);
+void fleet_control_platform (Fleet *fleet, const char *query);
+void fleet_control_relay (Fleet *fleet, guint i, const char *query);
+
+/* How often a target ran a request, and all that it ran as "ID COUNT" lines. */
+guint fleet_runs (Fleet *fleet, guint target, const char *id);
+char *fleet_ids (Fleet *fleet, guint target);
+
+/* One service "pay" on all nodes' targets, with POST /pay and GET /read. */
+char *fleet_intent (Fleet *fleet, guint slots, guint floor, const char *extra);
+/* Plans and confirms through a node; the status of the confirmation. */
+long fleet_apply (Fleet *fleet, guint node, const char *intent, gboolean force);
+/* The confirmation's body for an intent, by a plan made now. */
+char *fleet_plan (Fleet *fleet, guint node, const char *intent, gboolean force);
+
+/* A number out of a node's status, by a JSON path such as "$.generation"; -1 for none. */
+gint64 fleet_status (Fleet *fleet, guint node, const char *path);
+/* Waits until the number is at least that; fails the test after long enough. */
+void fleet_await (Fleet *fleet, guint node, const char *path, gint64 at_least);
+
+/* Starts the load tool; `extra` are its words, by spaces. */
+GPid fleet_load (Fleet *fleet, const char *extra);
+/* Waits for it and shows what it printed; its exit code. */
+int fleet_join (Fleet *fleet, GPid pid);
+
+/* A path in the fleet's folder; the caller frees it. */
+char *fleet_path (Fleet *fleet, const char *name);
+char *fleet_address (const char *kind, guint i);
+
+#endif
--- /dev/null
+++ b/tests/proc/test-requests.c
@@ -0,0 +1,341 @@
+/*
+ * Requests through real processes under faults: whole and own answers, at most once,
+ * honest outcomes; kills, freezes, broken links, and hostile callers.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <io/socket.h>
+
+#include "fleet.h"
+
+#define SLOTS 10
+#define CHAOS_ROUNDS 12
+#define READ_MAX 4096
+
+static Fleet *
+start_fleet (guint nodes, guint latency_ms)
+{
+  Fleet *fleet = fleet_create (nodes);
+  g_autofree char *intent = fleet_intent (fleet, SLOTS, nodes * SLOTS, NULL);
+
+  fleet_start (fleet, SLOTS, latency_ms);
+  assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
+  for (guint i = 0; i < nodes; i++)
+    fleet_await (fleet, i, "$.generation", 1);
+  return fleet;
+}
+
+static void
+expect (Fleet *fleet,
+        const char *method,
+        const char *path,
+        const char *id,
+        const char *outcome,
+        const char *body_part)
+{
+  g_autoptr (Answer) answer =
+      fleet_call (fleet, 0, method, path, id, method[0] == 'P' ? "fee=12" : NULL);
+
+  if (strcmp (answer->outcome, outcome) != 0)
+    fail_msg ("%s %s %s: %s (%ld %s)", method, path, id, answer->outcome, answer->status,
+              answer->body);
+  if (body_part && !strstr (answer->body, body_part))
+    fail_msg ("%s: the answer is not its own: %s", id, answer->body);
+  assert_null (strstr (answer->body, "STOLEN"));
+}
+
+static void
+test_bad_answers_are_never_passed_on (void **state)
+{
+  Fleet *fleet = start_fleet (1, 2);
+
+  expect (fleet, "POST", "/pay", "id-good", "done", "id-good 6 ");
+  fleet_control_target (fleet, 0, "answer=truncated");
+  expect (fleet, "POST", "/pay", "id-cut", "unknown", NULL);
+  fleet_control_target (fleet, 0, "answer=crossed");
+  expect (fleet, "POST", "/pay", "id-crossed", "unknown", NULL);
+  fleet_control_target (fleet, 0, "answer=half");
+  expect (fleet, "POST", "/pay", "id-half", "unknown", NULL);
+  fleet_control_target (fleet, 0, "answer=long");
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-long-%u", i);
+
+      expect (fleet, i % 2 ? "GET" : "POST", i % 2 ? "/read" : "/pay", id, "done", id);
+    }
+  assert_int_equal (fleet_runs (fleet, 0, "id-cut"), 1);
+  fleet_destroy (fleet);
+}
+
+static void
+test_hangup_before_the_answer_runs_once (void **state)
+{
+  Fleet *fleet = start_fleet (1, 2);
+
+  /* A good exchange first: a client that kept the connection would now use it again. */
+  expect (fleet, "POST", "/pay", "id-first", "done", "id-first");
+  fleet_control_target (fleet, 0, "answer=hangup");
+  for (guint i = 0; i < 10; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-hangup-%u", i);
+
+      expect (fleet, "POST", "/pay", id, "unknown", NULL);
+      assert_int_equal (fleet_runs (fleet, 0, id), 1);
+    }
+  fleet_destroy (fleet);
+}
+
+static void
+test_no_target_is_not_run_with_a_time_to_come_back (void **state)
+{
+  Fleet *fleet = start_fleet (1, 2);
+  g_autoptr (Answer) answer = NULL;
+
+  fleet_kill_target (fleet, 0);
+  answer = fleet_call (fleet, 0, "POST", "/pay", "id-gone", "x");
+  assert_string_equal (answer->outcome, "not-run");
+  assert_int_equal (answer->status, 503);
+  assert_non_null (answer->retry_after);
+  fleet_destroy (fleet);
+}
+
+static void
+test_sidecar_killed_with_work_in_flight (void **state)
+{
+  Fleet *fleet = start_fleet (2, 600);
+  GPid load = 0;
+  g_autofree char *list = fleet_path (fleet, "ids");
+  g_autofree char *words =
+      g_strdup_printf ("-c pay:POST:/pay:1:50 -n 8 -t 1.5 --ids %s", list);
+
+  load = fleet_load (fleet, words);
+  g_usleep (700000);
+  fleet_signal_node (fleet, 1, SIGKILL);
+  assert_int_equal (fleet_join (fleet, load), 0);
+  fleet_destroy (fleet);
+}
+
+/* Adds a target's "ID COUNT" lines up. */
+static void
+add_runs (Fleet *fleet, guint target, GHashTable *runs)
+{
+  g_autofree char *text = fleet_ids (fleet, target);
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+
+  for (guint i = 0; lines[i]; i++)
+    {
+      char *space = strchr (lines[i], ' ');
+      guint count;
+
+      if (!space)
+        continue;
+      *space = '\0';
+      count = GPOINTER_TO_UINT (g_hash_table_lookup (runs, lines[i]));
+      count += (guint)g_ascii_strtoull (space + 1, NULL, 10);
+      g_hash_table_insert (runs, g_strdup (lines[i]), GUINT_TO_POINTER (count));
+    }
+}
+
+/* What callers were told against what the targets ran. */
+static void
+compare_ids (Fleet *fleet, guint targets, const char *list)
+{
+  g_autoptr (GHashTable) runs =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autofree char *text = NULL;
+  g_auto (GStrv) lines = NULL;
+  guint told[3] = { 0 };
+  GHashTableIter iter;
+  gpointer id;
+  gpointer count;
+
+  for (guint i = 0; i < targets; i++)
+    add_runs (fleet, i, runs);
+  g_hash_table_iter_init (&iter, runs);
+  while (g_hash_table_iter_next (&iter, &id, &count))
+    if (GPOINTER_TO_UINT (count) > 1)
+      fail_msg ("%s ran %u times", (char *)id, GPOINTER_TO_UINT (count));
+  assert_true (g_file_get_contents (list, &text, NULL, NULL));
+  lines = g_strsplit (text, "\n", -1);
+  for (guint i = 0; lines[i]; i++)
+    {
+      char *space = strchr (lines[i], ' ');
+      guint ran;
+
+      if (!space)
+        continue;
+      *space = '\0';
+      ran = GPOINTER_TO_UINT (g_hash_table_lookup (runs, lines[i]));
+      if (strcmp (space + 1, "not-run") == 0 && ran > 0)
+        fail_msg ("%s was told 'not run' and ran", lines[i]);
+      if (strcmp (space + 1, "done") == 0 && ran != 1)
+        fail_msg ("%s was told 'done' and ran %u times", lines[i], ran);
+      told[strcmp (space + 1, "done") == 0      ? 0
+           : strcmp (space + 1, "not-run") == 0 ? 1
+                                                : 2]++;
+    }
+  print_message ("done %u, not-run %u, unknown or lost %u\n", told[0], told[1], told[2]);
+  assert_true (told[0] > 100);
+}
+
+static void
+test_kills_freezes_and_broken_links_under_load (void **state)
+{
+  Fleet *fleet = fleet_create (4);
+  g_autofree char *intent = fleet_intent (fleet, SLOTS, 0, NULL);
+  g_autofree char *list = fleet_path (fleet, "ids");
+  g_autofree char *words =
+      g_strdup_printf ("-c pay:POST:/pay:1:200 -n 24 -t 9 --ids %s", list);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (42);
+  GPid load;
+
+  for (guint i = 0; i < 4; i++)
+    fleet_start_relay (fleet, i);
+  fleet_start (fleet, SLOTS, 20);
+  assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
+  for (guint i = 0; i < 4; i++)
+    fleet_await (fleet, i, "$.generation", 1);
+  load = fleet_load (fleet, words);
+  for (guint round = 0; round < CHAOS_ROUNDS; round++)
+    {
+      guint node = (guint)g_rand_int_range (rand, 0, 4);
+
+      g_usleep (150000);
+      switch (round % 4)
+        {
+        case 0:
+          fleet_signal_node (fleet, node, SIGSTOP);
+          g_usleep (400000);
+          fleet_signal_node (fleet, node, SIGCONT);
+          break;
+        case 1:
+          fleet_control_relay (fleet, node, "back=0");
+          g_usleep (400000);
+          fleet_control_relay (fleet, node, "back=1");
+          break;
+        case 2:
+          fleet_signal_node (fleet, node, SIGKILL);
+          fleet_start_node (fleet, node);
+          break;
+        default:
+          fleet_control_relay (fleet, node, "forth=0");
+          g_usleep (400000);
+          fleet_control_relay (fleet, node, "forth=1");
+          break;
+        }
+    }
+  assert_int_equal (fleet_join (fleet, load), 0);
+  /* What was on its way when the load ended has ended too once no slot is in use. */
+  for (guint i = 0; i < 4; i++)
+    fleet_await (fleet, i, "$.ready", 1);
+  g_usleep (500000);
+  compare_ids (fleet, 4, list);
+  fleet_destroy (fleet);
+}
+
+static void
+test_two_thousand_overlapping_requests_get_their_own (void **state)
+{
+  Fleet *fleet = start_fleet (3, 5);
+  GPid load = fleet_load (fleet, "-c pay:POST:/pay:1:3000 -c read:GET:/read:1:0 "
+                                 "-c big:POST:/pay/big:1:100000 -n 200 -t 4");
+
+  /* The tool ends with 1 when one answer was not its request's own, or not whole. */
+  assert_int_equal (fleet_join (fleet, load), 0);
+  fleet_destroy (fleet);
+}
+
+/* Sends bytes as they are, half-closes if asked, and reads until the end. */
+static char *
+send_raw (const char *bytes, gboolean half_close)
+{
+  g_autofree char *address = fleet_address ("callers", 0);
+  struct sockaddr_in to;
+  char buffer[READ_MAX];
+  GString *text = g_string_new (NULL);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  gssize n;
+
+  assert_true (socket_address_parse (address, &to));
+  assert_int_equal (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, bytes, strlen (bytes), MSG_NOSIGNAL), strlen (bytes));
+  if (half_close)
+    shutdown (fd, SHUT_WR);
+  while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (text, buffer, n);
+  close (fd);
+  return g_string_free (text, FALSE);
+}
+
+static void
+expect_raw (const char *bytes, gboolean half_close, const char *status)
+{
+  g_autofree char *text = send_raw (bytes, half_close);
+
+  if (!strstr (text, status))
+    fail_msg ("%.60s...: %s", bytes, text);
+}
+
+static void
+test_hostile_callers_get_errors_and_hold_nothing_up (void **state)
+{
+  Fleet *fleet = start_fleet (1, 2);
+  g_autofree char *junk = g_strnfill (60000, 'x');
+  g_autofree char *large =
+      g_strdup_printf ("GET /read HTTP/1.1\r\nHost: a\r\nX-Junk: %s\r\n\r\n", junk);
+
+  expect_raw (
+      "POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n"
+      "Connection: close\r\n\r\nabc",
+      FALSE, " 400 ");
+  expect_raw ("POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+              "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n",
+              FALSE, " 400 ");
+  expect_raw ("POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n"
+              "Connection: close\r\n\r\n",
+              FALSE, " 413 ");
+  expect_raw (large, FALSE, " 431 ");
+  expect_raw ("GET /read/../pay HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", FALSE,
+              " 400 ");
+  expect_raw ("GET /elsewhere HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", FALSE,
+              " 404 ");
+  /* Half closed in the middle of a request: no answer, and nothing runs. */
+  g_free (send_raw ("POST /pay HTTP/1.1\r\nHost: a\r\nX-Request-Id: id-half\r\n"
+                    "Content-Length: 10\r\n\r\nabc",
+                    TRUE));
+  assert_int_equal (fleet_runs (fleet, 0, "id-half"), 0);
+  /* A caller that never ends its header is let go with an answer. */
+  expect_raw ("GET /read HTTP/1.1\r\nHost: a\r\nX-Slow: ", FALSE, " 408 ");
+  expect (fleet, "POST", "/pay", "id-after", "done", "id-after");
+  fleet_destroy (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (test_bad_answers_are_never_passed_on, fleet_teardown),
+    cmocka_unit_test_teardown (test_hangup_before_the_answer_runs_once, fleet_teardown),
+    cmocka_unit_test_teardown (test_no_target_is_not_run_with_a_time_to_come_back,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_sidecar_killed_with_work_in_flight, fleet_teardown),
+    cmocka_unit_test_teardown (test_kills_freezes_and_broken_links_under_load,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_two_thousand_overlapping_requests_get_their_own,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_hostile_callers_get_errors_and_hold_nothing_up,
+                               fleet_teardown),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
