Operations between real processes: floors, planned stops, departures, configuration

Change: nine tests; the platform's lagging VM list is read by each hall's watchers, who tell a leaving VM's sidecar; a stop that cannot wait answers everyone it cuts at once ('unknown', or 'not-run' where nothing was sent) and exits with 3. Fault found, mended: a hurried stop crashed (FPE in a hash table being freed), for calls dropped with the peers led to new calls; the address sanitizer named the line. Peers that close now have no peer to offer.

--- a/core/tests/test-floor.c
+++ b/core/tests/test-floor.c
@@ -49,7 +49,8 @@
   return snapshot;
 }
 
-/* Slots that serve, are not draining, and are reachable: ejections may take only these. */
+/* Slots that serve, are not draining, and are reachable: ejections may take only these.
+ */
 static void
 check_floor (Balancer *balancer, const Service *service, guint seed)
 {
@@ -61,8 +62,8 @@
       const Target *target = g_ptr_array_index (service->targets, i);
       TargetStatus status = balancer_status (balancer, service, target);
 
-      if (target->state == TARGET_LEAVING || status.report.draining || !status.alive
-          || !status.path_open)
+      if (target->state == TARGET_LEAVING || status.report.draining || !status.alive ||
+          !status.path_open)
         {
           assert_false (status.ejected);
           continue;
@@ -72,8 +73,8 @@
         in_service += target->slots;
     }
   if (in_service < MIN (available, MAX (service->floor_slots, 1)))
-    fail_msg ("schedule %u: %u of %u slots in service, floor %u", seed, in_service, available,
-              service->floor_slots);
+    fail_msg ("schedule %u: %u of %u slots in service, floor %u", seed, in_service,
+              available, service->floor_slots);
 }
 
 /* A request goes to a target that is ejected only as a trial of something repeatable. */
@@ -139,9 +140,9 @@
           guint count = (guint)g_rand_int_range (rand, 1, TARGETS_MAX);
 
           g_clear_pointer (&snapshot, snapshot_unref);
-          snapshot = make_snapshot (i + 1, count,
-                                    (guint)g_rand_int_range (rand, 0, (gint32)count * 10 + 1),
-                                    rand);
+          snapshot = make_snapshot (
+              i + 1, count, (guint)g_rand_int_range (rand, 0, (gint32)count * 10 + 1),
+              rand);
           balancer_prune (balancer, snapshot);
         }
       service = snapshot_service (snapshot, "pay");
@@ -165,8 +166,8 @@
 test_worst_goes_first_and_equals_by_name (void **state)
 {
   EjectItem items[] = {
-    { "c", 10, 200, TRUE, FALSE }, { "a", 10, 200, TRUE, FALSE },
-    { "d", 10, 900, TRUE, FALSE }, { "b", 10, 0, TRUE, FALSE },
+    { "c", 10, 200, TRUE, FALSE },  { "a", 10, 200, TRUE, FALSE },
+    { "d", 10, 900, TRUE, FALSE },  { "b", 10, 0, TRUE, FALSE },
     { "e", 10, 999, FALSE, FALSE },
   };
 
--- a/daemon/src/calls.c
+++ b/daemon/src/calls.c
@@ -139,6 +139,11 @@
     case SW_PART:
       on_part (node, conn, call->xid, in);
       break;
+    case SW_LEAVE:
+      events_add (node->events, "vm-leaving", node->settings->node, rpc_conn_peer (conn));
+      sidecar_drain (node->sidecar);
+      rpc_conn_reply (conn, call->xid, wire_void, NULL);
+      break;
     case SW_VIEW:
       on_view (node, conn, call->xid, in);
       break;
--- a/daemon/src/config-sync.c
+++ b/daemon/src/config-sync.c
@@ -424,8 +424,8 @@
 }
 
 /* Rendezvous hashing over the live view: the same few of each hall come out first. */
-static gboolean
-is_watcher (ConfigSync *sync)
+gboolean
+config_sync_is_watcher (const ConfigSync *sync)
 {
   Node *node = sync->node;
   const Member *self = members_self (node->members);
@@ -465,7 +465,7 @@
 {
   ConfigSync *sync = data;
 
-  if (!is_watcher (sync))
+  if (!config_sync_is_watcher (sync))
     {
       loop_timer_start (sync->watch, WATCH_PAUSE_US);
       return;
--- a/daemon/src/config-sync.h
+++ b/daemon/src/config-sync.h
@@ -29,6 +29,10 @@
 /* Reads the head from the platform now rather than at the next occasion. */
 void config_sync_poll (ConfigSync *sync);
 
+/* Whether this node is one of the few of its hall that watch the platform for the rest.
+ */
+gboolean config_sync_is_watcher (const ConfigSync *sync);
+
 /* Answers for other nodes; the results borrow from the sync. */
 void config_sync_answer_head (ConfigSync *sync, sw_head_res *res);
 void
--- a/daemon/src/ingress.c
+++ b/daemon/src/ingress.c
@@ -569,6 +569,25 @@
   ingress->draining = TRUE;
 }
 
+guint
+ingress_cut (Ingress *ingress)
+{
+  guint count = g_hash_table_size (ingress->exchanges);
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, ingress->exchanges);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Exchange *exchange = key;
+      gboolean sent = dispatch_attempts (exchange->dispatch) > 0;
+
+      answer_give_up (exchange->request, sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+                      REASON_DRAINING, SECOND_US);
+    }
+  return count;
+}
+
 guint
 ingress_active (const Ingress *ingress)
 {
--- a/daemon/src/ingress.h
+++ b/daemon/src/ingress.h
@@ -13,6 +13,12 @@
 /* Answers new requests with "not run" from now on, and lets those in flight end. */
 void ingress_drain (Ingress *ingress);
 
+/*
+ * Answers all requests in flight at once, for a stop that cannot wait: "not run" where
+ * nothing was ever sent, else "unknown". Returns how many there were.
+ */
+guint ingress_cut (Ingress *ingress);
+
 /* Requests in flight. */
 guint ingress_active (const Ingress *ingress);
 
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -10,12 +10,15 @@
 #include "operators.h"
 #include "peers.h"
 #include "sidecar.h"
+#include "vm-list.h"
 
 #define PEER_CONNECTIONS_MAX 4096u
 #define PEER_IDLE_US (300 * SECOND_US)
 /* A planned stop lasts at least this long, for the news of it to get round. */
 #define STOP_LINGER_US (1500 * MS_US)
 #define STOP_CHECK_US (50 * MS_US)
+/* For the last answers of a stop that cuts requests. */
+#define STOP_FLUSH_US (200 * MS_US)
 
 struct NodeRun
 {
@@ -25,6 +28,7 @@
   gint64 stop_began_us;
   guint cut;
   gboolean hurried;
+  gboolean ending;
 };
 
 static gint64
@@ -39,13 +43,22 @@
   return ingress_active (run->node.ingress) + sidecar_active (run->node.sidecar);
 }
 
+/* Says good-bye, and answers whom the stop cuts; their answers still have to go out. */
+static void
+cut_off (NodeRun *run)
+{
+  members_leave (run->node.members);
+  gossip_push (run->node.gossip);
+  run->cut = ingress_cut (run->node.ingress) + sidecar_active (run->node.sidecar);
+  run->ending = TRUE;
+  loop_timer_start (run->stop, run->cut ? STOP_FLUSH_US : 0);
+}
+
 static void
 end (NodeRun *run)
 {
-  g_autofree char *cut = NULL;
+  g_autofree char *cut = g_strdup_printf ("%u", run->cut);
 
-  run->cut = in_flight (run);
-  cut = g_strdup_printf ("%u", run->cut);
   log_event (run->cut ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, "stopped", "REQUESTS_CUT",
              cut, NULL);
   loop_quit (run->node.loop);
@@ -57,14 +70,12 @@
   NodeRun *run = data;
   gboolean quiet = in_flight (run) == 0 && stop_age (run) >= STOP_LINGER_US;
 
-  if (quiet || run->hurried || stop_age (run) >= run->node.settings->stop_us)
-    {
-      members_leave (run->node.members);
-      gossip_push (run->node.gossip);
-      end (run);
-      return;
-    }
-  loop_timer_start (run->stop, STOP_CHECK_US);
+  if (run->ending)
+    end (run);
+  else if (quiet || run->hurried || stop_age (run) >= run->node.settings->stop_us)
+    cut_off (run);
+  else
+    loop_timer_start (run->stop, STOP_CHECK_US);
 }
 
 void
@@ -139,6 +150,7 @@
   node->peers = peers_create (node);
   node->sidecar = sidecar_create (node);
   node->config = config_sync_create (node);
+  node->vm_list = vm_list_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
   if (create_listeners (run, error))
     return run;
@@ -158,6 +170,7 @@
   peers_destroy (node->peers);
   gossip_destroy (node->gossip);
   ingress_destroy (node->ingress);
+  vm_list_destroy (node->vm_list);
   config_sync_destroy (node->config);
   sidecar_destroy (node->sidecar);
   balancer_destroy (node->balancer);
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -20,6 +20,7 @@
 typedef struct Sidecar Sidecar;
 typedef struct Ingress Ingress;
 typedef struct Operators Operators;
+typedef struct VmList VmList;
 
 typedef struct
 {
@@ -39,6 +40,7 @@
   Sidecar *sidecar;
   Ingress *ingress;
   Operators *operators;
+  VmList *vm_list;
   gboolean stopping;
 } Node;
 
--- a/daemon/src/peers.c
+++ b/daemon/src/peers.c
@@ -69,12 +69,18 @@
   g_free (peers);
 }
 
+static Peer *
+find_peer (const Peers *peers, const char *vm)
+{
+  return peers->closing ? NULL : g_hash_table_lookup (peers->table, vm);
+}
+
 /* The peer at the address that the membership knows now; NULL when it knows none. */
 static Peer *
 peer_of (Peers *peers, const char *vm)
 {
   const Member *member = members_find (peers->node->members, vm);
-  Peer *peer = g_hash_table_lookup (peers->table, vm);
+  Peer *peer = find_peer (peers, vm);
 
   if (!member || peers->closing)
     return NULL;
@@ -113,7 +119,7 @@
 void
 peers_note_stamp (Peers *peers, const sw_stamp *stamp)
 {
-  Peer *peer = g_hash_table_lookup (peers->table, stamp->node);
+  Peer *peer = find_peer (peers, stamp->node);
 
   if (peer && peer->open && peer->stamp.incarnation == stamp->incarnation)
     note_stamp (peer, stamp);
@@ -145,7 +151,7 @@
 {
   Opening *opening = data;
   Peers *peers = opening->peers;
-  Peer *peer = g_hash_table_lookup (peers->table, opening->vm);
+  Peer *peer = find_peer (peers, opening->vm);
   sw_hello_res *res = result;
   const PeerStamp *stamp = NULL;
 
--- a/daemon/src/platform.c
+++ b/daemon/src/platform.c
@@ -61,6 +61,7 @@
   call->done = done;
   call->data = data;
   order->answer_max = ANSWER_MAX;
+  order->abandon = g_free;
   if (!order->timeout_us)
     order->timeout_us = CALL_TIMEOUT_US;
   metrics_add (node->metrics, METRIC_PLATFORM_CALLS, 1);
@@ -121,11 +122,14 @@
 }
 
 void
-platform_vms (Node *node, PlatformDone done, gpointer data)
+platform_vms (Node *node, const char *version, PlatformDone done, gpointer data)
 {
+  g_autoptr (GArray) headers = http_headers_new ();
   g_autofree char *url =
       g_strdup_printf ("http://%s/v1/vms", node->settings->platform_address);
-  HttpOrder order = { .method = "GET", .url = url };
+  HttpOrder order = { .method = "GET", .url = url, .headers = headers };
 
+  if (*version)
+    http_headers_add (headers, "If-None-Match", version);
   send_order (node, &order, done, data);
 }
--- a/daemon/src/platform.h
+++ b/daemon/src/platform.h
@@ -4,7 +4,9 @@
  *   GET /v1/objects/KEY                  200 with an ETag, or 404
  *   GET /v1/objects/KEY?after=VERSION&wait_ms=N   held until the version differs; 304
  *   PUT /v1/objects/KEY, If-Match: VERSION or If-None-Match: *   200, or 412
- *   GET /v1/vms                          the (lagging) list of VMs
+ *   GET /v1/vms                          the (lagging) list of VMs, with an ETag:
+ *                                        [{"name": "...", "state": "live"|"leaving"}];
+ *                                        304 under If-None-Match when it is the same
  */
 #ifndef DAEMON_PLATFORM_H
 #define DAEMON_PLATFORM_H
@@ -41,7 +43,7 @@
                    gsize len,
                    PlatformDone done,
                    gpointer data);
-/* The list of VMs, as JSON. */
-void platform_vms (Node *node, PlatformDone done, gpointer data);
+/* The list of VMs, unless it is still of `version` ("" for any). */
+void platform_vms (Node *node, const char *version, PlatformDone done, gpointer data);
 
 #endif
--- /dev/null
+++ b/daemon/src/vm-list.c
@@ -0,0 +1,145 @@
+#include "vm-list.h"
+
+#include <string.h>
+
+#include "config-sync.h"
+#include "peers.h"
+#include "platform.h"
+#include "sidecar.h"
+
+#define READ_EVERY_US (3 * SECOND_US)
+#define TELL_TIMEOUT_US (2 * SECOND_US)
+
+struct VmList
+{
+  Node *node;
+  LoopTimer *timer;
+  char *version; /* of the list as last read to its end */
+};
+
+typedef struct
+{
+  VmList *list;
+  char *vm;
+} Notice;
+
+static const RpcProcedure leave = { SW_LEAVE, wire_void, wire_void, sizeof (int) };
+
+static void
+notice_free (Notice *notice)
+{
+  g_free (notice->vm);
+  g_free (notice);
+}
+
+/* One that was not told is told with the next reading, which must not be skipped. */
+static void
+on_told (RpcOutcome outcome, void *result, gpointer data)
+{
+  Notice *notice = data;
+
+  if (outcome != RPC_OK)
+    g_clear_pointer (&notice->list->version, g_free);
+  notice_free (notice);
+}
+
+static void
+on_open (const PeerStamp *stamp, gpointer data)
+{
+  Notice *notice = data;
+
+  if (stamp)
+    peers_call (notice->list->node->peers, notice->vm, &leave, NULL, TELL_TIMEOUT_US,
+                on_told, notice);
+  else
+    on_told (RPC_UNSENT, NULL, notice);
+}
+
+static void
+tell (VmList *list, const char *vm)
+{
+  Node *node = list->node;
+  const Member *member = members_find (node->members, vm);
+  Notice *notice;
+
+  if (!member || !members_is_alive (member) ||
+      strcmp (member->hall, node->settings->hall) != 0)
+    return;
+  if (member == members_self (node->members))
+    {
+      sidecar_drain (node->sidecar);
+      return;
+    }
+  notice = g_new0 (Notice, 1);
+  notice->list = list;
+  notice->vm = g_strdup (vm);
+  peers_open (node->peers, vm, TELL_TIMEOUT_US, on_open, notice);
+}
+
+static void
+take_list (VmList *list, const char *text, gsize len)
+{
+  g_autoptr (JsonParser) parser = json_parser_new_immutable ();
+  JsonNode *root;
+  JsonArray *array;
+
+  if (!json_parser_load_from_data (parser, text, (gssize)len, NULL))
+    return;
+  root = json_parser_get_root (parser);
+  if (!root || !JSON_NODE_HOLDS_ARRAY (root))
+    return;
+  array = json_node_get_array (root);
+  for (guint i = 0; i < json_array_get_length (array); i++)
+    {
+      JsonNode *item = json_array_get_element (array, i);
+      JsonObject *vm = JSON_NODE_HOLDS_OBJECT (item) ? json_node_get_object (item) : NULL;
+      const char *state =
+          vm ? json_object_get_string_member_with_default (vm, "state", "") : "";
+
+      if (strcmp (state, "leaving") == 0)
+        tell (list, json_object_get_string_member_with_default (vm, "name", ""));
+    }
+}
+
+static void
+on_list (const PlatformResult *result, gpointer data)
+{
+  VmList *list = data;
+
+  if (result->outcome != PLATFORM_OK)
+    return;
+  g_free (list->version);
+  list->version = g_strdup (result->version);
+  take_list (list, (const char *)result->body->data, result->body->len);
+}
+
+static void
+on_timer (gpointer data)
+{
+  VmList *list = data;
+
+  loop_timer_start (list->timer, READ_EVERY_US);
+  if (config_sync_is_watcher (list->node->config))
+    platform_vms (list->node, list->version ? list->version : "", on_list, list);
+}
+
+VmList *
+vm_list_create (Node *node)
+{
+  VmList *list = g_new0 (VmList, 1);
+
+  list->node = node;
+  list->timer = loop_timer_create (node->loop, on_timer, list);
+  loop_timer_start (list->timer, READ_EVERY_US);
+  return list;
+}
+
+void
+vm_list_destroy (VmList *list)
+{
+  if (!list)
+    return;
+  loop_timer_destroy (list->timer);
+  g_free (list->version);
+  g_free (list);
+}
--- a/io/include/io/http-client.h
+++ b/io/include/io/http-client.h
@@ -43,7 +43,8 @@
   gboolean has_body;
   gint64 timeout_us;
   gsize answer_max;
-  gboolean reuse; /* may share connections: only for calls harmless to repeat */
+  GDestroyNotify abandon; /* frees `data` when the client goes before the call ends */
+  gboolean reuse;         /* may share connections: only for calls harmless to repeat */
 } HttpOrder;
 
 /* Runs exactly once, from the loop, unless the call is cancelled; `result` is borrowed.
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -23,6 +23,7 @@
   HttpResult result;
   HttpDoneFunc done;
   gpointer data;
+  GDestroyNotify abandon;
 };
 
 static void
@@ -172,6 +173,8 @@
       g_hash_table_iter_init (&iter, client->calls);
       if (!g_hash_table_iter_next (&iter, &key, NULL))
         break;
+      if (((HttpCall *)key)->abandon)
+        ((HttpCall *)key)->abandon (((HttpCall *)key)->data);
       call_free (key);
     }
   curl_multi_cleanup (client->multi);
@@ -288,6 +291,7 @@
   call->client = client;
   call->done = done;
   call->data = data;
+  call->abandon = order->abandon;
   call->answer_max = order->answer_max;
   call->began_us = clock_now (loop_clock (client->loop));
   call->body = g_byte_array_new ();
--- a/standins/src/load.c
+++ b/standins/src/load.c
@@ -281,12 +281,12 @@
   printf ("}\n");
 }
 
-/* 0 when every answer that came was whole and its own; 1 otherwise. */
+/* 0 when every answer was whole and its own; strictly, also when none was cut. */
 static int
-run (double seconds)
+run (double seconds, gboolean strict)
 {
   LoopTimer *give_up;
-  guint64 foreign = 0;
+  guint64 bad = 0;
 
   loop = loop_create (clock_create_monotonic ());
   client = http_client_create (loop);
@@ -302,8 +302,14 @@
       send_one ();
   loop_run (loop);
   for (guint i = 0; i < classes->len; i++)
-    foreign += ((Class *)g_ptr_array_index (classes, i))->foreign;
-  return foreign > 0;
+    {
+      const Class *class = g_ptr_array_index (classes, i);
+
+      bad += class->foreign;
+      if (strict)
+        bad += class->lost + class->outcomes[OUTCOME_UNKNOWN];
+    }
+  return bad > 0;
 }
 
 int
@@ -322,11 +328,12 @@
       arg_int0 (NULL, "seed", "N", "for bodies and the mix (default 1)");
   struct arg_file *list =
       arg_file0 (NULL, "ids", "FILE", "write each id with its outcome");
+  struct arg_lit *strict =
+      arg_lit0 (NULL, "strict", "fail when an answer is lost or its outcome unknown");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_end *end = arg_end (8);
-  void *table[] = {
-    to, what, parallel, per_second, span, account, seed, list, json, end
-  };
+  void *table[] = { to,   what, parallel, per_second, span, account,
+                    seed, list, strict,   json,       end };
   g_autofree char *authorization = NULL;
   int code;
 
@@ -359,7 +366,7 @@
     authorization = g_strconcat ("Bearer ", account->sval[0], NULL);
   bearer = authorization;
   ids = list->count ? fopen (list->filename[0], "w") : NULL;
-  code = run (span->count ? span->dval[0] : 5.0);
+  code = run (span->count ? span->dval[0] : 5.0, strict->count > 0);
   if (ids)
     fclose (ids);
   if (json->count)
--- a/standins/src/platform.c
+++ b/standins/src/platform.c
@@ -3,7 +3,8 @@
  * of VMs, outages, slowness, and answers that are lost after the write took effect.
  *
  * POST /_control?down=0|1&delay_ms=N&lose=N (the next N writes lose their answer)
- *      &vms=TEXT sets the list. GET /_stats counts calls.
+ *      &vms=TEXT sets the list (a test lets it lag by setting it late). GET /_stats
+ * counts calls.
  */
 #include <io/http-server.h>
 #include <signal.h>
@@ -222,6 +223,20 @@
   http_request_answer_json (request, 200, text);
 }
 
+static void
+on_vms (HttpRequest *request)
+{
+  g_autofree char *version = g_strdup_printf ("\"%u\"", g_str_hash (vms));
+  g_autoptr (GArray) headers = http_headers_new ();
+
+  reads++;
+  http_headers_add (headers, "ETag", version);
+  if (g_strcmp0 (http_request_header (request, "If-None-Match"), version) == 0)
+    http_request_answer (request, 304, headers, "", 0);
+  else
+    http_request_answer (request, 200, headers, vms, strlen (vms));
+}
+
 static void
 serve (HttpRequest *request)
 {
@@ -231,7 +246,7 @@
   if (down)
     http_request_drop (request);
   else if (strcmp (path, "/v1/vms") == 0)
-    http_request_answer_json (request, 200, vms);
+    on_vms (request);
   else if (!g_str_has_prefix (path, OBJECT_PREFIX))
     http_request_answer_json (request, 404, "{\"error\":\"nothing here\"}\n");
   else if (strcmp (method, "GET") == 0)
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -503,7 +503,7 @@
 }
 
 GPid
-fleet_load (Fleet *fleet, const char *extra)
+fleet_load (Fleet *fleet, guint nodes, const char *extra)
 {
   g_autofree char *path = program ("standins/standin-load");
   GPtrArray *words = g_ptr_array_new_with_free_func (g_free);
@@ -513,6 +513,8 @@
   g_ptr_array_add (words, g_strdup (path));
   for (guint i = 0; i < fleet->nodes; i++)
     {
+      if (!(nodes & 1u << i))
+        continue;
       g_ptr_array_add (words, g_strdup ("-u"));
       g_ptr_array_add (words, fleet_address ("callers", i));
     }
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -74,8 +74,8 @@
 /* Waits until the number is at least that; fails the test after long enough. */
 void fleet_await (Fleet *fleet, guint node, const char *path, gint64 at_least);
 
-/* Starts the load tool; `extra` are its words, by spaces. */
-GPid fleet_load (Fleet *fleet, const char *extra);
+/* Starts the load tool on the nodes (bits) with more words, by spaces. */
+GPid fleet_load (Fleet *fleet, guint nodes, const char *extra);
 /* Waits for it and shows what it printed; its exit code. */
 int fleet_join (Fleet *fleet, GPid pid);
 
--- /dev/null
+++ b/tests/proc/test-operations.c
@@ -0,0 +1,309 @@
+/*
+ * Operations between real processes: floors, planned stops, departures, configuration
+ * under races, lost answers, outages, restarts and frozen nodes.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <signal.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define SLOTS 10
+#define IN_SERVICE "$.services[0].slots_in_service"
+#define GENERATION "$.generation"
+
+static void
+await_generation (Fleet *fleet, guint nodes, gint64 generation)
+{
+  for (guint i = 0; i < nodes; i++)
+    fleet_await (fleet, i, GENERATION, generation);
+}
+
+static Fleet *
+start_fleet (guint nodes, guint floor, guint latency_ms)
+{
+  Fleet *fleet = fleet_create (nodes);
+  g_autofree char *intent =
+      fleet_intent (fleet, SLOTS, floor, "\"detection\":\"quick\",");
+
+  fleet_start (fleet, SLOTS, latency_ms);
+  assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
+  await_generation (fleet, nodes, 1);
+  return fleet;
+}
+
+static void
+test_all_targets_gray_keeps_the_floor_and_they_come_back (void **state)
+{
+  Fleet *fleet = start_fleet (3, 20, 3);
+  GPid load = fleet_load (fleet, 7, "-c read:GET:/read:1:0 -r 300 -t 12");
+  guint sick = 0;
+
+  for (guint i = 0; i < 3; i++)
+    fleet_control_target (fleet, i, "error_percent=60");
+  for (guint round = 0; round < 60; round++)
+    for (guint i = 0; i < 3; i++)
+      {
+        gint64 slots = fleet_status (fleet, i, IN_SERVICE);
+
+        assert_true (slots >= 20);
+        if (slots < 30)
+          sick++;
+      }
+  assert_true (sick > 0);
+  for (guint i = 0; i < 3; i++)
+    fleet_control_target (fleet, i, "error_percent=0");
+  for (guint i = 0; i < 3; i++)
+    fleet_await (fleet, i, IN_SERVICE, 30);
+  fleet_join (fleet, load);
+  fleet_destroy (fleet);
+}
+
+static void
+test_planned_stop_cuts_nothing (void **state)
+{
+  Fleet *fleet = start_fleet (3, 0, 200);
+  /* Two loads: one to the other nodes, which use the stopping node's target; one to the
+     stopping node itself, that ends before the node stops listening. */
+  GPid others = fleet_load (fleet, 3, "-c pay:POST:/pay:1:100 -n 12 -t 4 --strict");
+  GPid own = fleet_load (fleet, 4, "-c pay:POST:/pay:1:100 -n 12 -t 1 --strict");
+
+  g_usleep (600000);
+  fleet_signal_node (fleet, 2, SIGTERM);
+  assert_int_equal (fleet_join (fleet, own), 0);
+  assert_int_equal (fleet_wait_node (fleet, 2), 0);
+  assert_int_equal (fleet_join (fleet, others), 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_hurried_stop_says_what_it_cut (void **state)
+{
+  Fleet *fleet = start_fleet (1, 0, 2500);
+  GPid load = fleet_load (fleet, 1, "-c pay:POST:/pay:1:100 -n 4 -t 0.2");
+
+  g_usleep (600000);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  g_usleep (100000);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  assert_int_equal (fleet_wait_node (fleet, 0), 3);
+  /* Those that are cut are told so; none is left without an answer. */
+  fleet_join (fleet, load);
+  fleet_destroy (fleet);
+}
+
+static guint
+total_runs (Fleet *fleet, guint target)
+{
+  g_autofree char *text = fleet_ids (fleet, target);
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+
+  return g_strv_length (lines) - 1;
+}
+
+/* Whatever the way it was told, a target that leaves gets nothing new. */
+static void
+expect_no_new_work (Fleet *fleet, guint target)
+{
+  guint before = total_runs (fleet, target);
+  guint others = total_runs (fleet, 0);
+
+  while (total_runs (fleet, 0) < others + 100)
+    g_usleep (20000);
+  assert_int_equal (total_runs (fleet, target), before);
+}
+
+static void
+test_drained_target_gets_no_new_work (void **state)
+{
+  Fleet *fleet = start_fleet (3, 10, 5);
+  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 5 --strict");
+
+  assert_int_equal (fleet_apply (fleet, 1, "{\"drain\":[\"pay-2\"]}", FALSE), 200);
+  await_generation (fleet, 3, 2);
+  while (fleet_status (fleet, 2, "$.own_targets[0].in_use") > 0)
+    g_usleep (5000);
+  expect_no_new_work (fleet, 2);
+  assert_int_equal (fleet_join (fleet, load), 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_departure_by_the_lagging_list (void **state)
+{
+  Fleet *fleet = start_fleet (3, 10, 5);
+  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 12 --strict");
+
+  fleet_control_platform (
+      fleet, "vms=%5B%7B%22name%22:%22vm-2%22,%22state%22:%22leaving%22%7D%5D");
+  fleet_await (fleet, 2, "$.own_targets[0].leaving", 1);
+  while (fleet_status (fleet, 2, "$.own_targets[0].in_use") > 0)
+    g_usleep (5000);
+  expect_no_new_work (fleet, 2);
+  assert_int_equal (fleet_join (fleet, load), 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_plan_below_a_floor_is_refused_unless_forced (void **state)
+{
+  Fleet *fleet = start_fleet (3, 30, 5);
+
+  assert_int_equal (fleet_apply (fleet, 0, "{\"drain\":[\"pay-2\"]}", FALSE), 409);
+  assert_int_equal (fleet_status (fleet, 0, GENERATION), 1);
+  assert_int_equal (fleet_apply (fleet, 0, "{\"drain\":[\"pay-2\"]}", TRUE), 200);
+  await_generation (fleet, 3, 2);
+  fleet_destroy (fleet);
+}
+
+static void
+test_lost_answers_of_writes_that_took_effect (void **state)
+{
+  Fleet *fleet = fleet_create (3);
+  g_autofree char *intent = fleet_intent (fleet, SLOTS, 0, NULL);
+  g_autofree char *body = NULL;
+  g_autoptr (Answer) again = NULL;
+
+  fleet_start (fleet, SLOTS, 3);
+  /* The service, two shards and the head: each first write's answer is lost. */
+  body = fleet_plan (fleet, 0, intent, FALSE);
+  fleet_control_platform (fleet, "lose=4");
+  {
+    g_autoptr (Answer) answer = fleet_operate (fleet, 0, "POST", "/v1/confirm", body);
+
+    if (answer->status == 503)
+      {
+        g_autoptr (Answer) second = fleet_operate (fleet, 0, "POST", "/v1/confirm", body);
+
+        assert_int_equal (second->status, 200);
+      }
+    else
+      assert_int_equal (answer->status, 200);
+  }
+  await_generation (fleet, 3, 1);
+  /* Confirming once more, elsewhere, changes nothing. */
+  again = fleet_operate (fleet, 2, "POST", "/v1/confirm", body);
+  assert_int_equal (again->status, 200);
+  assert_int_equal (fleet_status (fleet, 2, GENERATION), 1);
+  fleet_destroy (fleet);
+}
+
+typedef struct
+{
+  Fleet *fleet;
+  guint node;
+  char *body;
+  long status;
+} Racer;
+
+static gpointer
+race (gpointer data)
+{
+  Racer *racer = data;
+  g_autoptr (Answer) answer =
+      fleet_operate (racer->fleet, racer->node, "POST", "/v1/confirm", racer->body);
+
+  racer->status = answer->status;
+  return NULL;
+}
+
+static void
+test_two_operators_race_and_one_wins (void **state)
+{
+  Fleet *fleet = start_fleet (3, 0, 3);
+
+  fleet_control_platform (fleet, "delay_ms=20");
+  for (guint round = 0; round < 5; round++)
+    {
+      guint generation = 1 + round;
+      g_autofree char *one = g_strdup_printf ("{\"drain\":[\"pay-%u\"]}", round % 2);
+      g_autofree char *two =
+          g_strdup_printf ("{\"restore\":[\"pay-%u\"],\"drain\":[\"pay-2\"]}", round % 2);
+      Racer racers[2] = { { fleet, 0, NULL, 0 }, { fleet, 1, NULL, 0 } };
+      GThread *threads[2];
+
+      await_generation (fleet, 2, generation);
+      racers[0].body = fleet_plan (fleet, 0, one, TRUE);
+      racers[1].body = fleet_plan (fleet, 1, two, TRUE);
+      for (guint i = 0; i < 2; i++)
+        threads[i] = g_thread_new ("racer", race, &racers[i]);
+      for (guint i = 0; i < 2; i++)
+        g_thread_join (threads[i]);
+      if (racers[0].status + racers[1].status != 200 + 409)
+        fail_msg ("round %u: %ld and %ld", round, racers[0].status, racers[1].status);
+      await_generation (fleet, 3, generation + 1);
+      for (guint i = 0; i < 3; i++)
+        assert_int_equal (fleet_status (fleet, i, GENERATION), generation + 1);
+      g_free (racers[0].body);
+      g_free (racers[1].body);
+    }
+  fleet_destroy (fleet);
+}
+
+static void
+test_outage_restart_and_frozen_node_never_revert (void **state)
+{
+  Fleet *fleet = start_fleet (4, 0, 3);
+  g_autoptr (Answer) refused = NULL;
+  g_autofree char *body = NULL;
+
+  /* A node that misses two changes and then wakes up goes forward only. */
+  fleet_signal_node (fleet, 3, SIGSTOP);
+  assert_int_equal (fleet_apply (fleet, 0, "{\"drain\":[\"pay-2\"]}", TRUE), 200);
+  await_generation (fleet, 3, 2);
+  assert_int_equal (fleet_apply (fleet, 1, "{\"drain\":[\"pay-1\"]}", TRUE), 200);
+  await_generation (fleet, 3, 3);
+  fleet_control_platform (fleet, "down=1");
+  fleet_signal_node (fleet, 3, SIGCONT);
+  await_generation (fleet, 4, 3);
+
+  /* With the platform away a node restarts, and still has the newest. */
+  fleet_signal_node (fleet, 0, SIGKILL);
+  fleet_start_node (fleet, 0);
+  fleet_await (fleet, 0, "$.ready", 1);
+  assert_int_equal (fleet_status (fleet, 0, GENERATION), 3);
+  {
+    g_autoptr (Answer) answer = fleet_call (fleet, 0, "POST", "/pay", "id-outage", "x");
+
+    assert_string_equal (answer->outcome, "done");
+  }
+  /* A change cannot be accepted meanwhile, and says so. */
+  body = fleet_plan (fleet, 0, "{\"restore\":[\"pay-1\"]}", FALSE);
+  refused = fleet_operate (fleet, 0, "POST", "/v1/confirm", body);
+  assert_int_equal (refused->status, 503);
+  fleet_control_platform (fleet, "down=0");
+  {
+    g_autoptr (Answer) answer = fleet_operate (fleet, 0, "POST", "/v1/confirm", body);
+
+    assert_int_equal (answer->status, 200);
+  }
+  await_generation (fleet, 4, 4);
+  fleet_destroy (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (test_all_targets_gray_keeps_the_floor_and_they_come_back,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_planned_stop_cuts_nothing, fleet_teardown),
+    cmocka_unit_test_teardown (test_hurried_stop_says_what_it_cut, fleet_teardown),
+    cmocka_unit_test_teardown (test_drained_target_gets_no_new_work, fleet_teardown),
+    cmocka_unit_test_teardown (test_departure_by_the_lagging_list, fleet_teardown),
+    cmocka_unit_test_teardown (test_plan_below_a_floor_is_refused_unless_forced,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_lost_answers_of_writes_that_took_effect,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_two_operators_race_and_one_wins, fleet_teardown),
+    cmocka_unit_test_teardown (test_outage_restart_and_frozen_node_never_revert,
+                               fleet_teardown),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/proc/test-requests.c
+++ b/tests/proc/test-requests.c
@@ -117,7 +117,7 @@
   g_autofree char *words =
       g_strdup_printf ("-c pay:POST:/pay:1:50 -n 8 -t 1.5 --ids %s", list);
 
-  load = fleet_load (fleet, words);
+  load = fleet_load (fleet, 15, words);
   g_usleep (700000);
   fleet_signal_node (fleet, 1, SIGKILL);
   assert_int_equal (fleet_join (fleet, load), 0);
@@ -204,7 +204,7 @@
   assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
   for (guint i = 0; i < 4; i++)
     fleet_await (fleet, i, "$.generation", 1);
-  load = fleet_load (fleet, words);
+  load = fleet_load (fleet, 15, words);
   for (guint round = 0; round < CHAOS_ROUNDS; round++)
     {
       guint node = (guint)g_rand_int_range (rand, 0, 4);
@@ -246,8 +246,9 @@
 test_two_thousand_overlapping_requests_get_their_own (void **state)
 {
   Fleet *fleet = start_fleet (3, 5);
-  GPid load = fleet_load (fleet, "-c pay:POST:/pay:1:3000 -c read:GET:/read:1:0 "
-                                 "-c big:POST:/pay/big:1:100000 -n 200 -t 4");
+  GPid load = fleet_load (fleet, 7,
+                          "-c pay:POST:/pay:1:3000 -c read:GET:/read:1:0 "
+                          "-c big:POST:/pay/big:1:100000 -n 200 -t 4");
 
   /* The tool ends with 1 when one answer was not its request's own, or not whole. */
   assert_int_equal (fleet_join (fleet, load), 0);
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -190,11 +190,6 @@
 };
 typedef struct sw_fence_args sw_fence_args;
 
-struct sw_ticket_args {
-	char *target;
-};
-typedef struct sw_ticket_args sw_ticket_args;
-
 struct sw_gossip {
 	char *token;
 	char *from;
@@ -263,9 +258,6 @@
 #define SW_FENCE 3
 extern  sw_submit_res * sw_fence_1(sw_fence_args *, CLIENT *);
 extern  sw_submit_res * sw_fence_1_svc(sw_fence_args *, struct svc_req *);
-#define SW_TICKET 4
-extern  sw_stamp * sw_ticket_1(sw_ticket_args *, CLIENT *);
-extern  sw_stamp * sw_ticket_1_svc(sw_ticket_args *, struct svc_req *);
 #define SW_PROBE 5
 extern  sw_gossip * sw_probe_1(sw_gossip *, CLIENT *);
 extern  sw_gossip * sw_probe_1_svc(sw_gossip *, struct svc_req *);
@@ -281,6 +273,9 @@
 #define SW_VIEW 9
 extern  sw_view_res * sw_view_1(sw_view_args *, CLIENT *);
 extern  sw_view_res * sw_view_1_svc(sw_view_args *, struct svc_req *);
+#define SW_LEAVE 10
+extern  void * sw_leave_1(void *, CLIENT *);
+extern  void * sw_leave_1_svc(void *, struct svc_req *);
 extern int switchmill_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -296,9 +291,6 @@
 #define SW_FENCE 3
 extern  sw_submit_res * sw_fence_1();
 extern  sw_submit_res * sw_fence_1_svc();
-#define SW_TICKET 4
-extern  sw_stamp * sw_ticket_1();
-extern  sw_stamp * sw_ticket_1_svc();
 #define SW_PROBE 5
 extern  sw_gossip * sw_probe_1();
 extern  sw_gossip * sw_probe_1_svc();
@@ -314,6 +306,9 @@
 #define SW_VIEW 9
 extern  sw_view_res * sw_view_1();
 extern  sw_view_res * sw_view_1_svc();
+#define SW_LEAVE 10
+extern  void * sw_leave_1();
+extern  void * sw_leave_1_svc();
 extern int switchmill_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -335,7 +330,6 @@
 extern  bool_t xdr_sw_answer (XDR *, sw_answer*);
 extern  bool_t xdr_sw_submit_res (XDR *, sw_submit_res*);
 extern  bool_t xdr_sw_fence_args (XDR *, sw_fence_args*);
-extern  bool_t xdr_sw_ticket_args (XDR *, sw_ticket_args*);
 extern  bool_t xdr_sw_gossip (XDR *, sw_gossip*);
 extern  bool_t xdr_sw_head_res (XDR *, sw_head_res*);
 extern  bool_t xdr_sw_part_args (XDR *, sw_part_args*);
@@ -359,7 +353,6 @@
 extern bool_t xdr_sw_answer ();
 extern bool_t xdr_sw_submit_res ();
 extern bool_t xdr_sw_fence_args ();
-extern bool_t xdr_sw_ticket_args ();
 extern bool_t xdr_sw_gossip ();
 extern bool_t xdr_sw_head_res ();
 extern bool_t xdr_sw_part_args ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -478,16 +478,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_sw_ticket_args (XDR *xdrs, sw_ticket_args *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_sw_gossip (XDR *xdrs, sw_gossip *objp)
 {
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -156,11 +156,6 @@
   unsigned int wait_ms;        /* how long the answer may be held while it runs */
 };
 
-/* A ticket is an attempt id bound to one sidecar incarnation before any request. */
-struct sw_ticket_args {
-  string target<SW_NAME_MAX>;
-};
-
 /* A probe or its answer, in one datagram. */
 struct sw_gossip {
   string token<256>;
@@ -201,11 +196,11 @@
     sw_hello_res SW_HELLO (sw_hello_args) = 1;
     sw_submit_res SW_SUBMIT (sw_submit_args) = 2;
     sw_submit_res SW_FENCE (sw_fence_args) = 3;
-    sw_stamp SW_TICKET (sw_ticket_args) = 4;
     sw_gossip SW_PROBE (sw_gossip) = 5;
     sw_gossip SW_PROBE_VIA (sw_gossip) = 6;
     sw_head_res SW_HEAD (void) = 7;
     sw_part_res SW_PART (sw_part_args) = 8;
     sw_view_res SW_VIEW (sw_view_args) = 9;
+    void SW_LEAVE (void) = 10;  /* the platform says that the callee's VM leaves */
   } = 1;
 } = 0x20057a11;
