--- a/core/src/health/detector-cusum.c
+++ b/core/src/health/detector-cusum.c
@@ -44,6 +44,8 @@
 
 const DetectorOps detector_cusum = {
   .name = "cusum",
-  .bounds = { { G_MAXDOUBLE, G_MAXDOUBLE }, { 10.5, 12.0 }, { 6.0, 8.0 } },
+  .bounds = { { G_MAXDOUBLE, G_MAXDOUBLE },
+              { 10.5, 12.0, 500 * MS_US },
+              { 7.5, 11.0, 100 * MS_US } },
   .observe = observe,
 };
--- a/core/src/health/detector-kind.h
+++ b/core/src/health/detector-kind.h
@@ -11,6 +11,7 @@
 {
   double failure_bound; /* evidence from failures at which a target is sick */
   double latency_bound;
+  gint64 confirm_us; /* evidence from before and after this span must agree */
 } DetectorBounds;
 
 /* The evidence a kind gathers; each reads only what it needs. */
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -19,6 +19,8 @@
 #define FLAP_US (60 * SECOND_US)
 /* After a return on time alone, this share of the bound is held against the target. */
 #define PROBATION_SHARE 0.5
+/* What evidence from before a confirmation counts for, as a share of the bound. */
+#define CONFIRM_SHARE 0.6
 #define PPM 1000000.0
 #define WHY_MAX 96u
 
@@ -40,6 +42,8 @@
   gint64 healthy_since_us;
   guint flaps;
   guint good_trials;
+  gboolean confirming;
+  gint64 confirm_from_us;
   char why[WHY_MAX];
 };
 
@@ -127,6 +131,7 @@
     detector->flaps = 0;
   detector->sick_since_us = now;
   detector->good_trials = 0;
+  detector->confirming = FALSE;
 }
 
 /* How far the evidence is over its bounds, as a severity; 0 below. */
@@ -154,6 +159,38 @@
   detector->evidence.failures = share * detector->bounds.failure_bound;
 }
 
+/*
+ * A burst of noise trips any bound that is worth having. Evidence that reached its bound
+ * is therefore cut, nothing counts for a while, and what comes then must take it there
+ * again; a burst is over by then. FALSE while that has not happened.
+ */
+static gboolean
+is_confirmed (Detector *detector)
+{
+  DetectorEvidence *evidence = &detector->evidence;
+
+  if (detector->bounds.confirm_us == 0 || detector->confirming)
+    return TRUE;
+  detector->confirming = TRUE;
+  detector->confirm_from_us = clock_now (detector->clock) + detector->bounds.confirm_us;
+  evidence->failures =
+      MIN (evidence->failures, CONFIRM_SHARE * detector->bounds.failure_bound);
+  evidence->latency =
+      MIN (evidence->latency, CONFIRM_SHARE * detector->bounds.latency_bound);
+  return FALSE;
+}
+
+/* Takes a healthy target's sample into the evidence. */
+static void
+gather (Detector *detector, const DetectorInput *input)
+{
+  if (detector->confirming && clock_now (detector->clock) < detector->confirm_from_us)
+    return;
+  detector->ops->observe (&detector->evidence, input);
+  if (detector->evidence.failures <= 0 && detector->evidence.latency <= 0)
+    detector->confirming = FALSE;
+}
+
 /* A sick target's samples are trials: so many good ones in a row bring it back. */
 static void
 judge_trial (Detector *detector, const DetectorInput *input)
@@ -177,6 +214,7 @@
 {
   double reference = reference_us (detector, sample);
   DetectorInput input = { .failed = sample->failed };
+  guint severity;
 
   if (reference > 0)
     input.latency_ratio = (double)sample->took_us / reference;
@@ -187,11 +225,13 @@
       judge_trial (detector, &input);
       return;
     }
-  detector->ops->observe (&detector->evidence, &input);
+  gather (detector, &input);
   update_baseline (detector, sample);
-  detector->severity = weigh (detector);
-  if (detector->severity > 0)
-    fall_sick (detector);
+  severity = weigh (detector);
+  if (severity == 0 || !is_confirmed (detector))
+    return;
+  detector->severity = severity;
+  fall_sick (detector);
 }
 
 guint
@@ -231,5 +271,5 @@
 const char *
 detector_why (const Detector *detector)
 {
-  return detector->why;
+  return detector->severity > 0 ? detector->why : "";
 }
