--- /dev/null
+++ b/bench/tests/test-members.c
@@ -0,0 +1,159 @@
+/* Membership over a fake network on a paused clock: kills, freezes, one-way cuts, a hall
+ * that goes and comes back; and what it costs. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include "member-net.h"
+
+#define NODES 60u
+#define HALLS 4u
+
+static void
+expect_all_see (MemberNet *net, guint subject, gboolean alive)
+{
+  for (guint i = 0; i < net->count; i++)
+    if (i != subject && member_net_runs (net, i) &&
+        member_net_sees (net, i, subject) != alive)
+      fail_msg ("node %u sees node %u %s", i, subject, alive ? "dead" : "alive");
+}
+
+static MemberNet *
+joined (guint seed)
+{
+  MemberNet *net = member_net_create (NODES, HALLS, seed);
+
+  member_net_run (net, 30);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (members_count_alive (net->nodes[i].members), NODES);
+  return net;
+}
+
+static void
+test_all_find_each_other_from_two_seeds_and_agree (void **state)
+{
+  MemberNet *net = joined (1);
+
+  for (guint i = 1; i < NODES; i++)
+    assert_true (members_digest (net->nodes[0].members) ==
+                 members_digest (net->nodes[i].members));
+  member_net_destroy (net);
+}
+
+static void
+test_killed_node_is_dead_and_comes_back_anew (void **state)
+{
+  MemberNet *net = joined (2);
+
+  member_net_stop (net, 7);
+  member_net_run (net, 40);
+  expect_all_see (net, 7, FALSE);
+  member_net_restart (net, 7);
+  member_net_run (net, 40);
+  expect_all_see (net, 7, TRUE);
+  assert_int_equal (members_count_alive (net->nodes[7].members), NODES);
+  member_net_destroy (net);
+}
+
+static void
+test_frozen_node_overrules_its_death_when_it_thaws (void **state)
+{
+  MemberNet *net = joined (3);
+  guint64 incarnation = members_self (net->nodes[9].members)->incarnation;
+
+  member_net_stop (net, 9);
+  member_net_run (net, 40);
+  expect_all_see (net, 9, FALSE);
+  net->nodes[9].runs = TRUE;
+  member_net_run (net, 60);
+  expect_all_see (net, 9, TRUE);
+  assert_true (members_self (net->nodes[9].members)->epoch > 1);
+  assert_true (members_self (net->nodes[9].members)->incarnation == incarnation);
+  member_net_destroy (net);
+}
+
+static void
+test_one_way_cut_between_two_kills_nobody (void **state)
+{
+  MemberNet *net = joined (4);
+
+  net->cut_from = 3;
+  net->cut_to = 5;
+  for (guint second = 0; second < 120; second++)
+    {
+      member_net_run (net, 1);
+      assert_true (member_net_sees (net, 3, 5));
+      assert_true (member_net_sees (net, 20, 5));
+    }
+  member_net_destroy (net);
+}
+
+static void
+test_hall_goes_for_an_hour_and_comes_back (void **state)
+{
+  MemberNet *net = joined (5);
+
+  net->lost_hall = 1;
+  member_net_run (net, 60);
+  /* Each side sees the other as gone, and goes on with its own. */
+  assert_false (member_net_sees (net, 0, 1));
+  assert_false (member_net_sees (net, 1, 0));
+  assert_true (member_net_sees (net, 1, 5));
+  member_net_run (net, 3600);
+  net->lost_hall = HALLS;
+  member_net_run (net, 120);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (members_count_alive (net->nodes[i].members), NODES);
+  member_net_destroy (net);
+}
+
+static void
+test_verdicts_reach_everyone (void **state)
+{
+  MemberNet *net = joined (6);
+  g_autoptr (GBytes) payload = g_bytes_new ("sick", 4);
+
+  members_set_payload (net->nodes[11].members, payload);
+  member_net_run (net, 12);
+  for (guint i = 0; i < NODES; i++)
+    {
+      const Member *member = members_find (net->nodes[i].members, "node-11");
+
+      assert_non_null (member->payload);
+      assert_true (g_bytes_equal (member->payload, payload));
+    }
+  member_net_destroy (net);
+}
+
+static void
+test_heavy_loss_kills_nobody_for_long (void **state)
+{
+  MemberNet *net = joined (7);
+
+  net->loss_percent = 20;
+  member_net_run (net, 120);
+  net->loss_percent = 0;
+  member_net_run (net, 60);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (members_count_alive (net->nodes[i].members), NODES);
+  member_net_destroy (net);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_all_find_each_other_from_two_seeds_and_agree),
+    cmocka_unit_test (test_killed_node_is_dead_and_comes_back_anew),
+    cmocka_unit_test (test_frozen_node_overrules_its_death_when_it_thaws),
+    cmocka_unit_test (test_one_way_cut_between_two_kills_nobody),
+    cmocka_unit_test (test_hall_goes_for_an_hour_and_comes_back),
+    cmocka_unit_test (test_verdicts_reach_everyone),
+    cmocka_unit_test (test_heavy_loss_kills_nobody_for_long),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
