--- a/daemon/src/config-sync.c
+++ b/daemon/src/config-sync.c
@@ -105,6 +105,7 @@
   balancer_prune (node->balancer, snapshot);
   sidecar_apply (node->sidecar, snapshot);
   metrics_add (node->metrics, METRIC_CONFIG_APPLIED, 1);
+  metrics_set (node->metrics, METRIC_CONFIG_GENERATION, snapshot_generation (snapshot));
   generation = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (snapshot));
   events_add (node->events, "config-applied", generation, NULL);
   gossip_push (node->gossip);
--- a/daemon/src/log.c
+++ b/daemon/src/log.c
@@ -93,26 +93,33 @@
   g_log_set_writer_func (write_line, NULL, NULL);
 }
 
-void
-log_event (GLogLevelFlags level, const char *event, ...)
+/* Appends the pairs of a log_event to its fields; returns how many there are then. */
+static gsize
+take_pairs (GLogField *fields, gsize count, va_list args)
 {
-  GLogField fields[FIELDS_MAX];
-  gsize count = 0;
   const char *name;
-  va_list args;
 
-  if (level > level_max)
-    return;
-  fields[count++] = (GLogField){ "EVENT", event, -1 };
-  va_start (args, event);
-  for (name = va_arg (args, const char *); name && count < FIELDS_MAX;
-       name = va_arg (args, const char *))
+  while (count < FIELDS_MAX && (name = va_arg (args, const char *)))
     {
       const char *value = va_arg (args, const char *);
 
       if (value)
         fields[count++] = (GLogField){ name, value, -1 };
     }
+  return count;
+}
+
+void
+log_event (GLogLevelFlags level, const char *event, ...)
+{
+  GLogField fields[FIELDS_MAX] = { { "EVENT", event, -1 } };
+  gsize count;
+  va_list args;
+
+  if (level > level_max)
+    return;
+  va_start (args, event);
+  count = take_pairs (fields, 1, args);
   va_end (args);
   g_log_structured_array (level, fields, count);
 }
--- a/daemon/src/main.c
+++ b/daemon/src/main.c
@@ -5,6 +5,7 @@
  * or arguments; 3 a stop that cut requests.
  */
 #include <argtable2.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +15,9 @@
 #include "log.h"
 #include "node-run.h"
 
+/* Bodies from this size on are mapped by themselves, and go back to the system. */
+#define MAP_THRESHOLD (256 * 1024)
+
 enum
 {
   EXIT_CUT = 3,
@@ -129,6 +133,7 @@
     code = EXIT_SUCCESS;
   else if (settings)
     {
+      mallopt (M_MMAP_THRESHOLD, MAP_THRESHOLD);
       log_init (settings->node, settings->log);
       code = run_node (settings);
     }
--- a/daemon/src/metrics.c
+++ b/daemon/src/metrics.c
@@ -17,12 +17,19 @@
 };
 
 static const char *const counter_names[METRIC_COUNT] = {
-  "switchmill_attempts_total",          "switchmill_retries_total",
-  "switchmill_fence_questions_total",   "switchmill_trials_total",
-  "switchmill_sidecar_started_total",   "switchmill_sidecar_refused_total",
-  "switchmill_sidecar_failed_total",    "switchmill_rpc_denied_total",
-  "switchmill_config_applied_total",    "switchmill_platform_calls_total",
-  "switchmill_gossip_sent_bytes_total", "switchmill_gossip_received_bytes_total",
+  "switchmill_attempts_total",
+  "switchmill_retries_total",
+  "switchmill_fence_questions_total",
+  "switchmill_trials_total",
+  "switchmill_sidecar_started_total",
+  "switchmill_sidecar_refused_total",
+  "switchmill_sidecar_failed_total",
+  "switchmill_rpc_denied_total",
+  "switchmill_config_applied_total",
+  "switchmill_config_generation",
+  "switchmill_platform_calls_total",
+  "switchmill_gossip_sent_bytes_total",
+  "switchmill_gossip_received_bytes_total",
 };
 
 /* Upper bounds of the exposed buckets, in microseconds. */
@@ -139,8 +146,10 @@
   gpointer value;
 
   for (guint i = 0; i < METRIC_COUNT; i++)
-    g_string_append_printf (text, "# TYPE %s counter\n%s %" G_GUINT64_FORMAT "\n",
-                            counter_names[i], counter_names[i], metrics->counters[i]);
+    g_string_append_printf (text, "# TYPE %s %s\n%s %" G_GUINT64_FORMAT "\n",
+                            counter_names[i],
+                            i == METRIC_CONFIG_GENERATION ? "gauge" : "counter",
+                            counter_names[i], metrics->counters[i]);
   g_string_append (text, "# TYPE switchmill_requests_total counter\n"
                          "# TYPE switchmill_request_seconds histogram\n");
   g_hash_table_iter_init (&iter, metrics->classes);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,11 +8,11 @@
 platform=127.0.0.1:7900
 
 finish () {
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
+  stop_all
   rm -rf "$dir"
 }
 trap finish EXIT
+trap 'exit 130' INT TERM
 
 start () { "$@" 2>>"$dir/log" & pids+=("$!"); }
 
@@ -50,8 +50,21 @@
   for i in "$@"; do until status_of "$i" | grep '"ready" : true' >/dev/null; do sleep 0.05; done; done
 }
 
+metric_of () { # node name
+  curl -s -H "Authorization: Bearer $SWITCHMILL_TOKEN" "127.0.0.1:$((7100 + $1))/metrics" |
+    awk -v n="$2" '$1 ~ "^" n { s += $2 } END { print s + 0 }'
+}
+
 await_generation () { # generation node...
   local generation=$1
   shift
-  for i in "$@"; do until status_of "$i" | grep "\"generation\" : $generation," >/dev/null; do sleep 0.02; done; done
+  for i in "$@"; do
+    until [ "$(metric_of "$i" switchmill_config_generation)" -ge "$generation" ]; do sleep 0.02; done
+  done
+}
+
+stop_all () {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  pids=()
 }
