--- a/daemon/src/sidecar-target.c
+++ b/daemon/src/sidecar-target.c
@@ -45,6 +45,12 @@
   target->detector = detector_create (service->detection, clock);
 }
 
+gboolean
+sidecar_target_is_leaving (const SidecarTarget *target, gboolean draining)
+{
+  return draining || target->state == TARGET_LEAVING || !target->present;
+}
+
 void
 sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state)
 {
@@ -56,5 +62,5 @@
   detector_summary (target->detector, &state->latency_us, &state->failures_ppm,
                     &state->samples);
   state->severity = detector_severity (target->detector);
-  state->draining = draining || target->state == TARGET_LEAVING || !target->present;
+  state->draining = sidecar_target_is_leaving (target, draining);
 }
--- a/daemon/src/sidecar-target.h
+++ b/daemon/src/sidecar-target.h
@@ -36,6 +36,9 @@
                             const Target *config,
                             Clock *clock);
 
+/* Whether it takes nothing new: it leaves, has gone, or its whole node drains. */
+gboolean sidecar_target_is_leaving (const SidecarTarget *target, gboolean draining);
+
 /* What is said of it in answers; the text is borrowed. Raises the serial. */
 void
 sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state);
--- a/daemon/src/sidecar.c
+++ b/daemon/src/sidecar.c
@@ -5,9 +5,10 @@
 #include <core/fence.h>
 #include <wire/convert.h>
 
-#include "gossip.h"
 #include "log.h"
 #include "sidecar-target.h"
+#include "target-answer.h"
+#include "verdicts.h"
 
 #define HTTP_SERVER_ERROR 500
 /* How often verdicts, waiting requests and overdue ones are looked at. */
@@ -16,7 +17,6 @@
 #define OVERDUE_FACTOR 20
 #define OVERDUE_MIN_US (500 * MS_US)
 #define DEADLINE_HEADER "Switchmill-Deadline-Ms"
-#define ATTEMPT_HEADER "Switchmill-Attempt"
 
 /* Somebody who waits for the end of an attempt. */
 typedef struct
@@ -51,7 +51,6 @@
 };
 
 static void start (Submission *submission);
-static void publish (Sidecar *sidecar);
 
 void
 sidecar_stamp (const Sidecar *sidecar, sw_stamp *stamp)
@@ -166,77 +165,6 @@
     start (next);
 }
 
-static void
-fill_answer (const HttpResult *result, sw_answer *answer)
-{
-  guint count = MIN (result->headers->len, SW_HEADERS_MAX);
-
-  answer->status = result->status;
-  answer->headers.headers_val = g_new0 (sw_header, count + 1);
-  answer->body.body_val = (char *)result->body->data;
-  answer->body.body_len = result->body->len;
-  for (guint i = 0; i < count; i++)
-    {
-      const HttpHeader *header = &g_array_index (result->headers, HttpHeader, i);
-      sw_header *out = &answer->headers.headers_val[answer->headers.headers_len];
-
-      if (http_header_is_hop (header->name) ||
-          g_ascii_strcasecmp (header->name, ATTEMPT_HEADER) == 0)
-        continue;
-      out->name = header->name;
-      out->value = header->value;
-      answer->headers.headers_len++;
-    }
-}
-
-static char *
-attempt_text (const sw_attempt *attempt)
-{
-  return g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
-                          attempt->node, (guint64)attempt->incarnation,
-                          (guint64)attempt->counter);
-}
-
-/* A target that echoes attempts must echo this one: else the answer is another's. */
-static gboolean
-is_crossed (const Submission *submission, const HttpResult *result)
-{
-  const char *echo = http_headers_get (result->headers, ATTEMPT_HEADER);
-  g_autofree char *own = NULL;
-
-  if (!echo)
-    return FALSE;
-  own = attempt_text (&submission->args.attempt);
-  return strcmp (echo, own) != 0;
-}
-
-static void
-judge (const Submission *submission, const HttpResult *result, sw_submit_res *res)
-{
-  static const sw_reason reasons[] = {
-    [HTTP_CALL_OK] = SW_REASON_NONE,
-    [HTTP_CALL_UNSENT] = SW_REASON_CONNECT,
-    [HTTP_CALL_TIMEOUT] = SW_REASON_TIMEOUT,
-    [HTTP_CALL_BROKEN] = SW_REASON_BROKEN,
-    [HTTP_CALL_TOO_LARGE] = SW_REASON_TOO_LARGE,
-  };
-
-  res->reason = reasons[result->outcome];
-  res->target_us = (u_int)result->took_us;
-  res->result = SW_FAILED;
-  if (result->outcome == HTTP_CALL_UNSENT)
-    res->result = SW_REFUSED;
-  if (result->outcome != HTTP_CALL_OK)
-    return;
-  if (is_crossed (submission, result))
-    {
-      res->reason = SW_REASON_CROSSED;
-      return;
-    }
-  res->result = SW_DONE;
-  fill_answer (result, &res->answer);
-}
-
 static void
 observe (const Submission *submission, gboolean failed, gint64 took_us)
 {
@@ -271,7 +199,7 @@
   sw_submit_res res = { 0 };
   gboolean failed;
 
-  judge (submission, result, &res);
+  target_answer_judge (&submission->args.attempt, result, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
   if (!submission->overdue)
     observe (submission, failed, result->took_us);
@@ -289,7 +217,7 @@
 {
   GArray *headers = http_headers_new ();
   const sw_submit_args *args = &submission->args;
-  g_autofree char *attempt = attempt_text (&args->attempt);
+  g_autofree char *attempt = target_answer_attempt (&args->attempt);
   g_autofree char *left = g_strdup_printf ("%" G_GINT64_FORMAT, left_us / MS_US);
 
   for (u_int i = 0; i < args->headers.headers_len; i++)
@@ -428,12 +356,6 @@
     }
 }
 
-static gboolean
-is_leaving (const Sidecar *sidecar, const SidecarTarget *target)
-{
-  return sidecar->draining || target->state == TARGET_LEAVING || !target->present;
-}
-
 static void
 offer (Submission *submission)
 {
@@ -466,7 +388,7 @@
 
   if (!args->repeatable && !pass_fence (sidecar, conn, xid, target, args, &entry))
     return;
-  if (!target || is_leaving (sidecar, target))
+  if (!target || sidecar_target_is_leaving (target, sidecar->draining))
     {
       if (entry)
         fence_refuse (entry);
@@ -567,69 +489,10 @@
       while ((expired = admission_expired (target->admission)))
         refuse (expired, SW_REASON_DEADLINE);
     }
-  publish (sidecar);
+  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
   loop_timer_start (sidecar->sweep, SWEEP_US);
 }
 
-static void
-note_verdict (Sidecar *sidecar, SidecarTarget *target, gboolean leaving)
-{
-  guint severity = detector_severity (target->detector);
-
-  if ((severity > 0) != (target->told_severity > 0))
-    events_add (sidecar->node->events, severity ? "target-sick" : "target-well",
-                target->name, detector_why (target->detector));
-  if (leaving != target->told_leaving)
-    events_add (sidecar->node->events, leaving ? "target-leaving" : "target-serving",
-                target->name, NULL);
-  target->told_severity = severity;
-  target->told_leaving = leaving;
-  target->told = TRUE;
-}
-
-/* Puts verdicts that have changed into this member's words, and spreads them at once. */
-static void
-publish (Sidecar *sidecar)
-{
-  g_autofree sw_verdict *list = NULL;
-  sw_verdicts verdicts = { 0 };
-  g_autoptr (GBytes) payload = NULL;
-  gboolean changed = FALSE;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, sidecar->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      SidecarTarget *target = value;
-      gboolean leaving = is_leaving (sidecar, target);
-      guint severity = detector_severity (target->detector);
-
-      if (severity == target->told_severity && leaving == target->told_leaving)
-        continue;
-      note_verdict (sidecar, target, leaving);
-      changed = TRUE;
-    }
-  if (!changed)
-    return;
-  list = g_new0 (sw_verdict, SW_VERDICTS_MAX);
-  verdicts.list.list_val = list;
-  g_hash_table_iter_init (&iter, sidecar->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value) &&
-         verdicts.list.list_len < SW_VERDICTS_MAX)
-    {
-      SidecarTarget *target = value;
-
-      if (target->told)
-        list[verdicts.list.list_len++] =
-            (sw_verdict){ target->name, ++target->serial, target->told_severity,
-                          target->told_leaving };
-    }
-  payload = wire_pack ((xdrproc_t)xdr_sw_verdicts, &verdicts);
-  members_set_payload (sidecar->node->members, payload);
-  gossip_push (sidecar->node->gossip);
-}
-
 Sidecar *
 sidecar_create (Node *node)
 {
@@ -716,7 +579,7 @@
           admission_queued (target->admission) == 0)
         g_hash_table_iter_remove (&iter);
     }
-  publish (sidecar);
+  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
 void
@@ -737,7 +600,7 @@
 sidecar_drain (Sidecar *sidecar)
 {
   sidecar->draining = TRUE;
-  publish (sidecar);
+  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
 guint
@@ -749,37 +612,5 @@
 void
 sidecar_write_status (Sidecar *sidecar, JsonBuilder *builder)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  json_builder_begin_array (builder);
-  g_hash_table_iter_init (&iter, sidecar->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      SidecarTarget *target = value;
-      sw_target_state state = { 0 };
-
-      sidecar_target_state (target, sidecar->draining, &state);
-      json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, "target");
-      json_builder_add_string_value (builder, target->name);
-      json_builder_set_member_name (builder, "severity");
-      json_builder_add_int_value (builder, state.severity);
-      json_builder_set_member_name (builder, "why");
-      json_builder_add_string_value (builder, detector_why (target->detector));
-      json_builder_set_member_name (builder, "in_use");
-      json_builder_add_int_value (builder, state.in_use);
-      json_builder_set_member_name (builder, "limit");
-      json_builder_add_int_value (builder, state.limit);
-      json_builder_set_member_name (builder, "queued");
-      json_builder_add_int_value (builder, state.queued);
-      json_builder_set_member_name (builder, "mean_latency_us");
-      json_builder_add_int_value (builder, state.latency_us);
-      json_builder_set_member_name (builder, "failures_ppm");
-      json_builder_add_int_value (builder, state.failures_ppm);
-      json_builder_set_member_name (builder, "leaving");
-      json_builder_add_boolean_value (builder, state.draining);
-      json_builder_end_object (builder);
-    }
-  json_builder_end_array (builder);
+  verdicts_write (sidecar->targets, sidecar->draining, builder);
 }
--- /dev/null
+++ b/daemon/src/verdicts.c
@@ -0,0 +1,102 @@
+#include "verdicts.h"
+
+#include <wire/convert.h>
+
+#include "gossip.h"
+#include "sidecar-target.h"
+
+static void
+note_verdict (Node *node, SidecarTarget *target, gboolean leaving)
+{
+  guint severity = detector_severity (target->detector);
+
+  if ((severity > 0) != (target->told_severity > 0))
+    events_add (node->events, severity ? "target-sick" : "target-well", target->name,
+                detector_why (target->detector));
+  if (leaving != target->told_leaving)
+    events_add (node->events, leaving ? "target-leaving" : "target-serving", target->name,
+                NULL);
+  target->told_severity = severity;
+  target->told_leaving = leaving;
+  target->told = TRUE;
+}
+
+void
+verdicts_publish (Node *node, GHashTable *targets, gboolean draining)
+{
+  g_autofree sw_verdict *list = NULL;
+  sw_verdicts verdicts = { 0 };
+  g_autoptr (GBytes) payload = NULL;
+  gboolean changed = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+      gboolean leaving = sidecar_target_is_leaving (target, draining);
+      guint severity = detector_severity (target->detector);
+
+      if (severity == target->told_severity && leaving == target->told_leaving)
+        continue;
+      note_verdict (node, target, leaving);
+      changed = TRUE;
+    }
+  if (!changed)
+    return;
+  list = g_new0 (sw_verdict, SW_VERDICTS_MAX);
+  verdicts.list.list_val = list;
+  g_hash_table_iter_init (&iter, targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value) &&
+         verdicts.list.list_len < SW_VERDICTS_MAX)
+    {
+      SidecarTarget *target = value;
+
+      if (target->told)
+        list[verdicts.list.list_len++] =
+            (sw_verdict){ target->name, ++target->serial, target->told_severity,
+                          target->told_leaving };
+    }
+  payload = wire_pack ((xdrproc_t)xdr_sw_verdicts, &verdicts);
+  members_set_payload (node->members, payload);
+  gossip_push (node->gossip);
+}
+
+void
+verdicts_write (GHashTable *targets, gboolean draining, JsonBuilder *builder)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  json_builder_begin_array (builder);
+  g_hash_table_iter_init (&iter, targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SidecarTarget *target = value;
+      sw_target_state state = { 0 };
+
+      sidecar_target_state (target, draining, &state);
+      json_builder_begin_object (builder);
+      json_builder_set_member_name (builder, "target");
+      json_builder_add_string_value (builder, target->name);
+      json_builder_set_member_name (builder, "severity");
+      json_builder_add_int_value (builder, state.severity);
+      json_builder_set_member_name (builder, "why");
+      json_builder_add_string_value (builder, detector_why (target->detector));
+      json_builder_set_member_name (builder, "in_use");
+      json_builder_add_int_value (builder, state.in_use);
+      json_builder_set_member_name (builder, "limit");
+      json_builder_add_int_value (builder, state.limit);
+      json_builder_set_member_name (builder, "queued");
+      json_builder_add_int_value (builder, state.queued);
+      json_builder_set_member_name (builder, "mean_latency_us");
+      json_builder_add_int_value (builder, state.latency_us);
+      json_builder_set_member_name (builder, "failures_ppm");
+      json_builder_add_int_value (builder, state.failures_ppm);
+      json_builder_set_member_name (builder, "leaving");
+      json_builder_add_boolean_value (builder, state.draining);
+      json_builder_end_object (builder);
+    }
+  json_builder_end_array (builder);
+}
