Tests: departures have load for longer than a slow machine needs to get there

Cause: expect_no_new_work waits for 100 further requests at another target; on a slow, sanitized machine the load of 5 or 12 s can end before, and the wait then has no end. Seen once as a run of over 30 s, with stray processes on the machine. Change: 10 and 16 s of load. The assertions are the same. Measured: both tests pass alone, once each.

--- a/tests/proc/test-operations.c
+++ b/tests/proc/test-operations.c
@@ -130,7 +130,7 @@
 test_drained_target_gets_no_new_work (void **state)
 {
   Fleet *fleet = start_fleet (3, 10, 5);
-  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 5 --strict");
+  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 10 --strict");
 
   assert_int_equal (fleet_apply (fleet, 1, "{\"drain\":[\"pay-2\"]}", FALSE), 200);
   await_generation (fleet, 3, 2);
@@ -145,7 +145,7 @@
 test_departure_by_the_lagging_list (void **state)
 {
   Fleet *fleet = start_fleet (3, 10, 5);
-  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 12 --strict");
+  GPid load = fleet_load (fleet, 7, "-c pay:POST:/pay:1:100 -n 8 -t 16 --strict");
 
   fleet_control_platform (
       fleet, "vms=%5B%7B%22name%22:%22vm-2%22,%22state%22:%22leaving%22%7D%5D");
