--- a/bench/src/overload.c
+++ b/bench/src/overload.c
@@ -224,7 +224,7 @@
 served_guarded (Sim *sim, Request *request, guint i)
 {
   SimTarget *target = &sim->targets[i];
-  DetectorSample sample = { target->sick, SERVICE_US, SERVICE_US, 0 };
+  DetectorSample sample = { target->sick, FALSE, SERVICE_US, SERVICE_US, 0 };
   Request *next;
 
   detector_observe (target->detector, &sample);
@@ -287,7 +287,9 @@
 arrive (Sim *sim)
 {
   Request *request = g_new0 (Request, 1);
-  DispatchPolicy policy = { .repeatable = TRUE, .attempts_max = ATTEMPTS_MAX };
+  DispatchPolicy policy = { .repeatable = TRUE,
+                            .slack_us = SECOND_US / 2,
+                            .attempts_max = ATTEMPTS_MAX };
   gint64 gap = (gint64)((double)SECOND_US / (sim->what->load * CAPACITY_PER_SECOND) *
                         g_rand_double_range (sim->rand, 0, 2));
 
--- a/bench/tests/test-detector.c
+++ b/bench/tests/test-detector.c
@@ -61,7 +61,7 @@
 static void
 feed (Detector *detector, Clock *clock, guint count, gboolean failed)
 {
-  DetectorSample sample = { failed, 5000, 5000, 0 };
+  DetectorSample sample = { failed, FALSE, 5000, 5000, 0 };
 
   for (guint i = 0; i < count; i++)
     {
--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -23,6 +23,9 @@
 /* New settings; what is in flight or waits is left alone. */
 void admission_resize (Admission *admission, guint slots, guint queue_max);
 
+/* Whether the limit follows the target's speed; it does at first. */
+void admission_set_adaptive (Admission *admission, gboolean adaptive);
+
 /* Asks for a slot. `deadline_us` is on the sidecar's clock. */
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us);
--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -37,6 +37,7 @@
 {
   const Target *target;  /* NULL when none can take it */
   gboolean trial;        /* an ejected target, given a chance to show that it is well */
+  gboolean sick;         /* it is held sick, and was chosen all the same */
   gint64 retry_after_us; /* for none */
 } BalancerChoice;
 
--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -19,7 +19,9 @@
 {
   DETECTION_OFF,
   DETECTION_CAREFUL, /* few false ejections */
-  DETECTION_QUICK    /* short detection time */
+  DETECTION_QUICK,   /* short detection time */
+  DETECTION_STRICT,  /* one broken exchange is enough, and a good one or two to return */
+  DETECTION_COUNT
 } Detection;
 
 typedef enum
@@ -44,24 +46,37 @@
 {
   char *name;
   char *tenant;
-  guint floor_slots; /* ejections leave at least so many slots in service */
+  guint floor_slots;   /* ejections leave at least so many slots in service */
+  guint floor_percent; /* and at least this share of the slots of all targets */
   Detection detection;
   guint queue; /* requests that may wait at one target */
   guint retry_percent;
+  guint retry_burst;    /* retries that the whole fleet may save up; 0 for the default */
+  gboolean fixed_limit; /* all slots are used, however slow the targets are */
+  gboolean dynamic;   /* the targets register themselves; the configuration names none */
   gsize answer_max;   /* bytes */
   GPtrArray *targets; /* of Target, by name */
 } Service;
 
+/* A service's share of the requests of a route. */
 typedef struct
 {
-  char *host;   /* "" for any */
-  char *prefix; /* matches itself and what follows a '/' */
   char *service;
+  guint weight;
+} RouteShare;
+
+typedef struct
+{
+  char *host;    /* "" for any */
+  char *prefix;  /* matches itself and what follows a '/' */
+  char *service; /* of a route that is shared out: the service of its first share */
+  GArray *split; /* of RouteShare; empty for a route with one service */
   char *class;
   guint methods; /* bits, 1 << ConfigMethod */
   guint priority;
   gboolean repeatable;
   gboolean account; /* only for callers with an account of the service's tenant */
+  guint attempts;   /* targets that one request may reach at most */
   gint64 deadline_us;
 } Route;
 
@@ -114,6 +129,11 @@
  * the head names; NULL when one is missing.
  */
 Snapshot *snapshot_create (const ConfigHead *head, GHashTable *parts);
+/*
+ * `base` with the targets of its dynamic services taken from `targets` (service name →
+ * GPtrArray of Target, which are copied). All else is shared.
+ */
+Snapshot *snapshot_with_targets (Snapshot *base, GHashTable *targets);
 /* Generation 0: nothing configured. */
 Snapshot *snapshot_create_empty (void);
 Snapshot *snapshot_ref (Snapshot *snapshot);
--- a/core/include/core/detector.h
+++ b/core/include/core/detector.h
@@ -14,6 +14,7 @@
 typedef struct
 {
   gboolean failed; /* broken, timed out, refused the connection, or a 5xx answer */
+  gboolean broken; /* of these, no answer that can be used: a 5xx is no break */
   gint64 took_us;
   guint sibling_us;  /* the median of the siblings' mean latencies; 0 when not known */
   guint sibling_ppm; /* the siblings' median failures in a million */
--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -19,7 +19,8 @@
   gboolean repeatable;
   gboolean pinned;    /* one attempt at one target: a ticket's */
   gint64 deadline_us; /* on the ingress's clock */
-  guint attempts_max;
+  gint64 slack_us;    /* past the deadline, until the caller is told at the latest */
+  guint attempts_max; /* targets that the request may reach */
 } DispatchPolicy;
 
 /* What the owner does next. */
@@ -47,6 +48,7 @@
 typedef enum
 {
   DISPATCH_DONE,    /* a whole answer, which the owner holds */
+  DISPATCH_FAULT,   /* a whole answer that says the target failed; the owner holds it */
   DISPATCH_REFUSED, /* proof that it did not run and never will */
   DISPATCH_FAILED,  /* it started, and no whole answer came */
   DISPATCH_STARTED, /* it runs still (to a question only) */
@@ -82,6 +84,11 @@
 /* After PAUSE. */
 DispatchStep dispatch_resume (Dispatch *dispatch);
 
+/* Attempts that were sent, refused ones too. */
 guint dispatch_attempts (const Dispatch *dispatch);
 
+/* Attempts that a target may have seen: the last one sent is not counted until it ends.
+ */
+guint dispatch_arrivals (const Dispatch *dispatch);
+
 #endif
--- a/core/include/core/json-view.h
+++ b/core/include/core/json-view.h
@@ -32,6 +32,10 @@
 /* Notes a fault for each key that was never asked for, and frees the view. */
 void json_view_close (JsonView *view);
 
+/* Frees the view without a look at the other keys: for texts of a peer that may be newer.
+ */
+void json_view_release (JsonView *view);
+
 /* The path of this view, for faults found by the caller. */
 const char *json_view_path (const JsonView *view);
 JsonFaults *json_view_faults (const JsonView *view);
@@ -46,6 +50,9 @@
 const char *json_view_text (JsonView *view, const char *key);
 gint64
 json_view_int (JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback);
+/* A number with or without a fraction. */
+double json_view_double (
+    JsonView *view, const char *key, double min, double max, double fallback);
 gboolean json_view_bool (JsonView *view, const char *key, gboolean fallback);
 /* The place of the member in `names` (NULL-terminated). */
 guint json_view_choice (JsonView *view,
--- a/core/include/core/outcome.h
+++ b/core/include/core/outcome.h
@@ -33,7 +33,12 @@
   REASON_TIMEOUT,
   REASON_CROSSED,
   REASON_TOO_LARGE,
-  REASON_LOST, /* no answer from the sidecar */
+  REASON_TARGET_REFUSED, /* the target itself says that it did not run the request */
+  REASON_TARGET_FAILED,  /* the target answered that it failed */
+  REASON_CANCELLED,      /* the caller has gone */
+  REASON_SICK,           /* the target has just been found sick; others may be well */
+  REASON_LOST,           /* no answer from the sidecar */
+  REASON_UNREACHABLE,    /* no connection to the sidecar: nothing was sent */
   REASON_COUNT
 } Reason;
 
--- a/core/include/core/retry.h
+++ b/core/include/core/retry.h
@@ -9,11 +9,18 @@
 
 typedef struct RetryBudget RetryBudget;
 
-/* `percent` retries for each hundred first attempts, on the long run. */
+/*
+ * `percent` retries for each hundred first attempts, on the long run. A share of the
+ * retries is saved up, RETRY_SAVED_DEFAULT of them unless retry_budget_set_burst says
+ * otherwise, so that a quiet service can retry too.
+ */
 RetryBudget *retry_budget_create (guint percent);
 void retry_budget_destroy (RetryBudget *budget);
 void retry_budget_set_percent (RetryBudget *budget, guint percent);
 
+/* `hundredths` of a retry may be saved up at most; what is saved over that is lost. */
+void retry_budget_set_burst (RetryBudget *budget, guint hundredths);
+
 /* Notes a first attempt. */
 void retry_budget_deposit (RetryBudget *budget);
 
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -4,7 +4,7 @@
 #ifndef CORE_SETTINGS_H
 #define CORE_SETTINGS_H
 
-#include <core/json-view.h>
+#include <core/config.h>
 
 /* One who may change the configuration. */
 typedef struct
@@ -21,6 +21,23 @@
   LOG_DEBUG
 } LogThreshold;
 
+/* Where configuration and members come from, and which HTTP headers carry what. */
+typedef enum
+{
+  PLATFORM_OWN,    /* this project's object API (daemon/src/platform.h) */
+  PLATFORM_OBJECTS /* the store of metadata objects that platform/ speaks with */
+} PlatformKind;
+
+/* What a service is given where the configuration does not say it. */
+typedef struct
+{
+  double retry_ratio; /* retries for each request, over the whole fleet */
+  guint retry_burst;  /* and so many more */
+  double floor_share; /* of the slots, which ejections leave */
+  Detection detection;
+  guint queue; /* requests that may wait at one target */
+} ServiceDefaults;
+
 typedef struct
 {
   char *node; /* the name of this VM */
@@ -28,8 +45,14 @@
   char *callers_address;
   char *operators_address;
   char *nodes_address;
-  char *advertise_address; /* where other nodes find nodes_address */
+  char *advertise_address;    /* where other nodes find nodes_address */
+  char *readiness_address;    /* NULL for no such listener */
+  char *registration_address; /* where targets register themselves; NULL for none */
+  char *metrics_address;      /* counters without a token; NULL for none */
+  char *target_address;       /* of the target beside this node that registers itself */
+  char *target_service;       /* its service; both NULL for none */
   char *platform_address;
+  PlatformKind platform;
   char **peers; /* NULL-terminated addresses of other nodes */
   char *fleet_token;
   GPtrArray *operators; /* of OperatorAccount */
@@ -37,10 +60,13 @@
   gsize header_max;
   gsize body_max;
   gint64 read_us;
-  gint64 stop_us; /* a planned stop takes no longer */
+  gint64 idle_us;   /* a caller's connection that rests longer is closed */
+  gint64 stop_us;   /* a planned stop takes no longer */
+  gint64 linger_us; /* after SIGTERM, callers are served on for so long */
   gint64 fence_window_us;
   guint fence_entries_max;
   gsize fence_answers_max;
+  ServiceDefaults defaults;
   LogThreshold log;
 } Settings;
 
--- /dev/null
+++ b/core/include/core/split.h
@@ -0,0 +1,21 @@
+/*
+ * Routes that are shared out among services: each request goes to one of them, in turns
+ * that follow the weights as closely as whole requests can.
+ */
+#ifndef CORE_SPLIT_H
+#define CORE_SPLIT_H
+
+#include <core/config.h>
+
+typedef struct Splitter Splitter;
+
+Splitter *splitter_create (void);
+void splitter_destroy (Splitter *splitter);
+
+/* The service of the next request on a route; borrowed from the route. */
+const char *splitter_pick (Splitter *splitter, const Route *route);
+
+/* Forgets all turns: the routes have changed. */
+void splitter_prune (Splitter *splitter);
+
+#endif
--- a/core/src/base/json-view.c
+++ b/core/src/base/json-view.c
@@ -122,6 +122,14 @@
   while (json_object_iter_next (&iter, &key, NULL))
     if (!g_hash_table_contains (view->asked, key))
       json_faults_add (view->faults, view->path, "unknown key \"%s\"", key);
+  json_view_release (view);
+}
+
+void
+json_view_release (JsonView *view)
+{
+  if (!view)
+    return;
   json_object_unref (view->object);
   if (view->root)
     json_node_unref (view->root);
@@ -259,6 +267,30 @@
   return value;
 }
 
+double
+json_view_double (
+    JsonView *view, const char *key, double min, double max, double fallback)
+{
+  JsonNode *node = ask (view, key);
+  g_autofree char *what = NULL;
+  double value;
+
+  if (!node)
+    return fallback;
+  if (!JSON_NODE_HOLDS_VALUE (node) || (json_node_get_value_type (node) != G_TYPE_INT64 &&
+                                        json_node_get_value_type (node) != G_TYPE_DOUBLE))
+    {
+      fault_at (view, key, "must be a number");
+      return fallback;
+    }
+  value = json_node_get_double (node);
+  if (value >= min && value <= max)
+    return value;
+  what = g_strdup_printf ("must be from %g to %g", min, max);
+  fault_at (view, key, what);
+  return fallback;
+}
+
 gboolean
 json_view_bool (JsonView *view, const char *key, gboolean fallback)
 {
--- a/core/src/config/model.h
+++ b/core/src/config/model.h
@@ -12,6 +12,8 @@
 Account *account_read (JsonView *view);
 
 void service_free (Service *service);
+/* The service with copies of `targets` in place of its own; NULL for none. */
+Service *service_with_targets (const Service *service, const GPtrArray *targets);
 void route_free (Route *route);
 void account_free (Account *account);
 
@@ -27,7 +29,7 @@
 /* The order of routes in a shard: by host, then by prefix. */
 int route_compare (const Route *route, const char *host, const char *prefix);
 
-/* The bit of a method, 0 for one that no route can name. */
+/* The bit of a method; all that no route can name share one. */
 guint route_method_bit (const char *name);
 
 /* "host prefix", what a route is found by. */
--- a/core/src/config/route.c
+++ b/core/src/config/route.c
@@ -9,6 +9,14 @@
 #define DIGEST_LEN 64
 #define DEADLINE_DEFAULT_MS 5000
 #define DEADLINE_MIN_MS 10
+#define ATTEMPTS_DEFAULT 3
+#define ATTEMPTS_MAX 16
+#define WEIGHT_MAX 1000000
+/* "*" among the methods of a route: any method, those not known here too. */
+#define METHOD_ANY "*"
+#define METHOD_BITS_ANY G_MAXUINT
+/* The bit of a method that is not known here; only METHOD_ANY covers it. */
+#define METHOD_BIT_OTHER (1u << 31)
 
 static const char *const method_names[] = { "GET",    "HEAD",  "POST",    "PUT",
                                             "DELETE", "PATCH", "OPTIONS", NULL };
@@ -36,7 +44,7 @@
   for (guint i = 0; method_names[i]; i++)
     if (strcmp (method_names[i], name) == 0)
       return 1u << i;
-  return 0;
+  return METHOD_BIT_OTHER;
 }
 
 static guint
@@ -51,7 +59,9 @@
 
       if (!name)
         continue;
-      if (!route_method_bit (name))
+      if (strcmp (name, METHOD_ANY) == 0)
+        return METHOD_BITS_ANY;
+      if (route_method_bit (name) == METHOD_BIT_OTHER)
         json_faults_add (json_view_faults (view), json_view_path (view),
                          "\"%s\" is no method known here", name);
       bits |= route_method_bit (name);
@@ -101,14 +111,47 @@
     prefix[--len] = '\0';
 }
 
+static void
+clear_share (gpointer data)
+{
+  g_free (((RouteShare *)data)->service);
+}
+
+/* A route that is shared out names its services in "split", each with a weight. */
+static void
+read_split (Route *route, JsonView *view)
+{
+  guint count = json_view_array_length (view, "split");
+
+  for (guint i = 0; i < count; i++)
+    {
+      JsonView *item = json_view_array_object (view, "split", i);
+      RouteShare share = { 0 };
+
+      if (!item)
+        continue;
+      share.service = g_strdup (names_required (item, "service"));
+      share.weight = (guint)json_view_int (item, "weight", 0, WEIGHT_MAX, 1);
+      g_array_append_val (route->split, share);
+      json_view_close (item);
+    }
+  if (count > 0)
+    route->service = g_strdup (g_array_index (route->split, RouteShare, 0).service);
+  else
+    route->service = g_strdup (names_required (view, "service"));
+}
+
 Route *
 route_read (JsonView *view)
 {
   Route *route = g_new0 (Route, 1);
 
+  route->split = g_array_new (FALSE, FALSE, sizeof (RouteShare));
+  g_array_set_clear_func (route->split, clear_share);
+
   route->host = g_strdup (json_view_string (view, "host", HOST_MAX, ""));
   route->prefix = g_strdup (json_view_required (view, "prefix", PREFIX_MAX));
-  route->service = g_strdup (names_required (view, "service"));
+  read_split (route, view);
   route->class = g_strdup (json_view_string (view, "class", NAME_MAX_LEN, "default"));
   route->methods = read_methods (view);
   route->priority = (guint)json_view_int (view, "priority", 0, CONFIG_PRIORITIES - 1, 1);
@@ -117,6 +160,8 @@
   route->account = json_view_bool (view, "account", FALSE);
   route->deadline_us = 1000 * json_view_int (view, "deadline_ms", DEADLINE_MIN_MS,
                                              CONFIG_DEADLINE_MAX_MS, DEADLINE_DEFAULT_MS);
+  route->attempts =
+      (guint)json_view_int (view, "attempts", 1, ATTEMPTS_MAX, ATTEMPTS_DEFAULT);
   trim_slash (route->prefix);
   if (*route->prefix && *route->prefix != '/')
     json_faults_add (json_view_faults (view), json_view_path (view),
@@ -136,9 +181,35 @@
   g_free (route->prefix);
   g_free (route->service);
   g_free (route->class);
+  g_array_unref (route->split);
   g_free (route);
 }
 
+static void
+write_services (const Route *route, JsonBuilder *builder)
+{
+  if (route->split->len == 0)
+    {
+      json_builder_set_member_name (builder, "service");
+      json_builder_add_string_value (builder, route->service);
+      return;
+    }
+  json_builder_set_member_name (builder, "split");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < route->split->len; i++)
+    {
+      const RouteShare *share = &g_array_index (route->split, RouteShare, i);
+
+      json_builder_begin_object (builder);
+      json_builder_set_member_name (builder, "service");
+      json_builder_add_string_value (builder, share->service);
+      json_builder_set_member_name (builder, "weight");
+      json_builder_add_int_value (builder, share->weight);
+      json_builder_end_object (builder);
+    }
+  json_builder_end_array (builder);
+}
+
 void
 route_write (const Route *route, JsonBuilder *builder)
 {
@@ -147,15 +218,17 @@
   json_builder_add_string_value (builder, route->host);
   json_builder_set_member_name (builder, "prefix");
   json_builder_add_string_value (builder, route->prefix);
-  json_builder_set_member_name (builder, "service");
-  json_builder_add_string_value (builder, route->service);
+  write_services (route, builder);
   json_builder_set_member_name (builder, "class");
   json_builder_add_string_value (builder, route->class);
   json_builder_set_member_name (builder, "methods");
   json_builder_begin_array (builder);
-  for (guint i = 0; method_names[i]; i++)
-    if (route->methods & 1u << i)
-      json_builder_add_string_value (builder, method_names[i]);
+  if (route->methods == METHOD_BITS_ANY)
+    json_builder_add_string_value (builder, METHOD_ANY);
+  else
+    for (guint i = 0; method_names[i]; i++)
+      if (route->methods & 1u << i)
+        json_builder_add_string_value (builder, method_names[i]);
   json_builder_end_array (builder);
   json_builder_set_member_name (builder, "priority");
   json_builder_add_int_value (builder, route->priority);
@@ -163,6 +236,8 @@
   json_builder_add_boolean_value (builder, route->repeatable);
   json_builder_set_member_name (builder, "account");
   json_builder_add_boolean_value (builder, route->account);
+  json_builder_set_member_name (builder, "attempts");
+  json_builder_add_int_value (builder, route->attempts);
   json_builder_set_member_name (builder, "deadline_ms");
   json_builder_add_int_value (builder, route->deadline_us / 1000);
   json_builder_end_object (builder);
--- a/core/src/config/service.c
+++ b/core/src/config/service.c
@@ -9,7 +9,8 @@
 #define ANSWER_MAX (8 * 1024 * 1024)
 #define RETRY_DEFAULT 20
 
-static const char *const detection_names[] = { "off", "careful", "quick", NULL };
+static const char *const detection_names[] = { "off", "careful", "quick", "strict",
+                                               NULL };
 static const char *const state_names[] = { "serving", "leaving", NULL };
 
 static void
@@ -46,6 +47,18 @@
   return target;
 }
 
+static Target *
+target_copy (const Target *target)
+{
+  Target *copy = g_memdup2 (target, sizeof *target);
+
+  copy->name = g_strdup (target->name);
+  copy->vm = g_strdup (target->vm);
+  copy->hall = g_strdup (target->hall);
+  copy->address = g_strdup (target->address);
+  return copy;
+}
+
 static gint
 compare_names (gconstpointer a, gconstpointer b)
 {
@@ -102,9 +115,16 @@
   service->queue = (guint)json_view_int (view, "queue", 0, SLOTS_MAX, 0);
   service->retry_percent =
       (guint)json_view_int (view, "retry_percent", 0, 100, RETRY_DEFAULT);
+  service->retry_burst = (guint)json_view_int (view, "retry_burst", 0, G_MAXINT, 0);
+  service->fixed_limit = json_view_bool (view, "fixed_limit", FALSE);
+  service->dynamic = json_view_bool (view, "dynamic", FALSE);
+  service->floor_percent = (guint)json_view_int (view, "floor_percent", 0, 100, 0);
   service->answer_max =
       (gsize)json_view_int (view, "answer_max", 1, ANSWER_MAX, ANSWER_DEFAULT);
   read_targets (service, view);
+  if (service->dynamic && service->targets->len > 0)
+    json_faults_add (json_view_faults (view), json_view_path (view),
+                     "a dynamic service cannot name targets");
   if (service->floor_slots > all_slots (service))
     json_faults_add (json_view_faults (view), json_view_path (view),
                      "the floor of %u slots is over the capacity of %u",
@@ -112,6 +132,20 @@
   return service;
 }
 
+Service *
+service_with_targets (const Service *service, const GPtrArray *targets)
+{
+  Service *copy = g_memdup2 (service, sizeof *service);
+
+  copy->name = g_strdup (service->name);
+  copy->tenant = g_strdup (service->tenant);
+  copy->targets = g_ptr_array_new_with_free_func (target_free);
+  for (guint i = 0; targets && i < targets->len; i++)
+    g_ptr_array_add (copy->targets, target_copy (g_ptr_array_index (targets, i)));
+  g_ptr_array_sort (copy->targets, compare_names);
+  return copy;
+}
+
 void
 service_free (Service *service)
 {
@@ -161,6 +195,12 @@
   write_string (builder, "detection", detection_names[service->detection]);
   write_int (builder, "queue", service->queue);
   write_int (builder, "retry_percent", service->retry_percent);
+  write_int (builder, "retry_burst", service->retry_burst);
+  write_int (builder, "floor_percent", service->floor_percent);
+  json_builder_set_member_name (builder, "fixed_limit");
+  json_builder_add_boolean_value (builder, service->fixed_limit);
+  json_builder_set_member_name (builder, "dynamic");
+  json_builder_add_boolean_value (builder, service->dynamic);
   write_int (builder, "answer_max", (gint64)service->answer_max);
   json_builder_set_member_name (builder, "targets");
   json_builder_begin_array (builder);
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -9,6 +9,13 @@
 #define TOKEN_MIN 16
 #define MB (1024 * 1024)
 
+/* A planned stop is over so long before the process would be killed. */
+#define STOP_MARGIN_US 700000
+#define GRACE_MAX_S 3600.0
+
+static const char *const platform_names[] = { "own", "objects", NULL };
+static const char *const detection_names[] = { "off", "careful", "quick", "strict",
+                                               NULL };
 static const char *const log_names[] = { "error", "warning", "info", "debug", NULL };
 
 static void
@@ -32,6 +39,65 @@
   return g_strdup (token);
 }
 
+static char *
+optional_address (JsonView *view, const char *key)
+{
+  return json_view_has (view, key) ? g_strdup (names_required_address (view, key)) : NULL;
+}
+
+static void
+read_target (Settings *settings, JsonView *view)
+{
+  JsonView *target = json_view_object (view, "target");
+
+  if (!target)
+    return;
+  settings->target_address = g_strdup (names_required_address (target, "address"));
+  settings->target_service = g_strdup (names_required (target, "service"));
+  json_view_close (target);
+}
+
+/* An object member, or an empty object under its path where it is missing. */
+static JsonView *
+object_or_empty (JsonView *view, const char *key)
+{
+  JsonView *object = json_view_object (view, key);
+  g_autofree char *path = g_strconcat ("$.", key, NULL);
+  g_autoptr (JsonNode) empty = NULL;
+
+  if (object)
+    return object;
+  empty = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (empty, json_object_new ());
+  return json_view_create (empty, path, json_view_faults (view));
+}
+
+static void
+read_defaults (Settings *settings, JsonView *view)
+{
+  ServiceDefaults *defaults = &settings->defaults;
+  JsonView *object = object_or_empty (view, "service_defaults");
+
+  defaults->retry_ratio = json_view_double (object, "retry_ratio", 0, 1, 0.2);
+  defaults->retry_burst = (guint)json_view_int (object, "retry_burst", 0, G_MAXINT, 0);
+  defaults->floor_share = json_view_double (object, "floor_share", 0, 1, 0.5);
+  defaults->detection =
+      json_view_choice (object, "detection", detection_names, DETECTION_CAREFUL);
+  defaults->queue = (guint)json_view_int (object, "queue", 0, 100000, 0);
+  json_view_close (object);
+}
+
+/* How long a planned stop may take: as said, or what a supervisor's patience leaves. */
+static void
+read_stop (Settings *settings, JsonView *limits)
+{
+  gint64 stop_us = 1000 * json_view_int (limits, "stop_ms", 0, 3600000, 70000);
+  double grace_s = json_view_double (limits, "grace_s", 1, GRACE_MAX_S, 0);
+
+  settings->linger_us = 1000 * json_view_int (limits, "linger_ms", 0, 3600000, 0);
+  settings->stop_us = grace_s > 0 ? (gint64)(grace_s * 1e6) - STOP_MARGIN_US : stop_us;
+}
+
 static void
 read_listen (Settings *settings, JsonView *view)
 {
@@ -45,6 +111,9 @@
   settings->callers_address = g_strdup (names_required_address (listen, "callers"));
   settings->operators_address = g_strdup (names_required_address (listen, "operators"));
   settings->nodes_address = g_strdup (names_required_address (listen, "nodes"));
+  settings->readiness_address = optional_address (listen, "readiness");
+  settings->registration_address = optional_address (listen, "registration");
+  settings->metrics_address = optional_address (listen, "metrics");
   json_view_close (listen);
   if (*settings->callers_address &&
       (strcmp (settings->callers_address, settings->operators_address) == 0 ||
@@ -98,21 +167,15 @@
 static void
 read_limits (Settings *settings, JsonView *view)
 {
-  JsonView *limits = json_view_object (view, "limits");
-  g_autoptr (JsonNode) empty = NULL;
+  JsonView *limits = object_or_empty (view, "limits");
 
-  if (!limits)
-    {
-      empty = json_node_new (JSON_NODE_OBJECT);
-      json_node_take_object (empty, json_object_new ());
-      limits = json_view_create (empty, "$.limits", json_view_faults (view));
-    }
   settings->connections_max =
       (guint)json_view_int (limits, "connections", 1, 100000, 2000);
   settings->header_max = (gsize)json_view_int (limits, "header_bytes", 2048, MB, 32768);
   settings->body_max = (gsize)json_view_int (limits, "body_bytes", 0, 8 * MB, 4 * MB);
   settings->read_us = 1000 * json_view_int (limits, "read_ms", 100, 600000, 10000);
-  settings->stop_us = 1000 * json_view_int (limits, "stop_ms", 0, 3600000, 70000);
+  settings->idle_us = 1000 * json_view_int (limits, "idle_ms", 1000, 3600000, 80000);
+  read_stop (settings, limits);
   settings->fence_window_us =
       1000 * json_view_int (limits, "fence_window_ms", 2 * CONFIG_DEADLINE_MAX_MS,
                             3600000, 600000);
@@ -141,6 +204,10 @@
       json_view_has (view, "advertise")
           ? g_strdup (names_required_address (view, "advertise"))
           : g_strdup (settings->nodes_address);
+  settings->platform =
+      json_view_choice (view, "platform_kind", platform_names, PLATFORM_OWN);
+  read_target (settings, view);
+  read_defaults (settings, view);
   settings->platform_address = g_strdup (names_required_address (view, "platform"));
   settings->fleet_token = read_token (view, "fleet_token");
   settings->log = json_view_choice (view, "log", log_names, LOG_INFO);
@@ -166,6 +233,11 @@
   g_free (settings->nodes_address);
   g_free (settings->advertise_address);
   g_free (settings->platform_address);
+  g_free (settings->readiness_address);
+  g_free (settings->registration_address);
+  g_free (settings->metrics_address);
+  g_free (settings->target_address);
+  g_free (settings->target_service);
   g_free (settings->fleet_token);
   g_strfreev (settings->peers);
   g_ptr_array_unref (settings->operators);
--- a/core/src/config/snapshot.c
+++ b/core/src/config/snapshot.c
@@ -8,7 +8,8 @@
   ConfigHead *head;
   GHashTable *by_key;    /* key → ConfigPart, which it owns */
   GHashTable *by_digest; /* digest → ConfigPart, borrowed */
-  GPtrArray *services;   /* of Service, by name, borrowed from the parts */
+  GPtrArray *services;   /* of Service, by name, borrowed from parts and `composed` */
+  GHashTable *composed;  /* name → Service, which it owns: those with targets put in */
   ConfigPart *route_parts[CONFIG_SHARDS];
   ConfigPart *account_parts[CONFIG_SHARDS];
 };
@@ -67,6 +68,40 @@
                                             (GDestroyNotify)config_part_unref);
   snapshot->by_digest = g_hash_table_new (g_str_hash, g_str_equal);
   snapshot->services = g_ptr_array_new ();
+  snapshot->composed =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)service_free);
+  return snapshot;
+}
+
+/* Puts the targets that registered themselves into a dynamic service. */
+static void
+compose_service (Snapshot *snapshot, guint place, GHashTable *targets)
+{
+  const Service *base = g_ptr_array_index (snapshot->services, place);
+  Service *service;
+
+  if (!base->dynamic)
+    return;
+  service = service_with_targets (base, g_hash_table_lookup (targets, base->name));
+  g_hash_table_insert (snapshot->composed, service->name, service);
+  g_ptr_array_index (snapshot->services, place) = service;
+}
+
+Snapshot *
+snapshot_with_targets (Snapshot *base, GHashTable *targets)
+{
+  Snapshot *snapshot = snapshot_create_empty ();
+  GHashTableIter iter;
+  gpointer part;
+
+  config_head_destroy (snapshot->head);
+  snapshot->head = copy_head (base->head);
+  g_hash_table_iter_init (&iter, base->by_key);
+  while (g_hash_table_iter_next (&iter, NULL, &part))
+    take_part (snapshot, part);
+  g_ptr_array_sort (snapshot->services, compare_services);
+  for (guint i = 0; i < snapshot->services->len; i++)
+    compose_service (snapshot, i, targets);
   return snapshot;
 }
 
@@ -111,6 +146,7 @@
   g_hash_table_unref (snapshot->by_digest);
   g_hash_table_unref (snapshot->by_key);
   g_ptr_array_unref (snapshot->services);
+  g_hash_table_unref (snapshot->composed);
   g_free (snapshot);
 }
 
@@ -143,6 +179,10 @@
 {
   g_autofree char *key = g_strconcat ("service/", name, NULL);
   ConfigPart *part = snapshot_part (snapshot, key);
+  const Service *composed = g_hash_table_lookup (snapshot->composed, name);
+
+  if (composed)
+    return composed;
 
   return part ? config_part_service (part) : NULL;
 }
@@ -243,8 +283,6 @@
   guint bit = route_method_bit (method);
   const Route *route = NULL;
 
-  if (!bit)
-    return NULL;
   if (*host)
     route = find_longest (snapshot, host, path, bit);
   return route ? route : find_longest (snapshot, "", path, bit);
--- a/core/src/health/detector-cusum.c
+++ b/core/src/health/detector-cusum.c
@@ -46,6 +46,7 @@
   .name = "cusum",
   .bounds = { { G_MAXDOUBLE, G_MAXDOUBLE },
               { 10.5, 12.0, 500 * MS_US },
-              { 7.5, 11.0, 100 * MS_US } },
+              { 7.5, 11.0, 100 * MS_US },
+              { 7.5, 11.0, 0 } },
   .observe = observe,
 };
--- a/core/src/health/detector-ewma.c
+++ b/core/src/health/detector-ewma.c
@@ -34,6 +34,9 @@
 
 const DetectorOps detector_ewma = {
   .name = "ewma",
-  .bounds = { { G_MAXDOUBLE, G_MAXDOUBLE }, { 0.5, 3.0, 0 }, { 0.3, 1.8, 0 } },
+  .bounds = { { G_MAXDOUBLE, G_MAXDOUBLE },
+              { 0.5, 3.0, 0 },
+              { 0.3, 1.8, 0 },
+              { 0.3, 1.8, 0 } },
   .observe = observe,
 };
--- a/core/src/health/detector-kind.h
+++ b/core/src/health/detector-kind.h
@@ -36,7 +36,7 @@
 typedef struct
 {
   const char *name;
-  DetectorBounds bounds[3]; /* by Detection */
+  DetectorBounds bounds[DETECTION_COUNT];
   void (*observe) (DetectorEvidence *evidence, const DetectorInput *input);
 } DetectorOps;
 
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -11,10 +11,6 @@
 #define CAP_RATIO 20.0
 /* Slower than this beside the reference, a trial has not gone well. */
 #define TRIAL_RATIO_MAX 1.8
-#define TRIALS_NEEDED 5u
-/* How long a sick target stays out at first, and at most. */
-#define HOLD_FIRST_US (5 * SECOND_US)
-#define HOLD_DOUBLINGS_MAX 6u
 /* Sick again sooner than this after a return is flapping. */
 #define FLAP_US (60 * SECOND_US)
 /* After a return on time alone, this share of the bound is held against the target. */
@@ -24,8 +20,29 @@
 #define PPM 1000000.0
 #define WHY_MAX 96u
 
+/* How a target falls sick at once, and how it comes back. */
+typedef struct
+{
+  gboolean breaks_tell; /* one broken exchange is proof enough */
+  gint64 hold_us;       /* how long it stays out at first */
+  guint doublings_max;  /* how often that doubles with relapses, at most */
+  guint trials;         /* good ones in a row that bring it back */
+} DetectorLife;
+
+/*
+ * Strict: a target that breaks an exchange off is healthy by rare chance only, and bad
+ * spells of the users' targets last seconds, so it stays out briefly and trials decide.
+ */
+static const DetectorLife lives[DETECTION_COUNT] = {
+  [DETECTION_OFF] = { FALSE, 5 * SECOND_US, 6, 5 },
+  [DETECTION_CAREFUL] = { FALSE, 5 * SECOND_US, 6, 5 },
+  [DETECTION_QUICK] = { FALSE, 5 * SECOND_US, 6, 5 },
+  [DETECTION_STRICT] = { TRUE, 3 * SECOND_US / 2, 0, 3 },
+};
+
 struct Detector
 {
+  const DetectorLife *life;
   const DetectorOps *ops;
   DetectorBounds bounds;
   Clock *clock;
@@ -62,6 +79,7 @@
   Detector *detector = g_new0 (Detector, 1);
 
   detector->ops = kinds[kind];
+  detector->life = &lives[setting];
   detector->bounds = detector->ops->bounds[setting];
   detector->clock = clock;
   detector->healthy_since_us = clock_now (clock) - FLAP_US;
@@ -117,7 +135,7 @@
 static gint64
 hold_us (const Detector *detector)
 {
-  return HOLD_FIRST_US << MIN (detector->flaps, HOLD_DOUBLINGS_MAX);
+  return detector->life->hold_us << MIN (detector->flaps, detector->life->doublings_max);
 }
 
 static void
@@ -204,7 +222,7 @@
       return;
     }
   detector->good_trials++;
-  if (detector->good_trials >= TRIALS_NEEDED &&
+  if (detector->good_trials >= detector->life->trials &&
       now - detector->sick_since_us >= hold_us (detector) / 2)
     recover (detector, 0);
 }
@@ -227,6 +245,9 @@
     }
   gather (detector, &input);
   update_baseline (detector, sample);
+  if (sample->broken && detector->life->breaks_tell)
+    detector->evidence.failures =
+        MAX (detector->evidence.failures, detector->bounds.failure_bound);
   severity = weigh (detector);
   if (severity == 0 || !is_confirmed (detector))
     return;
@@ -252,6 +273,7 @@
   guint count = MIN (detector->seen, WINDOW);
   gint64 cap = (gint64)(CAP_RATIO * detector->baseline_us);
   guint failures = 0;
+  guint good = 0;
   gint64 sum = 0;
 
   *samples = detector->seen;
@@ -261,10 +283,14 @@
     return;
   for (guint i = 0; i < count; i++)
     {
-      sum += cap > 0 ? MIN (detector->took_us[i], cap) : detector->took_us[i];
       failures += detector->failed[i] ? 1 : 0;
+      /* Failing is often quick, and must not pass for speed. */
+      if (detector->failed[i])
+        continue;
+      sum += cap > 0 ? MIN (detector->took_us[i], cap) : detector->took_us[i];
+      good++;
     }
-  *latency_us = (guint)(sum / count);
+  *latency_us = good ? (guint)(sum / good) : 0;
   *failures_ppm = (guint)(failures * PPM / count);
 }
 
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -31,6 +31,7 @@
   gint64 recent_us;
   gint64 normal_us;
   guint answers;
+  gboolean adaptive;
 };
 
 Admission *
@@ -42,6 +43,7 @@
   admission->slots = slots;
   admission->limit = slots;
   admission->queue_max = queue_max;
+  admission->adaptive = TRUE;
   admission->queue = g_array_new (FALSE, FALSE, sizeof (Waiting));
   return admission;
 }
@@ -65,6 +67,14 @@
   admission->limit = slots;
 }
 
+void
+admission_set_adaptive (Admission *admission, gboolean adaptive)
+{
+  admission->adaptive = adaptive;
+  if (!adaptive)
+    admission->limit = admission->slots;
+}
+
 static gint64
 took_us (const Admission *admission)
 {
@@ -167,7 +177,8 @@
   else
     admission->normal_us += (took - admission->normal_us) / NORMAL_SHARE;
   admission->normal_us = MAX (admission->normal_us, 1);
-  adapt (admission);
+  if (admission->adaptive)
+    adapt (admission);
 }
 
 gpointer
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -10,6 +10,8 @@
 /* Above this share of its slots in use, a hall's pick is weighed against other halls. */
 #define SPILL_PERCENT 80u
 #define LATENCY_UNKNOWN_US 1000u
+/* Sick targets that stay for the floor help out when the others are loaded so far. */
+#define FULL_LOAD 1.5
 #define RETRY_AFTER_US SECOND_US
 #define MEDIAN_SAMPLES_MIN 10u
 
@@ -200,6 +202,15 @@
     }
 }
 
+/* Slots that ejections must leave: the operator's number, or share of what serves. */
+static guint
+floor_of (const Service *service)
+{
+  guint share = (service_slots (service) * service->floor_percent + 99) / 100;
+
+  return MAX (service->floor_slots, share);
+}
+
 static gboolean
 was_tried (const GPtrArray *tried, const char *name)
 {
@@ -216,6 +227,10 @@
   gint64 now = clock_now (balancer->clock);
   gint64 every = TRIAL_EVERY_US * balancer->ingresses;
 
+  /* Most ingresses hear of a sick target at once: the first trials are spread too. */
+  if (view->trial_due_us < now - every * 2)
+    view->trial_due_us =
+        now + (gint64)(every * g_rand_double_range (balancer->rand, 0, 1));
   if (now < view->trial_due_us)
     return FALSE;
   view->trial_due_us =
@@ -274,7 +289,7 @@
   return best;
 }
 
-static const Target *
+static const Candidate *
 pick (Balancer *balancer, const GArray *candidates)
 {
   const Candidate *local = pick_two (balancer, candidates, TRUE);
@@ -283,12 +298,29 @@
   if (!local && !other)
     return NULL;
   if (!other)
-    return local->target;
+    return local;
   if (!local)
-    return other->target;
+    return other;
   if (load_of (local) * 100 <= SPILL_PERCENT || load_of (local) <= load_of (other))
-    return local->target;
-  return other->target;
+    return local;
+  return other;
+}
+
+/*
+ * A sick target that stays for the floor takes what would have to wait at the others; a
+ * request that can go to a healthy one has no reason to go to a sick one.
+ */
+static const Target *
+pick_healthy_first (Balancer *balancer, const GArray *healthy, const GArray *sick)
+{
+  const Candidate *best = pick (balancer, healthy);
+  const Candidate *spare = pick (balancer, sick);
+
+  if (!best)
+    return spare ? spare->target : NULL;
+  if (spare && load_of (best) > FULL_LOAD && load_of (spare) < load_of (best))
+    return spare->target;
+  return best->target;
 }
 
 static void
@@ -324,6 +356,14 @@
     }
 }
 
+static guint
+severity_of (Balancer *balancer, const Target *target)
+{
+  const View *view = view_of (balancer, target->name);
+
+  return is_current (view, path_of (balancer, target->vm)) ? view->report.severity : 0;
+}
+
 BalancerChoice
 balancer_choose (Balancer *balancer,
                  const Service *service,
@@ -334,10 +374,11 @@
   guint count = service->targets->len;
   g_autofree EjectItem *items = g_new0 (EjectItem, count + 1);
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  g_autoptr (GArray) sick = g_array_new (FALSE, FALSE, sizeof (Candidate));
   gboolean any_available = FALSE;
 
   fill_items (balancer, service, items);
-  eject_apply (items, count, service->floor_slots);
+  eject_apply (items, count, floor_of (service));
   for (guint i = 0; i < count; i++)
     {
       const Target *target = g_ptr_array_index (service->targets, i);
@@ -345,19 +386,23 @@
       any_available |= items[i].available;
       if (!items[i].available || was_tried (tried, target->name))
         continue;
-      if (!items[i].ejected)
+      if (items[i].severity == 0)
         add_candidate (balancer, candidates, target);
-      else if (repeatable && !tried &&
-               trial_is_due (balancer, view_of (balancer, target->name)))
+      else if (!items[i].ejected)
+        add_candidate (balancer, sick, target);
+      if (items[i].severity > 0 && repeatable && !tried &&
+          trial_is_due (balancer, view_of (balancer, target->name)))
         {
           choice.target = target;
           choice.trial = TRUE;
+          choice.sick = TRUE;
           return choice;
         }
     }
   if (!any_available)
     add_last_resorts (balancer, service, tried, candidates);
-  choice.target = pick (balancer, candidates);
+  choice.target = pick_healthy_first (balancer, candidates, sick);
+  choice.sick = choice.target && severity_of (balancer, choice.target) > 0;
   return choice;
 }
 
@@ -432,7 +477,7 @@
   status.path_open = path_usable (path, clock_now (balancer->clock));
   status.report.target = target->name;
   fill_items (balancer, service, items);
-  eject_apply (items, count, service->floor_slots);
+  eject_apply (items, count, floor_of (service));
   for (guint i = 0; i < count; i++)
     if (strcmp (items[i].name, target->name) == 0)
       status.ejected = items[i].ejected;
@@ -445,5 +490,5 @@
   g_autofree EjectItem *items = g_new0 (EjectItem, service->targets->len + 1);
 
   fill_items (balancer, service, items);
-  return eject_apply (items, service->targets->len, service->floor_slots);
+  return eject_apply (items, service->targets->len, floor_of (service));
 }
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -1,9 +1,8 @@
 #include <core/dispatch.h>
 
-/* Past the deadline the sidecar answers by itself; this is for its answer's way. */
-#define ANSWER_GRACE_US (250 * MS_US)
-/* How long after the deadline the fence is still asked before "unknown" is said. */
-#define ASK_GRACE_US (500 * MS_US)
+/* So many refusals that no target saw are followed by another try: more would mean that
+   the whole service refuses, and the caller had better hear when to come back. */
+#define REFUSALS_MAX 3u
 #define ASK_MIN_US (100 * MS_US)
 #define ASK_HOLD_MAX_US (2 * SECOND_US)
 /* A caller is told to come back after this when nobody knows better. */
@@ -16,10 +15,12 @@
   GRand *rand;
   Clock *clock;
   guint attempts;
+  guint arrivals;
   guint asks;
   gboolean asking;
   gboolean may_have_run;
-  Reason reason; /* of the last attempt that came to nothing */
+  gboolean faulted; /* the owner holds an answer that says the target failed */
+  Reason reason;    /* of the last attempt that came to nothing */
   gint64 retry_after_us;
 };
 
@@ -53,6 +54,12 @@
   return dispatch->attempts;
 }
 
+guint
+dispatch_arrivals (const Dispatch *dispatch)
+{
+  return dispatch->arrivals;
+}
+
 static gint64
 remaining (const Dispatch *dispatch)
 {
@@ -72,6 +79,8 @@
 static DispatchStep
 give_up (Dispatch *dispatch, Reason reason)
 {
+  if (dispatch->faulted)
+    return answer (dispatch, OUTCOME_DONE, reason);
   return answer (dispatch, dispatch->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
                  reason);
 }
@@ -101,30 +110,27 @@
     return give_up (dispatch, REASON_DEADLINE);
   dispatch->attempts++;
   step.remaining_us = left;
-  step.wait_us = left + ANSWER_GRACE_US;
+  /* At the deadline the sidecar answers by itself: half the slack is for its way. */
+  step.wait_us = left + dispatch->policy.slack_us / 2;
   /* A silent sidecar must leave time for another target, or for the fence. */
   if (dispatch->attempts < dispatch->policy.attempts_max && !dispatch->policy.pinned)
     step.wait_us = MAX (left / 2, MIN (left, ASK_MIN_US));
   return step;
 }
 
-static gboolean
-reason_is_free (Reason reason)
-{
-  return reason == REASON_DRAINING || reason == REASON_NONE;
-}
-
 static DispatchStep
 retry (Dispatch *dispatch, Reason reason, gboolean at_once)
 {
   DispatchStep step = { .kind = at_once ? DISPATCH_CHOOSE : DISPATCH_PAUSE };
 
   dispatch->reason = reason;
-  if (dispatch->policy.pinned || dispatch->attempts >= dispatch->policy.attempts_max ||
+  if (dispatch->policy.pinned || dispatch->arrivals >= dispatch->policy.attempts_max ||
+      dispatch->attempts - dispatch->arrivals >= REFUSALS_MAX ||
       remaining (dispatch) <= 0)
     return give_up (dispatch, reason);
-  /* A departure is no sign of overload, and its refusal costs next to nothing. */
-  if (!reason_is_free (reason) && !retry_budget_withdraw (dispatch->budget))
+  /* The budget is for what targets see; a refusal before the target costs them nothing.
+   */
+  if (dispatch->arrivals > 0 && !retry_budget_withdraw (dispatch->budget))
     return give_up (dispatch, reason);
   if (at_once)
     return step;
@@ -142,10 +148,10 @@
 
   dispatch->asking = TRUE;
   dispatch->asks++;
-  if (left + ASK_GRACE_US <= 0)
+  if (left + dispatch->policy.slack_us <= 0)
     return answer (dispatch, OUTCOME_UNKNOWN, REASON_LOST);
   step.hold_us = CLAMP (left, 0, ASK_HOLD_MAX_US);
-  step.wait_us = MIN (step.hold_us + ASK_GRACE_US, left + ASK_GRACE_US);
+  step.wait_us = MIN (step.hold_us, left) + dispatch->policy.slack_us;
   return step;
 }
 
@@ -153,6 +159,7 @@
 refused (Dispatch *dispatch, Reason reason, gint64 retry_after_us)
 {
   dispatch->asking = FALSE;
+  dispatch->arrivals += reason == REASON_TARGET_REFUSED;
   /* The sidecar's proof is about the attempt's name, and so about the whole ticket. */
   if (dispatch->policy.pinned)
     dispatch->may_have_run = FALSE;
@@ -165,11 +172,23 @@
 failed (Dispatch *dispatch, Reason reason)
 {
   dispatch->may_have_run = TRUE;
+  dispatch->arrivals++;
   if (!dispatch->policy.repeatable)
     return answer (dispatch, OUTCOME_UNKNOWN, reason);
   return retry (dispatch, reason, FALSE);
 }
 
+/* The target itself says that it failed: worth another try where that is harmless. */
+static DispatchStep
+faulted (Dispatch *dispatch, Reason reason)
+{
+  dispatch->faulted = TRUE;
+  if (!dispatch->policy.repeatable)
+    return answer (dispatch, OUTCOME_DONE, reason);
+  dispatch->arrivals++;
+  return retry (dispatch, reason, TRUE);
+}
+
 DispatchStep
 dispatch_sent (Dispatch *dispatch,
                DispatchReport report,
@@ -180,12 +199,14 @@
     {
     case DISPATCH_DONE:
       return answer (dispatch, OUTCOME_DONE, REASON_NONE);
+    case DISPATCH_FAULT:
+      return faulted (dispatch, reason);
     case DISPATCH_REFUSED:
       return refused (dispatch, reason, retry_after_us);
     case DISPATCH_UNSENT:
       /* That this request never left says nothing of an earlier one of its ticket. */
       return dispatch->policy.pinned ? ask (dispatch)
-                                     : refused (dispatch, REASON_LOST, 0);
+                                     : refused (dispatch, REASON_UNREACHABLE, 0);
     case DISPATCH_FAILED:
     case DISPATCH_UNSURE:
       return failed (dispatch, reason);
@@ -202,7 +223,7 @@
   DispatchStep step = { .kind = DISPATCH_PAUSE };
 
   step.wait_us = retry_pause_us (dispatch->asks, dispatch->rand);
-  if (step.wait_us >= remaining (dispatch) + ASK_GRACE_US)
+  if (step.wait_us >= remaining (dispatch) + dispatch->policy.slack_us)
     return answer (dispatch, OUTCOME_UNKNOWN, REASON_LOST);
   return step;
 }
@@ -217,6 +238,8 @@
     {
     case DISPATCH_DONE:
       return answer (dispatch, OUTCOME_DONE, REASON_NONE);
+    case DISPATCH_FAULT:
+      return faulted (dispatch, reason);
     case DISPATCH_REFUSED:
       return refused (dispatch, reason, retry_after_us);
     case DISPATCH_STARTED:
--- a/core/src/request/retry.c
+++ b/core/src/request/retry.c
@@ -11,6 +11,7 @@
 struct RetryBudget
 {
   guint percent;
+  gint saved_max; /* hundredths */
   gint hundredths;
 };
 
@@ -20,6 +21,7 @@
   RetryBudget *budget = g_new0 (RetryBudget, 1);
 
   budget->percent = percent;
+  budget->saved_max = SAVED_RETRIES * ONE_RETRY;
   budget->hundredths = percent ? START_RETRIES * ONE_RETRY : 0;
   return budget;
 }
@@ -38,11 +40,18 @@
     budget->hundredths = 0;
 }
 
+void
+retry_budget_set_burst (RetryBudget *budget, guint hundredths)
+{
+  budget->saved_max = (gint)hundredths;
+  budget->hundredths = MIN (budget->hundredths, budget->saved_max);
+}
+
 void
 retry_budget_deposit (RetryBudget *budget)
 {
   budget->hundredths =
-      MIN (budget->hundredths + (gint)budget->percent, SAVED_RETRIES * ONE_RETRY);
+      MIN (budget->hundredths + (gint)budget->percent, budget->saved_max);
 }
 
 gboolean
--- a/core/tests/test-fence.c
+++ b/core/tests/test-fence.c
@@ -304,7 +304,9 @@
 run_schedule (guint seed)
 {
   World world = { .rand = g_rand_new_with_seed (seed), .clock = clock_create_manual (0) };
-  DispatchPolicy policy = { .deadline_us = 5 * SECOND_US, .attempts_max = SIDECARS };
+  DispatchPolicy policy = { .deadline_us = 5 * SECOND_US,
+                            .slack_us = SECOND_US / 2,
+                            .attempts_max = SIDECARS };
   Outcome outcome;
 
   world.network = g_array_new (FALSE, FALSE, sizeof (Packet));
--- a/daemon/src/calls.c
+++ b/daemon/src/calls.c
@@ -67,6 +67,21 @@
   xdr_free ((xdrproc_t)xdr_sw_fence_args, (char *)&args);
 }
 
+static void
+on_cancel (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_cancel_args args = { 0 };
+
+  if (xdr_sw_cancel_args (in, &args))
+    {
+      sidecar_cancel (node->sidecar, &args);
+      rpc_conn_reply (conn, xid, wire_void, NULL);
+    }
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_cancel_args, (char *)&args);
+}
+
 static void
 on_head (Node *node, RpcConn *conn, guint32 xid)
 {
@@ -133,6 +148,9 @@
     case SW_FENCE:
       on_fence (node, conn, call->xid, in);
       break;
+    case SW_CANCEL:
+      on_cancel (node, conn, call->xid, in);
+      break;
     case SW_HEAD:
       on_head (node, conn, call->xid);
       break;
--- /dev/null
+++ b/daemon/src/config-source-own.c
@@ -0,0 +1,139 @@
+#include "config-source.h"
+
+#include "config-sync.h"
+#include "platform.h"
+
+#define WATCHERS_PER_HALL 2u
+
+typedef struct
+{
+  Node *node;
+  char *version; /* of the head that was read last, "" before the first */
+} Source;
+
+typedef struct
+{
+  Source *source;
+  ConfigReadDone done;
+  gpointer data;
+} Read;
+
+typedef struct
+{
+  ConfigPartDone done;
+  gpointer data;
+} PartRead;
+
+static gpointer
+create (Node *node)
+{
+  Source *source = g_new0 (Source, 1);
+
+  source->node = node;
+  source->version = g_strdup ("");
+  return source;
+}
+
+static void
+destroy (gpointer data)
+{
+  Source *source = data;
+
+  g_free (source->version);
+  g_free (source);
+}
+
+static ConfigReadOutcome
+outcome_of (PlatformOutcome outcome)
+{
+  switch (outcome)
+    {
+    case PLATFORM_OK:
+      return CONFIG_READ_HEAD;
+    case PLATFORM_MISSING:
+      return CONFIG_READ_NONE;
+    case PLATFORM_UNCHANGED:
+      return CONFIG_READ_UNCHANGED;
+    default:
+      return CONFIG_READ_FAILED;
+    }
+}
+
+static void
+on_head (const PlatformResult *result, gpointer data)
+{
+  Read *read = data;
+  ConfigReading reading = { .outcome = outcome_of (result->outcome) };
+
+  if (reading.outcome == CONFIG_READ_HEAD)
+    {
+      g_free (read->source->version);
+      read->source->version = g_strdup (result->version);
+      reading.head = (const char *)result->body->data;
+      reading.head_len = result->body->len;
+    }
+  read->done (&reading, read->data);
+  g_free (read);
+}
+
+static Read *
+read_create (Source *source, ConfigReadDone done, gpointer data)
+{
+  Read *read = g_new0 (Read, 1);
+
+  read->source = source;
+  read->done = done;
+  read->data = data;
+  return read;
+}
+
+static void
+read_head (gpointer data, ConfigReadDone done, gpointer user)
+{
+  Source *source = data;
+
+  platform_get (source->node, CONFIG_HEAD_KEY, on_head, read_create (source, done, user));
+}
+
+static void
+watch_head (gpointer data, ConfigReadDone done, gpointer user)
+{
+  Source *source = data;
+
+  platform_watch (source->node, CONFIG_HEAD_KEY, source->version, on_head,
+                  read_create (source, done, user));
+}
+
+static void
+on_part (const PlatformResult *result, gpointer data)
+{
+  PartRead *read = data;
+  g_autoptr (GBytes) text = NULL;
+
+  if (result->outcome == PLATFORM_OK)
+    text = g_bytes_new (result->body->data, result->body->len);
+  read->done (text, read->data);
+  g_free (read);
+}
+
+static void
+read_part (gpointer data, const char *digest, ConfigPartDone done, gpointer user)
+{
+  Source *source = data;
+  g_autofree char *key = g_strconcat (CONFIG_PART_KEY, digest, NULL);
+  PartRead *read = g_new0 (PartRead, 1);
+
+  read->done = done;
+  read->data = user;
+  platform_get (source->node, key, on_part, read);
+}
+
+const ConfigSource config_source_own = {
+  .create = create,
+  .destroy = destroy,
+  .read = read_head,
+  .watch = watch_head,
+  .part = read_part,
+  .serves_empty = TRUE,
+  .watchers_per_hall = WATCHERS_PER_HALL,
+};
--- a/daemon/src/config-sync.c
+++ b/daemon/src/config-sync.c
@@ -6,11 +6,9 @@
 #include "ingress.h"
 #include "log.h"
 #include "peers.h"
-#include "platform.h"
+#include "adapter.h"
 #include "sidecar.h"
 
-/* So many nodes of each hall hold a watch at the platform; the rest hear by gossip. */
-#define WATCHERS_PER_HALL 2u
 #define WATCH_PAUSE_US (1 * SECOND_US)
 /* Every node reads the head now and then, should all gossip have passed it by. */
 #define POLL_EVERY_US (60 * SECOND_US)
@@ -25,7 +23,11 @@
 struct ConfigSync
 {
   Node *node;
-  Snapshot *snapshot;
+  const ConfigSource *kind;
+  gpointer source_data;
+  Snapshot *base;       /* as it was configured */
+  Snapshot *snapshot;   /* with the targets that registered themselves */
+  Directory *directory; /* of these targets */
   char *head_text;
   gboolean ready;
   LoopTimer *poll;
@@ -34,7 +36,6 @@
   LoopTimer *fetch;
   gboolean watching;
   gboolean polling;
-  char *head_version; /* the platform's, "" before the first read */
   /* What is being fetched: a head newer than the snapshot's, and its parts so far. */
   ConfigHead *wanted;
   char *wanted_text;
@@ -86,27 +87,50 @@
   sync->missing_before = 0;
 }
 
+/* Makes the snapshot in force from the configuration and the directory. */
+static void
+compose (ConfigSync *sync)
+{
+  Node *node = sync->node;
+  Snapshot *snapshot =
+      snapshot_with_targets (sync->base, directory_targets (sync->directory));
+
+  snapshot_unref (sync->snapshot);
+  sync->snapshot = snapshot;
+  balancer_prune (node->balancer, snapshot);
+  sidecar_apply (node->sidecar, snapshot);
+}
+
+void
+config_sync_set_registration (ConfigSync *sync,
+                              const char *vm,
+                              const char *hall,
+                              const Registration *registration)
+{
+  if (directory_set (sync->directory, vm, hall, registration))
+    compose (sync);
+}
+
 static void
 apply (ConfigSync *sync)
 {
   Node *node = sync->node;
-  Snapshot *snapshot = snapshot_create (sync->wanted, sync->parts);
+  Snapshot *base = snapshot_create (sync->wanted, sync->parts);
   g_autofree char *generation = NULL;
 
-  if (!snapshot)
+  if (!base)
     return;
-  snapshot_unref (sync->snapshot);
-  sync->snapshot = snapshot;
+  snapshot_unref (sync->base);
+  sync->base = base;
   g_free (sync->head_text);
   sync->head_text = g_steal_pointer (&sync->wanted_text);
   g_hash_table_remove_all (sync->parts);
   drop_wanted (sync);
   sync->ready = TRUE;
-  balancer_prune (node->balancer, snapshot);
-  sidecar_apply (node->sidecar, snapshot);
+  compose (sync);
   metrics_add (node->metrics, METRIC_CONFIG_APPLIED, 1);
-  metrics_set (node->metrics, METRIC_CONFIG_GENERATION, snapshot_generation (snapshot));
-  generation = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (snapshot));
+  metrics_set (node->metrics, METRIC_CONFIG_GENERATION, snapshot_generation (base));
+  generation = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (base));
   events_add (node->events, "config-applied", generation, NULL);
   gossip_push (node->gossip);
 }
@@ -141,25 +165,21 @@
 }
 
 static void
-on_platform_part (const PlatformResult *result, gpointer data)
+on_source_part (GBytes *text, gpointer data)
 {
   Fetch *fetch = data;
 
-  if (result->outcome == PLATFORM_OK)
-    {
-      g_autoptr (GBytes) text = g_bytes_new (result->body->data, result->body->len);
-
-      take_part (fetch->sync, fetch, text);
-    }
+  if (text)
+    take_part (fetch->sync, fetch, text);
   fetch_done (fetch);
 }
 
 static void
 fetch_from_platform (Fetch *fetch)
 {
-  g_autofree char *object = g_strconcat (CONFIG_PART_KEY, fetch->digest, NULL);
+  ConfigSync *sync = fetch->sync;
 
-  platform_get (fetch->sync->node, object, on_platform_part, fetch);
+  sync->kind->part (sync->source_data, fetch->digest, on_source_part, fetch);
 }
 
 static void
@@ -357,6 +377,8 @@
 
   if (sync->ready || sync->wanted || sync->answered == 0)
     return;
+  if (snapshot_generation (sync->base) == 0 && !sync->kind->serves_empty)
+    return;
   if (sync->answered < sync->asked && age < START_PATIENCE_US)
     return;
   sync->ready = TRUE;
@@ -418,26 +440,31 @@
 }
 
 static void
-on_platform_head (ConfigSync *sync, const PlatformResult *result)
+take_reading (ConfigSync *sync, const ConfigReading *reading)
 {
-  if (result->outcome == PLATFORM_OK)
+  for (guint i = 0; reading->parts && i < reading->parts->len; i++)
     {
-      g_free (sync->head_version);
-      sync->head_version = g_strdup (result->version);
-      want_head (sync, (const char *)result->body->data, result->body->len, NULL);
+      ConfigPart *part = g_ptr_array_index (reading->parts, i);
+
+      g_hash_table_insert (sync->parts, g_strdup (config_part_digest (part)),
+                           config_part_ref (part));
     }
-  if (result->outcome == PLATFORM_MISSING ||
-      (result->outcome == PLATFORM_OK && !sync->wanted))
+  if (reading->outcome == CONFIG_READ_HEAD)
+    want_head (sync, reading->head, reading->head_len, NULL);
+  if (!sync->wanted)
+    g_hash_table_remove_all (sync->parts);
+  if ((reading->outcome == CONFIG_READ_NONE && sync->kind->serves_empty) ||
+      (reading->outcome == CONFIG_READ_HEAD && !sync->wanted))
     sync->ready = TRUE;
 }
 
 static void
-on_polled (const PlatformResult *result, gpointer data)
+on_polled (const ConfigReading *reading, gpointer data)
 {
   ConfigSync *sync = data;
 
   sync->polling = FALSE;
-  on_platform_head (sync, result);
+  take_reading (sync, reading);
 }
 
 void
@@ -446,7 +473,7 @@
   if (sync->polling)
     return;
   sync->polling = TRUE;
-  platform_get (sync->node, CONFIG_HEAD_KEY, on_polled, sync);
+  sync->kind->read (sync->source_data, on_polled, sync);
 }
 
 static void
@@ -479,20 +506,19 @@
       if (g_str_hash (member->node) < own)
         before++;
     }
-  return before < WATCHERS_PER_HALL;
+  return before < sync->kind->watchers_per_hall;
 }
 
 static void
-on_watched (const PlatformResult *result, gpointer data)
+on_watched (const ConfigReading *reading, gpointer data)
 {
   ConfigSync *sync = data;
-  gboolean failed = result->outcome == PLATFORM_FAILED;
+  /* A missing object is answered at once; it too must not be asked for in a circle. */
+  gboolean failed =
+      reading->outcome == CONFIG_READ_FAILED || reading->outcome == CONFIG_READ_NONE;
 
   sync->watching = FALSE;
-  on_platform_head (sync, result);
-  /* A missing object is answered at once; it too must not be asked for in a circle. */
-  if (result->outcome == PLATFORM_MISSING)
-    failed = TRUE;
+  take_reading (sync, reading);
   loop_timer_start (sync->watch, failed ? WATCH_PAUSE_US : 0);
 }
 
@@ -509,7 +535,7 @@
   if (sync->watching)
     return;
   sync->watching = TRUE;
-  platform_watch (sync->node, CONFIG_HEAD_KEY, sync->head_version, on_watched, sync);
+  sync->kind->watch (sync->source_data, on_watched, sync);
 }
 
 /* Until this node may serve: the platform is asked, and a few of the others. */
@@ -547,8 +573,11 @@
   ConfigSync *sync = g_new0 (ConfigSync, 1);
 
   sync->node = node;
+  sync->kind = node->adapter->config;
+  sync->source_data = sync->kind->create (node);
+  sync->base = snapshot_create_empty ();
   sync->snapshot = snapshot_create_empty ();
-  sync->head_version = g_strdup ("");
+  sync->directory = directory_create ();
   sync->created_us = clock_now (node->clock);
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
@@ -574,7 +603,9 @@
   drop_wanted (sync);
   g_hash_table_unref (sync->parts);
   snapshot_unref (sync->snapshot);
-  g_free (sync->head_version);
+  snapshot_unref (sync->base);
+  directory_destroy (sync->directory);
+  sync->kind->destroy (sync->source_data);
   g_free (sync->head_text);
   g_free (sync);
 }
--- a/daemon/src/config-sync.h
+++ b/daemon/src/config-sync.h
@@ -5,7 +5,7 @@
 #ifndef DAEMON_CONFIG_SYNC_H
 #define DAEMON_CONFIG_SYNC_H
 
-#include <core/config.h>
+#include <core/directory.h>
 #include <wire/message.h>
 
 #include "node.h"
@@ -23,6 +23,15 @@
 /* Whether this node may serve: it has asked, and has the highest that it could find. */
 gboolean config_sync_ready (const ConfigSync *sync);
 
+/*
+ * What a node says of the target beside it that registered itself; NULL for none. The
+ * snapshot changes at once where that is news.
+ */
+void config_sync_set_registration (ConfigSync *sync,
+                                   const char *vm,
+                                   const char *hall,
+                                   const Registration *registration);
+
 /* Another node has said which generation is in force there. */
 void config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation);
 
--- a/daemon/src/exchange.c
+++ b/daemon/src/exchange.c
@@ -4,10 +4,17 @@
 
 #include <core/dispatch.h>
 
+#include "adapter.h"
 #include "answer.h"
+#include "config-sync.h"
 #include "log.h"
 
-#define ATTEMPTS_MAX 3u
+#define HTTP_SERVER_ERROR 500
+/* A connection to a node that is there is made in a round trip; 400 ms cover a lost
+   packet's first repetition (200 ms) with room to spare. */
+#define OPEN_TIMEOUT_US (400 * MS_US)
+/* Nothing waits for the answer to a cancellation. */
+#define CANCEL_TIMEOUT_US SECOND_US
 #define TICKET_TIMEOUT_US (2 * SECOND_US)
 #define HTTP_CREATED 201
 #define HTTP_UNAVAILABLE 503
@@ -25,14 +32,16 @@
 {
   Exchanges *owner;
   HttpRequest *request;
-  Snapshot *snapshot; /* holds route and service alive */
+  char *id;           /* the caller's own, NULL for none */
+  Snapshot *snapshot; /* holds the route alive */
   const Route *route;
+  Snapshot *targets; /* holds the service alive: the newest at the last choice */
   const Service *service;
   Ticket *ticket; /* NULL for none */
   Dispatch *dispatch;
   LoopTimer *timer;
   gint64 began_us;
-  GPtrArray *tried; /* names of targets, borrowed from the service */
+  GPtrArray *tried; /* names of targets */
   /* The last attempt. */
   AttemptId attempt; /* its node is borrowed */
   const Target *target;
@@ -40,8 +49,11 @@
   gint64 wait_us;
   gint64 remaining_us;
   gint64 hold_us;
-  gboolean out;     /* an attempt is counted at the balancer */
-  sw_answer answer; /* owned once the outcome is "done" */
+  gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
+  gboolean out;       /* an attempt is counted at the balancer */
+  gboolean abandoned; /* the caller has hung up */
+  gboolean submitted; /* a sidecar may hold the attempt */
+  sw_answer answer;   /* owned once the outcome is "done" */
 };
 
 static const RpcProcedure submit = { SW_SUBMIT, (xdrproc_t)xdr_sw_submit_args,
@@ -51,22 +63,70 @@
                                     (xdrproc_t)xdr_sw_submit_res,
                                     sizeof (sw_submit_res) };
 
+static const RpcProcedure cancel = { SW_CANCEL, (xdrproc_t)xdr_sw_cancel_args, wire_void,
+                                     0 };
+
 static void carry_out (Exchange *exchange, const DispatchStep *step);
 
 static void
 exchange_free (Exchange *exchange)
 {
   g_hash_table_remove (exchange->owner->set, exchange);
+  http_request_watch_gone (exchange->request, NULL, NULL);
   loop_timer_destroy (exchange->timer);
   dispatch_destroy (exchange->dispatch);
   g_ptr_array_unref (exchange->tried);
   ticket_free (exchange->ticket);
   xdr_free ((xdrproc_t)xdr_sw_answer, (char *)&exchange->answer);
   snapshot_unref (exchange->snapshot);
+  snapshot_unref (exchange->targets);
   http_request_unref (exchange->request);
+  g_free (exchange->id);
   g_free (exchange);
 }
 
+static void
+attempt_over (Exchange *exchange)
+{
+  if (exchange->out)
+    balancer_end (exchange->owner->node->balancer, exchange->target->name);
+  exchange->out = FALSE;
+}
+
+static void
+fill_attempt (const Exchange *exchange, sw_attempt *attempt)
+{
+  attempt->node = exchange->attempt.node;
+  attempt->incarnation = exchange->attempt.incarnation;
+  attempt->counter = exchange->attempt.counter;
+}
+
+static void
+on_cancelled (RpcOutcome outcome, void *result, gpointer data)
+{
+  /* A cancellation that is lost only leaves work to run to its deadline. */
+}
+
+/* Tells the sidecar that nobody waits for the last attempt any more. */
+static void
+cancel_attempt (Exchange *exchange)
+{
+  Node *node = exchange->owner->node;
+  sw_cancel_args args = { 0 };
+
+  if (!exchange->submitted || exchange->ticket)
+    return;
+  exchange->submitted = FALSE;
+  fill_attempt (exchange, &args.attempt);
+  args.sidecar = exchange->stamp.incarnation;
+  args.clock_us = (guint64)exchange->stamp.reading_us;
+  args.target = exchange->target->name;
+  args.repeatable = exchange->route->repeatable;
+  metrics_add (node->metrics, METRIC_CANCELS, 1);
+  peers_call (node->peers, exchange->target->vm, &cancel, &args, CANCEL_TIMEOUT_US,
+              on_cancelled, NULL);
+}
+
 static void
 log_outcome (const Exchange *exchange, const DispatchStep *step, gint64 took_us)
 {
@@ -78,9 +138,9 @@
                              exchange->attempt.incarnation, exchange->attempt.counter);
   took = g_strdup_printf ("%" G_GINT64_FORMAT, took_us);
   log_event (step->outcome == OUTCOME_DONE ? G_LOG_LEVEL_DEBUG : G_LOG_LEVEL_INFO,
-             "request", "ATTEMPT", attempt, "SERVICE", exchange->service->name, "CLASS",
-             exchange->route->class, "OUTCOME", outcome_name (step->outcome), "REASON",
-             reason_name (step->reason), "TARGET",
+             "request", "ID", exchange->id, "ATTEMPT", attempt, "SERVICE",
+             exchange->service->name, "CLASS", exchange->route->class, "OUTCOME",
+             outcome_name (step->outcome), "REASON", reason_name (step->reason), "TARGET",
              exchange->target ? exchange->target->name : NULL, "TOOK_US", took, NULL);
 }
 
@@ -88,24 +148,31 @@
 finish (Exchange *exchange, const DispatchStep *step)
 {
   Node *node = exchange->owner->node;
+  const Dialect *dialect = node->adapter->dialect;
+  Verdict verdict = { step->outcome, step->reason, step->retry_after_us };
   gint64 took = clock_now (node->clock) - exchange->began_us;
 
   metrics_request (node->metrics, exchange->service->tenant, exchange->route->class,
                    step->outcome, took);
   log_outcome (exchange, step, took);
+  if (step->outcome != OUTCOME_DONE)
+    cancel_attempt (exchange);
   if (step->outcome == OUTCOME_DONE)
-    answer_pass (exchange->request, &exchange->answer);
+    answer_pass (dialect, exchange->request, &exchange->answer);
   else
-    answer_give_up (exchange->request, step->outcome, step->reason, step->retry_after_us);
+    answer_give_up (dialect, exchange->request, exchange->id, &verdict);
   exchange_free (exchange);
 }
 
+/* The caller has hung up. What may not be repeated is let run, for it may have begun. */
 static void
-attempt_over (Exchange *exchange)
+on_caller_gone (gpointer data)
 {
-  if (exchange->out)
-    balancer_end (exchange->owner->node->balancer, exchange->target->name);
-  exchange->out = FALSE;
+  Exchange *exchange = data;
+
+  exchange->abandoned = TRUE;
+  if (exchange->submitted)
+    cancel_attempt (exchange);
 }
 
 static gboolean
@@ -127,9 +194,11 @@
   switch (res->result)
     {
     case SW_DONE:
+      xdr_free ((xdrproc_t)xdr_sw_answer, (char *)&exchange->answer);
       exchange->answer = res->answer;
       memset (&res->answer, 0, sizeof res->answer);
-      return DISPATCH_DONE;
+      return exchange->answer.status >= HTTP_SERVER_ERROR ? DISPATCH_FAULT
+                                                          : DISPATCH_DONE;
     case SW_REFUSED:
       return DISPATCH_REFUSED;
     case SW_FAILED:
@@ -173,9 +242,13 @@
 
   attempt_over (exchange);
   note_path (exchange, outcome);
+  exchange->submitted &= outcome == RPC_TIMEOUT;
   if (outcome == RPC_OK)
     note_answer (exchange, res);
   report = report_of (exchange, outcome, res);
+  /* It was chosen in ignorance; knowingly it may be chosen again. */
+  if (outcome == RPC_OK && res->reason == SW_REASON_SICK && exchange->tried->len > 0)
+    g_ptr_array_set_size (exchange->tried, (gint)exchange->tried->len - 1);
   step = dispatch_sent (exchange->dispatch, report,
                         outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
                         outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
@@ -194,44 +267,48 @@
   if (outcome == RPC_OK)
     note_answer (exchange, res);
   report = report_of (exchange, outcome, res);
+  exchange->submitted &= report != DISPATCH_REFUSED;
   step = dispatch_asked (exchange->dispatch, report,
                          outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
                          outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
   carry_out (exchange, &step);
 }
 
-static void
-fill_attempt (const Exchange *exchange, sw_attempt *attempt)
+/* The headers for the target: the caller's that go on, and what the dialect adds. */
+static GArray *
+forwarded_headers (const Exchange *exchange)
 {
-  attempt->node = exchange->attempt.node;
-  attempt->incarnation = exchange->attempt.incarnation;
-  attempt->counter = exchange->attempt.counter;
-}
+  const Node *node = exchange->owner->node;
+  const Dialect *dialect = node->adapter->dialect;
+  const GArray *headers = http_request_headers (exchange->request);
+  GArray *forwarded = http_headers_new ();
 
-static gboolean
-is_forwarded (const char *name)
-{
-  return !http_header_is_hop (name) && g_ascii_strncasecmp (name, "Switchmill-", 11) != 0;
+  dialect->add_origin (node->settings, forwarded);
+  for (guint i = 0; i < headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      if (!http_header_is_hop (header->name) && dialect->forwards (header->name))
+        http_headers_add (forwarded, header->name, header->value);
+    }
+  return forwarded;
 }
 
+/* `headers` lends its texts to the arguments. */
 static void
-fill_headers (const HttpRequest *request, sw_submit_args *args)
+fill_headers (const GArray *headers, sw_submit_args *args)
 {
-  const GArray *headers = http_request_headers (request);
-  u_int count = 0;
+  guint count = MIN (headers->len, SW_HEADERS_MAX);
 
-  args->headers.headers_val = g_new0 (sw_header, headers->len + 1);
-  for (guint i = 0; i < headers->len && count < SW_HEADERS_MAX; i++)
+  args->headers.headers_val = g_new0 (sw_header, count + 1);
+  args->headers.headers_len = count;
+  for (guint i = 0; i < count; i++)
     {
       const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
 
-      if (!is_forwarded (header->name))
-        continue;
-      args->headers.headers_val[count].name = header->name;
-      args->headers.headers_val[count].value = header->value;
-      count++;
+      args->headers.headers_val[i].name = header->name;
+      args->headers.headers_val[i].value = header->value;
     }
-  args->headers.headers_len = count;
 }
 
 /*
@@ -258,6 +335,7 @@
   Exchange *exchange = data;
   Node *node = exchange->owner->node;
   const GByteArray *body = http_request_body (exchange->request);
+  g_autoptr (GArray) headers = NULL;
   SiblingMedians siblings;
   sw_submit_args args = { 0 };
   DispatchStep step;
@@ -283,13 +361,16 @@
   args.remaining_ms = (u_int)MAX (1, exchange->remaining_us / MS_US);
   args.priority = exchange->route->priority;
   args.repeatable = exchange->route->repeatable;
+  args.even_sick = exchange->even_sick;
   args.sibling_latency_us = siblings.latency_us;
   args.sibling_failures_ppm = siblings.failures_ppm;
   args.method = (char *)http_request_method (exchange->request);
   args.path = (char *)http_request_target (exchange->request);
   args.body.body_val = (char *)body->data;
   args.body.body_len = body->len;
-  fill_headers (exchange->request, &args);
+  headers = forwarded_headers (exchange);
+  fill_headers (headers, &args);
+  exchange->submitted = TRUE;
   metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
   peers_call (node->peers, exchange->target->vm, &submit, &args, exchange->wait_us,
               on_submitted, exchange);
@@ -307,7 +388,8 @@
   balancer_begin (node->balancer, exchange->target->name);
   if (dispatch_attempts (exchange->dispatch) > 1)
     metrics_add (node->metrics, METRIC_RETRIES, 1);
-  peers_open (node->peers, exchange->target->vm, step->wait_us, on_session, exchange);
+  peers_open (node->peers, exchange->target->vm, MIN (step->wait_us, OPEN_TIMEOUT_US),
+              on_session, exchange);
 }
 
 /* The question goes to the incarnation that the attempt was sent to, or is pointless. */
@@ -358,6 +440,21 @@
   return exchange->target && strcmp (exchange->target->vm, exchange->ticket->vm) == 0;
 }
 
+/* Takes up what has become of the service since the last choice. */
+static void
+refresh_targets (Exchange *exchange)
+{
+  Snapshot *newest = config_sync_snapshot (exchange->owner->node->config);
+  const Service *service = snapshot_service (newest, exchange->service->name);
+
+  if (newest == exchange->targets || !service)
+    return;
+  snapshot_unref (exchange->targets);
+  exchange->targets = snapshot_ref (newest);
+  exchange->service = service;
+  exchange->target = NULL;
+}
+
 static void
 choose (Exchange *exchange)
 {
@@ -365,6 +462,8 @@
   BalancerChoice choice = { 0 };
   DispatchStep step;
 
+  cancel_attempt (exchange);
+  refresh_targets (exchange);
   if (exchange->ticket)
     {
       step = dispatch_chosen (exchange->dispatch, choose_ticket_target (exchange), 0);
@@ -377,8 +476,9 @@
   if (choice.target)
     {
       exchange->target = choice.target;
-      g_ptr_array_add (exchange->tried, choice.target->name);
+      g_ptr_array_add (exchange->tried, g_strdup (choice.target->name));
     }
+  exchange->even_sick = choice.sick;
   if (choice.trial)
     metrics_add (node->metrics, METRIC_TRIALS, 1);
   step =
@@ -395,9 +495,24 @@
   carry_out (exchange, &step);
 }
 
+/* Nothing more is begun for a caller who has gone. */
+static void
+abandon (Exchange *exchange)
+{
+  cancel_attempt (exchange);
+  metrics_add (exchange->owner->node->metrics, METRIC_ABANDONED, 1);
+  http_request_drop (exchange->request);
+  exchange_free (exchange);
+}
+
 static void
 carry_out (Exchange *exchange, const DispatchStep *step)
 {
+  if (exchange->abandoned && step->kind != DISPATCH_ANSWER)
+    {
+      abandon (exchange);
+      return;
+    }
   switch (step->kind)
     {
     case DISPATCH_CHOOSE:
@@ -454,12 +569,15 @@
   Exchange *exchange = g_new0 (Exchange, 1);
   DispatchPolicy policy = { .repeatable = order->route->repeatable,
                             .pinned = order->ticket != NULL,
-                            .attempts_max = ATTEMPTS_MAX };
+                            .slack_us = node->adapter->dialect->slack_us,
+                            .attempts_max = order->route->attempts };
 
   g_hash_table_add (exchanges->set, exchange);
   exchange->owner = exchanges;
   exchange->request = http_request_ref (order->request);
+  exchange->id = g_strdup (order->id);
   exchange->snapshot = snapshot_ref (order->snapshot);
+  exchange->targets = snapshot_ref (order->snapshot);
   exchange->route = order->route;
   exchange->service = order->service;
   exchange->ticket = order->ticket;
@@ -469,7 +587,7 @@
       exchange->stamp = order->ticket->stamp;
     }
   exchange->began_us = clock_now (node->clock);
-  exchange->tried = g_ptr_array_new ();
+  exchange->tried = g_ptr_array_new_with_free_func (g_free);
   exchange->timer = loop_timer_create (node->loop, on_pause_over, exchange);
   policy.deadline_us = exchange->began_us + order->span_us;
   exchange->dispatch = dispatch_create (&policy, order->budget, node->rand, node->clock);
@@ -482,6 +600,7 @@
   Exchange *exchange = exchange_create (exchanges, order);
   DispatchStep step = dispatch_begin (exchange->dispatch);
 
+  http_request_watch_gone (exchange->request, on_caller_gone, exchange);
   carry_out (exchange, &step);
 }
 
@@ -491,12 +610,14 @@
   Exchange *exchange = data;
   Node *node = exchange->owner->node;
   Ticket ticket = { .attempt = &exchange->attempt };
+  Verdict verdict = { .outcome = OUTCOME_NOT_RUN };
   g_autoptr (GArray) headers = NULL;
   g_autofree char *text = NULL;
 
   if (!stamp)
     {
-      answer_error (exchange->request, HTTP_UNAVAILABLE, "no ticket can be had now");
+      answer_error (node->adapter->dialect, exchange->request, exchange->id,
+                    HTTP_UNAVAILABLE, "no ticket can be had now");
       exchange_free (exchange);
       return;
     }
@@ -508,7 +629,7 @@
   text = ticket_text (&ticket, node->settings->fleet_token);
   headers = http_headers_new ();
   http_headers_add (headers, TICKET_HEADER, text);
-  http_headers_add (headers, OUTCOME_HEADER, outcome_name (OUTCOME_NOT_RUN));
+  node->adapter->dialect->add_verdict (&verdict, NULL, headers);
   http_request_answer (exchange->request, HTTP_CREATED, headers, "", 0);
   exchange_free (exchange);
 }
@@ -539,9 +660,11 @@
     {
       const Exchange *exchange = key;
       gboolean sent = exchange->ticket || dispatch_attempts (exchange->dispatch) > 0;
+      Verdict verdict = { sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, REASON_DRAINING,
+                          SECOND_US };
 
-      answer_give_up (exchange->request, sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-                      REASON_DRAINING, SECOND_US);
+      answer_give_up (exchanges->node->adapter->dialect, exchange->request, exchange->id,
+                      &verdict);
     }
   return g_hash_table_size (exchanges->set);
 }
--- a/daemon/src/exchange.h
+++ b/daemon/src/exchange.h
@@ -16,6 +16,7 @@
 typedef struct
 {
   HttpRequest *request;
+  const char *id;     /* the caller's own, NULL for none; copied */
   Snapshot *snapshot; /* holds route and service alive */
   const Route *route;
   const Service *service;
--- a/daemon/src/gossip.c
+++ b/daemon/src/gossip.c
@@ -331,23 +331,43 @@
                     members_next_tick_us (node->members) - clock_now (node->clock));
 }
 
-/* A member's verdicts on its targets; those that it leaves out are well. */
+/* The target that registered itself at a member; a member that has gone has none. */
 static void
-take_verdicts (Node *node, const Member *member)
+take_registration (Node *node, const Member *member, const sw_member_payload *payload)
 {
-  sw_verdicts verdicts = { 0 };
+  const sw_registration *words = payload->registrations.registrations_val;
+  Registration registration = { .address = "" };
+
+  if (!members_is_alive (member) || payload->registrations.registrations_len == 0)
+    {
+      config_sync_set_registration (node->config, member->node, member->hall, NULL);
+      return;
+    }
+  registration.name = words->target;
+  registration.service = words->service;
+  registration.slots = words->slots;
+  registration.leaving = words->leaving;
+  config_sync_set_registration (node->config, member->node, member->hall, &registration);
+}
+
+/* What a member says of its targets; verdicts that it leaves out are good ones. */
+static void
+take_payload (Node *node, const Member *member)
+{
+  sw_member_payload payload = { 0 };
 
   if (member->payload &&
-      !wire_unpack ((xdrproc_t)xdr_sw_verdicts, member->payload, &verdicts))
+      !wire_unpack ((xdrproc_t)xdr_sw_member_payload, member->payload, &payload))
     return;
-  for (guint i = 0; i < verdicts.list.list_len; i++)
+  for (guint i = 0; i < payload.verdicts.verdicts_len; i++)
     {
-      const sw_verdict *verdict = &verdicts.list.list_val[i];
+      const sw_verdict *verdict = &payload.verdicts.verdicts_val[i];
 
       balancer_note_verdict (node->balancer, verdict->target, member->incarnation,
                              verdict->serial, verdict->severity, verdict->draining);
     }
-  xdr_free ((xdrproc_t)xdr_sw_verdicts, (char *)&verdicts);
+  take_registration (node, member, &payload);
+  xdr_free ((xdrproc_t)xdr_sw_member_payload, (char *)&payload);
 }
 
 static void
@@ -358,7 +378,7 @@
 
   balancer_set_member (node->balancer, member->node, member->incarnation,
                        members_is_alive (member));
-  take_verdicts (node, member);
+  take_payload (node, member);
   log_event (G_LOG_LEVEL_DEBUG, "member", "SUBJECT", member->node, "DETAIL",
              names[member->status], NULL);
 }
@@ -415,6 +435,14 @@
     }
 }
 
+void
+gossip_join (Gossip *gossip, const char *const *addresses)
+{
+  for (guint i = 0; addresses[i]; i++)
+    send_call (gossip, addresses[i], NULL, SW_PROBE, NULL,
+               RELAY_SEQUENCES | ++gossip->relay_sequence);
+}
+
 void
 gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res)
 {
--- a/daemon/src/gossip.h
+++ b/daemon/src/gossip.h
@@ -22,6 +22,9 @@
 /* Tells a few members at once, rather than with the next probe. */
 void gossip_push (Gossip *gossip);
 
+/* Makes itself known at each of the addresses (NULL-terminated). */
+void gossip_join (Gossip *gossip, const char *const *addresses);
+
 /* The members in the buckets that differ; `rumours` is to be freed, its texts not. */
 void gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res);
 
--- a/daemon/src/ingress.c
+++ b/daemon/src/ingress.c
@@ -4,11 +4,15 @@
 
 #include <io/http-server.h>
 
+#include <core/split.h>
+
+#include "adapter.h"
 #include "answer.h"
 #include "config-sync.h"
 #include "exchange.h"
 
-#define CALLER_DEADLINE_HEADER "Switchmill-Deadline-Ms"
+/* Hundredths of a retry, in which budgets are counted. */
+#define RETRY_HUNDREDTHS 100u
 #define HTTP_BAD_REQUEST 400
 #define HTTP_UNAUTHORIZED 401
 #define HTTP_NOT_FOUND 404
@@ -20,6 +24,8 @@
   HttpServer *server;
   GHashTable *budgets; /* service → RetryBudget */
   Exchanges *exchanges;
+  Splitter *splitter;
+  guint64 split_generation; /* of the routes that the splitter's turns belong to */
   gboolean draining;
 };
 
@@ -34,30 +40,37 @@
       g_hash_table_insert (ingress->budgets, g_strdup (service->name), budget);
     }
   retry_budget_set_percent (budget, service->retry_percent);
+  /* What the fleet may save up is shared out among its ingresses. */
+  if (service->retry_burst > 0)
+    retry_budget_set_burst (budget, service->retry_burst * RETRY_HUNDREDTHS /
+                                        members_count_alive (ingress->node->members));
   return budget;
 }
 
 /* The route's deadline, which a caller may shorten. */
 static gint64
-deadline_span (const HttpRequest *request, const Route *route)
+deadline_span (const CallerWords *words, const Route *route)
 {
-  const char *text = http_request_header (request, CALLER_DEADLINE_HEADER);
-  guint64 ms;
-
-  if (!text ||
-      !g_ascii_string_to_unsigned (text, 10, 1, CONFIG_DEADLINE_MAX_MS, &ms, NULL))
+  if (words->wait_us <= 0)
     return route->deadline_us;
-  return MIN (route->deadline_us, (gint64)ms * MS_US);
+  return MIN (route->deadline_us, words->wait_us);
+}
+
+static const Dialect *
+dialect_of (const Ingress *ingress)
+{
+  return ingress->node->adapter->dialect;
 }
 
 /* Runs the request, or gives the ticket out that it asks for. */
 static void
 begin (Ingress *ingress, ExchangeOrder *order)
 {
-  const char *text = http_request_header (order->request, TICKET_HEADER);
+  const char *text = dialect_of (ingress)->tickets
+                         ? http_request_header (order->request, TICKET_HEADER)
+                         : NULL;
 
   order->budget = budget_of (ingress, order->service);
-  order->span_us = deadline_span (order->request, order->route);
   if (!text || order->route->repeatable)
     {
       exchanges_begin (ingress->exchanges, order);
@@ -75,28 +88,20 @@
       return;
     }
   ticket_free (order->ticket);
-  answer_error (order->request, HTTP_BAD_REQUEST, "this is no ticket for this service");
-}
-
-/* Segments that other parties may resolve differently are not routed at all. */
-static gboolean
-path_is_plain (const char *path)
-{
-  return *path == '/' && !strstr (path, "/../") && !strstr (path, "/./") &&
-         !strstr (path, "//") && !g_str_has_suffix (path, "/..") &&
-         !g_str_has_suffix (path, "/.") && !strchr (path, '\\');
+  answer_error (dialect_of (ingress), order->request, order->id, HTTP_BAD_REQUEST,
+                "this is no ticket for this service");
 }
 
-static char *
-host_of (const HttpRequest *request)
+/* The service that a request on a route goes to; its turn, where the route is shared. */
+static const Service *
+service_of (Ingress *ingress, const Snapshot *snapshot, const Route *route)
 {
-  const char *header = http_request_header (request, "Host");
-  char *host = g_ascii_strdown (header ? header : "", -1);
-  char *colon = strrchr (host, ':');
-
-  if (colon)
-    *colon = '\0';
-  return host;
+  if (ingress->split_generation != snapshot_generation (snapshot))
+    {
+      splitter_prune (ingress->splitter);
+      ingress->split_generation = snapshot_generation (snapshot);
+    }
+  return snapshot_service (snapshot, splitter_pick (ingress->splitter, route));
 }
 
 /* "Authorization: Bearer ID:KEY" of an account of the tenant. */
@@ -122,66 +127,90 @@
          settings_secret_equal (account->key_sha256, digest);
 }
 
-static void
-on_request (HttpRequest *request, gpointer data)
+/* Finds route and service; answers and returns FALSE when the request has none. */
+static gboolean
+find_route (Ingress *ingress, const CallerWords *words, ExchangeOrder *order)
 {
-  Ingress *ingress = data;
-  Snapshot *snapshot = config_sync_snapshot (ingress->node->config);
-  g_autofree char *host = host_of (request);
-  const char *path = http_request_path (request);
-  const Service *service;
-  const Route *route;
-  ExchangeOrder order = { .request = request, .snapshot = snapshot };
+  const char *method = http_request_method (order->request);
 
-  if (ingress->draining)
+  order->route = snapshot_route (order->snapshot, words->host, words->path, method);
+  if (order->route)
+    order->service = service_of (ingress, order->snapshot, order->route);
+  if (!order->service)
     {
-      answer_error (request, HTTP_UNAVAILABLE, "this node is stopping; ask another");
-      return;
+      answer_error (dialect_of (ingress), order->request, words->id, HTTP_NOT_FOUND,
+                    "no route for this method and path");
+      return FALSE;
     }
-  if (!config_sync_ready (ingress->node->config))
-    {
-      answer_error (request, HTTP_UNAVAILABLE, "this node has no configuration yet");
-      return;
-    }
-  if (!path_is_plain (path))
-    {
-      answer_error (request, HTTP_BAD_REQUEST, "the path must be absolute and plain");
-      return;
-    }
-  route = snapshot_route (snapshot, host, path, http_request_method (request));
-  service = route ? snapshot_service (snapshot, route->service) : NULL;
-  if (!service)
-    {
-      answer_error (request, HTTP_NOT_FOUND, "no route for this method and path");
-      return;
-    }
-  if (route->account && !is_allowed (request, snapshot, service->tenant))
-    {
-      answer_error (request, HTTP_UNAUTHORIZED, "an account of this tenant is needed");
-      return;
-    }
-  order.route = route;
-  order.service = service;
+  if (!order->route->account ||
+      is_allowed (order->request, order->snapshot, order->service->tenant))
+    return TRUE;
+  answer_error (dialect_of (ingress), order->request, words->id, HTTP_UNAUTHORIZED,
+                "an account of this tenant is needed");
+  return FALSE;
+}
+
+static void
+route_request (Ingress *ingress, HttpRequest *request, const CallerWords *words)
+{
+  ExchangeOrder order = { .request = request,
+                          .snapshot = config_sync_snapshot (ingress->node->config),
+                          .id = words->id };
+
+  if (!find_route (ingress, words, &order))
+    return;
+  order.span_us = deadline_span (words, order.route);
   begin (ingress, &order);
 }
 
+/* Why this node takes no requests now, or NULL. */
+static const char *
+unavailable (const Ingress *ingress)
+{
+  if (ingress->draining)
+    return "this node is stopping; ask another";
+  if (!config_sync_ready (ingress->node->config))
+    return "this node has no configuration yet";
+  return NULL;
+}
+
+static void
+on_request (HttpRequest *request, gpointer data)
+{
+  Ingress *ingress = data;
+  const Dialect *dialect = dialect_of (ingress);
+  CallerWords words = { 0 };
+  const char *fault = dialect->decode (request, &words);
+  const char *why = unavailable (ingress);
+
+  if (why)
+    answer_error (dialect, request, words.id, HTTP_UNAVAILABLE, why);
+  else if (fault)
+    answer_error (dialect, request, words.id, HTTP_BAD_REQUEST, fault);
+  else
+    route_request (ingress, request, &words);
+  caller_words_clear (&words);
+}
+
 Ingress *
 ingress_create (Node *node, GError **error)
 {
   const Settings *settings = node->settings;
   HttpLimits limits = { settings->connections_max, settings->header_max,
-                        settings->body_max, settings->read_us };
+                        settings->body_max, settings->read_us, settings->idle_us };
   Ingress *ingress = g_new0 (Ingress, 1);
 
   ingress->node = node;
   ingress->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)retry_budget_destroy);
   ingress->exchanges = exchanges_create (node);
+  ingress->splitter = splitter_create ();
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
                                         on_request, ingress, error);
   if (ingress->server)
     return ingress;
   exchanges_destroy (ingress->exchanges);
+  splitter_destroy (ingress->splitter);
   g_hash_table_unref (ingress->budgets);
   g_free (ingress);
   return NULL;
@@ -194,10 +223,17 @@
     return;
   http_server_destroy (ingress->server);
   exchanges_destroy (ingress->exchanges);
+  splitter_destroy (ingress->splitter);
   g_hash_table_unref (ingress->budgets);
   g_free (ingress);
 }
 
+void
+ingress_close_connections (Ingress *ingress)
+{
+  http_server_set_closing (ingress->server);
+}
+
 void
 ingress_drain (Ingress *ingress)
 {
--- a/daemon/src/ingress.h
+++ b/daemon/src/ingress.h
@@ -10,6 +10,9 @@
 Ingress *ingress_create (Node *node, GError **error);
 void ingress_destroy (Ingress *ingress);
 
+/* Serves on, but each answer closes its connection, so that callers go elsewhere. */
+void ingress_close_connections (Ingress *ingress);
+
 /* Answers new requests with "not run" from now on, and lets those in flight end. */
 void ingress_drain (Ingress *ingress);
 
--- a/daemon/src/main.c
+++ b/daemon/src/main.c
@@ -12,6 +12,9 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <platform/adapter.h>
+
+#include "adapter.h"
 #include "log.h"
 #include "node-run.h"
 
@@ -32,6 +35,7 @@
   sigemptyset (&set);
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
   sigprocmask (SIG_BLOCK, &set, NULL);
   signal (SIGPIPE, SIG_IGN);
   return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -43,7 +47,11 @@
   struct signalfd_siginfo info;
 
   while (read (fd, &info, sizeof info) == sizeof info)
-    node_run_stop (data);
+    if (info.ssi_signo == SIGHUP)
+      log_event (G_LOG_LEVEL_INFO, "reload", "DETAIL",
+                 "settings are read at the start only", NULL);
+    else
+      node_run_stop (data);
 }
 
 static Settings *
@@ -79,7 +87,9 @@
   Clock *clock = clock_create_monotonic ();
   Loop *loop = loop_create (clock);
   int signals = open_signals ();
-  NodeRun *run = node_run_create (settings, clock, loop, &error);
+  const Adapter *adapter =
+      settings->platform == PLATFORM_OBJECTS ? &adapter_objects : &adapter_own;
+  NodeRun *run = node_run_create (settings, adapter, clock, loop, &error);
   LoopFd *watch;
   guint cut;
 
--- a/daemon/src/node-run.h
+++ b/daemon/src/node-run.h
@@ -9,8 +9,11 @@
 typedef struct NodeRun NodeRun;
 
 /* NULL, with `error` set, when an address cannot be bound. All arguments are borrowed. */
-NodeRun *
-node_run_create (const Settings *settings, Clock *clock, Loop *loop, GError **error);
+NodeRun *node_run_create (const Settings *settings,
+                          const struct Adapter *adapter,
+                          Clock *clock,
+                          Loop *loop,
+                          GError **error);
 void node_run_destroy (NodeRun *run);
 
 /*
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -2,6 +2,7 @@
 
 #include <apr_general.h>
 
+#include "adapter.h"
 #include "calls.h"
 #include "config-sync.h"
 #include "gossip.h"
@@ -9,6 +10,8 @@
 #include "log.h"
 #include "operators.h"
 #include "peers.h"
+#include "readiness.h"
+#include "registry.h"
 #include "sidecar.h"
 #include "vm-list.h"
 
@@ -68,8 +71,12 @@
 on_stop_check (gpointer data)
 {
   NodeRun *run = data;
-  gboolean quiet = in_flight (run) == 0 && stop_age (run) >= STOP_LINGER_US;
+  const Settings *settings = run->node.settings;
+  gboolean quiet =
+      in_flight (run) == 0 && stop_age (run) >= MAX (STOP_LINGER_US, settings->linger_us);
 
+  if (stop_age (run) >= settings->linger_us)
+    ingress_drain (run->node.ingress);
   if (run->ending)
     end (run);
   else if (quiet || run->hurried || stop_age (run) >= run->node.settings->stop_us)
@@ -92,7 +99,9 @@
   run->stop_began_us = clock_now (node->clock);
   log_event (G_LOG_LEVEL_INFO, "stopping", NULL);
   sidecar_drain (node->sidecar);
-  ingress_drain (node->ingress);
+  ingress_close_connections (node->ingress);
+  if (node->settings->linger_us == 0)
+    ingress_drain (node->ingress);
   loop_timer_start (run->stop, STOP_CHECK_US);
 }
 
@@ -127,14 +136,45 @@
   return node->operators != NULL;
 }
 
+/* The listeners that only some deployments have. */
+static gboolean
+create_optional_listeners (Node *node, GError **error)
+{
+  if (node->settings->registration_address)
+    {
+      node->registry = registry_create (node, error);
+      if (!node->registry)
+        return FALSE;
+    }
+  if (!node->settings->readiness_address)
+    return TRUE;
+  node->readiness = readiness_create (node, error);
+  return node->readiness != NULL;
+}
+
+/* What reaches out to the platform by itself. */
+static void
+start_platform (Node *node)
+{
+  if (node->adapter->vm_list)
+    node->vm_list = vm_list_create (node);
+  if (node->adapter->discovery_create)
+    node->discovery = node->adapter->discovery_create (node);
+}
+
 NodeRun *
-node_run_create (const Settings *settings, Clock *clock, Loop *loop, GError **error)
+node_run_create (const Settings *settings,
+                 const Adapter *adapter,
+                 Clock *clock,
+                 Loop *loop,
+                 GError **error)
 {
   NodeRun *run = g_new0 (NodeRun, 1);
   Node *node = &run->node;
   Member self = { .node = settings->node, .hall = settings->hall };
 
   node->settings = settings;
+  node->adapter = adapter;
   node->clock = clock;
   node->loop = loop;
   node->rand = g_rand_new ();
@@ -150,10 +190,12 @@
   node->peers = peers_create (node);
   node->sidecar = sidecar_create (node);
   node->config = config_sync_create (node);
-  node->vm_list = vm_list_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
-  if (create_listeners (run, error))
-    return run;
+  if (create_listeners (run, error) && create_optional_listeners (node, error))
+    {
+      start_platform (node);
+      return run;
+    }
   node_run_destroy (run);
   return NULL;
 }
@@ -165,6 +207,9 @@
 
   /* What calls back goes first, then what would be called. */
   http_client_destroy (node->http);
+  if (node->adapter->discovery_destroy)
+    node->adapter->discovery_destroy (node->discovery);
+  readiness_destroy (node->readiness);
   operators_destroy (node->operators);
   rpc_server_destroy (run->rpc);
   peers_destroy (node->peers);
@@ -173,6 +218,7 @@
   vm_list_destroy (node->vm_list);
   config_sync_destroy (node->config);
   sidecar_destroy (node->sidecar);
+  registry_destroy (node->registry);
   balancer_destroy (node->balancer);
   members_destroy (node->members);
   events_destroy (node->events);
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -21,10 +21,14 @@
 typedef struct Ingress Ingress;
 typedef struct Operators Operators;
 typedef struct VmList VmList;
+typedef struct Registry Registry;
+typedef struct Readiness Readiness;
+struct Adapter;
 
 typedef struct
 {
   const Settings *settings;
+  const struct Adapter *adapter;
   Clock *clock;
   Loop *loop;
   GRand *rand;
@@ -40,7 +44,10 @@
   Sidecar *sidecar;
   Ingress *ingress;
   Operators *operators;
-  VmList *vm_list;
+  VmList *vm_list;      /* NULL where the platform keeps no such list */
+  Registry *registry;   /* NULL where targets do not register themselves */
+  Readiness *readiness; /* NULL for no such listener */
+  gpointer discovery;   /* the adapter's own; NULL for none */
   gboolean stopping;
 } Node;
 
--- a/daemon/src/operators.c
+++ b/daemon/src/operators.c
@@ -297,7 +297,7 @@
 {
   const Settings *settings = node->settings;
   HttpLimits limits = { CONNECTIONS_MAX, settings->header_max, BODY_MAX,
-                        settings->read_us };
+                        settings->read_us, settings->idle_us };
   Operators *operators = g_new0 (Operators, 1);
 
   operators->node = node;
--- /dev/null
+++ b/daemon/src/readiness.c
@@ -0,0 +1,61 @@
+#include "readiness.h"
+
+#include <string.h>
+
+#include <io/http-server.h>
+
+#include "config-sync.h"
+
+#define READY_PATH "/ready"
+#define CONNECTIONS_MAX 64u
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_UNAVAILABLE 503
+
+struct Readiness
+{
+  Node *node;
+  HttpServer *server;
+};
+
+static void
+on_request (HttpRequest *request, gpointer data)
+{
+  const Readiness *readiness = data;
+  const Node *node = readiness->node;
+
+  if (strcmp (http_request_path (request), READY_PATH) != 0)
+    http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
+  else if (node->stopping)
+    http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"ready\":false}");
+  else if (!config_sync_ready (node->config))
+    http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"ready\":false}");
+  else
+    http_request_answer_json (request, HTTP_OK, "{\"ready\":true}");
+}
+
+Readiness *
+readiness_create (Node *node, GError **error)
+{
+  const Settings *settings = node->settings;
+  HttpLimits limits = { CONNECTIONS_MAX, settings->header_max, 0, settings->read_us,
+                        settings->idle_us };
+  Readiness *readiness = g_new0 (Readiness, 1);
+
+  readiness->node = node;
+  readiness->server = http_server_create (node->loop, settings->readiness_address,
+                                          &limits, on_request, readiness, error);
+  if (readiness->server)
+    return readiness;
+  g_free (readiness);
+  return NULL;
+}
+
+void
+readiness_destroy (Readiness *readiness)
+{
+  if (!readiness)
+    return;
+  http_server_destroy (readiness->server);
+  g_free (readiness);
+}
--- /dev/null
+++ b/daemon/src/readiness.h
@@ -0,0 +1,14 @@
+/*
+ * Whether callers should send work to this node: GET /ready answers 200 while it has a
+ * configuration and does not stop, else 503.
+ */
+#ifndef DAEMON_READINESS_H
+#define DAEMON_READINESS_H
+
+#include "node.h"
+
+/* NULL, with `error` set, when the address cannot be bound. */
+Readiness *readiness_create (Node *node, GError **error);
+void readiness_destroy (Readiness *readiness);
+
+#endif
--- /dev/null
+++ b/daemon/src/registry.c
@@ -0,0 +1,244 @@
+#include "registry.h"
+
+#include <string.h>
+
+#include <core/names.h>
+#include <io/http-server.h>
+
+#include "config-sync.h"
+#include "log.h"
+
+#define PATH_PREFIX "/v1/targets/"
+#define HEARTBEAT_SUFFIX "/heartbeat"
+#define LEAVE_SUFFIX "/leave"
+/* A heartbeat is a few hundred bytes; its answer must stay under 4 KB. */
+#define BODY_MAX (16u * 1024)
+#define CONNECTIONS_MAX 64u
+/* Names of ended targets that are remembered, for a late heartbeat must not bring one
+   back. A target ends every few seconds at most, and a heartbeat is seconds late. */
+#define ENDED_MAX 64u
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define SLOTS_MAX 100000
+
+static const char *const state_names[] = { "serving", "leaving", NULL };
+
+struct Registry
+{
+  Node *node;
+  HttpServer *server;
+  char *target; /* the name of its present start; NULL before the first call */
+  char *service;
+  guint slots;
+  gboolean leaving;
+  gint64 sequence; /* of the last heartbeat that was taken */
+  GQueue ended;    /* of char *, oldest first */
+  gboolean news;
+};
+
+/* What one heartbeat says. */
+typedef struct
+{
+  char *service;
+  guint slots;
+  gboolean leaving;
+  gint64 sequence;
+} Heartbeat;
+
+static void
+heartbeat_clear (Heartbeat *heartbeat)
+{
+  g_free (heartbeat->service);
+}
+
+static gboolean
+heartbeat_read (const GByteArray *body, Heartbeat *heartbeat, JsonFaults *faults)
+{
+  JsonView *view = json_view_parse ((const char *)body->data, body->len, faults);
+
+  if (!view)
+    return FALSE;
+  heartbeat->service = g_strdup (names_required (view, "service"));
+  heartbeat->slots = (guint)json_view_int (view, "slots", 1, SLOTS_MAX, 1);
+  heartbeat->leaving = json_view_choice (view, "state", state_names, 0) == 1;
+  heartbeat->sequence = json_view_int (view, "sequence", 0, G_MAXINT64, 0);
+  json_view_release (view);
+  return json_faults_count (faults) == 0;
+}
+
+static gboolean
+has_ended (const Registry *registry, const char *name)
+{
+  return g_queue_find_custom ((GQueue *)&registry->ended, name, (GCompareFunc)strcmp) !=
+         NULL;
+}
+
+static void
+note_ended (Registry *registry, const char *name)
+{
+  if (has_ended (registry, name))
+    return;
+  g_queue_push_tail (&registry->ended, g_strdup (name));
+  if (g_queue_get_length (&registry->ended) > ENDED_MAX)
+    g_free (g_queue_pop_head (&registry->ended));
+}
+
+/* Puts the registration in force here, and on its way to the others. */
+static void
+publish (Registry *registry)
+{
+  Node *node = registry->node;
+  Registration registration = { registry->target, registry->service,
+                                node->settings->target_address, registry->slots,
+                                registry->leaving };
+
+  registry->news = TRUE;
+  config_sync_set_registration (node->config, node->settings->node, node->settings->hall,
+                                &registration);
+  events_add (node->events, registry->leaving ? "target-leaves" : "target-registered",
+              registry->target, registry->service);
+}
+
+static void
+take_heartbeat (Registry *registry, const char *name, const Heartbeat *heartbeat)
+{
+  gboolean same = g_strcmp0 (registry->target, name) == 0;
+
+  if (has_ended (registry, name) || (same && heartbeat->sequence <= registry->sequence))
+    return;
+  if (!same && registry->target)
+    note_ended (registry, registry->target);
+  registry->sequence = heartbeat->sequence;
+  /* A target that has said it leaves does not come back under the same name. */
+  if (same && (registry->leaving || registry->leaving == heartbeat->leaving) &&
+      strcmp (registry->service, heartbeat->service) == 0 &&
+      registry->slots == heartbeat->slots)
+    return;
+  g_free (registry->target);
+  registry->target = g_strdup (name);
+  g_free (registry->service);
+  registry->service = g_strdup (heartbeat->service);
+  registry->slots = heartbeat->slots;
+  registry->leaving = heartbeat->leaving;
+  publish (registry);
+}
+
+static void
+take_leave (Registry *registry, const char *name)
+{
+  note_ended (registry, name);
+  if (g_strcmp0 (registry->target, name) != 0 || registry->leaving)
+    return;
+  registry->leaving = TRUE;
+  publish (registry);
+}
+
+static void
+on_heartbeat (Registry *registry, HttpRequest *request, const char *name)
+{
+  JsonFaults *faults = json_faults_create ();
+  Heartbeat heartbeat = { 0 };
+
+  if (heartbeat_read (http_request_body (request), &heartbeat, faults))
+    {
+      take_heartbeat (registry, name, &heartbeat);
+      http_request_answer_json (request, HTTP_OK, "{}");
+    }
+  else
+    {
+      log_event (G_LOG_LEVEL_WARNING, "heartbeat-bad", "SUBJECT", name, "DETAIL",
+                 json_faults_get (faults, 0), NULL);
+      http_request_answer_json (request, HTTP_BAD_REQUEST, "{\"error\":\"not valid\"}");
+    }
+  json_faults_destroy (faults);
+  heartbeat_clear (&heartbeat);
+}
+
+/* The name between the prefix and `suffix`, or NULL; the caller frees it. */
+static char *
+name_in (const char *path, const char *suffix)
+{
+  g_autofree char *name = NULL;
+
+  if (!g_str_has_prefix (path, PATH_PREFIX) || !g_str_has_suffix (path, suffix) ||
+      strlen (path) <= strlen (PATH_PREFIX) + strlen (suffix))
+    return NULL;
+  path += strlen (PATH_PREFIX);
+  name = g_strndup (path, strlen (path) - strlen (suffix));
+  return names_valid (name) ? g_steal_pointer (&name) : NULL;
+}
+
+static void
+on_request (HttpRequest *request, gpointer data)
+{
+  Registry *registry = data;
+  const char *path = http_request_path (request);
+  g_autofree char *alive = name_in (path, HEARTBEAT_SUFFIX);
+  g_autofree char *leaves = name_in (path, LEAVE_SUFFIX);
+
+  if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
+    {
+      http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
+      return;
+    }
+  if (alive)
+    {
+      on_heartbeat (registry, request, alive);
+      return;
+    }
+  take_leave (registry, leaves);
+  http_request_answer_json (request, HTTP_OK, "{}");
+}
+
+Registry *
+registry_create (Node *node, GError **error)
+{
+  const Settings *settings = node->settings;
+  HttpLimits limits = { CONNECTIONS_MAX, settings->header_max, BODY_MAX,
+                        settings->read_us, settings->idle_us };
+  Registry *registry = g_new0 (Registry, 1);
+
+  registry->node = node;
+  g_queue_init (&registry->ended);
+  registry->server = http_server_create (node->loop, settings->registration_address,
+                                         &limits, on_request, registry, error);
+  if (registry->server)
+    return registry;
+  g_free (registry);
+  return NULL;
+}
+
+void
+registry_destroy (Registry *registry)
+{
+  if (!registry)
+    return;
+  http_server_destroy (registry->server);
+  g_queue_clear_full (&registry->ended, g_free);
+  g_free (registry->target);
+  g_free (registry->service);
+  g_free (registry);
+}
+
+gboolean
+registry_take_news (Registry *registry)
+{
+  gboolean news = registry && registry->news;
+
+  if (registry)
+    registry->news = FALSE;
+  return news;
+}
+
+guint
+registry_fill (const Registry *registry, sw_registration *registration)
+{
+  if (!registry || !registry->target)
+    return 0;
+  registration->target = registry->target;
+  registration->service = registry->service;
+  registration->slots = registry->slots;
+  registration->leaving = registry->leaving;
+  return 1;
+}
--- a/daemon/src/sidecar-target.c
+++ b/daemon/src/sidecar-target.c
@@ -38,6 +38,7 @@
   target->answer_max = service->answer_max;
   target->present = TRUE;
   admission_resize (target->admission, config->slots, service->queue);
+  admission_set_adaptive (target->admission, !service->fixed_limit);
   if (target->detection == service->detection)
     return;
   target->detection = service->detection;
--- a/daemon/src/sidecar.c
+++ b/daemon/src/sidecar.c
@@ -5,9 +5,9 @@
 #include <core/fence.h>
 #include <wire/convert.h>
 
+#include "adapter.h"
 #include "log.h"
 #include "sidecar-target.h"
-#include "target-answer.h"
 #include "verdicts.h"
 
 #define HTTP_SERVER_ERROR 500
@@ -16,7 +16,6 @@
 /* A running request this much slower than its siblings counts against the target. */
 #define OVERDUE_FACTOR 20
 #define OVERDUE_MIN_US (500 * MS_US)
-#define DEADLINE_HEADER "Switchmill-Deadline-Ms"
 
 /* Somebody who waits for the end of an attempt. */
 typedef struct
@@ -36,6 +35,7 @@
   GArray *waiters;
   gint64 deadline_us;
   gint64 started_us;
+  HttpCall *call; /* while it runs */
   gboolean running;
   gboolean overdue;
 } Submission;
@@ -166,9 +166,9 @@
 }
 
 static void
-observe (const Submission *submission, gboolean failed, gint64 took_us)
+observe (const Submission *submission, gboolean failed, gboolean broken, gint64 took_us)
 {
-  DetectorSample sample = { failed, took_us, submission->args.sibling_latency_us,
+  DetectorSample sample = { failed, broken, took_us, submission->args.sibling_latency_us,
                             submission->args.sibling_failures_ppm };
 
   detector_observe (submission->target->detector, &sample);
@@ -190,6 +190,30 @@
   fence_finish (sidecar->fence, submission->entry, packed);
 }
 
+/* The target did not run it: proof for the caller, and the place of an answer. */
+static void
+note_target_refusal (Submission *submission, sw_submit_res *res)
+{
+  res->retry_after_ms =
+      (u_int)(admission_retry_after_us (submission->target->admission) / MS_US);
+  metrics_add (submission->sidecar->node->metrics, METRIC_TARGET_REFUSED, 1);
+}
+
+static void
+log_failure (const Submission *submission,
+             const HttpResult *result,
+             const sw_submit_res *res)
+{
+  g_autofree char *status = g_strdup_printf ("%u", result->status);
+  g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, result->took_us);
+
+  log_event (G_LOG_LEVEL_INFO, "target-failed", "ATTEMPT_NODE",
+             submission->args.attempt.node, "TARGET", submission->target->name,
+             "EVEN_SICK", submission->args.even_sick ? "yes" : "no", "REASON",
+             reason_name ((Reason)res->reason), "STATUS", status, "TOOK_US", took,
+             "DETAIL", result->detail, NULL);
+}
+
 static void
 on_target_done (const HttpResult *result, gpointer data)
 {
@@ -199,10 +223,15 @@
   sw_submit_res res = { 0 };
   gboolean failed;
 
-  target_answer_judge (&submission->args.attempt, result, &res);
+  submission->call = NULL;
+  sidecar->node->adapter->dialect->judge (&submission->args, result, &res);
+  if (res.result == SW_REFUSED)
+    note_target_refusal (submission, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
-  if (!submission->overdue)
-    observe (submission, failed, result->took_us);
+  if (!submission->overdue && res.reason != SW_REASON_TARGET_REFUSED)
+    observe (submission, failed, res.result == SW_FAILED, result->took_us);
+  if (failed)
+    log_failure (submission, result, &res);
   if (failed)
     metrics_add (sidecar->node->metrics, METRIC_SIDECAR_FAILED, 1);
   admission_release (target->admission, failed ? -1 : result->took_us);
@@ -217,14 +246,11 @@
 {
   GArray *headers = http_headers_new ();
   const sw_submit_args *args = &submission->args;
-  g_autofree char *attempt = target_answer_attempt (&args->attempt);
-  g_autofree char *left = g_strdup_printf ("%" G_GINT64_FORMAT, left_us / MS_US);
 
   for (u_int i = 0; i < args->headers.headers_len; i++)
     http_headers_add (headers, args->headers.headers_val[i].name,
                       args->headers.headers_val[i].value);
-  http_headers_add (headers, ATTEMPT_HEADER, attempt);
-  http_headers_add (headers, DEADLINE_HEADER, left);
+  submission->sidecar->node->adapter->dialect->add_attempt (args, left_us, headers);
   return headers;
 }
 
@@ -268,7 +294,8 @@
   order.timeout_us = submission->deadline_us - now;
   order.answer_max = target->answer_max;
   metrics_add (sidecar->node->metrics, METRIC_SIDECAR_STARTED, 1);
-  http_client_send (sidecar->node->http, &order, on_target_done, submission);
+  submission->call =
+      http_client_send (sidecar->node->http, &order, on_target_done, submission);
 }
 
 /* An attempt that the table knows already: a copy, or a ticket used again. */
@@ -396,6 +423,14 @@
                    target ? SW_REASON_DRAINING : SW_REASON_NO_TARGET);
       return;
     }
+  if (!args->even_sick && detector_severity (target->detector) > 0)
+    {
+      if (entry)
+        fence_refuse (entry);
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                   SW_REASON_SICK);
+      return;
+    }
   submission = submission_create (sidecar, target, args);
   submission->entry = entry;
   if (entry)
@@ -437,6 +472,88 @@
     }
 }
 
+static Submission *
+find_submission (const Sidecar *sidecar, const AttemptId *id)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      AttemptId own;
+
+      fill_attempt (&((Submission *)key)->args.attempt, &own);
+      if (attempt_id_equal (&own, id))
+        return key;
+    }
+  return NULL;
+}
+
+/* Breaks off work that may be repeated; the target hears of it by the closed connection.
+ */
+static void
+break_off (Submission *submission)
+{
+  SidecarTarget *target = submission->target;
+  sw_submit_res res = { .result = SW_FAILED, .reason = SW_REASON_CANCELLED };
+
+  http_call_cancel (submission->call);
+  admission_release (target->admission, -1);
+  finish (submission, &res);
+  start_waiting (target);
+}
+
+void
+sidecar_cancel (Sidecar *sidecar, const sw_cancel_args *args)
+{
+  FenceEntry *entry;
+  Submission *submission;
+  AttemptId id;
+
+  fill_attempt (&args->attempt, &id);
+  submission = find_submission (sidecar, &id);
+  if (submission && submission->running)
+    {
+      if (args->repeatable)
+        break_off (submission);
+      return;
+    }
+  /* An attempt that may be on its way still is kept from starting. */
+  if (!args->repeatable)
+    fence_ask (sidecar->fence, &id, args->sidecar, (gint64)args->clock_us, &entry);
+  if (!submission)
+    return;
+  admission_withdraw (submission->target->admission, submission);
+  refuse (submission, SW_REASON_CANCELLED);
+}
+
+/* Those who wait at a target that leaves are better off elsewhere, at once. */
+static void
+refuse_waiting (Sidecar *sidecar)
+{
+  g_autoptr (GPtrArray) waiting = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Submission *submission = key;
+
+      if (!submission->running &&
+          sidecar_target_is_leaving (submission->target, sidecar->draining))
+        g_ptr_array_add (waiting, key);
+    }
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      Submission *submission = g_ptr_array_index (waiting, i);
+
+      admission_withdraw (submission->target->admission, submission);
+      refuse (submission, SW_REASON_DRAINING);
+    }
+}
+
 static void
 answer_late_waiters (Submission *submission, gint64 now)
 {
@@ -463,7 +580,7 @@
       !submission->args.sibling_latency_us || now - submission->started_us < bound)
     return;
   submission->overdue = TRUE;
-  observe (submission, TRUE, now - submission->started_us);
+  observe (submission, TRUE, TRUE, now - submission->started_us);
 }
 
 static void
@@ -579,6 +696,7 @@
           admission_queued (target->admission) == 0)
         g_hash_table_iter_remove (&iter);
     }
+  refuse_waiting (sidecar);
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
@@ -600,6 +718,7 @@
 sidecar_drain (Sidecar *sidecar)
 {
   sidecar->draining = TRUE;
+  refuse_waiting (sidecar);
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
--- a/daemon/src/sidecar.h
+++ b/daemon/src/sidecar.h
@@ -21,6 +21,10 @@
 void
 sidecar_fence (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_fence_args *args);
 
+/* Nobody waits for an attempt any more: it does not start, or is broken off where it may
+   be repeated. */
+void sidecar_cancel (Sidecar *sidecar, const sw_cancel_args *args);
+
 /* This sidecar's incarnation and clock, as of now; texts borrowed from the settings. */
 void sidecar_stamp (const Sidecar *sidecar, sw_stamp *stamp);
 
--- a/daemon/src/verdicts.c
+++ b/daemon/src/verdicts.c
@@ -3,6 +3,7 @@
 #include <wire/convert.h>
 
 #include "gossip.h"
+#include "registry.h"
 #include "sidecar-target.h"
 
 static void
@@ -25,9 +26,10 @@
 verdicts_publish (Node *node, GHashTable *targets, gboolean draining)
 {
   g_autofree sw_verdict *list = NULL;
-  sw_verdicts verdicts = { 0 };
+  sw_registration registration = { 0 };
+  sw_member_payload words = { 0 };
   g_autoptr (GBytes) payload = NULL;
-  gboolean changed = FALSE;
+  gboolean changed = registry_take_news (node->registry);
   GHashTableIter iter;
   gpointer value;
 
@@ -46,19 +48,21 @@
   if (!changed)
     return;
   list = g_new0 (sw_verdict, SW_VERDICTS_MAX);
-  verdicts.list.list_val = list;
+  words.verdicts.verdicts_val = list;
+  words.registrations.registrations_val = &registration;
+  words.registrations.registrations_len = registry_fill (node->registry, &registration);
   g_hash_table_iter_init (&iter, targets);
   while (g_hash_table_iter_next (&iter, NULL, &value) &&
-         verdicts.list.list_len < SW_VERDICTS_MAX)
+         words.verdicts.verdicts_len < SW_VERDICTS_MAX)
     {
       SidecarTarget *target = value;
 
       if (target->told)
-        list[verdicts.list.list_len++] =
+        list[words.verdicts.verdicts_len++] =
             (sw_verdict){ target->name, ++target->serial, target->told_severity,
                           target->told_leaving };
     }
-  payload = wire_pack ((xdrproc_t)xdr_sw_verdicts, &verdicts);
+  payload = wire_pack ((xdrproc_t)xdr_sw_member_payload, &words);
   members_set_payload (node->members, payload);
   gossip_push (node->gossip);
 }
--- a/io/include/io/http-client.h
+++ b/io/include/io/http-client.h
@@ -31,6 +31,7 @@
   GArray *headers; /* of HttpHeader */
   GByteArray *body;
   gint64 took_us;
+  const char *detail; /* the library's words on a call that failed, else "" */
 } HttpResult;
 
 typedef struct
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -17,6 +17,7 @@
   gsize header_max; /* bytes of request line and headers */
   gsize body_max;   /* bytes */
   gint64 read_us;   /* from the first byte's due to the whole request */
+  gint64 idle_us;   /* a connection without a request is closed after so long */
 } HttpLimits;
 
 typedef void (*HttpHandler) (HttpRequest *request, gpointer data);
@@ -32,6 +33,9 @@
 /* Stops taking connections; those open are served on. */
 void http_server_quiesce (HttpServer *server);
 
+/* Serves on, but closes each connection with its next answer. */
+void http_server_set_closing (HttpServer *server);
+
 /* Requests taken and not yet answered in full. */
 guint http_server_active (const HttpServer *server);
 
@@ -59,6 +63,12 @@
                           const void *body,
                           gsize len);
 
+/* Runs when the caller hangs up before the answer; at most once, from the loop. */
+typedef void (*HttpGoneFunc) (gpointer data);
+
+/* Asks to be told of a hang-up; `func` NULL asks no more. */
+void http_request_watch_gone (HttpRequest *request, HttpGoneFunc func, gpointer data);
+
 /* Closes the connection without an answer. */
 void http_request_drop (HttpRequest *request);
 
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -75,6 +75,9 @@
       curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       call->result.outcome = outcome_of (call, message->data.result);
       call->result.status = (guint)status;
+      call->result.detail = message->data.result == CURLE_OK
+                                ? ""
+                                : curl_easy_strerror (message->data.result);
       call->result.took_us = clock_now (loop_clock (client->loop)) - call->began_us;
       call->done (&call->result, call->data);
       call_free (call);
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -2,6 +2,7 @@
 
 #include <gio/gio.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,8 +10,9 @@
 #include <io/socket.h>
 
 #define SWEEP_US (SECOND_US / 4)
-/* An open connection without a request is kept so many times the reading time. */
-#define IDLE_FACTOR 8
+/* How soon a caller's hang-up is noticed at the latest: a quarter of the half second
+   after which work for nobody counts as waste at the users' platform. */
+#define GONE_CHECK_US (125 * MS_US)
 #define SLOW_ANSWER                                                                      \
   "HTTP/1.1 408 Request Timeout\r\nSwitchmill-Outcome: not-run\r\n"                      \
   "Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -32,6 +34,9 @@
   struct MHD_Daemon *daemon;
   LoopFd *watch;
   LoopTimer *sweep;
+  LoopTimer *gone_check;
+  GHashTable *watched; /* set of HttpRequest whose callers may hang up */
+  gboolean closing;
   HttpLimits limits;
   HttpHandler handler;
   gpointer data;
@@ -54,6 +59,8 @@
   gboolean handled;
   gboolean suspended;
   gboolean dropped;
+  HttpGoneFunc gone;
+  gpointer gone_data;
   guint status;
   struct MHD_Response *response;
 };
@@ -259,6 +266,7 @@
   if (!request)
     return;
   *context = NULL;
+  g_hash_table_remove (server->watched, request);
   if (request->server)
     server->active--;
   if (request->conn)
@@ -268,6 +276,7 @@
     }
   request->connection = NULL;
   request->conn = NULL;
+  request->server = NULL;
   http_request_unref (request);
 }
 
@@ -327,13 +336,59 @@
 
       if (conn->reading_since_us && now - conn->reading_since_us > server->limits.read_us)
         refuse_slow (conn);
-      else if (conn->idle_since_us &&
-               now - conn->idle_since_us > IDLE_FACTOR * server->limits.read_us)
+      else if (conn->idle_since_us && now - conn->idle_since_us > server->limits.idle_us)
         shutdown (conn->fd, SHUT_RDWR);
     }
   loop_timer_start (server->sweep, SWEEP_US);
 }
 
+/* Tells of those whose callers have hung up; each is told of once. */
+static void
+tell_gone (HttpServer *server, GPtrArray *requests, const struct pollfd *polls)
+{
+  for (guint i = 0; i < requests->len; i++)
+    {
+      HttpRequest *request = g_ptr_array_index (requests, i);
+
+      if (!(polls[i].revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)))
+        continue;
+      if (g_hash_table_remove (server->watched, request))
+        request->gone (request->gone_data);
+    }
+}
+
+/*
+ * libmicrohttpd does not look at a connection while its request is being worked on. One
+ * poll for all of them now and then does; unlike a watch in the loop it sees a hang-up
+ * behind requests that wait unread.
+ */
+static void
+on_gone_check (gpointer data)
+{
+  HttpServer *server = data;
+  guint count = g_hash_table_size (server->watched);
+  g_autofree struct pollfd *polls = g_new0 (struct pollfd, count + 1);
+  g_autoptr (GPtrArray) requests =
+      g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
+  GHashTableIter iter;
+  gpointer key;
+
+  if (count == 0)
+    return;
+  g_hash_table_iter_init (&iter, server->watched);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      HttpRequest *request = key;
+
+      polls[requests->len].fd = request->conn->fd;
+      polls[requests->len].events = POLLRDHUP;
+      g_ptr_array_add (requests, http_request_ref (request));
+    }
+  if (poll (polls, count, 0) > 0)
+    tell_gone (server, requests, polls);
+  loop_timer_start (server->gone_check, GONE_CHECK_US);
+}
+
 static void
 on_ready (int fd, LoopEvents ready, gpointer data)
 {
@@ -382,6 +437,7 @@
   server->handler = handler;
   server->data = data;
   server->conns = g_hash_table_new (NULL, NULL);
+  server->watched = g_hash_table_new (NULL, NULL);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, server,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, limits->connections_max,
@@ -395,12 +451,14 @@
                    address);
       close (fd);
       g_hash_table_unref (server->conns);
+      g_hash_table_unref (server->watched);
       g_free (server);
       return NULL;
     }
   info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   server->watch = loop_fd_create (loop, info->epoll_fd, LOOP_READ, on_ready, server);
   loop_add_prepare (loop, on_prepare, server);
+  server->gone_check = loop_timer_create (loop, on_gone_check, server);
   server->sweep = loop_timer_create (loop, on_sweep, server);
   loop_timer_start (server->sweep, SWEEP_US);
   return server;
@@ -423,12 +481,20 @@
     return;
   loop_remove_prepare (server->loop, server);
   loop_timer_destroy (server->sweep);
+  loop_timer_destroy (server->gone_check);
   loop_fd_destroy (server->watch);
   MHD_stop_daemon (server->daemon);
   g_hash_table_unref (server->conns);
+  g_hash_table_unref (server->watched);
   g_free (server);
 }
 
+void
+http_server_set_closing (HttpServer *server)
+{
+  server->closing = TRUE;
+}
+
 guint
 http_server_active (const HttpServer *server)
 {
@@ -507,9 +573,33 @@
       if (!http_header_is_hop (header->name))
         MHD_add_response_header (request->response, header->name, header->value);
     }
+  if (request->server && request->server->closing)
+    MHD_add_response_header (request->response, "Connection", "close");
+  http_request_watch_gone (request, NULL, NULL);
   wake (request);
 }
 
+void
+http_request_watch_gone (HttpRequest *request, HttpGoneFunc func, gpointer data)
+{
+  HttpServer *server = request->server;
+
+  request->gone = func;
+  request->gone_data = data;
+  if (!server)
+    return;
+  if (!func)
+    {
+      g_hash_table_remove (server->watched, request);
+      return;
+    }
+  if (!request->conn || !request->connection)
+    return;
+  if (g_hash_table_size (server->watched) == 0)
+    loop_timer_start (server->gone_check, GONE_CHECK_US);
+  g_hash_table_add (server->watched, request);
+}
+
 void
 http_request_drop (HttpRequest *request)
 {
--- a/standins/src/platform.c
+++ b/standins/src/platform.c
@@ -299,7 +299,7 @@
 main (int argc, char **argv)
 {
   g_autoptr (GError) error = NULL;
-  HttpLimits limits = { 4096, HEADER_MAX, BODY_MAX, 30 * SECOND_US };
+  HttpLimits limits = { 4096, HEADER_MAX, BODY_MAX, 30 * SECOND_US, 240 * SECOND_US };
 
   if (argc != 2)
     {
--- a/standins/src/relay.c
+++ b/standins/src/relay.c
@@ -207,7 +207,7 @@
 main (int argc, char **argv)
 {
   g_autoptr (GError) error = NULL;
-  HttpLimits limits = { 64, HEADER_MAX, 0, 10 * SECOND_US };
+  HttpLimits limits = { 64, HEADER_MAX, 0, 10 * SECOND_US, 80 * SECOND_US };
   struct sockaddr_in local;
   int tcp;
 
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -20,6 +20,7 @@
 #define SW_STATES_MAX 256
 #define SW_RUMOURS_MAX 64
 #define SW_VERDICTS_MAX 64
+#define SW_REGISTRATIONS_MAX 1
 #define SW_PAYLOAD_MAX 2048
 #define SW_BUCKETS 64
 #define SW_MEMBERS_MAX 4096
@@ -66,13 +67,25 @@
 };
 typedef struct sw_verdict sw_verdict;
 
-struct sw_verdicts {
+struct sw_registration {
+	char *target;
+	char *service;
+	u_int slots;
+	bool_t leaving;
+};
+typedef struct sw_registration sw_registration;
+
+struct sw_member_payload {
 	struct {
-		u_int list_len;
-		sw_verdict *list_val;
-	} list;
+		u_int verdicts_len;
+		sw_verdict *verdicts_val;
+	} verdicts;
+	struct {
+		u_int registrations_len;
+		sw_registration *registrations_val;
+	} registrations;
 };
-typedef struct sw_verdicts sw_verdicts;
+typedef struct sw_member_payload sw_member_payload;
 
 struct sw_rumour {
 	char *node;
@@ -114,6 +127,7 @@
 	u_int remaining_ms;
 	u_int priority;
 	bool_t repeatable;
+	bool_t even_sick;
 	u_int sibling_latency_us;
 	u_int sibling_failures_ppm;
 	char *method;
@@ -153,6 +167,10 @@
 	SW_REASON_TIMEOUT = 11,
 	SW_REASON_CROSSED = 12,
 	SW_REASON_TOO_LARGE = 13,
+	SW_REASON_TARGET_REFUSED = 14,
+	SW_REASON_TARGET_FAILED = 15,
+	SW_REASON_CANCELLED = 16,
+	SW_REASON_SICK = 17,
 };
 typedef enum sw_reason sw_reason;
 
@@ -203,6 +221,15 @@
 };
 typedef struct sw_gossip sw_gossip;
 
+struct sw_cancel_args {
+	sw_attempt attempt;
+	u_quad_t sidecar;
+	u_quad_t clock_us;
+	char *target;
+	bool_t repeatable;
+};
+typedef struct sw_cancel_args sw_cancel_args;
+
 struct sw_head_res {
 	u_quad_t generation;
 	struct {
@@ -273,6 +300,9 @@
 #define SW_VIEW 9
 extern  sw_view_res * sw_view_1(sw_view_args *, CLIENT *);
 extern  sw_view_res * sw_view_1_svc(sw_view_args *, struct svc_req *);
+#define SW_CANCEL 11
+extern  void * sw_cancel_1(sw_cancel_args *, CLIENT *);
+extern  void * sw_cancel_1_svc(sw_cancel_args *, struct svc_req *);
 #define SW_LEAVE 10
 extern  void * sw_leave_1(void *, CLIENT *);
 extern  void * sw_leave_1_svc(void *, struct svc_req *);
@@ -306,6 +336,9 @@
 #define SW_VIEW 9
 extern  sw_view_res * sw_view_1();
 extern  sw_view_res * sw_view_1_svc();
+#define SW_CANCEL 11
+extern  void * sw_cancel_1();
+extern  void * sw_cancel_1_svc();
 #define SW_LEAVE 10
 extern  void * sw_leave_1();
 extern  void * sw_leave_1_svc();
@@ -320,7 +353,8 @@
 extern  bool_t xdr_sw_target_state (XDR *, sw_target_state*);
 extern  bool_t xdr_sw_stamp (XDR *, sw_stamp*);
 extern  bool_t xdr_sw_verdict (XDR *, sw_verdict*);
-extern  bool_t xdr_sw_verdicts (XDR *, sw_verdicts*);
+extern  bool_t xdr_sw_registration (XDR *, sw_registration*);
+extern  bool_t xdr_sw_member_payload (XDR *, sw_member_payload*);
 extern  bool_t xdr_sw_rumour (XDR *, sw_rumour*);
 extern  bool_t xdr_sw_hello_args (XDR *, sw_hello_args*);
 extern  bool_t xdr_sw_hello_res (XDR *, sw_hello_res*);
@@ -331,6 +365,7 @@
 extern  bool_t xdr_sw_submit_res (XDR *, sw_submit_res*);
 extern  bool_t xdr_sw_fence_args (XDR *, sw_fence_args*);
 extern  bool_t xdr_sw_gossip (XDR *, sw_gossip*);
+extern  bool_t xdr_sw_cancel_args (XDR *, sw_cancel_args*);
 extern  bool_t xdr_sw_head_res (XDR *, sw_head_res*);
 extern  bool_t xdr_sw_part_args (XDR *, sw_part_args*);
 extern  bool_t xdr_sw_part_res (XDR *, sw_part_res*);
@@ -343,7 +378,8 @@
 extern bool_t xdr_sw_target_state ();
 extern bool_t xdr_sw_stamp ();
 extern bool_t xdr_sw_verdict ();
-extern bool_t xdr_sw_verdicts ();
+extern bool_t xdr_sw_registration ();
+extern bool_t xdr_sw_member_payload ();
 extern bool_t xdr_sw_rumour ();
 extern bool_t xdr_sw_hello_args ();
 extern bool_t xdr_sw_hello_res ();
@@ -354,6 +390,7 @@
 extern bool_t xdr_sw_submit_res ();
 extern bool_t xdr_sw_fence_args ();
 extern bool_t xdr_sw_gossip ();
+extern bool_t xdr_sw_cancel_args ();
 extern bool_t xdr_sw_head_res ();
 extern bool_t xdr_sw_part_args ();
 extern bool_t xdr_sw_part_res ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -163,13 +163,32 @@
 }
 
 bool_t
-xdr_sw_verdicts (XDR *xdrs, sw_verdicts *objp)
+xdr_sw_registration (XDR *xdrs, sw_registration *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, SW_VERDICTS_MAX,
+	 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, SW_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sw_member_payload (XDR *xdrs, sw_member_payload *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, SW_VERDICTS_MAX,
 		sizeof (sw_verdict), (xdrproc_t) xdr_sw_verdict))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->registrations.registrations_val, (u_int *) &objp->registrations.registrations_len, SW_REGISTRATIONS_MAX,
+		sizeof (sw_registration), (xdrproc_t) xdr_sw_registration))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -296,7 +315,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -304,6 +323,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->even_sick))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
@@ -313,6 +334,7 @@
 		IXDR_PUT_U_LONG(buf, objp->remaining_ms);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->repeatable);
+		IXDR_PUT_BOOL(buf, objp->even_sick);
 		IXDR_PUT_U_LONG(buf, objp->sibling_latency_us);
 		IXDR_PUT_U_LONG(buf, objp->sibling_failures_ppm);
 		}
@@ -337,7 +359,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -345,6 +367,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->even_sick))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
@@ -354,6 +378,7 @@
 		objp->remaining_ms = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->repeatable = IXDR_GET_BOOL(buf);
+		objp->even_sick = IXDR_GET_BOOL(buf);
 		objp->sibling_latency_us = IXDR_GET_U_LONG(buf);
 		objp->sibling_failures_ppm = IXDR_GET_U_LONG(buf);
 		}
@@ -385,6 +410,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->repeatable))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->even_sick))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
@@ -499,6 +526,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_cancel_args (XDR *xdrs, sw_cancel_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_sw_attempt (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sidecar))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->repeatable))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_head_res (XDR *xdrs, sw_head_res *objp)
 {
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -12,6 +12,7 @@
 const SW_STATES_MAX = 256;
 const SW_RUMOURS_MAX = 64;
 const SW_VERDICTS_MAX = 64;
+const SW_REGISTRATIONS_MAX = 1;
 const SW_PAYLOAD_MAX = 2048;
 const SW_BUCKETS = 64;
 const SW_MEMBERS_MAX = 4096;
@@ -57,9 +58,21 @@
   bool draining;
 };
 
-/* The payload of a rumour. Targets that it leaves out have always been well. */
-struct sw_verdicts {
-  sw_verdict list<SW_VERDICTS_MAX>;
+/* A target that has registered itself at the node beside it. */
+struct sw_registration {
+  string target<SW_NAME_MAX>;
+  string service<SW_NAME_MAX>;
+  unsigned int slots;
+  bool leaving;
+};
+
+/*
+ * The payload of a rumour: verdicts on targets, where those that it leaves out have always
+ * been well, and the targets that registered themselves, at most one of them serving.
+ */
+struct sw_member_payload {
+  sw_verdict verdicts<SW_VERDICTS_MAX>;
+  sw_registration registrations<SW_REGISTRATIONS_MAX>;
 };
 
 /*
@@ -98,6 +111,7 @@
   unsigned int remaining_ms;
   unsigned int priority;       /* 0 first */
   bool repeatable;
+  bool even_sick;              /* the ingress knows that the target is held sick */
   unsigned int sibling_latency_us;   /* medians over the service, as the ingress sees them; */
   unsigned int sibling_failures_ppm; /* 0 for not known */
   string method<32>;
@@ -128,7 +142,11 @@
   SW_REASON_BROKEN = 10,
   SW_REASON_TIMEOUT = 11,
   SW_REASON_CROSSED = 12,
-  SW_REASON_TOO_LARGE = 13
+  SW_REASON_TOO_LARGE = 13,
+  SW_REASON_TARGET_REFUSED = 14,
+  SW_REASON_TARGET_FAILED = 15,
+  SW_REASON_CANCELLED = 16,
+  SW_REASON_SICK = 17
 };
 
 struct sw_answer {
@@ -166,6 +184,15 @@
   sw_rumour rumours<SW_RUMOURS_MAX>;
 };
 
+/* An attempt that nobody waits for any more. */
+struct sw_cancel_args {
+  sw_attempt attempt;
+  unsigned hyper sidecar;
+  unsigned hyper clock_us;
+  string target<SW_NAME_MAX>;
+  bool repeatable;
+};
+
 struct sw_head_res {
   unsigned hyper generation;
   opaque head<1048576>;
@@ -201,6 +228,7 @@
     sw_head_res SW_HEAD (void) = 7;
     sw_part_res SW_PART (sw_part_args) = 8;
     sw_view_res SW_VIEW (sw_view_args) = 9;
+    void SW_CANCEL (sw_cancel_args) = 11;
     void SW_LEAVE (void) = 10;  /* the platform says that the callee's VM leaves */
   } = 1;
 } = 0x20057a11;
