Exchange: wait for an attempt while its node answers pings; a start stuck between parts

Ruled out: shutdown order (the request was cut 10 s before the process ended), membership after the restart (all nodes joined).

Change: an empty batch applies what there is; attempts wait to the deadline, and a watch pings a node that has been silent for 250 ms; what does not answer within 350 ms is lost, and only then another target or the fence is asked.

--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -3,7 +3,6 @@
 /* So many refusals that no target saw are followed by another try: more would mean that
    the whole service refuses, and the caller had better hear when to come back. */
 #define REFUSALS_MAX 3u
-#define ASK_MIN_US (100 * MS_US)
 #define ASK_HOLD_MAX_US (2 * SECOND_US)
 /* A caller is told to come back after this when nobody knows better. */
 #define RETRY_AFTER_DEFAULT_US SECOND_US
@@ -110,11 +109,9 @@
     return give_up (dispatch, REASON_DEADLINE);
   dispatch->attempts++;
   step.remaining_us = left;
-  /* At the deadline the sidecar answers by itself: half the slack is for its way. */
+  /* At the deadline the sidecar answers by itself: half the slack is for its way. A node
+     that has gone is noticed by the owner, long before. */
   step.wait_us = left + dispatch->policy.slack_us / 2;
-  /* A silent sidecar must leave time for another target, or for the fence. */
-  if (dispatch->attempts < dispatch->policy.attempts_max && !dispatch->policy.pinned)
-    step.wait_us = MAX (left / 2, MIN (left, ASK_MIN_US));
   return step;
 }
 
--- a/daemon/src/calls.c
+++ b/daemon/src/calls.c
@@ -142,6 +142,9 @@
     }
   switch (call->procedure)
     {
+    case SW_NULL:
+      rpc_conn_reply (conn, call->xid, wire_void, NULL);
+      break;
     case SW_SUBMIT:
       on_submit (node, conn, call->xid, in);
       break;
--- a/daemon/src/config-sync.c
+++ b/daemon/src/config-sync.c
@@ -319,6 +319,12 @@
   if (!sync->wanted || sync->fetching > 0)
     return;
   missing = missing_parts (sync);
+  if (g_hash_table_size (missing) == 0)
+    {
+      /* The last of them came from elsewhere since this batch was planned. */
+      apply (sync);
+      return;
+    }
   keys = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, missing);
   while (g_hash_table_iter_next (&iter, &key, NULL) && keys->len < FETCHES_AT_ONCE)
--- a/daemon/src/exchange.c
+++ b/daemon/src/exchange.c
@@ -8,6 +8,7 @@
 #include "answer.h"
 #include "config-sync.h"
 #include "log.h"
+#include "peer-watch.h"
 
 #define HTTP_SERVER_ERROR 500
 /* A connection to a node that is there is made in a round trip; 400 ms cover a lost
@@ -21,6 +22,12 @@
 
 typedef struct Exchange Exchange;
 
+/* One submission on its way: its answer may come when nobody waits for it any more. */
+typedef struct
+{
+  Exchange *exchange; /* NULL once it has been given up */
+} Pending;
+
 struct Exchanges
 {
   Node *node;
@@ -50,6 +57,8 @@
   gint64 remaining_us;
   gint64 hold_us;
   gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
+  Pending *pending;   /* the submission that is waited for; NULL for none */
+  PeerWatch *watch;   /* over the node that it went to */
   gboolean out;       /* an attempt is counted at the balancer */
   gboolean abandoned; /* the caller has hung up */
   gboolean submitted; /* a sidecar may hold the attempt */
@@ -68,11 +77,22 @@
 
 static void carry_out (Exchange *exchange, const DispatchStep *step);
 
+/* What still comes of the submission is not waited for any more. */
+static void
+drop_pending (Exchange *exchange)
+{
+  if (exchange->pending)
+    exchange->pending->exchange = NULL;
+  exchange->pending = NULL;
+  g_clear_pointer (&exchange->watch, peer_watch_destroy);
+}
+
 static void
 exchange_free (Exchange *exchange)
 {
   g_hash_table_remove (exchange->owner->set, exchange);
   http_request_watch_gone (exchange->request, NULL, NULL);
+  drop_pending (exchange);
   loop_timer_destroy (exchange->timer);
   dispatch_destroy (exchange->dispatch);
   g_ptr_array_unref (exchange->tried);
@@ -88,6 +108,7 @@
 static void
 attempt_over (Exchange *exchange)
 {
+  drop_pending (exchange);
   if (exchange->out)
     balancer_end (exchange->owner->node->balancer, exchange->target->name);
   exchange->out = FALSE;
@@ -233,16 +254,14 @@
 }
 
 static void
-on_submitted (RpcOutcome outcome, void *result, gpointer data)
+attempt_ended (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
 {
-  Exchange *exchange = data;
-  sw_submit_res *res = result;
   DispatchReport report;
   DispatchStep step;
 
   attempt_over (exchange);
   note_path (exchange, outcome);
-  exchange->submitted &= outcome == RPC_TIMEOUT;
+  exchange->submitted &= outcome == RPC_TIMEOUT || outcome == RPC_LOST;
   if (outcome == RPC_OK)
     note_answer (exchange, res);
   report = report_of (exchange, outcome, res);
@@ -255,6 +274,29 @@
   carry_out (exchange, &step);
 }
 
+static void
+on_submitted (RpcOutcome outcome, void *result, gpointer data)
+{
+  Pending *pending = data;
+  Exchange *exchange = pending->exchange;
+
+  if (exchange)
+    exchange->pending = NULL;
+  g_free (pending);
+  if (exchange)
+    attempt_ended (exchange, outcome, result);
+}
+
+/* The node does not even answer a ping: its answer is not to be expected. */
+static void
+on_node_lost (gpointer data)
+{
+  Exchange *exchange = data;
+
+  balancer_note_path (exchange->owner->node->balancer, exchange->target->vm, FALSE);
+  attempt_ended (exchange, RPC_LOST, NULL);
+}
+
 static void
 on_asked (RpcOutcome outcome, void *result, gpointer data)
 {
@@ -342,7 +384,7 @@
 
   if (!stamp)
     {
-      on_submitted (RPC_UNSENT, NULL, exchange);
+      attempt_ended (exchange, RPC_UNSENT, NULL);
       return;
     }
   if (!name_attempt (exchange, stamp))
@@ -372,8 +414,12 @@
   fill_headers (headers, &args);
   exchange->submitted = TRUE;
   metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
+  exchange->pending = g_new0 (Pending, 1);
+  exchange->pending->exchange = exchange;
+  exchange->watch =
+      peer_watch_create (node, exchange->target->vm, on_node_lost, exchange);
   peers_call (node->peers, exchange->target->vm, &submit, &args, exchange->wait_us,
-              on_submitted, exchange);
+              on_submitted, exchange->pending);
   g_free (args.headers.headers_val);
 }
 
--- /dev/null
+++ b/daemon/src/peer-watch.c
@@ -0,0 +1,84 @@
+#include "peer-watch.h"
+
+/* A node that has said nothing for so long is pinged. */
+#define QUIET_US (250 * MS_US)
+/* Long enough for a lost packet to be sent again (200 ms) and answered. */
+#define PING_TIMEOUT_US (350 * MS_US)
+
+typedef struct
+{
+  PeerWatch *watch; /* NULL when it has ended meanwhile */
+} Ping;
+
+struct PeerWatch
+{
+  Node *node;
+  char *vm;
+  LoopTimer *timer;
+  Ping *ping; /* on its way; NULL for none */
+  PeerWatchLost lost;
+  gpointer data;
+};
+
+static const RpcProcedure null_procedure = { SW_NULL, wire_void, wire_void, 0 };
+
+static void
+on_pinged (RpcOutcome outcome, void *result, gpointer data)
+{
+  Ping *ping = data;
+  PeerWatch *watch = ping->watch;
+
+  g_free (ping);
+  if (!watch)
+    return;
+  watch->ping = NULL;
+  /* A refusal is an answer too. */
+  if (outcome == RPC_OK || outcome == RPC_DENIED)
+    loop_timer_start (watch->timer, QUIET_US);
+  else
+    watch->lost (watch->data);
+}
+
+static void
+on_timer (gpointer data)
+{
+  PeerWatch *watch = data;
+  gint64 quiet =
+      clock_now (watch->node->clock) - peers_heard_us (watch->node->peers, watch->vm);
+
+  if (quiet < QUIET_US)
+    {
+      loop_timer_start (watch->timer, QUIET_US - quiet);
+      return;
+    }
+  watch->ping = g_new0 (Ping, 1);
+  watch->ping->watch = watch;
+  peers_call (watch->node->peers, watch->vm, &null_procedure, NULL, PING_TIMEOUT_US,
+              on_pinged, watch->ping);
+}
+
+PeerWatch *
+peer_watch_create (Node *node, const char *vm, PeerWatchLost lost, gpointer data)
+{
+  PeerWatch *watch = g_new0 (PeerWatch, 1);
+
+  watch->node = node;
+  watch->vm = g_strdup (vm);
+  watch->lost = lost;
+  watch->data = data;
+  watch->timer = loop_timer_create (node->loop, on_timer, watch);
+  loop_timer_start (watch->timer, QUIET_US);
+  return watch;
+}
+
+void
+peer_watch_destroy (PeerWatch *watch)
+{
+  if (!watch)
+    return;
+  if (watch->ping)
+    watch->ping->watch = NULL;
+  loop_timer_destroy (watch->timer);
+  g_free (watch->vm);
+  g_free (watch);
+}
--- a/daemon/src/peers.c
+++ b/daemon/src/peers.c
@@ -216,6 +216,14 @@
     say_hello (peers, peer, CHECK_TIMEOUT_US, NULL, NULL);
 }
 
+gint64
+peers_heard_us (const Peers *peers, const char *vm)
+{
+  const Peer *peer = find_peer (peers, vm);
+
+  return peer ? rpc_peer_heard_us (peer->rpc) : 0;
+}
+
 void
 peers_call (Peers *peers,
             const char *vm,
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -77,6 +77,9 @@
                     RpcDoneFunc done,
                     gpointer data);
 
+/* When the peer last sent anything, on the loop's clock; 0 for never. */
+gint64 rpc_peer_heard_us (const RpcPeer *peer);
+
 /* Rises by one with each new connection; 0 before the first. */
 guint rpc_peer_connection (const RpcPeer *peer);
 
--- a/io/src/rpc-peer.c
+++ b/io/src/rpc-peer.c
@@ -21,6 +21,7 @@
   Stream *stream;
   gboolean open;
   guint connection;
+  gint64 heard_us;
   guint32 next_xid;
   GHashTable *calls; /* xid → Call */
   guint64 sent;
@@ -100,6 +101,7 @@
   g_autofree void *result = NULL;
   WireReply reply;
 
+  peer->heard_us = clock_now (loop_clock (peer->loop));
   if (!wire_peek_xid (record->data, record->len, &xid))
     return;
   call = g_hash_table_lookup (peer->calls, GUINT_TO_POINTER (xid));
@@ -199,6 +201,12 @@
   stream_send (peer->stream, message);
 }
 
+gint64
+rpc_peer_heard_us (const RpcPeer *peer)
+{
+  return peer->heard_us;
+}
+
 guint
 rpc_peer_connection (const RpcPeer *peer)
 {
