Strict detection with immediate trials; free slots are looked for; broken paths are pinged

Change: a sidecar takes trials one at a time, the first after 100 ms, with doubling gaps, also from ingresses that do not know yet; one good trial ends a single break, two a spell; hanging repeatable work is broken off for another target; failing targets are no spare; a submission may queue only after three targets had no free slot; paths that did not answer are pinged until they do; a denied submission counts as unsent; retry savings start at nothing.

--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -26,6 +26,9 @@
 /* Whether the limit follows the target's speed; it does at first. */
 void admission_set_adaptive (Admission *admission, gboolean adaptive);
 
+/* Whether a request offered now would start at once. */
+gboolean admission_is_free (const Admission *admission);
+
 /* Asks for a slot. `deadline_us` is on the sidecar's clock. */
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us);
--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -23,6 +23,7 @@
   guint failures_ppm;
   guint samples;
   guint severity;
+  gboolean slow; /* sick by slowness alone */
   gboolean draining;
 } TargetReport;
 
@@ -33,6 +34,15 @@
   guint failures_ppm; /* likewise */
 } SiblingMedians;
 
+/* Whether a request may be spent on learning whether a sick target is well again. */
+typedef enum
+{
+  BALANCER_NO_TRIAL,
+  BALANCER_TRIAL_LATE, /* only when trials are overdue: there is no retry should it fail
+                        */
+  BALANCER_TRIAL_DUE
+} BalancerTrial;
+
 typedef struct
 {
   const Target *target;  /* NULL when none can take it */
@@ -70,16 +80,19 @@
 /* How many ingresses share the fleet: they share the trials too. */
 void balancer_set_ingresses (Balancer *balancer, guint count);
 
+/* Closes the path to a node, or opens it: it gets nothing from here while another can. */
+void balancer_set_path (Balancer *balancer, const char *vm, gboolean open);
+
 /* How a call to a node's sidecar went, for the breaker of the path there. */
 void balancer_note_path (Balancer *balancer, const char *vm, gboolean answered);
 
 /*
  * Picks a target for one attempt, leaving out those in `tried` (names; may be NULL).
- * Trials are given to repeatable requests only.
+ * Trials are for requests that may be repeated.
  */
 BalancerChoice balancer_choose (Balancer *balancer,
                                 const Service *service,
-                                gboolean repeatable,
+                                BalancerTrial trial,
                                 const GPtrArray *tried);
 
 /* An attempt is on its way to a target, or has come back. */
--- a/core/include/core/detector.h
+++ b/core/include/core/detector.h
@@ -53,6 +53,12 @@
                        guint *failures_ppm,
                        guint *samples);
 
+/* Trials that have failed since it fell sick. */
+guint detector_failed_trials (const Detector *detector);
+
+/* Whether it is held sick for slowness alone. */
+gboolean detector_is_slow (const Detector *detector);
+
 /* Why it is held sick, or "". */
 const char *detector_why (const Detector *detector);
 
--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -87,6 +87,9 @@
 /* Attempts that were sent, refused ones too. */
 guint dispatch_attempts (const Dispatch *dispatch);
 
+/* Attempts that were refused before any target saw them. */
+guint dispatch_refusals (const Dispatch *dispatch);
+
 /* Attempts that a target may have seen: the last one sent is not counted until it ends.
  */
 guint dispatch_arrivals (const Dispatch *dispatch);
--- a/core/include/core/retry.h
+++ b/core/include/core/retry.h
@@ -24,6 +24,9 @@
 /* Notes a first attempt. */
 void retry_budget_deposit (RetryBudget *budget);
 
+/* Whether a retry could be taken out now. */
+gboolean retry_budget_has (const RetryBudget *budget);
+
 /* Takes one retry out; FALSE when there is none left. */
 gboolean retry_budget_withdraw (RetryBudget *budget);
 
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -25,19 +25,22 @@
 {
   gboolean breaks_tell; /* one broken exchange is proof enough */
   gint64 hold_us;       /* how long it stays out at first */
+  guint idle_holds;     /* after so many holds without work it is given another chance */
   guint doublings_max;  /* how often that doubles with relapses, at most */
   guint trials;         /* good ones in a row that bring it back */
+  guint first_trials;   /* likewise while no trial has failed */
 } DetectorLife;
 
 /*
- * Strict: a target that breaks an exchange off is healthy by rare chance only, and bad
- * spells of the users' targets last seconds, so it stays out briefly and trials decide.
+ * Strict: a target that breaks an exchange off stays out until trials decide, and they
+ * come at once. One good trial tells a single break from a bad spell, in which five of
+ * six requests of the users' targets fail; in a spell it takes two in a row.
  */
 static const DetectorLife lives[DETECTION_COUNT] = {
-  [DETECTION_OFF] = { FALSE, 5 * SECOND_US, 6, 5 },
-  [DETECTION_CAREFUL] = { FALSE, 5 * SECOND_US, 6, 5 },
-  [DETECTION_QUICK] = { FALSE, 5 * SECOND_US, 6, 5 },
-  [DETECTION_STRICT] = { TRUE, 3 * SECOND_US / 2, 0, 3 },
+  [DETECTION_OFF] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
+  [DETECTION_CAREFUL] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
+  [DETECTION_QUICK] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
+  [DETECTION_STRICT] = { TRUE, SECOND_US / 5, 30, 0, 2, 1 },
 };
 
 struct Detector
@@ -59,6 +62,7 @@
   gint64 healthy_since_us;
   guint flaps;
   guint good_trials;
+  guint failed_trials;
   gboolean confirming;
   gint64 confirm_from_us;
   char why[WHY_MAX];
@@ -149,6 +153,7 @@
     detector->flaps = 0;
   detector->sick_since_us = now;
   detector->good_trials = 0;
+  detector->failed_trials = 0;
   detector->confirming = FALSE;
 }
 
@@ -214,15 +219,19 @@
 judge_trial (Detector *detector, const DetectorInput *input)
 {
   gint64 now = clock_now (detector->clock);
+  guint needed;
 
   if (input->failed || input->latency_ratio > TRIAL_RATIO_MAX)
     {
       detector->good_trials = 0;
+      detector->failed_trials++;
       detector->sick_since_us = now;
       return;
     }
   detector->good_trials++;
-  if (detector->good_trials >= detector->life->trials &&
+  needed =
+      detector->failed_trials ? detector->life->trials : detector->life->first_trials;
+  if (detector->good_trials >= needed &&
       now - detector->sick_since_us >= hold_us (detector) / 2)
     recover (detector, 0);
 }
@@ -258,8 +267,8 @@
 guint
 detector_severity (Detector *detector)
 {
-  if (detector->severity > 0 &&
-      clock_now (detector->clock) - detector->sick_since_us >= 2 * hold_us (detector))
+  if (detector->severity > 0 && clock_now (detector->clock) - detector->sick_since_us >=
+                                    detector->life->idle_holds * hold_us (detector))
     recover (detector, PROBATION_SHARE);
   return detector->severity;
 }
@@ -294,6 +303,19 @@
   *failures_ppm = (guint)(failures * PPM / count);
 }
 
+guint
+detector_failed_trials (const Detector *detector)
+{
+  return detector->severity > 0 ? detector->failed_trials : 0;
+}
+
+gboolean
+detector_is_slow (const Detector *detector)
+{
+  return detector->severity > 0 &&
+         detector->evidence.failures < detector->bounds.failure_bound;
+}
+
 const char *
 detector_why (const Detector *detector)
 {
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -116,6 +116,12 @@
   return TRUE;
 }
 
+gboolean
+admission_is_free (const Admission *admission)
+{
+  return admission->in_use < admission->limit && admission->queue->len == 0;
+}
+
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us)
 {
@@ -125,7 +131,7 @@
 
   if (deadline_us <= now)
     return ADMISSION_REFUSED;
-  if (admission->in_use < admission->limit && admission->queue->len == 0)
+  if (admission_is_free (admission))
     {
       admission->in_use++;
       return ADMISSION_START;
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -5,12 +5,17 @@
 #include <core/eject.h>
 #include "path.h"
 
-/* Each ejected target gets about one trial in so long, from all ingresses together. */
+/* Each ejected target is offered about one trial in so long, by all ingresses together.
+ */
 #define TRIAL_EVERY_US (SECOND_US / 2)
 /* Above this share of its slots in use, a hall's pick is weighed against other halls. */
 #define SPILL_PERCENT 80u
+/* So many times as long a trial waits that could not be repeated should it fail. */
+#define LATE_FACTOR 2
+/* A due time this many spans ago is left from an earlier bad spell. */
+#define FRESH_FACTOR 5
 #define LATENCY_UNKNOWN_US 1000u
-/* Sick targets that stay for the floor help out when the others are loaded so far. */
+/* Slow targets that stay for the floor help out when the others are loaded so far. */
 #define FULL_LOAD 1.5
 #define RETRY_AFTER_US SECOND_US
 #define MEDIAN_SAMPLES_MIN 10u
@@ -181,6 +186,16 @@
   path_note (path_of (balancer, vm), answered, clock_now (balancer->clock));
 }
 
+void
+balancer_set_path (Balancer *balancer, const char *vm, gboolean open)
+{
+  Path *path = path_of (balancer, vm);
+
+  path->closed = !open;
+  if (open)
+    path_note (path, TRUE, clock_now (balancer->clock));
+}
+
 static void
 fill_items (Balancer *balancer, const Service *service, EjectItem *items)
 {
@@ -222,16 +237,17 @@
 
 /* Takes an ejected target's turn for a trial, and sets the next. */
 static gboolean
-trial_is_due (Balancer *balancer, View *view)
+trial_is_due (Balancer *balancer, View *view, BalancerTrial trial)
 {
   gint64 now = clock_now (balancer->clock);
   gint64 every = TRIAL_EVERY_US * balancer->ingresses;
+  gint64 late = trial == BALANCER_TRIAL_LATE ? every * LATE_FACTOR : 0;
 
   /* Most ingresses hear of a sick target at once: the first trials are spread too. */
-  if (view->trial_due_us < now - every * 2)
+  if (view->trial_due_us < now - every * FRESH_FACTOR)
     view->trial_due_us =
         now + (gint64)(every * g_rand_double_range (balancer->rand, 0, 1));
-  if (now < view->trial_due_us)
+  if (now < view->trial_due_us + late)
     return FALSE;
   view->trial_due_us =
       now + (gint64)(every * g_rand_double_range (balancer->rand, 0.5, 1.5));
@@ -307,18 +323,25 @@
 }
 
 /*
- * A sick target that stays for the floor takes what would have to wait at the others; a
- * request that can go to a healthy one has no reason to go to a sick one.
+ * A slow target that stays for the floor takes what would have to wait at the others. One
+ * that fails helps nobody: what fails may not be repeated, while a refusal tells the
+ * caller when to come back.
  */
 static const Target *
-pick_healthy_first (Balancer *balancer, const GArray *healthy, const GArray *sick)
+pick_healthy_first (Balancer *balancer,
+                    const GArray *healthy,
+                    const GArray *sick,
+                    gboolean any_healthy)
 {
   const Candidate *best = pick (balancer, healthy);
   const Candidate *spare = pick (balancer, sick);
 
+  if (!spare && !best)
+    return NULL;
   if (!best)
-    return spare ? spare->target : NULL;
-  if (spare && load_of (best) > FULL_LOAD && load_of (spare) < load_of (best))
+    return !any_healthy || spare->view->report.slow ? spare->target : NULL;
+  if (spare && spare->view->report.slow && load_of (best) > FULL_LOAD &&
+      load_of (spare) < load_of (best))
     return spare->target;
   return best->target;
 }
@@ -367,7 +390,7 @@
 BalancerChoice
 balancer_choose (Balancer *balancer,
                  const Service *service,
-                 gboolean repeatable,
+                 BalancerTrial trial,
                  const GPtrArray *tried)
 {
   BalancerChoice choice = { .retry_after_us = RETRY_AFTER_US };
@@ -376,6 +399,7 @@
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   g_autoptr (GArray) sick = g_array_new (FALSE, FALSE, sizeof (Candidate));
   gboolean any_available = FALSE;
+  gboolean any_healthy = FALSE;
 
   fill_items (balancer, service, items);
   eject_apply (items, count, floor_of (service));
@@ -384,14 +408,15 @@
       const Target *target = g_ptr_array_index (service->targets, i);
 
       any_available |= items[i].available;
+      any_healthy |= items[i].available && items[i].severity == 0;
       if (!items[i].available || was_tried (tried, target->name))
         continue;
       if (items[i].severity == 0)
         add_candidate (balancer, candidates, target);
       else if (!items[i].ejected)
         add_candidate (balancer, sick, target);
-      if (items[i].severity > 0 && repeatable && !tried &&
-          trial_is_due (balancer, view_of (balancer, target->name)))
+      if (items[i].severity > 0 && trial != BALANCER_NO_TRIAL && !tried &&
+          trial_is_due (balancer, view_of (balancer, target->name), trial))
         {
           choice.target = target;
           choice.trial = TRUE;
@@ -401,7 +426,7 @@
     }
   if (!any_available)
     add_last_resorts (balancer, service, tried, candidates);
-  choice.target = pick_healthy_first (balancer, candidates, sick);
+  choice.target = pick_healthy_first (balancer, candidates, sick, any_healthy);
   choice.sick = choice.target && severity_of (balancer, choice.target) > 0;
   return choice;
 }
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -1,8 +1,8 @@
 #include <core/dispatch.h>
 
-/* So many refusals that no target saw are followed by another try: more would mean that
-   the whole service refuses, and the caller had better hear when to come back. */
-#define REFUSALS_MAX 3u
+/* With so many refusals that no target saw the whole service is taken to refuse, and the
+   caller had better hear when to come back. */
+#define REFUSALS_MAX 5u
 #define ASK_HOLD_MAX_US (2 * SECOND_US)
 /* A caller is told to come back after this when nobody knows better. */
 #define RETRY_AFTER_DEFAULT_US SECOND_US
@@ -53,6 +53,12 @@
   return dispatch->attempts;
 }
 
+guint
+dispatch_refusals (const Dispatch *dispatch)
+{
+  return dispatch->attempts - dispatch->arrivals;
+}
+
 guint
 dispatch_arrivals (const Dispatch *dispatch)
 {
@@ -122,8 +128,7 @@
 
   dispatch->reason = reason;
   if (dispatch->policy.pinned || dispatch->arrivals >= dispatch->policy.attempts_max ||
-      dispatch->attempts - dispatch->arrivals >= REFUSALS_MAX ||
-      remaining (dispatch) <= 0)
+      dispatch_refusals (dispatch) >= REFUSALS_MAX || remaining (dispatch) <= 0)
     return give_up (dispatch, reason);
   /* The budget is for what targets see; a refusal before the target costs them nothing.
    */
@@ -162,7 +167,8 @@
     dispatch->may_have_run = FALSE;
   if (retry_after_us > 0)
     dispatch->retry_after_us = retry_after_us;
-  return retry (dispatch, reason, dispatch->attempts < 2);
+  /* A refusal is quick and cost no target anything: a pause would only be lost time. */
+  return retry (dispatch, reason, dispatch->arrivals == 0);
 }
 
 static DispatchStep
--- a/core/src/request/path.c
+++ b/core/src/request/path.c
@@ -27,5 +27,5 @@
 gboolean
 path_usable (const Path *path, gint64 now_us)
 {
-  return !path->dead && now_us >= path->closed_until_us;
+  return !path->dead && !path->closed && now_us >= path->closed_until_us;
 }
--- a/core/src/request/path.h
+++ b/core/src/request/path.h
@@ -14,6 +14,7 @@
   guint losses;           /* in a row */
   guint opened;           /* times in a row that the breaker opened */
   gint64 closed_until_us; /* no work until then */
+  gboolean closed;        /* the owner has closed it, and will open it */
 } Path;
 
 /* Notes a call's fate at time `now_us`. */
--- a/core/src/request/retry.c
+++ b/core/src/request/retry.c
@@ -54,10 +54,16 @@
       MIN (budget->hundredths + (gint)budget->percent, budget->saved_max);
 }
 
+gboolean
+retry_budget_has (const RetryBudget *budget)
+{
+  return budget->hundredths >= ONE_RETRY;
+}
+
 gboolean
 retry_budget_withdraw (RetryBudget *budget)
 {
-  if (budget->hundredths < ONE_RETRY)
+  if (!retry_budget_has (budget))
     return FALSE;
   budget->hundredths -= ONE_RETRY;
   return TRUE;
--- a/core/tests/test-floor.c
+++ b/core/tests/test-floor.c
@@ -81,7 +81,8 @@
 static void
 check_choice (Balancer *balancer, const Service *service, gboolean repeatable)
 {
-  BalancerChoice choice = balancer_choose (balancer, service, repeatable, NULL);
+  BalancerChoice choice = balancer_choose (
+      balancer, service, repeatable ? BALANCER_TRIAL_DUE : BALANCER_NO_TRIAL, NULL);
   TargetStatus status;
 
   if (!choice.target)
--- a/daemon/src/exchange.c
+++ b/daemon/src/exchange.c
@@ -8,12 +8,16 @@
 #include "answer.h"
 #include "config-sync.h"
 #include "log.h"
+#include "path-probe.h"
 #include "peer-watch.h"
 
 #define HTTP_SERVER_ERROR 500
 /* A connection to a node that is there is made in a round trip; 400 ms cover a lost
    packet's first repetition (200 ms) with room to spare. */
 #define OPEN_TIMEOUT_US (400 * MS_US)
+/* So many targets are asked for a free slot before a request may wait for one: with two
+   thirds of the slots in use, one in twenty requests finds none in three. */
+#define FREE_SLOT_TRIES 3u
 /* Nothing waits for the answer to a cancellation. */
 #define CANCEL_TIMEOUT_US SECOND_US
 #define TICKET_TIMEOUT_US (2 * SECOND_US)
@@ -46,9 +50,11 @@
   const Service *service;
   Ticket *ticket; /* NULL for none */
   Dispatch *dispatch;
+  RetryBudget *budget; /* borrowed */
   LoopTimer *timer;
   gint64 began_us;
   GPtrArray *tried; /* names of targets */
+  GPtrArray *busy;  /* names of targets that had no free slot */
   /* The last attempt. */
   AttemptId attempt; /* its node is borrowed */
   const Target *target;
@@ -56,6 +62,8 @@
   gint64 wait_us;
   gint64 remaining_us;
   gint64 hold_us;
+  gboolean trial;     /* the target is sick, and this is to show whether it still is */
+  gboolean may_queue; /* free slots have been looked for in vain */
   gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
   Pending *pending;   /* the submission that is waited for; NULL for none */
   PeerWatch *watch;   /* over the node that it went to */
@@ -96,6 +104,7 @@
   loop_timer_destroy (exchange->timer);
   dispatch_destroy (exchange->dispatch);
   g_ptr_array_unref (exchange->tried);
+  g_ptr_array_unref (exchange->busy);
   ticket_free (exchange->ticket);
   xdr_free ((xdrproc_t)xdr_sw_answer, (char *)&exchange->answer);
   snapshot_unref (exchange->snapshot);
@@ -208,7 +217,8 @@
 static DispatchReport
 report_of (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
 {
-  if (outcome == RPC_UNSENT)
+  /* What is denied has been turned away before it was looked at. */
+  if (outcome == RPC_UNSENT || outcome == RPC_DENIED)
     return DISPATCH_UNSENT;
   if (outcome != RPC_OK || !is_own_attempt (exchange, &res->attempt))
     return DISPATCH_LOST;
@@ -253,6 +263,23 @@
   peers_note_state (node->peers, &res->stamp, &res->state);
 }
 
+/* A target that only refused may be chosen again, if in other circumstances. */
+static void
+note_refusal (Exchange *exchange, Reason reason)
+{
+  gpointer name;
+
+  if (exchange->tried->len == 0 || (reason != REASON_SICK && reason != REASON_OVERLOAD))
+    return;
+  name = g_ptr_array_steal_index (exchange->tried, exchange->tried->len - 1);
+  if (reason == REASON_OVERLOAD && !exchange->may_queue)
+    g_ptr_array_add (exchange->busy, name);
+  else if (reason == REASON_OVERLOAD)
+    g_ptr_array_add (exchange->tried, name);
+  else
+    g_free (name);
+}
+
 static void
 attempt_ended (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
 {
@@ -265,9 +292,8 @@
   if (outcome == RPC_OK)
     note_answer (exchange, res);
   report = report_of (exchange, outcome, res);
-  /* It was chosen in ignorance; knowingly it may be chosen again. */
-  if (outcome == RPC_OK && res->reason == SW_REASON_SICK && exchange->tried->len > 0)
-    g_ptr_array_set_size (exchange->tried, (gint)exchange->tried->len - 1);
+  if (outcome == RPC_OK)
+    note_refusal (exchange, (Reason)res->reason);
   step = dispatch_sent (exchange->dispatch, report,
                         outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
                         outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
@@ -293,7 +319,7 @@
 {
   Exchange *exchange = data;
 
-  balancer_note_path (exchange->owner->node->balancer, exchange->target->vm, FALSE);
+  path_probes_begin (exchange->owner->node->paths, exchange->target->vm);
   attempt_ended (exchange, RPC_LOST, NULL);
 }
 
@@ -404,6 +430,8 @@
   args.priority = exchange->route->priority;
   args.repeatable = exchange->route->repeatable;
   args.even_sick = exchange->even_sick;
+  args.trial = exchange->trial;
+  args.may_queue = exchange->may_queue;
   args.sibling_latency_us = siblings.latency_us;
   args.sibling_failures_ppm = siblings.failures_ppm;
   args.method = (char *)http_request_method (exchange->request);
@@ -501,6 +529,52 @@
   exchange->target = NULL;
 }
 
+static BalancerTrial
+trial_of (const Exchange *exchange)
+{
+  if (!exchange->route->repeatable)
+    return BALANCER_NO_TRIAL;
+  return retry_budget_has (exchange->budget) ? BALANCER_TRIAL_DUE : BALANCER_TRIAL_LATE;
+}
+
+/* Targets that are out of the question: those tried, and those without a free slot. */
+static GPtrArray *
+excluded (const Exchange *exchange)
+{
+  GPtrArray *names = g_ptr_array_copy (exchange->tried, NULL, NULL);
+
+  g_ptr_array_set_free_func (names, NULL);
+  for (guint i = 0; !exchange->may_queue && i < exchange->busy->len; i++)
+    g_ptr_array_add (names, g_ptr_array_index (exchange->busy, i));
+  return names;
+}
+
+static BalancerChoice
+choose_once (Exchange *exchange, BalancerTrial trial)
+{
+  g_autoptr (GPtrArray) names = excluded (exchange);
+
+  return balancer_choose (exchange->owner->node->balancer, exchange->service, trial,
+                          names->len ? names : NULL);
+}
+
+/*
+ * What an ingress knows of the others' load is old by the time it chooses. A few targets
+ * are therefore asked for a free slot; only then does the request wait, at the best.
+ */
+static BalancerChoice
+choose_free_or_queue (Exchange *exchange)
+{
+  BalancerChoice choice = { 0 };
+
+  if (exchange->busy->len < FREE_SLOT_TRIES)
+    choice = choose_once (exchange, trial_of (exchange));
+  if (choice.target)
+    return choice;
+  exchange->may_queue = TRUE;
+  return choose_once (exchange, BALANCER_NO_TRIAL);
+}
+
 static void
 choose (Exchange *exchange)
 {
@@ -516,15 +590,14 @@
       carry_out (exchange, &step);
       return;
     }
-  choice =
-      balancer_choose (node->balancer, exchange->service, exchange->route->repeatable,
-                       exchange->tried->len ? exchange->tried : NULL);
+  choice = choose_free_or_queue (exchange);
   if (choice.target)
     {
       exchange->target = choice.target;
       g_ptr_array_add (exchange->tried, g_strdup (choice.target->name));
     }
   exchange->even_sick = choice.sick;
+  exchange->trial = choice.trial;
   if (choice.trial)
     metrics_add (node->metrics, METRIC_TRIALS, 1);
   step =
@@ -627,6 +700,7 @@
   exchange->route = order->route;
   exchange->service = order->service;
   exchange->ticket = order->ticket;
+  exchange->budget = order->budget;
   if (order->ticket)
     {
       exchange->attempt = *order->ticket->attempt;
@@ -634,6 +708,7 @@
     }
   exchange->began_us = clock_now (node->clock);
   exchange->tried = g_ptr_array_new_with_free_func (g_free);
+  exchange->busy = g_ptr_array_new_with_free_func (g_free);
   exchange->timer = loop_timer_create (node->loop, on_pause_over, exchange);
   policy.deadline_us = exchange->began_us + order->span_us;
   exchange->dispatch = dispatch_create (&policy, order->budget, node->rand, node->clock);
@@ -684,8 +759,8 @@
 exchanges_give_ticket (Exchanges *exchanges, const ExchangeOrder *order)
 {
   Exchange *exchange = exchange_create (exchanges, order);
-  BalancerChoice choice =
-      balancer_choose (exchanges->node->balancer, order->service, FALSE, NULL);
+  BalancerChoice choice = balancer_choose (exchanges->node->balancer, order->service,
+                                           BALANCER_NO_TRIAL, NULL);
 
   exchange->target = choice.target;
   if (choice.target)
--- a/daemon/src/ingress.c
+++ b/daemon/src/ingress.c
@@ -37,6 +37,9 @@
   if (!budget)
     {
       budget = retry_budget_create (service->retry_percent);
+      /* A fleet that restarts must not have its savings over again. */
+      if (service->retry_burst > 0)
+        retry_budget_set_burst (budget, 0);
       g_hash_table_insert (ingress->budgets, g_strdup (service->name), budget);
     }
   retry_budget_set_percent (budget, service->retry_percent);
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -9,6 +9,7 @@
 #include "ingress.h"
 #include "log.h"
 #include "operators.h"
+#include "path-probe.h"
 #include "peers.h"
 #include "readiness.h"
 #include "registry.h"
@@ -188,6 +189,7 @@
                                   &members_timing_default, node->rand, clock);
   node->balancer = balancer_create (settings->hall, node->rand, clock);
   node->peers = peers_create (node);
+  node->paths = path_probes_create (node);
   node->sidecar = sidecar_create (node);
   node->config = config_sync_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
@@ -213,6 +215,7 @@
   operators_destroy (node->operators);
   rpc_server_destroy (run->rpc);
   peers_destroy (node->peers);
+  path_probes_destroy (node->paths);
   gossip_destroy (node->gossip);
   ingress_destroy (node->ingress);
   vm_list_destroy (node->vm_list);
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -22,6 +22,7 @@
 typedef struct Operators Operators;
 typedef struct VmList VmList;
 typedef struct Registry Registry;
+typedef struct PathProbes PathProbes;
 typedef struct Readiness Readiness;
 struct Adapter;
 
@@ -39,6 +40,7 @@
   Members *members;
   Balancer *balancer;
   Peers *peers;
+  PathProbes *paths;
   Gossip *gossip;
   ConfigSync *config;
   Sidecar *sidecar;
--- a/daemon/src/peers.c
+++ b/daemon/src/peers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gossip.h"
+#include "path-probe.h"
 
 /* A reading older than this is renewed, long before the fence's window is over. */
 #define READING_MAX_AGE_US (30 * SECOND_US)
@@ -98,7 +99,8 @@
 static gboolean
 is_fresh (const Peer *peer)
 {
-  return peer->open && peer->connection == rpc_peer_connection (peer->rpc) &&
+  return peer->open && rpc_peer_is_open (peer->rpc) &&
+         peer->connection == rpc_peer_connection (peer->rpc) &&
          clock_now (peer->peers->node->clock) - peer->stamped_us < READING_MAX_AGE_US;
 }
 
@@ -139,6 +141,7 @@
     .failures_ppm = state->failures_ppm,
     .samples = state->samples,
     .severity = state->severity,
+    .slow = state->slow,
     .draining = state->draining,
   };
 
@@ -156,6 +159,8 @@
   const PeerStamp *stamp = NULL;
 
   balancer_note_path (peers->node->balancer, opening->vm, outcome == RPC_OK);
+  if (outcome != RPC_OK && outcome != RPC_DENIED && !peers->closing)
+    path_probes_begin (peers->node->paths, opening->vm);
   if (peer && outcome == RPC_OK && res->welcome &&
       strcmp (res->stamp.node, opening->vm) == 0)
     {
--- a/daemon/src/sidecar-target.c
+++ b/daemon/src/sidecar-target.c
@@ -63,5 +63,6 @@
   detector_summary (target->detector, &state->latency_us, &state->failures_ppm,
                     &state->samples);
   state->severity = detector_severity (target->detector);
+  state->slow = detector_is_slow (target->detector);
   state->draining = sidecar_target_is_leaving (target, draining);
 }
--- a/daemon/src/sidecar-target.h
+++ b/daemon/src/sidecar-target.h
@@ -19,6 +19,8 @@
   gsize answer_max;
   Admission *admission;
   Detector *detector;
+  gint64 good_us;       /* when the last good answer came; 0 for never */
+  gint64 next_trial_us; /* while it is sick */
   guint32 serial;
   guint told_severity; /* as last published */
   gboolean told_leaving;
--- a/daemon/src/sidecar.c
+++ b/daemon/src/sidecar.c
@@ -16,6 +16,15 @@
 /* A running request this much slower than its siblings counts against the target. */
 #define OVERDUE_FACTOR 20
 #define OVERDUE_MIN_US (500 * MS_US)
+/* So much slower, with nothing good from the target meanwhile, it hangs: work takes three
+   times its mean once in a hundred requests. */
+#define HANG_FACTOR 4
+#define HANG_MIN_US (300 * MS_US)
+/* A target that has just broken off an exchange is tried soon, to tell a single break
+   from a bad spell; with each trial that fails the next waits longer, for bad spells last
+   seconds and a failed trial may cost its caller. */
+#define TRIAL_FIRST_US (100 * MS_US)
+#define TRIAL_DOUBLINGS_MAX 3u
 
 /* Somebody who waits for the end of an attempt. */
 typedef struct
@@ -168,10 +177,17 @@
 static void
 observe (const Submission *submission, gboolean failed, gboolean broken, gint64 took_us)
 {
+  SidecarTarget *target = submission->target;
+  gint64 now = clock_now (submission->sidecar->node->clock);
   DetectorSample sample = { failed, broken, took_us, submission->args.sibling_latency_us,
                             submission->args.sibling_failures_ppm };
 
-  detector_observe (submission->target->detector, &sample);
+  detector_observe (target->detector, &sample);
+  /* The next trial counts from this end: at once after a good one. */
+  target->next_trial_us =
+      failed ? now + (TRIAL_FIRST_US << MIN (detector_failed_trials (target->detector),
+                                             TRIAL_DOUBLINGS_MAX))
+             : now;
 }
 
 /* Keeps the whole answer for an ingress that may have lost it. */
@@ -230,6 +246,8 @@
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
   if (!submission->overdue && res.reason != SW_REASON_TARGET_REFUSED)
     observe (submission, failed, res.result == SW_FAILED, result->took_us);
+  if (!failed)
+    target->good_us = clock_now (sidecar->node->clock);
   if (failed)
     log_failure (submission, result, &res);
   if (failed)
@@ -406,6 +424,24 @@
     }
 }
 
+/*
+ * Whether a sick target had better not get this. Many ingresses offer trials at once, or
+ * do not know yet that it is sick; only the sidecar can see to it that trials, of work
+ * that may be repeated, come one at a time.
+ */
+static gboolean
+is_too_sick_for (SidecarTarget *target, const sw_submit_args *args, gint64 now)
+{
+  guint failed = MIN (detector_failed_trials (target->detector), TRIAL_DOUBLINGS_MAX);
+
+  if (detector_severity (target->detector) == 0 || (args->even_sick && !args->trial))
+    return FALSE;
+  if (!args->repeatable || now < target->next_trial_us)
+    return TRUE;
+  target->next_trial_us = now + (TRIAL_FIRST_US << failed);
+  return FALSE;
+}
+
 void
 sidecar_submit (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args)
 {
@@ -423,7 +459,7 @@
                    target ? SW_REASON_DRAINING : SW_REASON_NO_TARGET);
       return;
     }
-  if (!args->even_sick && detector_severity (target->detector) > 0)
+  if (is_too_sick_for (target, args, clock_now (sidecar->node->clock)))
     {
       if (entry)
         fence_refuse (entry);
@@ -431,6 +467,14 @@
                    SW_REASON_SICK);
       return;
     }
+  if (!args->may_queue && !admission_is_free (target->admission))
+    {
+      if (entry)
+        fence_refuse (entry);
+      reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                   SW_REASON_OVERLOAD);
+      return;
+    }
   submission = submission_create (sidecar, target, args);
   submission->entry = entry;
   if (entry)
@@ -493,10 +537,10 @@
 /* Breaks off work that may be repeated; the target hears of it by the closed connection.
  */
 static void
-break_off (Submission *submission)
+break_off (Submission *submission, sw_reason reason)
 {
   SidecarTarget *target = submission->target;
-  sw_submit_res res = { .result = SW_FAILED, .reason = SW_REASON_CANCELLED };
+  sw_submit_res res = { .result = SW_FAILED, .reason = reason };
 
   http_call_cancel (submission->call);
   admission_release (target->admission, -1);
@@ -516,7 +560,7 @@
   if (submission && submission->running)
     {
       if (args->repeatable)
-        break_off (submission);
+        break_off (submission, SW_REASON_CANCELLED);
       return;
     }
   /* An attempt that may be on its way still is kept from starting. */
@@ -573,14 +617,20 @@
 static void
 check_overdue (Submission *submission, gint64 now)
 {
-  gint64 bound =
-      MAX ((gint64)submission->args.sibling_latency_us * OVERDUE_FACTOR, OVERDUE_MIN_US);
+  gint64 sibling = submission->args.sibling_latency_us;
+  gint64 age = now - submission->started_us;
+  gboolean silent = submission->target->good_us < submission->started_us;
 
-  if (!submission->running || submission->overdue ||
-      !submission->args.sibling_latency_us || now - submission->started_us < bound)
+  if (!submission->running || submission->overdue || !sibling)
+    return;
+  if (age < MAX (sibling * OVERDUE_FACTOR, OVERDUE_MIN_US) &&
+      !(silent && age >= MAX (sibling * HANG_FACTOR, HANG_MIN_US)))
     return;
   submission->overdue = TRUE;
-  observe (submission, TRUE, TRUE, now - submission->started_us);
+  observe (submission, TRUE, silent, age);
+  /* There is still time for another target to do it. */
+  if (silent && submission->args.repeatable)
+    break_off (submission, SW_REASON_TIMEOUT);
 }
 
 static void
@@ -588,14 +638,18 @@
 {
   Sidecar *sidecar = data;
   gint64 now = clock_now (sidecar->node->clock);
+  g_autoptr (GList) running = NULL;
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, sidecar->submissions);
-  while (g_hash_table_iter_next (&iter, &value, NULL))
+  /* Checking may end submissions. */
+  running = g_hash_table_get_keys (sidecar->submissions);
+  for (GList *item = running; item; item = item->next)
     {
-      answer_late_waiters (value, now);
-      check_overdue (value, now);
+      if (!g_hash_table_contains (sidecar->submissions, item->data))
+        continue;
+      answer_late_waiters (item->data, now);
+      check_overdue (item->data, now);
     }
   g_hash_table_iter_init (&iter, sidecar->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -80,6 +80,9 @@
 /* When the peer last sent anything, on the loop's clock; 0 for never. */
 gint64 rpc_peer_heard_us (const RpcPeer *peer);
 
+/* Whether there is a connection now. */
+gboolean rpc_peer_is_open (const RpcPeer *peer);
+
 /* Rises by one with each new connection; 0 before the first. */
 guint rpc_peer_connection (const RpcPeer *peer);
 
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -344,13 +344,14 @@
 
 /* Tells of those whose callers have hung up; each is told of once. */
 static void
-tell_gone (HttpServer *server, GPtrArray *requests, const struct pollfd *polls)
+tell_gone (HttpServer *server, GPtrArray *requests, const GArray *polls)
 {
   for (guint i = 0; i < requests->len; i++)
     {
       HttpRequest *request = g_ptr_array_index (requests, i);
 
-      if (!(polls[i].revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)))
+      if (!(g_array_index (polls, struct pollfd, i).revents &
+            (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)))
         continue;
       if (g_hash_table_remove (server->watched, request))
         request->gone (request->gone_data);
@@ -367,24 +368,25 @@
 {
   HttpServer *server = data;
   guint count = g_hash_table_size (server->watched);
-  g_autofree struct pollfd *polls = g_new0 (struct pollfd, count + 1);
-  g_autoptr (GPtrArray) requests =
-      g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
+  g_autoptr (GArray) polls = NULL;
+  g_autoptr (GPtrArray) requests = NULL;
   GHashTableIter iter;
   gpointer key;
 
   if (count == 0)
     return;
+  polls = g_array_sized_new (FALSE, FALSE, sizeof (struct pollfd), count);
+  requests = g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
   g_hash_table_iter_init (&iter, server->watched);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       HttpRequest *request = key;
+      struct pollfd look = { request->conn->fd, POLLRDHUP, 0 };
 
-      polls[requests->len].fd = request->conn->fd;
-      polls[requests->len].events = POLLRDHUP;
+      g_array_append_val (polls, look);
       g_ptr_array_add (requests, http_request_ref (request));
     }
-  if (poll (polls, count, 0) > 0)
+  if (poll ((struct pollfd *)polls->data, polls->len, 0) > 0)
     tell_gone (server, requests, polls);
   loop_timer_start (server->gone_check, GONE_CHECK_US);
 }
@@ -548,7 +550,7 @@
 static void
 wake (HttpRequest *request)
 {
-  if (!request->suspended || !request->connection)
+  if (!request->suspended || !request->connection || !request->server)
     return;
   request->suspended = FALSE;
   request->server->woken = TRUE;
--- a/io/src/rpc-peer.c
+++ b/io/src/rpc-peer.c
@@ -207,6 +207,12 @@
   return peer->heard_us;
 }
 
+gboolean
+rpc_peer_is_open (const RpcPeer *peer)
+{
+  return peer->open;
+}
+
 guint
 rpc_peer_connection (const RpcPeer *peer)
 {
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -48,6 +48,7 @@
 	u_int failures_ppm;
 	u_int samples;
 	u_int severity;
+	bool_t slow;
 	bool_t draining;
 };
 typedef struct sw_target_state sw_target_state;
@@ -128,6 +129,8 @@
 	u_int priority;
 	bool_t repeatable;
 	bool_t even_sick;
+	bool_t may_queue;
+	bool_t trial;
 	u_int sibling_latency_us;
 	u_int sibling_failures_ppm;
 	char *method;
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -40,7 +40,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -58,6 +58,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->severity))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->slow))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->draining))
 				 return FALSE;
 		} else {
@@ -69,13 +71,14 @@
 			IXDR_PUT_U_LONG(buf, objp->failures_ppm);
 			IXDR_PUT_U_LONG(buf, objp->samples);
 			IXDR_PUT_U_LONG(buf, objp->severity);
+			IXDR_PUT_BOOL(buf, objp->slow);
 			IXDR_PUT_BOOL(buf, objp->draining);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -93,6 +96,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->severity))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->slow))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->draining))
 				 return FALSE;
 		} else {
@@ -104,6 +109,7 @@
 			objp->failures_ppm = IXDR_GET_U_LONG(buf);
 			objp->samples = IXDR_GET_U_LONG(buf);
 			objp->severity = IXDR_GET_U_LONG(buf);
+			objp->slow = IXDR_GET_BOOL(buf);
 			objp->draining = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
@@ -127,6 +133,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->severity))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->slow))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
 	return TRUE;
@@ -315,7 +323,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -325,6 +333,10 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_queue))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->trial))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
@@ -335,6 +347,8 @@
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->repeatable);
 		IXDR_PUT_BOOL(buf, objp->even_sick);
+		IXDR_PUT_BOOL(buf, objp->may_queue);
+		IXDR_PUT_BOOL(buf, objp->trial);
 		IXDR_PUT_U_LONG(buf, objp->sibling_latency_us);
 		IXDR_PUT_U_LONG(buf, objp->sibling_failures_ppm);
 		}
@@ -359,7 +373,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -369,6 +383,10 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_queue))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->trial))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
@@ -379,6 +397,8 @@
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->repeatable = IXDR_GET_BOOL(buf);
 		objp->even_sick = IXDR_GET_BOOL(buf);
+		objp->may_queue = IXDR_GET_BOOL(buf);
+		objp->trial = IXDR_GET_BOOL(buf);
 		objp->sibling_latency_us = IXDR_GET_U_LONG(buf);
 		objp->sibling_failures_ppm = IXDR_GET_U_LONG(buf);
 		}
@@ -412,6 +432,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->even_sick))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_queue))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->trial))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -40,6 +40,7 @@
   unsigned int failures_ppm;  /* recent failures in a million */
   unsigned int samples;       /* how many answers the two figures rest on */
   unsigned int severity;      /* 0 healthy; higher is worse */
+  bool slow;                  /* sick by slowness alone: what it answers is good */
   bool draining;
 };
 
@@ -112,6 +113,8 @@
   unsigned int priority;       /* 0 first */
   bool repeatable;
   bool even_sick;              /* the ingress knows that the target is held sick */
+  bool may_queue;              /* else it is refused where it could not start at once */
+  bool trial;                  /* and sends this only to learn whether it still is */
   unsigned int sibling_latency_us;   /* medians over the service, as the ingress sees them; */
   unsigned int sibling_failures_ppm; /* 0 for not known */
   string method<32>;
