--- /dev/null
+++ b/core/tests/test-balancer.c
@@ -0,0 +1,205 @@
+/* The ingress's choice among healthy, sick, slow and unreachable targets. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <core/balancer.h>
+
+#define TARGETS 4u
+#define ROUNDS 400u
+
+static const char SERVICE[] =
+    "{\"name\":\"pay\",\"tenant\":\"t\",\"floor_slots\":16,\"detection\":\"strict\","
+    "\"targets\":["
+    "{\"name\":\"t0\",\"vm\":\"v0\",\"hall\":\"h\",\"address\":\"127.0.0.1:1\",\"slots\":"
+    "4},"
+    "{\"name\":\"t1\",\"vm\":\"v1\",\"hall\":\"h\",\"address\":\"127.0.0.1:2\",\"slots\":"
+    "4},"
+    "{\"name\":\"t2\",\"vm\":\"v2\",\"hall\":\"h\",\"address\":\"127.0.0.1:3\",\"slots\":"
+    "4},"
+    "{\"name\":\"t3\",\"vm\":\"v3\",\"hall\":\"h\",\"address\":\"127.0.0.1:4\",\"slots\":"
+    "4}]}";
+
+typedef struct
+{
+  Clock *clock;
+  GRand *rand;
+  Balancer *balancer;
+  ConfigPart *part;
+  const Service *service;
+} Fixture;
+
+/* All four targets are needed for the floor: none can be ejected. */
+static Fixture
+setup (void)
+{
+  Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
+  g_autoptr (GBytes) text = g_bytes_new_static (SERVICE, sizeof SERVICE - 1);
+  JsonFaults *faults = json_faults_create ();
+
+  fixture.rand = g_rand_new_with_seed (7);
+  fixture.balancer = balancer_create ("h", fixture.rand, fixture.clock);
+  fixture.part = config_part_parse ("service/pay", text, faults);
+  assert_non_null (fixture.part);
+  fixture.service = config_part_service (fixture.part);
+  json_faults_destroy (faults);
+  return fixture;
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  balancer_destroy (fixture->balancer);
+  config_part_unref (fixture->part);
+  g_rand_free (fixture->rand);
+  clock_destroy (fixture->clock);
+}
+
+static void
+report (Fixture *fixture, guint i, guint in_use, guint severity, gboolean slow)
+{
+  g_autofree char *name = g_strdup_printf ("t%u", i);
+  TargetReport words = { .target = name,
+                         .incarnation = 1,
+                         .serial = 1,
+                         .in_use = in_use,
+                         .limit = 4,
+                         .latency_us = 100000,
+                         .severity = severity,
+                         .slow = slow };
+
+  balancer_note_report (fixture->balancer, &words);
+}
+
+/* How often target `i` comes out in many choices. */
+static guint
+share (Fixture *fixture, guint i, const GPtrArray *tried)
+{
+  g_autofree char *name = g_strdup_printf ("t%u", i);
+  guint count = 0;
+
+  for (guint n = 0; n < ROUNDS; n++)
+    {
+      BalancerChoice choice =
+          balancer_choose (fixture->balancer, fixture->service, BALANCER_NO_TRIAL, tried);
+
+      if (choice.target && strcmp (choice.target->name, name) == 0)
+        count++;
+    }
+  return count;
+}
+
+static void
+test_a_failing_target_kept_for_the_floor_gets_no_overflow (void **state)
+{
+  Fixture fixture = setup ();
+
+  for (guint i = 0; i < TARGETS; i++)
+    report (&fixture, i, i == 0 ? 0 : 12, i == 0 ? 100 : 0, FALSE);
+  assert_int_equal (share (&fixture, 0, NULL), 0);
+  teardown (&fixture);
+}
+
+static void
+test_a_slow_target_kept_for_the_floor_helps_out (void **state)
+{
+  Fixture fixture = setup ();
+
+  for (guint i = 0; i < TARGETS; i++)
+    report (&fixture, i, i == 0 ? 0 : 12, i == 0 ? 100 : 0, TRUE);
+  assert_int_equal (share (&fixture, 0, NULL), ROUNDS);
+  for (guint i = 1; i < TARGETS; i++)
+    report (&fixture, i, 0, 0, FALSE);
+  assert_int_equal (share (&fixture, 0, NULL), 0);
+  teardown (&fixture);
+}
+
+static void
+test_a_failing_target_is_no_choice_where_healthy_ones_were_tried (void **state)
+{
+  Fixture fixture = setup ();
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+
+  report (&fixture, 0, 0, 100, FALSE);
+  for (guint i = 1; i < TARGETS; i++)
+    report (&fixture, i, 0, 0, FALSE);
+  g_ptr_array_add (tried, "t1");
+  g_ptr_array_add (tried, "t2");
+  g_ptr_array_add (tried, "t3");
+  assert_int_equal (share (&fixture, 0, tried), 0);
+  teardown (&fixture);
+}
+
+static void
+test_with_all_failing_any_is_better_than_none (void **state)
+{
+  Fixture fixture = setup ();
+  BalancerChoice choice;
+
+  for (guint i = 0; i < TARGETS; i++)
+    report (&fixture, i, 0, 100, FALSE);
+  choice = balancer_choose (fixture.balancer, fixture.service, BALANCER_NO_TRIAL, NULL);
+  assert_non_null (choice.target);
+  assert_true (choice.sick);
+  teardown (&fixture);
+}
+
+static void
+test_a_closed_path_gets_nothing_until_it_opens (void **state)
+{
+  Fixture fixture = setup ();
+
+  balancer_set_path (fixture.balancer, "v2", FALSE);
+  assert_int_equal (share (&fixture, 2, NULL), 0);
+  clock_advance (fixture.clock, 60 * SECOND_US);
+  assert_int_equal (share (&fixture, 2, NULL), 0);
+  balancer_set_path (fixture.balancer, "v2", TRUE);
+  assert_true (share (&fixture, 2, NULL) > 0);
+  teardown (&fixture);
+}
+
+static guint
+trials (Fixture *fixture, BalancerTrial trial, gint64 span_us)
+{
+  guint count = 0;
+
+  for (gint64 t = 0; t < span_us; t += 20 * MS_US)
+    {
+      clock_advance (fixture->clock, 20 * MS_US);
+      count += balancer_choose (fixture->balancer, fixture->service, trial, NULL).trial;
+    }
+  return count;
+}
+
+static void
+test_trials_are_paced_and_rarer_without_a_retry_in_hand (void **state)
+{
+  Fixture fixture = setup ();
+  guint due;
+  guint late;
+
+  report (&fixture, 0, 0, 100, FALSE);
+  assert_int_equal (trials (&fixture, BALANCER_NO_TRIAL, 10 * SECOND_US), 0);
+  due = trials (&fixture, BALANCER_TRIAL_DUE, 20 * SECOND_US);
+  late = trials (&fixture, BALANCER_TRIAL_LATE, 20 * SECOND_US);
+  assert_in_range (due, 25, 60);
+  assert_in_range (late, 5, due / 2);
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_failing_target_kept_for_the_floor_gets_no_overflow),
+    cmocka_unit_test (test_a_slow_target_kept_for_the_floor_helps_out),
+    cmocka_unit_test (test_a_failing_target_is_no_choice_where_healthy_ones_were_tried),
+    cmocka_unit_test (test_with_all_failing_any_is_better_than_none),
+    cmocka_unit_test (test_a_closed_path_gets_nothing_until_it_opens),
+    cmocka_unit_test (test_trials_are_paced_and_rarer_without_a_retry_in_hand),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/core/tests/test-dispatch.c
@@ -0,0 +1,201 @@
+/* The dispatch of one request: what is tried again, what it costs, what is said when. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/dispatch.h>
+
+#define DEADLINE_US SECOND_US
+#define SLACK_US (100 * MS_US)
+
+typedef struct
+{
+  Clock *clock;
+  GRand *rand;
+  RetryBudget *budget;
+  Dispatch *dispatch;
+} Fixture;
+
+/* A dispatch whose first attempt has just been sent. */
+static Fixture
+setup (gboolean repeatable, guint attempts, guint retries)
+{
+  Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
+  DispatchPolicy policy = { .repeatable = repeatable,
+                            .deadline_us = SECOND_US + DEADLINE_US,
+                            .slack_us = SLACK_US,
+                            .attempts_max = attempts };
+
+  fixture.rand = g_rand_new_with_seed (1);
+  /* No retry to begin with, and none for the request itself; then as many as wanted. */
+  fixture.budget = retry_budget_create (100);
+  retry_budget_set_burst (fixture.budget, 0);
+  retry_budget_set_burst (fixture.budget, 100 * retries);
+  for (guint i = 0; i < retries; i++)
+    retry_budget_deposit (fixture.budget);
+  fixture.dispatch =
+      dispatch_create (&policy, fixture.budget, fixture.rand, fixture.clock);
+  assert_int_equal (dispatch_begin (fixture.dispatch).kind, DISPATCH_CHOOSE);
+  assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+  return fixture;
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  dispatch_destroy (fixture->dispatch);
+  retry_budget_destroy (fixture->budget);
+  g_rand_free (fixture->rand);
+  clock_destroy (fixture->clock);
+}
+
+static void
+test_an_attempt_is_waited_for_to_the_deadline (void **state)
+{
+  Fixture fixture = setup (TRUE, 2, 1);
+  DispatchStep step =
+      dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
+
+  assert_int_equal (step.kind, DISPATCH_CHOOSE);
+  clock_advance (fixture.clock, 200 * MS_US);
+  step = dispatch_chosen (fixture.dispatch, TRUE, 0);
+  assert_int_equal (step.remaining_us, DEADLINE_US - 200 * MS_US);
+  assert_int_equal (step.wait_us, DEADLINE_US - 200 * MS_US + SLACK_US / 2);
+  teardown (&fixture);
+}
+
+static void
+test_refusals_before_a_target_are_free_and_bounded (void **state)
+{
+  Fixture fixture = setup (FALSE, 1, 0);
+  DispatchStep step;
+  guint tries = 1;
+
+  for (;;)
+    {
+      step = dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 7000);
+      if (step.kind != DISPATCH_CHOOSE)
+        break;
+      tries++;
+      assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+    }
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  assert_int_equal (step.retry_after_us, 7000);
+  assert_in_range (tries, 3, 8);
+  assert_int_equal (dispatch_arrivals (fixture.dispatch), 0);
+  teardown (&fixture);
+}
+
+static void
+test_a_targets_own_refusal_counts_as_an_arrival (void **state)
+{
+  Fixture fixture = setup (FALSE, 1, 1);
+  DispatchStep step =
+      dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_TARGET_REFUSED, 0);
+
+  assert_int_equal (dispatch_arrivals (fixture.dispatch), 1);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  teardown (&fixture);
+}
+
+static void
+test_a_second_arrival_needs_the_budget (void **state)
+{
+  Fixture fixture = setup (FALSE, 3, 0);
+  DispatchStep step =
+      dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_TARGET_REFUSED, 0);
+
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  teardown (&fixture);
+}
+
+static void
+test_a_failing_answer_is_tried_again_and_else_delivered (void **state)
+{
+  Fixture fixture = setup (TRUE, 2, 1);
+  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
+
+  assert_int_equal (step.kind, DISPATCH_CHOOSE);
+  assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+  step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_DONE); /* the held answer of the first */
+  teardown (&fixture);
+}
+
+static void
+test_a_failing_answer_of_unrepeatable_work_is_final (void **state)
+{
+  Fixture fixture = setup (FALSE, 3, 2);
+  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
+
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_DONE);
+  teardown (&fixture);
+}
+
+static void
+test_what_may_have_run_is_never_called_not_run (void **state)
+{
+  Fixture fixture = setup (TRUE, 2, 1);
+  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
+
+  assert_int_equal (step.kind, DISPATCH_PAUSE);
+  clock_advance (fixture.clock, step.wait_us);
+  assert_int_equal (dispatch_resume (fixture.dispatch).kind, DISPATCH_CHOOSE);
+  step = dispatch_chosen (fixture.dispatch, FALSE, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_UNKNOWN);
+  teardown (&fixture);
+}
+
+static void
+test_the_fence_is_asked_no_longer_than_the_slack (void **state)
+{
+  Fixture fixture = setup (FALSE, 2, 1);
+  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_LOST, REASON_LOST, 0);
+
+  assert_int_equal (step.kind, DISPATCH_ASK);
+  clock_advance (fixture.clock, DEADLINE_US + SLACK_US);
+  step = dispatch_asked (fixture.dispatch, DISPATCH_LOST, REASON_LOST, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_UNKNOWN);
+  teardown (&fixture);
+}
+
+static void
+test_savings_are_bounded (void **state)
+{
+  RetryBudget *budget = retry_budget_create (100);
+
+  retry_budget_set_burst (budget, 0);
+  assert_false (retry_budget_has (budget));
+  retry_budget_set_burst (budget, 150);
+  for (guint i = 0; i < 10; i++)
+    retry_budget_deposit (budget);
+  assert_true (retry_budget_withdraw (budget));
+  assert_false (retry_budget_withdraw (budget));
+  retry_budget_destroy (budget);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_an_attempt_is_waited_for_to_the_deadline),
+    cmocka_unit_test (test_refusals_before_a_target_are_free_and_bounded),
+    cmocka_unit_test (test_a_targets_own_refusal_counts_as_an_arrival),
+    cmocka_unit_test (test_a_second_arrival_needs_the_budget),
+    cmocka_unit_test (test_a_failing_answer_is_tried_again_and_else_delivered),
+    cmocka_unit_test (test_a_failing_answer_of_unrepeatable_work_is_final),
+    cmocka_unit_test (test_what_may_have_run_is_never_called_not_run),
+    cmocka_unit_test (test_the_fence_is_asked_no_longer_than_the_slack),
+    cmocka_unit_test (test_savings_are_bounded),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/core/tests/test-strict.c
@@ -0,0 +1,152 @@
+/* Strict detection: one broken exchange ejects, trials decide on the return. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/detector.h>
+
+#define TOOK_US (200 * MS_US)
+
+typedef struct
+{
+  Clock *clock;
+  Detector *detector;
+} Fixture;
+
+static Fixture
+setup (Detection setting)
+{
+  Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
+
+  fixture.detector = detector_create (setting, fixture.clock);
+  return fixture;
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  detector_destroy (fixture->detector);
+  clock_destroy (fixture->clock);
+}
+
+static void
+observe (Fixture *fixture, gboolean failed, gboolean broken)
+{
+  DetectorSample sample = { failed, broken, TOOK_US, TOOK_US, 0 };
+
+  clock_advance (fixture->clock, 150 * MS_US);
+  detector_observe (fixture->detector, &sample);
+}
+
+static gboolean
+is_sick (Fixture *fixture)
+{
+  return detector_severity (fixture->detector) > 0;
+}
+
+static void
+test_one_broken_exchange_is_enough (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+
+  observe (&fixture, TRUE, TRUE);
+  assert_true (is_sick (&fixture));
+  assert_false (detector_is_slow (fixture.detector));
+  teardown (&fixture);
+}
+
+static void
+test_one_failing_answer_is_not (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+
+  observe (&fixture, TRUE, FALSE);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_careful_needs_more_than_one_break (void **state)
+{
+  Fixture fixture = setup (DETECTION_CAREFUL);
+
+  observe (&fixture, TRUE, TRUE);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_a_single_break_is_over_with_one_good_trial (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+
+  observe (&fixture, TRUE, TRUE);
+  observe (&fixture, FALSE, FALSE);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_a_bad_spell_takes_two_good_trials_in_a_row (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+
+  observe (&fixture, TRUE, TRUE);
+  observe (&fixture, TRUE, TRUE);
+  assert_int_equal (detector_failed_trials (fixture.detector), 1);
+  observe (&fixture, FALSE, FALSE);
+  assert_true (is_sick (&fixture));
+  observe (&fixture, TRUE, TRUE);
+  observe (&fixture, FALSE, FALSE);
+  assert_true (is_sick (&fixture));
+  observe (&fixture, FALSE, FALSE);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_without_any_work_it_gets_another_chance (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+
+  observe (&fixture, TRUE, TRUE);
+  clock_advance (fixture.clock, 5 * SECOND_US);
+  assert_true (is_sick (&fixture));
+  clock_advance (fixture.clock, 2 * SECOND_US);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_quick_failures_do_not_pass_for_speed (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+  DetectorSample quick = { TRUE, TRUE, MS_US, TOOK_US, 0 };
+  guint latency;
+  guint failures;
+  guint samples;
+
+  observe (&fixture, FALSE, FALSE);
+  for (guint i = 0; i < 5; i++)
+    detector_observe (fixture.detector, &quick);
+  detector_summary (fixture.detector, &latency, &failures, &samples);
+  assert_int_equal (latency, TOOK_US);
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_one_broken_exchange_is_enough),
+    cmocka_unit_test (test_one_failing_answer_is_not),
+    cmocka_unit_test (test_careful_needs_more_than_one_break),
+    cmocka_unit_test (test_a_single_break_is_over_with_one_good_trial),
+    cmocka_unit_test (test_a_bad_spell_takes_two_good_trials_in_a_row),
+    cmocka_unit_test (test_without_any_work_it_gets_another_chance),
+    cmocka_unit_test (test_quick_failures_do_not_pass_for_speed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
