--- /dev/null
+++ b/standins/src/store.c
@@ -0,0 +1,420 @@
+/*
+ * A stand-in for the users' store of metadata objects: objects by kind and name, one
+ * revision counter, conditional changes, watches, and what goes wrong with them.
+ *
+ *   GET /objects/KIND                      {"items", "more_pages", "current_rev"}
+ *   GET /objects/KIND?watch=REV&wait_ms=N  {"events", "current_rev"}; 410 when too old
+ *   POST /objects/KIND                     makes metadata.name; 409 with the object there
+ *   PUT, DELETE /objects/KIND/NAME         409 when a given revision is another
+ *
+ * /_control?down=0|1 (connections are cut) &refuse=0|1 (503) &lose=N (the next N changes
+ * are made and not answered) &compact=1 (history goes, watches are cut). /_stats counts.
+ */
+#include <io/http-server.h>
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define HEADER_MAX 32768
+#define BODY_MAX (2 * 1024 * 1024)
+#define PREFIX "/objects/"
+#define WAIT_MAX_MS 30000
+
+/* One change, as a watch tells it. */
+typedef struct
+{
+  gint64 revision;
+  char *kind;
+  JsonNode *object;
+  gboolean deleted;
+} Change;
+
+typedef struct
+{
+  HttpRequest *request;
+  char *kind;
+  gint64 after;
+  LoopTimer *timer;
+} Watch;
+
+static Loop *loop;
+static GHashTable *objects; /* "kind/name" → JsonNode */
+static GPtrArray *changes;  /* of Change, oldest first */
+static GPtrArray *watches;
+static gint64 revision = 1;
+static gint64 horizon; /* changes up to here have been forgotten */
+static gboolean down;
+static gboolean refuse;
+static guint lose;
+static guint64 calls;
+
+static void
+answer (HttpRequest *request, guint status, JsonNode *node)
+{
+  g_autofree char *text = json_to_string (node, FALSE);
+
+  http_request_answer_json (request, status, text);
+}
+
+static JsonObject *
+metadata_of (JsonNode *object)
+{
+  return json_object_get_object_member (json_node_get_object (object), "metadata");
+}
+
+static void
+set_revision (JsonObject *root)
+{
+  json_object_set_int_member (root, "current_rev", revision);
+}
+
+static JsonNode *
+node_of (JsonObject *object)
+{
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+
+  json_node_take_object (node, object);
+  return node;
+}
+
+static void
+watch_free (Watch *watch)
+{
+  loop_timer_destroy (watch->timer);
+  http_request_unref (watch->request);
+  g_free (watch->kind);
+  g_free (watch);
+}
+
+/* Answers with the changes of a kind behind a revision, be there any or none. */
+static void
+answer_events (HttpRequest *request, const char *kind, gint64 after)
+{
+  JsonObject *root = json_object_new ();
+  JsonArray *events = json_array_new ();
+  g_autoptr (JsonNode) node = NULL;
+
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const Change *change = g_ptr_array_index (changes, i);
+      JsonObject *event;
+
+      if (change->revision <= after || strcmp (change->kind, kind) != 0)
+        continue;
+      event = json_object_new ();
+      json_object_set_boolean_member (event, "deleted", change->deleted);
+      json_object_set_member (event, "object", json_node_copy (change->object));
+      json_array_add_object_element (events, event);
+    }
+  json_object_set_array_member (root, "events", events);
+  set_revision (root);
+  node = node_of (root);
+  answer (request, 200, node);
+}
+
+static gboolean
+has_events (const char *kind, gint64 after)
+{
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const Change *change = g_ptr_array_index (changes, i);
+
+      if (change->revision > after && strcmp (change->kind, kind) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+on_watch_over (gpointer data)
+{
+  Watch *watch = data;
+
+  g_ptr_array_remove_fast (watches, watch);
+  answer_events (watch->request, watch->kind, watch->after);
+  watch_free (watch);
+}
+
+static void
+drop_watches (void)
+{
+  while (watches->len > 0)
+    {
+      Watch *watch = g_ptr_array_steal_index (watches, 0);
+
+      http_request_drop (watch->request);
+      watch_free (watch);
+    }
+}
+
+static void
+note_change (const char *kind, JsonNode *object, gboolean deleted)
+{
+  Change *change = g_new0 (Change, 1);
+
+  change->revision = ++revision;
+  change->kind = g_strdup (kind);
+  if (!deleted)
+    json_object_set_int_member (metadata_of (object), "revision", revision);
+  change->object = json_node_copy (object);
+  change->deleted = deleted;
+  g_ptr_array_add (changes, change);
+  for (guint i = watches->len; i-- > 0;)
+    {
+      Watch *watch = g_ptr_array_index (watches, i);
+
+      if (strcmp (watch->kind, kind) != 0)
+        continue;
+      g_ptr_array_remove_index_fast (watches, i);
+      answer_events (watch->request, kind, watch->after);
+      watch_free (watch);
+    }
+}
+
+static gint64
+number (HttpRequest *request, const char *name, gint64 fallback)
+{
+  const char *text = http_request_argument (request, name);
+
+  return text ? g_ascii_strtoll (text, NULL, 10) : fallback;
+}
+
+static void
+on_list (HttpRequest *request, const char *kind)
+{
+  JsonObject *root = json_object_new ();
+  JsonArray *items = json_array_new ();
+  g_autofree char *prefix = g_strconcat (kind, "/", NULL);
+  g_autoptr (JsonNode) node = NULL;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, objects);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (g_str_has_prefix (key, prefix))
+      json_array_add_element (items, json_node_copy (value));
+  json_object_set_array_member (root, "items", items);
+  json_object_set_boolean_member (root, "more_pages", FALSE);
+  set_revision (root);
+  node = node_of (root);
+  answer (request, 200, node);
+}
+
+static void
+on_watch (HttpRequest *request, const char *kind, gint64 after)
+{
+  Watch *watch;
+
+  if (after < horizon)
+    {
+      http_request_answer_json (request, 410, "{\"error\":\"history\"}");
+      return;
+    }
+  if (has_events (kind, after))
+    {
+      answer_events (request, kind, after);
+      return;
+    }
+  watch = g_new0 (Watch, 1);
+  watch->request = http_request_ref (request);
+  watch->kind = g_strdup (kind);
+  watch->after = after;
+  watch->timer = loop_timer_create (loop, on_watch_over, watch);
+  g_ptr_array_add (watches, watch);
+  loop_timer_start (watch->timer,
+                    CLAMP (number (request, "wait_ms", 0), 0, WAIT_MAX_MS) * MS_US);
+}
+
+/* Whether the caller's condition, if any, holds for what is there. */
+static gboolean
+condition_holds (HttpRequest *request, JsonNode *body, JsonNode *held)
+{
+  JsonObject *metadata = body ? metadata_of (body) : NULL;
+  gint64 wanted = number (request, "revision", -1);
+
+  if (metadata)
+    wanted = json_object_get_int_member_with_default (metadata, "revision", wanted);
+  return wanted < 0 ||
+         (held && json_object_get_int_member (metadata_of (held), "revision") == wanted);
+}
+
+/* A change has been made: its answer goes out, or is lost. */
+static void
+answer_change (HttpRequest *request, JsonNode *object)
+{
+  if (lose == 0)
+    {
+      answer (request, 200, object);
+      return;
+    }
+  lose--;
+  http_request_drop (request);
+}
+
+static JsonNode *
+body_of (HttpRequest *request)
+{
+  const GByteArray *body = http_request_body (request);
+  g_autofree char *text = g_strndup ((const char *)body->data, body->len);
+  JsonNode *node = json_from_string (text, NULL);
+
+  if (node && JSON_NODE_HOLDS_OBJECT (node) &&
+      json_object_has_member (json_node_get_object (node), "metadata"))
+    return node;
+  g_clear_pointer (&node, json_node_unref);
+  return NULL;
+}
+
+static void
+store_object (HttpRequest *request, const char *kind, const char *key, JsonNode *body)
+{
+  g_hash_table_replace (objects, g_strdup (key), json_node_ref (body));
+  note_change (kind, body, FALSE);
+  answer_change (request, body);
+}
+
+static void
+on_post (HttpRequest *request, const char *kind)
+{
+  g_autoptr (JsonNode) body = body_of (request);
+  g_autofree char *key = NULL;
+  JsonNode *held;
+
+  if (!body)
+    {
+      http_request_answer_json (request, 400, "{\"error\":\"not an object\"}");
+      return;
+    }
+  key = g_strdup_printf ("%s/%s", kind,
+                         json_object_get_string_member (metadata_of (body), "name"));
+  held = g_hash_table_lookup (objects, key);
+  if (held)
+    answer (request, 409, held);
+  else
+    store_object (request, kind, key, body);
+}
+
+static void
+on_put (HttpRequest *request, const char *kind, const char *key)
+{
+  g_autoptr (JsonNode) body = body_of (request);
+  JsonNode *held = g_hash_table_lookup (objects, key);
+
+  if (!body || !held)
+    http_request_answer_json (request, held ? 400 : 404, "{\"error\":\"no\"}");
+  else if (!condition_holds (request, body, held))
+    answer (request, 409, held);
+  else
+    store_object (request, kind, key, body);
+}
+
+static void
+on_delete (HttpRequest *request, const char *kind, const char *key)
+{
+  JsonNode *found = g_hash_table_lookup (objects, key);
+  g_autoptr (JsonNode) held = found ? json_node_ref (found) : NULL;
+
+  if (!held)
+    {
+      http_request_answer_json (request, 404, "{\"error\":\"no\"}");
+      return;
+    }
+  if (!condition_holds (request, NULL, held))
+    {
+      answer (request, 409, held);
+      return;
+    }
+  g_hash_table_remove (objects, key);
+  note_change (kind, held, TRUE);
+  answer_change (request, held);
+}
+
+static void
+on_control (HttpRequest *request)
+{
+  down = number (request, "down", down) != 0;
+  refuse = number (request, "refuse", refuse) != 0;
+  lose = (guint)number (request, "lose", lose);
+  if (number (request, "compact", 0))
+    horizon = revision + 1;
+  if (down || horizon > revision)
+    drop_watches ();
+  http_request_answer_json (request, 200, "{}\n");
+}
+
+static void
+on_stats (HttpRequest *request)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"calls\":%" G_GUINT64_FORMAT ",\"watches\":%u,\"objects\":%u}\n", calls,
+      watches->len, g_hash_table_size (objects));
+
+  http_request_answer_json (request, 200, text);
+}
+
+static void
+serve (HttpRequest *request, const char *key)
+{
+  const char *method = http_request_method (request);
+  g_autofree char *kind = g_strndup (key, strcspn (key, "/"));
+  gint64 after = number (request, "watch", -1);
+
+  calls++;
+  if (strcmp (method, "GET") == 0 && after >= 0)
+    on_watch (request, kind, after);
+  else if (strcmp (method, "GET") == 0)
+    on_list (request, kind);
+  else if (strcmp (method, "POST") == 0)
+    on_post (request, kind);
+  else if (strcmp (method, "PUT") == 0)
+    on_put (request, kind, key);
+  else
+    on_delete (request, kind, key);
+}
+
+static void
+on_request (HttpRequest *request, gpointer data)
+{
+  const char *path = http_request_path (request);
+
+  if (strcmp (path, "/_control") == 0)
+    on_control (request);
+  else if (strcmp (path, "/_stats") == 0)
+    on_stats (request);
+  else if (down)
+    http_request_drop (request);
+  else if (refuse)
+    http_request_answer_json (request, 503, "{\"error\":\"busy\"}");
+  else if (g_str_has_prefix (path, PREFIX))
+    serve (request, path + strlen (PREFIX));
+  else
+    http_request_answer_json (request, 404, "{\"error\":\"nothing here\"}");
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autoptr (GError) error = NULL;
+  HttpLimits limits = { 4096, HEADER_MAX, BODY_MAX, 30 * SECOND_US, 240 * SECOND_US };
+
+  if (argc != 2)
+    {
+      fprintf (stderr, "usage: standin-store ADDRESS:PORT\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  loop = loop_create (clock_create_monotonic ());
+  objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                   (GDestroyNotify)json_node_unref);
+  changes = g_ptr_array_new ();
+  watches = g_ptr_array_new ();
+  if (!http_server_create (loop, argv[1], &limits, on_request, NULL, &error))
+    {
+      fprintf (stderr, "standin-store: %s\n", error->message);
+      return 1;
+    }
+  loop_run (loop);
+  return 0;
+}
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -7,7 +7,10 @@
  *
  * /_control?latency_ms=N&error_percent=N&slow_percent=N&slow_ms=N&flap_ms=N&answer=TEXT
  *   answer: whole, truncated, long (bytes past the end), crossed (another's attempt),
- *   silent (never), hangup (runs, closes without an answer), half (half, then silence).
+ *   silent (never), hangup (runs, closes without an answer), half (half, then silence),
+ *   refused (503 with Not-Executed, and does not run), busy (503 without that word).
+ * A request with a Request-Attempt-Id is counted under it, and its answer is signed. Its
+ * Calling-Service and Deadline-Milliseconds are told by /_seen, of the last one.
  *   flap_ms: faults are on and off by turns of that length.
  * /_health always answers well. /_runs: totals, and how many ids ran more than once.
  * /_runs?id=ID: how often that one ran. /_ids: all ids, each with how often it ran.
@@ -34,11 +37,14 @@
   ANSWER_CROSSED,
   ANSWER_SILENT,
   ANSWER_HANGUP,
-  ANSWER_HALF
+  ANSWER_HALF,
+  ANSWER_REFUSED,
+  ANSWER_BUSY
 } AnswerKind;
 
 static const char *const answer_names[] = { "whole",  "truncated", "long", "crossed",
-                                            "silent", "hangup",    "half", NULL };
+                                            "silent", "hangup",    "half", "refused",
+                                            "busy",   NULL };
 
 typedef struct
 {
@@ -53,6 +59,7 @@
   char *path;
   char *id;
   char *attempt;
+  gboolean signed_answers; /* the caller speaks the users' dialect */
   gsize body_at;
   gsize body_len;
 } Conn;
@@ -72,6 +79,7 @@
 static gint64 flap_us;
 static AnswerKind answer_kind;
 static char *name;
+static char *seen; /* what /_seen tells */
 
 static void next_waiting (void);
 static void take_request (Conn *conn);
@@ -134,11 +142,13 @@
 static void
 answer (Conn *conn, guint status, const char *body, const char *attempt, gsize extra)
 {
+  const char *echo = conn->signed_answers
+                         ? "Response-Signature: standin\r\nRequest-Attempt-Id: "
+                         : "Switchmill-Attempt: ";
   g_autofree char *head = g_strdup_printf (
       "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n%s%s%s\r\n",
-      status, status < 400 ? "OK" : "Error", strlen (body) + extra,
-      attempt ? "Switchmill-Attempt: " : "", attempt ? attempt : "",
-      attempt ? "\r\n" : "");
+      status, status < 400 ? "OK" : "Error", strlen (body) + extra, attempt ? echo : "",
+      attempt ? attempt : "", attempt ? "\r\n" : "");
 
   put (conn, head);
   put (conn, body);
@@ -200,6 +210,10 @@
       break;
     case ANSWER_SILENT:
       break;
+    case ANSWER_BUSY:
+      answer (conn, 503, "busy\n", conn->attempt, 0);
+      flush (conn);
+      break;
     default:
       answer (conn, 200, body, conn->attempt, 0);
       flush (conn);
@@ -337,6 +351,8 @@
     text = runs_text (conn->path);
   else if (g_str_has_prefix (conn->path, "/_ids"))
     text = ids_text ();
+  else if (g_str_has_prefix (conn->path, "/_seen"))
+    text = g_strdup (seen ? seen : "\n");
   else
     text = g_strdup ("ok\n");
   answer (conn, 200, text, NULL, 0);
@@ -356,6 +372,27 @@
   return NULL;
 }
 
+/* A request in the users' dialect is counted under its own id, and answered with it. */
+static void
+note_dialect (Conn *conn, char **lines)
+{
+  g_autofree char *id = header_value (lines, "Request-Attempt-Id");
+  g_autofree char *origin = header_value (lines, "Calling-Service");
+  g_autofree char *left = header_value (lines, "Deadline-Milliseconds");
+  g_autofree char *expected = header_value (lines, "Expected-Instance");
+
+  conn->signed_answers = id != NULL;
+  if (!id)
+    return;
+  g_free (conn->id);
+  conn->id = g_strdup (id);
+  g_free (conn->attempt);
+  conn->attempt = g_strdup (id);
+  g_free (seen);
+  seen = g_strdup_printf ("%s %s %s\n", origin ? origin : "-", left ? left : "-",
+                          expected ? expected : "-");
+}
+
 /* FALSE while the request is not whole. Callers here are libcurl, with lengths. */
 static gboolean
 parse (Conn *conn)
@@ -381,9 +418,20 @@
   conn->id = header_value (lines, "X-Request-Id");
   g_free (conn->attempt);
   conn->attempt = header_value (lines, "Switchmill-Attempt");
+  note_dialect (conn, lines);
   return TRUE;
 }
 
+/* Says that it did not run it, and does not. */
+static void
+refuse (Conn *conn)
+{
+  put (conn, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  flush (conn);
+  g_byte_array_remove_range (conn->in, 0, (guint)(conn->body_at + conn->body_len));
+  g_clear_pointer (&conn->path, g_free);
+}
+
 static void
 take_request (Conn *conn)
 {
@@ -394,6 +442,11 @@
           answer_own (conn);
           continue;
         }
+      if (faults_on () && answer_kind == ANSWER_REFUSED)
+        {
+          refuse (conn);
+          continue;
+        }
       if (busy < slots)
         {
           run (conn);
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -29,12 +29,14 @@
 static const Ports ports[] = { { "callers", 8000 }, { "operators", 8100 },
                                { "nodes", 8200 },   { "targets", 8300 },
                                { "relays", 8400 },  { "controls", 8500 },
+                               { "ready", 8600 },   { "registrations", 8700 },
                                { "platform", 8900 } };
 
 struct Fleet
 {
   char *dir;
   guint nodes;
+  gboolean objects; /* the users' platform */
   GPid platform;
   GPid targets[FLEET_NODES_MAX];
   GPid node_pids[FLEET_NODES_MAX];
@@ -137,6 +139,12 @@
   return 0;
 }
 
+void
+fleet_use_objects (Fleet *fleet)
+{
+  fleet->objects = TRUE;
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t count, void *data)
 {
@@ -158,28 +166,28 @@
     answer->outcome = g_strstrip (g_strdup (colon + 1));
   if (g_ascii_strcasecmp (line, "Switchmill-Ticket") == 0)
     answer->ticket = g_strstrip (g_strdup (colon + 1));
+  if (g_ascii_strcasecmp (line, "Connection") == 0)
+    answer->connection = g_strstrip (g_strdup (colon + 1));
   if (g_ascii_strcasecmp (line, "Retry-After") == 0)
     answer->retry_after = g_strstrip (g_strdup (colon + 1));
   return size * count;
 }
 
-static Answer *
-call (const char *address,
-      const char *method,
-      const char *path,
-      const char *header,
-      const char *second,
-      const char *body)
+Answer *
+fleet_http (const char *address,
+            const char *method,
+            const char *path,
+            const char *const *lines,
+            const char *body)
 {
   g_autofree char *url = g_strdup_printf ("http://%s%s", address, path);
-  struct curl_slist *headers = curl_slist_append (NULL, header ? header : "X-None: 1");
+  struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
   GString *text = g_string_new (NULL);
   Answer *answer = g_new0 (Answer, 1);
   CURL *easy = curl_easy_init ();
 
-  headers = curl_slist_append (headers, "Expect:");
-  if (second)
-    headers = curl_slist_append (headers, second);
+  for (guint i = 0; lines && lines[i]; i++)
+    headers = curl_slist_append (headers, lines[i]);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (easy, CURLOPT_TIMEOUT, CALL_TIMEOUT_S);
@@ -201,15 +209,31 @@
   answer->body = g_string_free (text, FALSE);
   if (!answer->outcome)
     answer->outcome = g_strdup ("");
+  if (!answer->connection)
+    answer->connection = g_strdup ("");
   return answer;
 }
 
+static Answer *
+call (const char *address,
+      const char *method,
+      const char *path,
+      const char *header,
+      const char *second,
+      const char *body)
+{
+  const char *headers[] = { header ? header : second, header ? second : NULL, NULL };
+
+  return fleet_http (address, method, path, headers, body);
+}
+
 void
 answer_free (Answer *answer)
 {
   g_free (answer->outcome);
   g_free (answer->retry_after);
   g_free (answer->ticket);
+  g_free (answer->connection);
   g_free (answer->body);
   g_free (answer);
 }
@@ -321,7 +345,8 @@
 void
 fleet_start_platform (Fleet *fleet)
 {
-  g_autofree char *path = program ("standins/standin-platform");
+  g_autofree char *path =
+      program (fleet->objects ? "standins/standin-store" : "standins/standin-platform");
   g_autofree char *address = fleet_address ("platform", 0);
   char *words[] = { path, address, NULL };
 
@@ -377,6 +402,32 @@
   g_file_set_contents (path, text, -1, NULL);
 }
 
+/* What deploy/node.json is filled to on the users' platform, with shorter times. */
+static void
+write_objects_settings (Fleet *fleet, guint i, const char *path)
+{
+  g_autofree char *callers = fleet_address ("callers", i);
+  g_autofree char *operators = fleet_address ("operators", i);
+  g_autofree char *nodes = fleet_address ("nodes", i);
+  g_autofree char *ready = fleet_address ("ready", i);
+  g_autofree char *registrations = fleet_address ("registrations", i);
+  g_autofree char *target = fleet_address ("targets", i);
+  g_autofree char *platform = fleet_address ("platform", 0);
+  g_autofree char *text = g_strdup_printf (
+      "{\"node\":\"vm-%u\",\"hall\":\"hall-%u\",\"listen\":{\"callers\":\"%s\","
+      "\"operators\":\"%s\",\"nodes\":\"%s\",\"readiness\":\"%s\","
+      "\"registration\":\"%s\"},\"platform\":\"%s\",\"platform_kind\":\"objects\","
+      "\"target\":{\"address\":\"%s\",\"service\":\"pay\"},"
+      "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\","
+      "\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,\"floor_share\":0.7,"
+      "\"detection\":\"strict\",\"queue\":16},"
+      "\"limits\":{\"linger_ms\":1500,\"grace_s\":6},"
+      "\"operators\":[{\"name\":\"tester\",\"token\":\"" TOKEN "\"}]}",
+      i, i % 3, callers, operators, nodes, ready, registrations, platform, target);
+
+  g_file_set_contents (path, text, -1, NULL);
+}
+
 void
 fleet_start_node (Fleet *fleet, guint i)
 {
@@ -386,7 +437,10 @@
   g_autofree char *address = fleet_address ("callers", i);
   char *words[] = { path, settings, NULL };
 
-  write_settings (fleet, i, settings);
+  if (fleet->objects)
+    write_objects_settings (fleet, i, settings);
+  else
+    write_settings (fleet, i, settings);
   fleet->node_pids[i] = spawn (fleet, "log", words);
   await_port (address, "/");
 }
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -18,6 +18,7 @@
   char *outcome;
   char *retry_after;
   char *ticket;
+  char *connection; /* the header, "" for none */
   char *body;
 } Answer;
 
@@ -26,6 +27,9 @@
 /* Ends what is left by SIGKILL and removes the files. */
 void fleet_destroy (Fleet *fleet);
 
+/* The users' platform: the store's stand-in, nodes beside targets that register. */
+void fleet_use_objects (Fleet *fleet);
+
 /* A cmocka teardown: ends the fleet of a test that failed before its end. */
 int fleet_teardown (void **state);
 
@@ -42,6 +46,13 @@
 /* Waits for a node to end; its exit code, or -1 for a signal. */
 int fleet_wait_node (Fleet *fleet, guint i);
 
+/* Any HTTP call; `headers` are lines, NULL-terminated, or NULL. The caller frees it. */
+Answer *fleet_http (const char *address,
+                    const char *method,
+                    const char *path,
+                    const char *const *headers,
+                    const char *body);
+
 /* Calls: "GET" and so on; NULL body for none. The caller frees the answer. */
 Answer *fleet_call (Fleet *fleet,
                     guint node,
--- /dev/null
+++ b/tests/proc/test-platform.c
@@ -0,0 +1,494 @@
+/* The users' platform between real processes: store, registrations, dialect, stops. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fleet.h"
+
+#define NODES 3u
+#define SLOTS 4u
+#define LATENCY_MS 20u
+#define HOST_LINE "Host: shop.example"
+#define DEADLINE_LINE "Deadline-Milliseconds: 5000"
+/* A wait that never ends is a failure; how long it takes is not measured here. */
+#define TRIES 1500
+#define PAUSE_US 20000
+
+/* The operator's configuration; `extra` is put before its routes. */
+static char *
+config_text (guint version, const char *extra)
+{
+  return g_strdup_printf (
+      "{\"metadata\":{\"name\":\"main\"},\"specification\":{\"version\":%u,\"routes\":[%s"
+      "{\"name\":\"r-pay\",\"host\":\"shop.example\",\"prefix\":\"/pay/\",\"kind\":"
+      "\"unsafe\",\"timeout_ms\":4000,\"priority\":0,\"service\":\"pay\",\"attempts\":2},"
+      "{\"name\":\"r-read\",\"host\":\"shop.example\",\"prefix\":\"/read/\",\"kind\":"
+      "\"safe\",\"timeout_ms\":4000,\"priority\":1,\"service\":\"pay\",\"attempts\":3}],"
+      "\"services\":[{\"name\":\"pay\"}]}}",
+      version, extra);
+}
+
+static void
+write_config (guint version, const char *extra)
+{
+  g_autofree char *address = fleet_address ("platform", 0);
+  g_autofree char *text = config_text (version, extra);
+  g_autoptr (Answer) made = fleet_http (address, "POST", "/objects/config", NULL, text);
+  g_autoptr (Answer) changed = NULL;
+
+  if (made->status == 200)
+    return;
+  changed = fleet_http (address, "PUT", "/objects/config/main", NULL, text);
+  assert_int_equal (changed->status, 200);
+}
+
+static guint
+register_target (guint node, const char *name, const char *state, guint sequence)
+{
+  g_autofree char *address = fleet_address ("registrations", node);
+  g_autofree char *path = g_strdup_printf ("/v1/targets/%s/heartbeat", name);
+  g_autofree char *body = g_strdup_printf (
+      "{\"service\":\"pay\",\"address\":\"127.0.0.1:1\",\"hall\":\"h\",\"version\":"
+      "\"v1\","
+      "\"slots\":%u,\"state\":\"%s\",\"cold_remaining\":0,\"sequence\":%u}",
+      SLOTS, state, sequence);
+  g_autoptr (Answer) answer = fleet_http (address, "POST", path, NULL, body);
+
+  return (guint)answer->status;
+}
+
+static Answer *
+request (guint node, const char *method, const char *path, const char *id)
+{
+  g_autofree char *address = fleet_address ("callers", node);
+  g_autofree char *line = g_strconcat ("Request-Attempt-Id: ", id, NULL);
+  const char *headers[] = { HOST_LINE, DEADLINE_LINE, line, NULL };
+  gboolean post = strcmp (method, "POST") == 0;
+
+  return fleet_http (address, method, path, headers, post ? "body" : NULL);
+}
+
+static void
+await_status (guint node, const char *path, guint status)
+{
+  for (guint i = 0; i < TRIES; i++)
+    {
+      g_autoptr (Answer) answer = request (node, "GET", path, "wait");
+
+      if (answer->status == status)
+        return;
+      g_usleep (PAUSE_US);
+    }
+  fail_msg ("node %u never answers %u to %s", node, status, path);
+}
+
+static guint
+ready_status (guint node)
+{
+  g_autofree char *address = fleet_address ("ready", node);
+  g_autoptr (Answer) answer = fleet_http (address, "GET", "/ready", NULL, NULL);
+
+  return (guint)answer->status;
+}
+
+/* Store, targets and nodes; the targets in `serving` (bits) have registered. */
+static Fleet *
+start (guint serving)
+{
+  Fleet *fleet = fleet_create (NODES);
+
+  fleet_use_objects (fleet);
+  fleet_start_platform (fleet);
+  write_config (4, "");
+  for (guint i = 0; i < NODES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("i-%u", i);
+
+      fleet_start_target (fleet, i, SLOTS, LATENCY_MS);
+      fleet_start_node (fleet, i);
+      if (serving & 1u << i)
+        assert_int_equal (register_target (i, name, "serving", 1), 200);
+    }
+  for (guint i = 0; i < NODES; i++)
+    await_status (i, "/read/x", serving ? 200 : 503);
+  return fleet;
+}
+
+static void
+test_a_calm_day (void **state)
+{
+  Fleet *fleet = start (7);
+  g_autofree char *target = fleet_address ("targets", 1);
+  guint runs = 0;
+
+  for (guint i = 0; i < NODES; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("pay-%u", i);
+      g_autoptr (Answer) paid = request (i, "POST", "/pay/1?x=%20y", id);
+      g_autoptr (Answer) none = request (i, "GET", "/other/1", "none");
+
+      assert_int_equal (paid->status, 200);
+      assert_true (g_str_has_prefix (paid->body, id));
+      assert_int_equal (none->status, 404);
+      assert_int_equal (ready_status (i), 200);
+      for (guint j = 0; j < NODES; j++)
+        runs += fleet_runs (fleet, j, id);
+    }
+  assert_int_equal (runs, NODES);
+  fleet_destroy (fleet);
+}
+
+static void
+test_the_target_hears_who_asks_and_how_long (void **state)
+{
+  Fleet *fleet = start (1);
+  g_autofree char *target = fleet_address ("targets", 0);
+  g_autofree char *callers = fleet_address ("callers", 1);
+  const char *headers[] = { HOST_LINE,
+                            DEADLINE_LINE,
+                            "Request-Attempt-Id: a",
+                            "Calling-Service: forged",
+                            "Expected-Instance: forged",
+                            NULL };
+  g_autoptr (Answer) answer = fleet_http (callers, "GET", "/read/1", headers, NULL);
+  g_autoptr (Answer) seen = fleet_http (target, "GET", "/_seen", NULL, NULL);
+  g_auto (GStrv) words = NULL;
+  guint64 left;
+
+  assert_int_equal (answer->status, 200);
+  words = g_strsplit (g_strstrip (seen->body), " ", 3);
+  assert_string_equal (words[0], "pay");
+  left = g_ascii_strtoull (words[1], NULL, 10);
+  assert_in_range (left, 1, 4000); /* the route's, which is the shorter */
+  assert_string_equal (words[2], "i-0");
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_change_is_in_force_everywhere_and_never_reverts (void **state)
+{
+  Fleet *fleet = start (7);
+
+  write_config (9, "{\"name\":\"r-new\",\"host\":\"shop.example\",\"prefix\":\"/new/\","
+                   "\"kind\":\"safe\",\"timeout_ms\":4000,\"service\":\"pay\","
+                   "\"attempts\":2},");
+  for (guint i = 0; i < NODES; i++)
+    await_status (i, "/new/1", 200);
+  write_config (8, "");
+  for (guint i = 0; i < NODES; i++)
+    fleet_await (fleet, i, "$.generation", 9);
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autoptr (Answer) answer = request (i % NODES, "GET", "/new/1", "again");
+
+      assert_int_equal (answer->status, 200);
+      g_usleep (PAUSE_US);
+    }
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_bad_configuration_leaves_the_good_one (void **state)
+{
+  Fleet *fleet = start (7);
+
+  write_config (20, "{\"name\":\"r-bad\",\"prefix\":7},");
+  write_config (21, "{\"name\":\"r-new\",\"host\":\"shop.example\",\"prefix\":\"/new/\","
+                    "\"kind\":\"safe\",\"service\":\"pay\"},");
+  for (guint i = 0; i < NODES; i++)
+    await_status (i, "/new/1", 200);
+  fleet_destroy (fleet);
+}
+
+static void
+test_history_that_is_gone_is_read_as_a_whole (void **state)
+{
+  Fleet *fleet = start (7);
+
+  fleet_control_platform (fleet, "compact=1");
+  write_config (9, "{\"name\":\"r-new\",\"host\":\"shop.example\",\"prefix\":\"/new/\","
+                   "\"kind\":\"safe\",\"service\":\"pay\"},");
+  for (guint i = 0; i < NODES; i++)
+    await_status (i, "/new/1", 200);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_restart_without_the_store_takes_the_others_configuration (void **state)
+{
+  Fleet *fleet = start (7);
+
+  write_config (9, "{\"name\":\"r-new\",\"host\":\"shop.example\",\"prefix\":\"/new/\","
+                   "\"kind\":\"safe\",\"service\":\"pay\"},");
+  for (guint i = 0; i < NODES; i++)
+    await_status (i, "/new/1", 200);
+  fleet_control_platform (fleet, "down=1");
+  fleet_signal_node (fleet, 2, SIGKILL);
+  fleet_start_node (fleet, 2);
+  await_status (2, "/new/1", 200);
+  assert_int_equal (ready_status (2), 200);
+  fleet_destroy (fleet);
+}
+
+static void
+test_without_any_configuration_nothing_is_denied (void **state)
+{
+  Fleet *fleet = fleet_create (1);
+  g_autoptr (Answer) answer = NULL;
+
+  fleet_use_objects (fleet);
+  fleet_start_platform (fleet);
+  fleet_start_node (fleet, 0);
+  answer = request (0, "GET", "/read/1", "early");
+  assert_int_equal (answer->status, 503);
+  assert_non_null (answer->retry_after);
+  assert_int_equal (ready_status (0), 503);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_target_that_leaves_gets_nothing_more (void **state)
+{
+  Fleet *fleet = start (7);
+
+  assert_int_equal (register_target (0, "i-0", "leaving", 2), 200);
+  for (guint i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("left-%u", i);
+      g_autoptr (Answer) answer = request (i % NODES, "POST", "/pay/1", id);
+
+      assert_int_equal (answer->status, 200);
+      assert_int_equal (fleet_runs (fleet, 0, id), 0);
+    }
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_late_heartbeat_brings_nobody_back (void **state)
+{
+  Fleet *fleet = start (3);
+  g_autofree char *address = fleet_address ("registrations", 0);
+  g_autoptr (Answer) left =
+      fleet_http (address, "POST", "/v1/targets/i-0/leave", NULL, NULL);
+
+  assert_int_equal (left->status, 200);
+  assert_int_equal (register_target (0, "i-0", "serving", 9), 200);
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("late-%u", i);
+      g_autoptr (Answer) answer = request (i % NODES, "POST", "/pay/1", id);
+
+      assert_int_equal (answer->status, 200);
+      assert_int_equal (fleet_runs (fleet, 0, id), 0);
+    }
+  /* The next start of it, under another name, is welcome. */
+  assert_int_equal (register_target (0, "i-9", "serving", 1), 200);
+  await_status (0, "/read/x", 200);
+  assert_int_equal (register_target (0, "", "serving", 1), 404);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_refusal_of_the_target_goes_elsewhere_or_is_told (void **state)
+{
+  Fleet *fleet = start (3);
+  g_autoptr (Answer) elsewhere = NULL;
+  g_autoptr (Answer) told = NULL;
+
+  /* Retries are a share of what was asked: a few requests pay for those below. */
+  for (guint i = 0; i < 60; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("before-%u", i);
+      g_autoptr (Answer) answer = request (2, "GET", "/read/1", id);
+
+      assert_int_equal (answer->status, 200);
+    }
+  fleet_control_target (fleet, 0, "answer=refused");
+  for (guint i = 0; i < 5; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("ref-%u", i);
+      g_autoptr (Answer) answer = request (2, "GET", "/read/1", id);
+
+      assert_int_equal (answer->status, 200);
+    }
+  fleet_control_target (fleet, 1, "answer=refused");
+  told = request (2, "POST", "/pay/1", "told");
+  assert_int_equal (told->status, 503);
+  assert_non_null (told->retry_after);
+  assert_int_equal (fleet_runs (fleet, 0, "told") + fleet_runs (fleet, 1, "told"), 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_an_unproved_promise_is_not_passed_on (void **state)
+{
+  Fleet *fleet = start (1);
+  g_autoptr (Answer) answer = NULL;
+
+  fleet_control_target (fleet, 0, "answer=busy");
+  answer = request (1, "POST", "/pay/1", "busy");
+  assert_int_equal (answer->status, 502);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_broken_exchange_is_never_repeated_for_unsafe_work (void **state)
+{
+  Fleet *fleet = start (7);
+  guint broken = 0;
+
+  for (guint i = 0; i < NODES; i++)
+    fleet_control_target (fleet, i, "answer=hangup");
+  for (guint i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("cut-%u", i);
+      g_autoptr (Answer) answer = request (i % NODES, "POST", "/pay/1", id);
+      guint runs = 0;
+
+      for (guint j = 0; j < NODES; j++)
+        runs += fleet_runs (fleet, j, id);
+      assert_true (runs <= 1);
+      assert_int_equal (answer->status == 503, runs == 0);
+      broken += answer->status == 502;
+    }
+  assert_true (broken > 0);
+  fleet_destroy (fleet);
+}
+
+static int
+open_caller (guint node)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  g_autofree char *text = fleet_address ("callers", node);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_port = htons ((guint16)atoi (strchr (text, ':') + 1));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+/* Waits until the targets run as many requests as that. */
+static void
+await_busy (Fleet *fleet, guint node, gint64 in_use)
+{
+  for (guint i = 0; i < TRIES; i++)
+    {
+      if (fleet_status (fleet, node, "$.own_targets[0].in_use") == in_use)
+        return;
+      g_usleep (PAUSE_US);
+    }
+  fail_msg ("the target of node %u never has %d requests", node, (int)in_use);
+}
+
+static void
+test_work_for_a_caller_who_left_is_broken_off (void **state)
+{
+  static const char words[] = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                              "Request-Attempt-Id: gone\r\n"
+                              "Deadline-Milliseconds: 60000\r\n\r\n";
+  Fleet *fleet = start (1);
+  int fd;
+
+  fleet_control_target (fleet, 0, "answer=silent");
+  fd = open_caller (1);
+  assert_int_equal (send (fd, words, sizeof words - 1, 0), sizeof words - 1);
+  await_busy (fleet, 0, 1);
+  close (fd);
+  await_busy (fleet, 0, 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_stop_cuts_nothing_and_sends_callers_elsewhere (void **state)
+{
+  static const char words[] = "POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                              "Request-Attempt-Id: last\r\nContent-Length: 1\r\n"
+                              "Deadline-Milliseconds: 5000\r\n\r\nx";
+  Fleet *fleet = start (7);
+  char buffer[4096] = { 0 };
+  gssize got = 0;
+  int fd;
+
+  for (guint i = 0; i < NODES; i++)
+    fleet_control_target (fleet, i, "latency_ms=700");
+  fd = open_caller (0);
+  assert_int_equal (send (fd, words, sizeof words - 1, 0), sizeof words - 1);
+  for (guint i = 0; i < TRIES && fleet_status (fleet, 0, "$.requests_in_flight") < 1; i++)
+    g_usleep (PAUSE_US);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  for (guint i = 0; i < TRIES && ready_status (0) != 503; i++)
+    g_usleep (PAUSE_US);
+  for (;;)
+    {
+      gssize n = recv (fd, buffer + got, sizeof buffer - 1 - (gsize)got, 0);
+
+      if (n <= 0)
+        break;
+      got += n;
+    }
+  close (fd);
+  assert_true (g_str_has_prefix (buffer, "HTTP/1.1 200"));
+  assert_non_null (strstr (buffer, "Connection: close"));
+  assert_int_equal (fleet_wait_node (fleet, 0), 0);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_node_whose_object_is_there_already_joins (void **state)
+{
+  Fleet *fleet = start (7);
+  g_autofree char *address = fleet_address ("platform", 0);
+
+  fleet_signal_node (fleet, 1, SIGKILL);
+  fleet_control_platform (fleet, "lose=1");
+  fleet_start_node (fleet, 1);
+  assert_int_equal (register_target (1, "i-8", "serving", 1), 200);
+  await_status (1, "/read/x", 200);
+  fleet_await (fleet, 1, "$.members[2].epoch", 1);
+  fleet_destroy (fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (test_a_calm_day, fleet_teardown),
+    cmocka_unit_test_teardown (test_the_target_hears_who_asks_and_how_long,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_change_is_in_force_everywhere_and_never_reverts,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_bad_configuration_leaves_the_good_one,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_history_that_is_gone_is_read_as_a_whole,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (
+        test_a_restart_without_the_store_takes_the_others_configuration, fleet_teardown),
+    cmocka_unit_test_teardown (test_without_any_configuration_nothing_is_denied,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_target_that_leaves_gets_nothing_more,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_late_heartbeat_brings_nobody_back, fleet_teardown),
+    cmocka_unit_test_teardown (test_a_refusal_of_the_target_goes_elsewhere_or_is_told,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_an_unproved_promise_is_not_passed_on, fleet_teardown),
+    cmocka_unit_test_teardown (test_a_broken_exchange_is_never_repeated_for_unsafe_work,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_work_for_a_caller_who_left_is_broken_off,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_stop_cuts_nothing_and_sends_callers_elsewhere,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_node_whose_object_is_there_already_joins,
+                               fleet_teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
