Free slots are looked for in the own hall first

Change: up to four targets of the own hall are asked for a free slot, then two of others, then the request queues by load.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -43,10 +43,27 @@
   BALANCER_TRIAL_DUE
 } BalancerTrial;
 
+/* Which data halls a request had better stay in. */
+typedef enum
+{
+  BALANCER_BY_LOAD,     /* its own, while that is not much more loaded */
+  BALANCER_OWN_FIRST,   /* its own, if any target there is left */
+  BALANCER_OTHERS_FIRST /* another, if any target there is left */
+} BalancerHalls;
+
+/* What is wanted of a choice. */
+typedef struct
+{
+  BalancerTrial trial;
+  BalancerHalls halls;
+  const GPtrArray *tried; /* names that are left out; may be NULL */
+} BalancerWish;
+
 typedef struct
 {
   const Target *target;  /* NULL when none can take it */
   gboolean trial;        /* an ejected target, given a chance to show that it is well */
+  gboolean local;        /* it is of this ingress's hall */
   gboolean sick;         /* it is held sick, and was chosen all the same */
   gint64 retry_after_us; /* for none */
 } BalancerChoice;
@@ -86,14 +103,9 @@
 /* How a call to a node's sidecar went, for the breaker of the path there. */
 void balancer_note_path (Balancer *balancer, const char *vm, gboolean answered);
 
-/*
- * Picks a target for one attempt, leaving out those in `tried` (names; may be NULL).
- * Trials are for requests that may be repeated.
- */
-BalancerChoice balancer_choose (Balancer *balancer,
-                                const Service *service,
-                                BalancerTrial trial,
-                                const GPtrArray *tried);
+/* Picks a target for one attempt. Trials are for requests that may be repeated. */
+BalancerChoice
+balancer_choose (Balancer *balancer, const Service *service, const BalancerWish *wish);
 
 /* An attempt is on its way to a target, or has come back. */
 void balancer_begin (Balancer *balancer, const char *target);
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -306,7 +306,7 @@
 }
 
 static const Candidate *
-pick (Balancer *balancer, const GArray *candidates)
+pick (Balancer *balancer, const GArray *candidates, BalancerHalls halls)
 {
   const Candidate *local = pick_two (balancer, candidates, TRUE);
   const Candidate *other = pick_two (balancer, candidates, FALSE);
@@ -315,8 +315,10 @@
     return NULL;
   if (!other)
     return local;
-  if (!local)
+  if (!local || halls == BALANCER_OTHERS_FIRST)
     return other;
+  if (halls == BALANCER_OWN_FIRST)
+    return local;
   if (load_of (local) * 100 <= SPILL_PERCENT || load_of (local) <= load_of (other))
     return local;
   return other;
@@ -331,10 +333,11 @@
 pick_healthy_first (Balancer *balancer,
                     const GArray *healthy,
                     const GArray *sick,
+                    BalancerHalls halls,
                     gboolean any_healthy)
 {
-  const Candidate *best = pick (balancer, healthy);
-  const Candidate *spare = pick (balancer, sick);
+  const Candidate *best = pick (balancer, healthy, halls);
+  const Candidate *spare = pick (balancer, sick, halls);
 
   if (!spare && !best)
     return NULL;
@@ -388,10 +391,7 @@
 }
 
 BalancerChoice
-balancer_choose (Balancer *balancer,
-                 const Service *service,
-                 BalancerTrial trial,
-                 const GPtrArray *tried)
+balancer_choose (Balancer *balancer, const Service *service, const BalancerWish *wish)
 {
   BalancerChoice choice = { .retry_after_us = RETRY_AFTER_US };
   guint count = service->targets->len;
@@ -409,14 +409,14 @@
 
       any_available |= items[i].available;
       any_healthy |= items[i].available && items[i].severity == 0;
-      if (!items[i].available || was_tried (tried, target->name))
+      if (!items[i].available || was_tried (wish->tried, target->name))
         continue;
       if (items[i].severity == 0)
         add_candidate (balancer, candidates, target);
       else if (!items[i].ejected)
         add_candidate (balancer, sick, target);
-      if (items[i].severity > 0 && trial != BALANCER_NO_TRIAL && !tried &&
-          trial_is_due (balancer, view_of (balancer, target->name), trial))
+      if (items[i].severity > 0 && wish->trial != BALANCER_NO_TRIAL && !wish->tried &&
+          trial_is_due (balancer, view_of (balancer, target->name), wish->trial))
         {
           choice.target = target;
           choice.trial = TRUE;
@@ -425,8 +425,10 @@
         }
     }
   if (!any_available)
-    add_last_resorts (balancer, service, tried, candidates);
-  choice.target = pick_healthy_first (balancer, candidates, sick, any_healthy);
+    add_last_resorts (balancer, service, wish->tried, candidates);
+  choice.target =
+      pick_healthy_first (balancer, candidates, sick, wish->halls, any_healthy);
+  choice.local = choice.target && strcmp (choice.target->hall, balancer->hall) == 0;
   choice.sick = choice.target && severity_of (balancer, choice.target) > 0;
   return choice;
 }
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -82,8 +82,9 @@
 
   for (guint n = 0; n < ROUNDS; n++)
     {
+      BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, tried };
       BalancerChoice choice =
-          balancer_choose (fixture->balancer, fixture->service, BALANCER_NO_TRIAL, tried);
+          balancer_choose (fixture->balancer, fixture->service, &wish);
 
       if (choice.target && strcmp (choice.target->name, name) == 0)
         count++;
@@ -136,11 +137,12 @@
 test_with_all_failing_any_is_better_than_none (void **state)
 {
   Fixture fixture = setup ();
+  BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, NULL };
   BalancerChoice choice;
 
   for (guint i = 0; i < TARGETS; i++)
     report (&fixture, i, 0, 100, FALSE);
-  choice = balancer_choose (fixture.balancer, fixture.service, BALANCER_NO_TRIAL, NULL);
+  choice = balancer_choose (fixture.balancer, fixture.service, &wish);
   assert_non_null (choice.target);
   assert_true (choice.sick);
   teardown (&fixture);
@@ -163,12 +165,13 @@
 static guint
 trials (Fixture *fixture, BalancerTrial trial, gint64 span_us)
 {
+  BalancerWish wish = { trial, BALANCER_BY_LOAD, NULL };
   guint count = 0;
 
   for (gint64 t = 0; t < span_us; t += 20 * MS_US)
     {
       clock_advance (fixture->clock, 20 * MS_US);
-      count += balancer_choose (fixture->balancer, fixture->service, trial, NULL).trial;
+      count += balancer_choose (fixture->balancer, fixture->service, &wish).trial;
     }
   return count;
 }
@@ -189,6 +192,22 @@
   teardown (&fixture);
 }
 
+static void
+test_halls_are_kept_apart_as_wished (void **state)
+{
+  Fixture fixture = setup ();
+  Balancer *foreign = balancer_create ("elsewhere", fixture.rand, fixture.clock);
+  BalancerWish own = { BALANCER_NO_TRIAL, BALANCER_OWN_FIRST, NULL };
+  BalancerWish others = { BALANCER_NO_TRIAL, BALANCER_OTHERS_FIRST, NULL };
+
+  assert_true (balancer_choose (fixture.balancer, fixture.service, &own).local);
+  /* Where one kind is missing the other does. */
+  assert_true (balancer_choose (fixture.balancer, fixture.service, &others).local);
+  assert_false (balancer_choose (foreign, fixture.service, &own).local);
+  balancer_destroy (foreign);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -199,6 +218,7 @@
     cmocka_unit_test (test_with_all_failing_any_is_better_than_none),
     cmocka_unit_test (test_a_closed_path_gets_nothing_until_it_opens),
     cmocka_unit_test (test_trials_are_paced_and_rarer_without_a_retry_in_hand),
+    cmocka_unit_test (test_halls_are_kept_apart_as_wished),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/core/tests/test-floor.c
+++ b/core/tests/test-floor.c
@@ -81,8 +81,9 @@
 static void
 check_choice (Balancer *balancer, const Service *service, gboolean repeatable)
 {
-  BalancerChoice choice = balancer_choose (
-      balancer, service, repeatable ? BALANCER_TRIAL_DUE : BALANCER_NO_TRIAL, NULL);
+  BalancerWish wish = { repeatable ? BALANCER_TRIAL_DUE : BALANCER_NO_TRIAL,
+                        BALANCER_BY_LOAD, NULL };
+  BalancerChoice choice = balancer_choose (balancer, service, &wish);
   TargetStatus status;
 
   if (!choice.target)
--- a/daemon/src/exchange.c
+++ b/daemon/src/exchange.c
@@ -15,9 +15,10 @@
 /* A connection to a node that is there is made in a round trip; 400 ms cover a lost
    packet's first repetition (200 ms) with room to spare. */
 #define OPEN_TIMEOUT_US (400 * MS_US)
-/* So many targets are asked for a free slot before a request may wait for one: with two
-   thirds of the slots in use, one in twenty requests finds none in three. */
-#define FREE_SLOT_TRIES 3u
+/* So many targets are asked for a free slot before a request may wait for one. A question
+   within the hall costs a fraction of a millisecond and no bytes that are paid for. */
+#define OWN_HALL_TRIES 4u
+#define OTHER_HALL_TRIES 2u
 /* Nothing waits for the answer to a cancellation. */
 #define CANCEL_TIMEOUT_US SECOND_US
 #define TICKET_TIMEOUT_US (2 * SECOND_US)
@@ -55,6 +56,8 @@
   gint64 began_us;
   GPtrArray *tried; /* names of targets */
   GPtrArray *busy;  /* names of targets that had no free slot */
+  guint busy_own;   /* how many of them are in this hall */
+  guint busy_other;
   /* The last attempt. */
   AttemptId attempt; /* its node is borrowed */
   const Target *target;
@@ -63,6 +66,7 @@
   gint64 remaining_us;
   gint64 hold_us;
   gboolean trial;     /* the target is sick, and this is to show whether it still is */
+  gboolean local;     /* the target is in this hall */
   gboolean may_queue; /* free slots have been looked for in vain */
   gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
   Pending *pending;   /* the submission that is waited for; NULL for none */
@@ -263,6 +267,16 @@
   peers_note_state (node->peers, &res->stamp, &res->state);
 }
 
+static void
+note_busy (Exchange *exchange, char *name)
+{
+  g_ptr_array_add (exchange->busy, name);
+  if (exchange->local)
+    exchange->busy_own++;
+  else
+    exchange->busy_other++;
+}
+
 /* A target that only refused may be chosen again, if in other circumstances. */
 static void
 note_refusal (Exchange *exchange, Reason reason)
@@ -273,7 +287,7 @@
     return;
   name = g_ptr_array_steal_index (exchange->tried, exchange->tried->len - 1);
   if (reason == REASON_OVERLOAD && !exchange->may_queue)
-    g_ptr_array_add (exchange->busy, name);
+    note_busy (exchange, name);
   else if (reason == REASON_OVERLOAD)
     g_ptr_array_add (exchange->tried, name);
   else
@@ -456,6 +470,7 @@
 {
   Node *node = exchange->owner->node;
 
+  g_assert (exchange->target);
   exchange->wait_us = step->wait_us;
   exchange->remaining_us = step->remaining_us;
   exchange->out = TRUE;
@@ -499,6 +514,7 @@
 {
   Node *node = exchange->owner->node;
 
+  g_assert (exchange->target);
   exchange->wait_us = step->wait_us;
   exchange->hold_us = step->hold_us;
   metrics_add (node->metrics, METRIC_FENCE_QUESTIONS, 1);
@@ -550,29 +566,32 @@
 }
 
 static BalancerChoice
-choose_once (Exchange *exchange, BalancerTrial trial)
+choose_once (Exchange *exchange, BalancerTrial trial, BalancerHalls halls)
 {
   g_autoptr (GPtrArray) names = excluded (exchange);
+  BalancerWish wish = { trial, halls, names->len ? names : NULL };
 
-  return balancer_choose (exchange->owner->node->balancer, exchange->service, trial,
-                          names->len ? names : NULL);
+  return balancer_choose (exchange->owner->node->balancer, exchange->service, &wish);
 }
 
 /*
  * What an ingress knows of the others' load is old by the time it chooses. A few targets
- * are therefore asked for a free slot; only then does the request wait, at the best.
+ * are therefore asked for a free slot, first those of its own hall, for bytes between
+ * halls cost more than another question; only then does the request wait, at the best.
  */
 static BalancerChoice
 choose_free_or_queue (Exchange *exchange)
 {
+  BalancerHalls halls =
+      exchange->busy_own < OWN_HALL_TRIES ? BALANCER_OWN_FIRST : BALANCER_OTHERS_FIRST;
   BalancerChoice choice = { 0 };
 
-  if (exchange->busy->len < FREE_SLOT_TRIES)
-    choice = choose_once (exchange, trial_of (exchange));
+  if (exchange->busy_other < OTHER_HALL_TRIES)
+    choice = choose_once (exchange, trial_of (exchange), halls);
   if (choice.target)
     return choice;
   exchange->may_queue = TRUE;
-  return choose_once (exchange, BALANCER_NO_TRIAL);
+  return choose_once (exchange, BALANCER_NO_TRIAL, BALANCER_BY_LOAD);
 }
 
 static void
@@ -598,6 +617,7 @@
     }
   exchange->even_sick = choice.sick;
   exchange->trial = choice.trial;
+  exchange->local = choice.local;
   if (choice.trial)
     metrics_add (node->metrics, METRIC_TRIALS, 1);
   step =
@@ -759,8 +779,9 @@
 exchanges_give_ticket (Exchanges *exchanges, const ExchangeOrder *order)
 {
   Exchange *exchange = exchange_create (exchanges, order);
-  BalancerChoice choice = balancer_choose (exchanges->node->balancer, order->service,
-                                           BALANCER_NO_TRIAL, NULL);
+  BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, NULL };
+  BalancerChoice choice =
+      balancer_choose (exchanges->node->balancer, order->service, &wish);
 
   exchange->target = choice.target;
   if (choice.target)
