--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -73,7 +73,7 @@
       exchange->busy_own < OWN_HALL_TRIES ? BALANCER_OWN_FIRST : BALANCER_OTHERS_FIRST;
   BalancerChoice choice = { 0 };
 
-  /* Refusals of other kinds use up tries too: some must be left for a place in a queue. */
+  /* Other refusals use up tries too; some must be left for a place in a queue. */
   if (exchange->busy_other < OTHER_HALL_TRIES &&
       dispatch_refusals (exchange->dispatch) < OWN_HALL_TRIES + OTHER_HALL_TRIES)
     choice = choose_once (exchange, trial_of (exchange), halls);
