--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -156,6 +156,8 @@
 /* The account with this id, or NULL. */
 const Account *snapshot_account (const Snapshot *snapshot, const char *id);
 
+void target_free (Target *target);
+
 /* The target named so in a service, or NULL. */
 const Target *service_target (const Service *service, const char *name);
 /* Slots of the targets that are not leaving. */
--- a/core/src/config/head.c
+++ b/core/src/config/head.c
@@ -1,6 +1,7 @@
 #include "model.h"
 
 #include <string.h>
+#include <core/json-write.h>
 
 /* A lost answer is asked after within minutes: ten a minute for a quarter of an hour. */
 #define PLANS_KEPT 150u
@@ -83,8 +84,7 @@
   GList *keys = g_list_sort (g_hash_table_get_keys (head->parts), (GCompareFunc)strcmp);
 
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "generation");
-  json_builder_add_int_value (builder, (gint64)head->generation);
+  json_write_int (builder, "generation", (gint64)head->generation);
   json_builder_set_member_name (builder, "plans");
   json_builder_begin_array (builder);
   for (guint i = 0; i < head->plans->len; i++)
@@ -95,10 +95,8 @@
   for (GList *l = keys; l; l = l->next)
     {
       json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, "key");
-      json_builder_add_string_value (builder, l->data);
-      json_builder_set_member_name (builder, "digest");
-      json_builder_add_string_value (builder, g_hash_table_lookup (head->parts, l->data));
+      json_write_string (builder, "key", l->data);
+      json_write_string (builder, "digest", g_hash_table_lookup (head->parts, l->data));
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
--- a/core/src/config/plan.c
+++ b/core/src/config/plan.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 
 #include <string.h>
+#include <core/json-write.h>
 
 #include "intent.h"
 
@@ -315,24 +316,15 @@
   return plan->head;
 }
 
-static void
-add_int (JsonBuilder *builder, const char *name, gint64 value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, value);
-}
-
 static void
 add_capacity (JsonBuilder *builder, const Capacity *capacity)
 {
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "service");
-  json_builder_add_string_value (builder, capacity->service);
-  add_int (builder, "floor_slots", capacity->floor);
-  add_int (builder, "healthy_slots_now", capacity->before);
-  add_int (builder, "healthy_slots_after", capacity->after);
-  json_builder_set_member_name (builder, "below_floor");
-  json_builder_add_boolean_value (builder, capacity->refused);
+  json_write_string (builder, "service", capacity->service);
+  json_write_int (builder, "floor_slots", capacity->floor);
+  json_write_int (builder, "healthy_slots_now", capacity->before);
+  json_write_int (builder, "healthy_slots_after", capacity->after);
+  json_write_bool (builder, "below_floor", capacity->refused);
   json_builder_end_object (builder);
 }
 
@@ -342,9 +334,8 @@
   JsonBuilder *builder = json_builder_new ();
 
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "id");
-  json_builder_add_string_value (builder, plan->id);
-  add_int (builder, "base_generation", (gint64)plan->base_generation);
+  json_write_string (builder, "id", plan->id);
+  json_write_int (builder, "base_generation", (gint64)plan->base_generation);
   json_builder_set_member_name (builder, "changes");
   json_builder_begin_array (builder);
   for (guint i = 0; i < plan->changes->len; i++)
@@ -355,8 +346,7 @@
   for (guint i = 0; i < plan->capacities->len; i++)
     add_capacity (builder, &g_array_index (plan->capacities, Capacity, i));
   json_builder_end_array (builder);
-  json_builder_set_member_name (builder, "below_floor");
-  json_builder_add_boolean_value (builder, plan_is_refused (plan));
+  json_write_bool (builder, "below_floor", plan_is_refused (plan));
   json_builder_end_object (builder);
   return json_text (builder);
 }
--- a/core/src/config/route.c
+++ b/core/src/config/route.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <core/names.h>
+#include <core/json-write.h>
 
 #define HOST_MAX 253
 #define PREFIX_MAX 1024
@@ -190,8 +191,7 @@
 {
   if (route->split->len == 0)
     {
-      json_builder_set_member_name (builder, "service");
-      json_builder_add_string_value (builder, route->service);
+      json_write_string (builder, "service", route->service);
       return;
     }
   json_builder_set_member_name (builder, "split");
@@ -201,10 +201,8 @@
       const RouteShare *share = &g_array_index (route->split, RouteShare, i);
 
       json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, "service");
-      json_builder_add_string_value (builder, share->service);
-      json_builder_set_member_name (builder, "weight");
-      json_builder_add_int_value (builder, share->weight);
+      json_write_string (builder, "service", share->service);
+      json_write_int (builder, "weight", share->weight);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
@@ -214,13 +212,10 @@
 route_write (const Route *route, JsonBuilder *builder)
 {
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "host");
-  json_builder_add_string_value (builder, route->host);
-  json_builder_set_member_name (builder, "prefix");
-  json_builder_add_string_value (builder, route->prefix);
+  json_write_string (builder, "host", route->host);
+  json_write_string (builder, "prefix", route->prefix);
   write_services (route, builder);
-  json_builder_set_member_name (builder, "class");
-  json_builder_add_string_value (builder, route->class);
+  json_write_string (builder, "class", route->class);
   json_builder_set_member_name (builder, "methods");
   json_builder_begin_array (builder);
   if (route->methods == METHOD_BITS_ANY)
@@ -230,16 +225,11 @@
       if (route->methods & 1u << i)
         json_builder_add_string_value (builder, method_names[i]);
   json_builder_end_array (builder);
-  json_builder_set_member_name (builder, "priority");
-  json_builder_add_int_value (builder, route->priority);
-  json_builder_set_member_name (builder, "repeatable");
-  json_builder_add_boolean_value (builder, route->repeatable);
-  json_builder_set_member_name (builder, "account");
-  json_builder_add_boolean_value (builder, route->account);
-  json_builder_set_member_name (builder, "attempts");
-  json_builder_add_int_value (builder, route->attempts);
-  json_builder_set_member_name (builder, "deadline_ms");
-  json_builder_add_int_value (builder, route->deadline_us / 1000);
+  json_write_int (builder, "priority", route->priority);
+  json_write_bool (builder, "repeatable", route->repeatable);
+  json_write_bool (builder, "account", route->account);
+  json_write_int (builder, "attempts", route->attempts);
+  json_write_int (builder, "deadline_ms", route->deadline_us / 1000);
   json_builder_end_object (builder);
 }
 
@@ -273,12 +263,9 @@
 account_write (const Account *account, JsonBuilder *builder)
 {
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "id");
-  json_builder_add_string_value (builder, account->id);
-  json_builder_set_member_name (builder, "tenant");
-  json_builder_add_string_value (builder, account->tenant);
-  json_builder_set_member_name (builder, "key_sha256");
-  json_builder_add_string_value (builder, account->key_sha256);
+  json_write_string (builder, "id", account->id);
+  json_write_string (builder, "tenant", account->tenant);
+  json_write_string (builder, "key_sha256", account->key_sha256);
   json_builder_end_object (builder);
 }
 
--- a/core/src/config/service.c
+++ b/core/src/config/service.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <core/names.h>
+#include <core/json-write.h>
 
 #define SLOTS_MAX 100000
 #define ANSWER_DEFAULT (4 * 1024 * 1024)
@@ -13,11 +14,9 @@
                                                NULL };
 static const char *const state_names[] = { "serving", "leaving", NULL };
 
-static void
-target_free (gpointer data)
+void
+target_free (Target *target)
 {
-  Target *target = data;
-
   g_free (target->name);
   g_free (target->vm);
   g_free (target->hall);
@@ -106,7 +105,7 @@
 {
   Service *service = g_new0 (Service, 1);
 
-  service->targets = g_ptr_array_new_with_free_func (target_free);
+  service->targets = g_ptr_array_new_with_free_func ((GDestroyNotify)target_free);
   service->name = g_strdup (names_required (view, "name"));
   service->tenant = g_strdup (names_required (view, "tenant"));
   service->floor_slots = (guint)json_view_int (view, "floor_slots", 0, G_MAXINT, 0);
@@ -139,7 +138,7 @@
 
   copy->name = g_strdup (service->name);
   copy->tenant = g_strdup (service->tenant);
-  copy->targets = g_ptr_array_new_with_free_func (target_free);
+  copy->targets = g_ptr_array_new_with_free_func ((GDestroyNotify)target_free);
   for (guint i = 0; targets && i < targets->len; i++)
     g_ptr_array_add (copy->targets, target_copy (g_ptr_array_index (targets, i)));
   g_ptr_array_sort (copy->targets, compare_names);
@@ -157,31 +156,17 @@
   g_free (service);
 }
 
-static void
-write_string (JsonBuilder *builder, const char *key, const char *value)
-{
-  json_builder_set_member_name (builder, key);
-  json_builder_add_string_value (builder, value);
-}
-
-static void
-write_int (JsonBuilder *builder, const char *key, gint64 value)
-{
-  json_builder_set_member_name (builder, key);
-  json_builder_add_int_value (builder, value);
-}
-
 static void
 target_write (const Target *target, JsonBuilder *builder)
 {
   json_builder_begin_object (builder);
-  write_string (builder, "name", target->name);
-  write_string (builder, "vm", target->vm);
-  write_string (builder, "hall", target->hall);
-  write_string (builder, "address", target->address);
-  write_int (builder, "slots", target->slots);
-  write_int (builder, "connections", target->connections);
-  write_string (builder, "state", state_names[target->state]);
+  json_write_string (builder, "name", target->name);
+  json_write_string (builder, "vm", target->vm);
+  json_write_string (builder, "hall", target->hall);
+  json_write_string (builder, "address", target->address);
+  json_write_int (builder, "slots", target->slots);
+  json_write_int (builder, "connections", target->connections);
+  json_write_string (builder, "state", state_names[target->state]);
   json_builder_end_object (builder);
 }
 
@@ -189,19 +174,17 @@
 service_write (const Service *service, JsonBuilder *builder)
 {
   json_builder_begin_object (builder);
-  write_string (builder, "name", service->name);
-  write_string (builder, "tenant", service->tenant);
-  write_int (builder, "floor_slots", service->floor_slots);
-  write_string (builder, "detection", detection_names[service->detection]);
-  write_int (builder, "queue", service->queue);
-  write_int (builder, "retry_percent", service->retry_percent);
-  write_int (builder, "retry_burst", service->retry_burst);
-  write_int (builder, "floor_percent", service->floor_percent);
-  json_builder_set_member_name (builder, "fixed_limit");
-  json_builder_add_boolean_value (builder, service->fixed_limit);
-  json_builder_set_member_name (builder, "dynamic");
-  json_builder_add_boolean_value (builder, service->dynamic);
-  write_int (builder, "answer_max", (gint64)service->answer_max);
+  json_write_string (builder, "name", service->name);
+  json_write_string (builder, "tenant", service->tenant);
+  json_write_int (builder, "floor_slots", service->floor_slots);
+  json_write_string (builder, "detection", detection_names[service->detection]);
+  json_write_int (builder, "queue", service->queue);
+  json_write_int (builder, "retry_percent", service->retry_percent);
+  json_write_int (builder, "retry_burst", service->retry_burst);
+  json_write_int (builder, "floor_percent", service->floor_percent);
+  json_write_bool (builder, "fixed_limit", service->fixed_limit);
+  json_write_bool (builder, "dynamic", service->dynamic);
+  json_write_int (builder, "answer_max", (gint64)service->answer_max);
   json_builder_set_member_name (builder, "targets");
   json_builder_begin_array (builder);
   for (guint i = 0; i < service->targets->len; i++)
--- a/core/src/member/directory.c
+++ b/core/src/member/directory.c
@@ -9,24 +9,13 @@
   GHashTable *targets;  /* service → GPtrArray of Target, borrowed from `by_vm` */
 };
 
-static void
-target_free (gpointer data)
-{
-  Target *target = data;
-
-  g_free (target->name);
-  g_free (target->vm);
-  g_free (target->hall);
-  g_free (target->address);
-  g_free (target);
-}
-
 Directory *
 directory_create (void)
 {
   Directory *directory = g_new0 (Directory, 1);
 
-  directory->by_vm = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, target_free);
+  directory->by_vm = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)target_free);
   directory->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   directory->targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               (GDestroyNotify)g_ptr_array_unref);
--- /dev/null
+++ b/daemon/src/config/config-fetch.c
@@ -0,0 +1,259 @@
+#include "config-sync-private.h"
+
+#include <string.h>
+
+#include "log.h"
+#include "peers.h"
+
+#define FETCHES_AT_ONCE 8u
+#define FETCH_PAUSE_US (250 * MS_US)
+
+typedef struct
+{
+  ConfigSync *sync;
+  char *key;
+  char *digest;
+} Fetch;
+
+static const RpcProcedure part_procedure = { SW_PART, (xdrproc_t)xdr_sw_part_args,
+                                             (xdrproc_t)xdr_sw_part_res,
+                                             sizeof (sw_part_res) };
+
+static void fetch_more (ConfigSync *sync);
+
+void
+config_fetch_drop (ConfigSync *sync)
+{
+  g_clear_pointer (&sync->wanted, config_head_destroy);
+  g_clear_pointer (&sync->wanted_text, g_free);
+  g_clear_pointer (&sync->source, g_free);
+  sync->missing_before = 0;
+}
+
+static void
+take_part (ConfigSync *sync, const Fetch *fetch, GBytes *text)
+{
+  JsonFaults *faults = json_faults_create ();
+  ConfigPart *part = config_part_parse (fetch->key, text, faults);
+
+  if (part && strcmp (config_part_digest (part), fetch->digest) == 0)
+    g_hash_table_insert (sync->parts, g_strdup (fetch->digest), config_part_ref (part));
+  else
+    log_event (G_LOG_LEVEL_WARNING, "config-part-bad", "SUBJECT", fetch->key, "DETAIL",
+               json_faults_count (faults) ? json_faults_get (faults, 0)
+                                          : "digest differs",
+               NULL);
+  config_part_unref (part);
+  json_faults_destroy (faults);
+}
+
+static void
+fetch_done (Fetch *fetch)
+{
+  ConfigSync *sync = fetch->sync;
+
+  sync->fetching--;
+  g_free (fetch->key);
+  g_free (fetch->digest);
+  g_free (fetch);
+  fetch_more (sync);
+}
+
+static void
+on_source_part (GBytes *text, gpointer data)
+{
+  Fetch *fetch = data;
+
+  if (text)
+    take_part (fetch->sync, fetch, text);
+  fetch_done (fetch);
+}
+
+static void
+fetch_from_platform (Fetch *fetch)
+{
+  ConfigSync *sync = fetch->sync;
+
+  sync->kind->part (sync->source_data, fetch->digest, on_source_part, fetch);
+}
+
+static void
+on_peer_part (RpcOutcome outcome, void *result, gpointer data)
+{
+  Fetch *fetch = data;
+  sw_part_res *res = result;
+
+  if (outcome == RPC_OK && res->found)
+    {
+      g_autoptr (GBytes) text = g_bytes_new (res->part.part_val, res->part.part_len);
+
+      take_part (fetch->sync, fetch, text);
+      fetch_done (fetch);
+      return;
+    }
+  if (outcome != RPC_OK)
+    g_clear_pointer (&fetch->sync->source, g_free);
+  fetch_from_platform (fetch);
+}
+
+static void
+on_part_session (const PeerStamp *stamp, gpointer data)
+{
+  Fetch *fetch = data;
+  ConfigSync *sync = fetch->sync;
+  sw_part_args args = { .digest = fetch->digest };
+
+  if (stamp && sync->source)
+    peers_call (sync->node->peers, sync->source, &part_procedure, &args,
+                CONFIG_PEER_TIMEOUT_US, on_peer_part, fetch);
+  else
+    on_peer_part (RPC_UNSENT, NULL, fetch);
+}
+
+static void
+start_fetch (ConfigSync *sync, const char *key, const char *digest)
+{
+  Fetch *fetch = g_new0 (Fetch, 1);
+  g_autofree char *source = g_strdup (sync->source);
+
+  fetch->sync = sync;
+  fetch->key = g_strdup (key);
+  fetch->digest = g_strdup (digest);
+  sync->fetching++;
+  if (source)
+    peers_open (sync->node->peers, source, CONFIG_PEER_TIMEOUT_US, on_part_session,
+                fetch);
+  else
+    fetch_from_platform (fetch);
+}
+
+/* The parts of the wanted head that are still missing: key → digest, borrowed. */
+static GHashTable *
+missing_parts (ConfigSync *sync)
+{
+  GHashTable *missing = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer digest;
+
+  g_hash_table_iter_init (&iter, sync->wanted->parts);
+  while (g_hash_table_iter_next (&iter, &key, &digest))
+    {
+      ConfigPart *held = snapshot_part_by_digest (sync->snapshot, digest);
+
+      if (held && strcmp (config_part_key (held), key) == 0)
+        g_hash_table_insert (sync->parts, g_strdup (digest), config_part_ref (held));
+      else if (!g_hash_table_contains (sync->parts, digest))
+        g_hash_table_insert (missing, key, digest);
+    }
+  return missing;
+}
+
+/* Any other node that is alive, by name; NULL when there is none. */
+static char *
+random_peer (ConfigSync *sync)
+{
+  Node *node = sync->node;
+  GPtrArray *all = members_all (node->members);
+  guint first = (guint)g_rand_int_range (node->rand, 0, (gint32)all->len);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      const Member *member = g_ptr_array_index (all, (first + i) % all->len);
+
+      if (member != members_self (node->members) && member->status == MEMBER_ALIVE)
+        return g_strdup (member->node);
+    }
+  return NULL;
+}
+
+/*
+ * Where to fetch parts of a head that the platform gave. A node that starts has to fetch
+ * all of them, and a whole hall may start at once: most of that is left to other nodes.
+ */
+static char *
+choose_source (ConfigSync *sync)
+{
+  return snapshot_generation (sync->snapshot) > 0 ? NULL : random_peer (sync);
+}
+
+static void
+fetch_more (ConfigSync *sync)
+{
+  g_autoptr (GHashTable) missing = NULL;
+  gboolean progress;
+
+  /* One batch at a time: which parts are on their way then needs no bookkeeping. */
+  if (!sync->wanted || sync->fetching > 0)
+    return;
+  missing = missing_parts (sync);
+  if (g_hash_table_size (missing) == 0)
+    {
+      config_sync_apply (sync);
+      return;
+    }
+  progress = g_hash_table_size (missing) != sync->missing_before;
+  /* Neither the source nor the platform had any: another node may. */
+  if (!progress)
+    {
+      g_free (sync->source);
+      sync->source = random_peer (sync);
+    }
+  sync->missing_before = g_hash_table_size (missing);
+  loop_timer_start (sync->fetch, progress ? 0 : FETCH_PAUSE_US);
+}
+
+void
+config_fetch_batch (gpointer data)
+{
+  ConfigSync *sync = data;
+  g_autoptr (GHashTable) missing = NULL;
+  g_autoptr (GPtrArray) keys = NULL;
+  GHashTableIter iter;
+  gpointer key;
+
+  if (!sync->wanted || sync->fetching > 0)
+    return;
+  missing = missing_parts (sync);
+  if (g_hash_table_size (missing) == 0)
+    {
+      /* The last of them came from elsewhere since this batch was planned. */
+      config_sync_apply (sync);
+      return;
+    }
+  keys = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, missing);
+  while (g_hash_table_iter_next (&iter, &key, NULL) && keys->len < FETCHES_AT_ONCE)
+    g_ptr_array_add (keys, key);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const char *name = g_ptr_array_index (keys, i);
+
+      start_fetch (sync, name, g_hash_table_lookup (missing, name));
+    }
+}
+
+void
+config_fetch_want (ConfigSync *sync, const char *text, gsize len, const char *source)
+{
+  JsonFaults *faults = json_faults_create ();
+  ConfigHead *head = config_head_parse (text, (gssize)len, faults);
+
+  if (!head)
+    log_event (G_LOG_LEVEL_WARNING, "config-head-bad", "DETAIL",
+               json_faults_get (faults, 0), NULL);
+  json_faults_destroy (faults);
+  if (!head)
+    return;
+  if (head->generation <= snapshot_generation (sync->snapshot) ||
+      (sync->wanted && head->generation <= sync->wanted->generation))
+    {
+      config_head_destroy (head);
+      return;
+    }
+  config_fetch_drop (sync);
+  sync->wanted = head;
+  sync->wanted_text = g_strndup (text, len);
+  sync->source = source ? g_strdup (source) : choose_source (sync);
+  fetch_more (sync);
+}
--- /dev/null
+++ b/daemon/src/config/config-start.c
@@ -0,0 +1,122 @@
+#include "config-sync-private.h"
+
+#include "peers.h"
+
+/* How many peers a starting node hears before it trusts the highest that they have. */
+#define PEERS_TO_ASK 5u
+#define START_RETRY_US (500 * MS_US)
+#define START_PATIENCE_US (10 * SECOND_US)
+
+/* Another node's head has come, or has not. */
+typedef struct
+{
+  ConfigSync *sync;
+  char *vm;
+  guint round; /* of the start's questions; 0 for none */
+} HeadCall;
+
+static const RpcProcedure head_procedure = { SW_HEAD, wire_void,
+                                             (xdrproc_t)xdr_sw_head_res,
+                                             sizeof (sw_head_res) };
+
+/*
+ * Without the platform a node may serve once all whom it asked in one round have
+ * answered, or, when some stay silent for long, once any has. How far behind it can then
+ * be: a change that was accepted and had not reached any of those who answered.
+ */
+static void
+check_start (ConfigSync *sync)
+{
+  gint64 age = clock_now (sync->node->clock) - sync->created_us;
+
+  if (sync->ready || sync->wanted || sync->answered == 0)
+    return;
+  if (snapshot_generation (sync->base) == 0 && !sync->kind->serves_empty)
+    return;
+  if (sync->answered < sync->asked && age < START_PATIENCE_US)
+    return;
+  sync->ready = TRUE;
+  events_add (sync->node->events, "config-ready", "peers", "the highest among peers");
+}
+
+static void
+on_peer_head (RpcOutcome outcome, void *result, gpointer data)
+{
+  HeadCall *call = data;
+  ConfigSync *sync = call->sync;
+  sw_head_res *res = result;
+
+  if (outcome == RPC_OK)
+    {
+      if (res->head.head_len)
+        config_fetch_want (sync, res->head.head_val, res->head.head_len, call->vm);
+      if (call->round == sync->round)
+        sync->answered++;
+      check_start (sync);
+    }
+  g_free (call->vm);
+  g_free (call);
+}
+
+static void
+on_peer_open (const PeerStamp *stamp, gpointer data)
+{
+  HeadCall *call = data;
+
+  if (stamp)
+    {
+      peers_call (call->sync->node->peers, call->vm, &head_procedure, NULL,
+                  CONFIG_PEER_TIMEOUT_US, on_peer_head, call);
+      return;
+    }
+  g_free (call->vm);
+  g_free (call);
+}
+
+static void
+ask_peer (ConfigSync *sync, const char *vm, guint round)
+{
+  HeadCall *call = g_new0 (HeadCall, 1);
+
+  call->sync = sync;
+  call->vm = g_strdup (vm);
+  call->round = round;
+  peers_open (sync->node->peers, vm, CONFIG_PEER_TIMEOUT_US, on_peer_open, call);
+}
+
+void
+config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation)
+{
+  if (generation <= snapshot_generation (sync->snapshot) ||
+      (sync->wanted && generation <= sync->wanted->generation))
+    return;
+  ask_peer (sync, vm, 0);
+}
+
+void
+config_start_round (gpointer data)
+{
+  ConfigSync *sync = data;
+  Node *node = sync->node;
+  g_autoptr (GPtrArray) all = NULL;
+
+  if (sync->ready)
+    return;
+  loop_timer_start (sync->start, START_RETRY_US);
+  config_sync_poll (sync);
+  if (sync->wanted)
+    return;
+  all = g_ptr_array_copy (members_all (node->members), NULL, NULL);
+  sync->round++;
+  sync->asked = 0;
+  sync->answered = 0;
+  for (guint i = 0; i < all->len && sync->asked < PEERS_TO_ASK; i++)
+    {
+      const Member *member = g_ptr_array_index (all, i);
+
+      if (member == members_self (node->members) || !members_is_alive (member))
+        continue;
+      sync->asked++;
+      ask_peer (sync, member->node, sync->round);
+    }
+}
--- /dev/null
+++ b/daemon/src/config/config-sync-private.h
@@ -0,0 +1,59 @@
+/*
+ * What the files of the sync share: config-sync.c what is in force, config-fetch.c the
+ * parts of a newer head, config-start.c the questions of a node that starts.
+ */
+#ifndef DAEMON_CONFIG_SYNC_PRIVATE_H
+#define DAEMON_CONFIG_SYNC_PRIVATE_H
+
+#include "adapter.h"
+#include "config-sync.h"
+
+/* How long another node may take to answer about its configuration. */
+#define CONFIG_PEER_TIMEOUT_US (3 * SECOND_US)
+
+struct ConfigSync
+{
+  Node *node;
+  const ConfigSource *kind;
+  gpointer source_data;
+  Snapshot *base;       /* as it was configured */
+  Snapshot *snapshot;   /* with the targets that registered themselves */
+  Directory *directory; /* of these targets */
+  char *head_text;
+  gboolean ready;
+  LoopTimer *poll;
+  LoopTimer *watch;
+  LoopTimer *start;
+  LoopTimer *fetch;
+  gboolean watching;
+  gboolean polling;
+  /* What is being fetched: a head newer than the snapshot's, and its parts so far. */
+  ConfigHead *wanted;
+  char *wanted_text;
+  char *source;      /* the node that has it, or NULL for the platform */
+  GHashTable *parts; /* digest → ConfigPart */
+  guint fetching;
+  guint missing_before; /* how many parts lacked before the last batch */
+  /* The start: who has been asked and has answered. */
+  guint round;
+  guint asked;
+  guint answered;
+  gint64 created_us;
+};
+
+/* Puts the wanted head in force, when all of its parts have come. */
+void config_sync_apply (ConfigSync *sync);
+
+/* Takes a head's text in; fetches its parts when it is newer than all known. */
+void
+config_fetch_want (ConfigSync *sync, const char *text, gsize len, const char *source);
+/* Forgets what is being fetched. */
+void config_fetch_drop (ConfigSync *sync);
+/* A timer's function: fetches what is still missing, a few parts at a time. */
+void config_fetch_batch (gpointer data);
+
+/* A timer's function: until this node may serve, the platform and a few nodes are asked.
+ */
+void config_start_round (gpointer data);
+
+#endif
--- a/daemon/src/operator/events.c
+++ b/daemon/src/operator/events.c
@@ -1,4 +1,5 @@
 #include "events.h"
+#include <core/json-write.h>
 
 #include "log.h"
 
@@ -74,14 +75,10 @@
       const Event *event = l->data;
 
       json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, "seconds_ago");
-      json_builder_add_int_value (builder, (now - event->at_us) / SECOND_US);
-      json_builder_set_member_name (builder, "event");
-      json_builder_add_string_value (builder, event->kind);
-      json_builder_set_member_name (builder, "subject");
-      json_builder_add_string_value (builder, event->subject);
-      json_builder_set_member_name (builder, "detail");
-      json_builder_add_string_value (builder, event->detail);
+      json_write_int (builder, "seconds_ago", (now - event->at_us) / SECOND_US);
+      json_write_string (builder, "event", event->kind);
+      json_write_string (builder, "subject", event->subject);
+      json_write_string (builder, "detail", event->detail);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
--- a/daemon/src/operator/operators.c
+++ b/daemon/src/operator/operators.c
@@ -4,6 +4,7 @@
 
 #include <core/names.h>
 #include <io/http-server.h>
+#include <core/json-write.h>
 
 #include "config-sync.h"
 #include "confirm.h"
@@ -49,8 +50,7 @@
   g_autoptr (JsonBuilder) builder = json_builder_new ();
 
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "error");
-  json_builder_add_string_value (builder, "the intent is not valid");
+  json_write_string (builder, "error", "the intent is not valid");
   json_builder_set_member_name (builder, "faults");
   json_builder_begin_array (builder);
   for (guint i = 0; i < json_faults_count (faults); i++)
@@ -66,10 +66,8 @@
   g_autoptr (JsonBuilder) builder = json_builder_new ();
 
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "error");
-  json_builder_add_string_value (builder, error);
-  json_builder_set_member_name (builder, "advice");
-  json_builder_add_string_value (builder, advice);
+  json_write_string (builder, "error", error);
+  json_write_string (builder, "advice", advice);
   json_builder_end_object (builder);
   answer_object (request, status, builder);
 }
@@ -124,10 +122,8 @@
   g_autoptr (JsonBuilder) builder = json_builder_new ();
 
   json_builder_begin_object (builder);
-  json_builder_set_member_name (builder, "accepted");
-  json_builder_add_string_value (builder, plan);
-  json_builder_set_member_name (builder, "generation");
-  json_builder_add_int_value (builder, (gint64)generation);
+  json_write_string (builder, "accepted", plan);
+  json_write_int (builder, "generation", (gint64)generation);
   json_builder_end_object (builder);
   answer_object (request, HTTP_OK, builder);
 }
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -1,4 +1,5 @@
 #include "status.h"
+#include <core/json-write.h>
 
 #include "config-sync.h"
 #include "ingress.h"
@@ -6,27 +7,6 @@
 
 #define HTTP_OK 200
 
-static void
-add_string (JsonBuilder *builder, const char *name, const char *value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_string_value (builder, value);
-}
-
-static void
-add_int (JsonBuilder *builder, const char *name, gint64 value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_int_value (builder, value);
-}
-
-static void
-add_bool (JsonBuilder *builder, const char *name, gboolean value)
-{
-  json_builder_set_member_name (builder, name);
-  json_builder_add_boolean_value (builder, value);
-}
-
 /* One word for how a target stands, as this ingress sees it. */
 static const char *
 verdict_of (const Target *target, const TargetStatus *status)
@@ -53,17 +33,17 @@
   TargetStatus status = balancer_status (node->balancer, service, target);
 
   json_builder_begin_object (builder);
-  add_string (builder, "name", target->name);
-  add_string (builder, "vm", target->vm);
-  add_string (builder, "hall", target->hall);
-  add_string (builder, "verdict", verdict_of (target, &status));
-  add_int (builder, "severity", status.report.severity);
-  add_int (builder, "slots", target->slots);
-  add_int (builder, "in_use", status.report.in_use);
-  add_int (builder, "limit", status.report.limit);
-  add_int (builder, "queued", status.report.queued);
-  add_int (builder, "mean_latency_us", status.report.latency_us);
-  add_int (builder, "failures_ppm", status.report.failures_ppm);
+  json_write_string (builder, "name", target->name);
+  json_write_string (builder, "vm", target->vm);
+  json_write_string (builder, "hall", target->hall);
+  json_write_string (builder, "verdict", verdict_of (target, &status));
+  json_write_int (builder, "severity", status.report.severity);
+  json_write_int (builder, "slots", target->slots);
+  json_write_int (builder, "in_use", status.report.in_use);
+  json_write_int (builder, "limit", status.report.limit);
+  json_write_int (builder, "queued", status.report.queued);
+  json_write_int (builder, "mean_latency_us", status.report.latency_us);
+  json_write_int (builder, "failures_ppm", status.report.failures_ppm);
   json_builder_end_object (builder);
 }
 
@@ -78,12 +58,12 @@
       const Service *service = g_ptr_array_index (services, i);
 
       json_builder_begin_object (builder);
-      add_string (builder, "name", service->name);
-      add_string (builder, "tenant", service->tenant);
-      add_int (builder, "floor_slots", service->floor_slots);
-      add_int (builder, "slots", service_slots (service));
-      add_int (builder, "slots_in_service",
-               balancer_slots_in_service (node->balancer, service));
+      json_write_string (builder, "name", service->name);
+      json_write_string (builder, "tenant", service->tenant);
+      json_write_int (builder, "floor_slots", service->floor_slots);
+      json_write_int (builder, "slots", service_slots (service));
+      json_write_int (builder, "slots_in_service",
+                      balancer_slots_in_service (node->balancer, service));
       json_builder_set_member_name (builder, "targets");
       json_builder_begin_array (builder);
       for (guint j = 0; j < service->targets->len; j++)
@@ -106,11 +86,11 @@
       const Member *member = g_ptr_array_index (all, i);
 
       json_builder_begin_object (builder);
-      add_string (builder, "node", member->node);
-      add_string (builder, "hall", member->hall);
-      add_string (builder, "address", member->address);
-      add_string (builder, "status", names[member->status]);
-      add_int (builder, "epoch", member->epoch);
+      json_write_string (builder, "node", member->node);
+      json_write_string (builder, "hall", member->hall);
+      json_write_string (builder, "address", member->address);
+      json_write_string (builder, "status", names[member->status]);
+      json_write_int (builder, "epoch", member->epoch);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
@@ -132,15 +112,15 @@
   const Snapshot *snapshot = config_sync_snapshot (node->config);
 
   json_builder_begin_object (builder);
-  add_string (builder, "node", node->settings->node);
-  add_string (builder, "hall", node->settings->hall);
-  add_string (builder, "version", SWITCHMILL_VERSION);
-  add_int (builder, "generation", (gint64)snapshot_generation (snapshot));
-  add_bool (builder, "ready", config_sync_ready (node->config));
-  add_bool (builder, "stopping", node->stopping);
-  add_int (builder, "routes", snapshot_route_count (snapshot));
-  add_int (builder, "accounts", snapshot_account_count (snapshot));
-  add_int (builder, "requests_in_flight", ingress_active (node->ingress));
+  json_write_string (builder, "node", node->settings->node);
+  json_write_string (builder, "hall", node->settings->hall);
+  json_write_string (builder, "version", SWITCHMILL_VERSION);
+  json_write_int (builder, "generation", (gint64)snapshot_generation (snapshot));
+  json_write_bool (builder, "ready", config_sync_ready (node->config));
+  json_write_bool (builder, "stopping", node->stopping);
+  json_write_int (builder, "routes", snapshot_route_count (snapshot));
+  json_write_int (builder, "accounts", snapshot_account_count (snapshot));
+  json_write_int (builder, "requests_in_flight", ingress_active (node->ingress));
   json_builder_set_member_name (builder, "services");
   write_services (node, builder);
   json_builder_set_member_name (builder, "own_targets");
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -1,6 +1,7 @@
 #include "verdicts.h"
 
 #include <wire/convert.h>
+#include <core/json-write.h>
 
 #include "gossip.h"
 #include "registry.h"
@@ -82,24 +83,15 @@
 
       sidecar_target_state (target, draining, &state);
       json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, "target");
-      json_builder_add_string_value (builder, target->name);
-      json_builder_set_member_name (builder, "severity");
-      json_builder_add_int_value (builder, state.severity);
-      json_builder_set_member_name (builder, "why");
-      json_builder_add_string_value (builder, detector_why (target->detector));
-      json_builder_set_member_name (builder, "in_use");
-      json_builder_add_int_value (builder, state.in_use);
-      json_builder_set_member_name (builder, "limit");
-      json_builder_add_int_value (builder, state.limit);
-      json_builder_set_member_name (builder, "queued");
-      json_builder_add_int_value (builder, state.queued);
-      json_builder_set_member_name (builder, "mean_latency_us");
-      json_builder_add_int_value (builder, state.latency_us);
-      json_builder_set_member_name (builder, "failures_ppm");
-      json_builder_add_int_value (builder, state.failures_ppm);
-      json_builder_set_member_name (builder, "leaving");
-      json_builder_add_boolean_value (builder, state.draining);
+      json_write_string (builder, "target", target->name);
+      json_write_int (builder, "severity", state.severity);
+      json_write_string (builder, "why", detector_why (target->detector));
+      json_write_int (builder, "in_use", state.in_use);
+      json_write_int (builder, "limit", state.limit);
+      json_write_int (builder, "queued", state.queued);
+      json_write_int (builder, "mean_latency_us", state.latency_us);
+      json_write_int (builder, "failures_ppm", state.failures_ppm);
+      json_write_bool (builder, "leaving", state.draining);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
