--- /dev/null
+++ b/core/tests/test-absence.c
@@ -0,0 +1,105 @@
+/* Who is gone for good, and who removes what is left. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/absence.h>
+
+#define PATIENCE_US (60 * SECOND_US)
+#define NODES 5u
+
+static void
+test_only_a_long_absence_counts (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  Absences *absences = absences_create (PATIENCE_US, clock);
+
+  assert_false (absences_note (absences, "a", TRUE));
+  clock_advance (clock, PATIENCE_US - 1);
+  assert_false (absences_note (absences, "a", TRUE));
+  clock_advance (clock, 1);
+  assert_true (absences_note (absences, "a", TRUE));
+  absences_destroy (absences);
+  clock_destroy (clock);
+}
+
+static void
+test_a_return_begins_it_anew (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  Absences *absences = absences_create (PATIENCE_US, clock);
+
+  absences_note (absences, "a", TRUE);
+  clock_advance (clock, PATIENCE_US);
+  assert_false (absences_note (absences, "a", FALSE));
+  assert_false (absences_note (absences, "a", TRUE));
+  absences_destroy (absences);
+  clock_destroy (clock);
+}
+
+/* The view of node `self` of a fleet of NODES, where `dead` has died. */
+static Members *
+view_of (guint self, guint dead, GRand *rand, Clock *clock)
+{
+  g_autofree char *name = g_strdup_printf ("n%u", self);
+  Member own = { .node = name, .hall = "h", .address = "127.0.0.1:1", .incarnation = 1 };
+  Members *members = members_create (&own, NULL, &members_timing_default, rand, clock);
+
+  for (guint i = 0; i < NODES; i++)
+    {
+      g_autofree char *other = g_strdup_printf ("n%u", i);
+      Member rumour = { .node = other,
+                        .hall = "h",
+                        .address = "127.0.0.1:1",
+                        .incarnation = 1,
+                        .epoch = 1,
+                        .status = MEMBER_ALIVE };
+
+      if (i == self)
+        continue;
+      members_merge (members, &rumour);
+      rumour.epoch = 2;
+      rumour.status = MEMBER_DEAD;
+      if (i == dead)
+        members_merge (members, &rumour);
+    }
+  return members;
+}
+
+static void
+test_exactly_one_of_the_living_removes (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  GRand *rand = g_rand_new_with_seed (1);
+
+  for (guint dead = 0; dead < NODES; dead++)
+    {
+      g_autofree char *gone = g_strdup_printf ("n%u", dead);
+      guint count = 0;
+
+      for (guint self = 0; self < NODES; self++)
+        {
+          Members *members = self == dead ? NULL : view_of (self, dead, rand, clock);
+
+          if (members)
+            count += absences_is_mine (members, gone);
+          members_destroy (members);
+        }
+      assert_int_equal (count, 1);
+    }
+  g_rand_free (rand);
+  clock_destroy (clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_only_a_long_absence_counts),
+    cmocka_unit_test (test_a_return_begins_it_anew),
+    cmocka_unit_test (test_exactly_one_of_the_living_removes),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
