--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -38,8 +38,7 @@
 typedef enum
 {
   BALANCER_NO_TRIAL,
-  BALANCER_TRIAL_LATE, /* only when trials are overdue: there is no retry should it fail
-                        */
+  BALANCER_TRIAL_LATE, /* rarely: there is no retry should it fail */
   BALANCER_TRIAL_DUE
 } BalancerTrial;
 
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -10,10 +10,8 @@
 #define TRIAL_EVERY_US (SECOND_US / 2)
 /* Above this share of its slots in use, a hall's pick is weighed against other halls. */
 #define SPILL_PERCENT 80u
-/* So many times as long a trial waits that could not be repeated should it fail. */
-#define LATE_FACTOR 2
-/* A due time this many spans ago is left from an earlier bad spell. */
-#define FRESH_FACTOR 5
+/* Of trials that could not be repeated should they fail, this share is made. */
+#define LATE_SHARE 0.5
 #define LATENCY_UNKNOWN_US 1000u
 /* Slow targets that stay for the floor help out when the others are loaded so far. */
 #define FULL_LOAD 1.5
@@ -118,6 +116,21 @@
       g_hash_table_iter_remove (&iter);
 }
 
+/*
+ * A target has just been found sick: most ingresses hear of it at once, so that each
+ * takes a place of its own in the order of first trials.
+ */
+static void
+note_severity (Balancer *balancer, View *view, guint severity)
+{
+  gint64 every = TRIAL_EVERY_US * balancer->ingresses;
+
+  if (severity == 0 || view->report.severity > 0)
+    return;
+  view->trial_due_us = clock_now (balancer->clock) +
+                       (gint64)(every * g_rand_double_range (balancer->rand, 0, 1));
+}
+
 void
 balancer_note_report (Balancer *balancer, const TargetReport *report)
 {
@@ -127,6 +140,7 @@
   if (view->known && report->incarnation == view->report.incarnation &&
       report->serial < view->report.serial)
     return;
+  note_severity (balancer, view, report->severity);
   view->report = *report;
   view->report.target = NULL;
   view->known = TRUE;
@@ -147,6 +161,7 @@
     return;
   if (!same)
     view->report = (TargetReport){ .incarnation = incarnation };
+  note_severity (balancer, view, severity);
   view->report.serial = serial;
   view->report.severity = severity;
   view->report.draining = draining;
@@ -241,17 +256,12 @@
 {
   gint64 now = clock_now (balancer->clock);
   gint64 every = TRIAL_EVERY_US * balancer->ingresses;
-  gint64 late = trial == BALANCER_TRIAL_LATE ? every * LATE_FACTOR : 0;
 
-  /* Most ingresses hear of a sick target at once: the first trials are spread too. */
-  if (view->trial_due_us < now - every * FRESH_FACTOR)
-    view->trial_due_us =
-        now + (gint64)(every * g_rand_double_range (balancer->rand, 0, 1));
-  if (now < view->trial_due_us + late)
+  if (now < view->trial_due_us)
     return FALSE;
   view->trial_due_us =
       now + (gint64)(every * g_rand_double_range (balancer->rand, 0.5, 1.5));
-  return TRUE;
+  return trial == BALANCER_TRIAL_DUE || g_rand_double (balancer->rand) < LATE_SHARE;
 }
 
 static double
