Hanging work is broken off only with another try in hand; idle return after 3 s

Change: the ingress says with each submission whether another try is in hand (attempts and budget); only then does the sidecar break off, and the word holds even if the budget is spent meanwhile (it is owed). Unit test of both.

--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -84,6 +84,9 @@
 /* After PAUSE. */
 DispatchStep dispatch_resume (Dispatch *dispatch);
 
+/* Whether another try would follow if the attempt now on its way were broken off. */
+gboolean dispatch_has_retry (const Dispatch *dispatch);
+
 /* Attempts that were sent, refused ones too. */
 guint dispatch_attempts (const Dispatch *dispatch);
 
--- a/core/include/core/retry.h
+++ b/core/include/core/retry.h
@@ -30,6 +30,9 @@
 /* Takes one retry out; FALSE when there is none left. */
 gboolean retry_budget_withdraw (RetryBudget *budget);
 
+/* Takes one retry out though there may be none left; it is missing afterwards. */
+void retry_budget_borrow (RetryBudget *budget);
+
 /* A pause before retry number `retry` (from 1): full jitter over a doubling bound. */
 gint64 retry_pause_us (guint retry, GRand *rand);
 
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -40,7 +40,7 @@
   [DETECTION_OFF] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
   [DETECTION_CAREFUL] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
   [DETECTION_QUICK] = { FALSE, 5 * SECOND_US, 2, 6, 5, 5 },
-  [DETECTION_STRICT] = { TRUE, SECOND_US / 5, 8, 0, 2, 1 },
+  [DETECTION_STRICT] = { TRUE, SECOND_US / 5, 15, 0, 2, 1 },
 };
 
 struct Detector
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -47,6 +47,14 @@
   g_free (dispatch);
 }
 
+gboolean
+dispatch_has_retry (const Dispatch *dispatch)
+{
+  return dispatch->policy.repeatable && !dispatch->policy.pinned &&
+         dispatch->arrivals + 1 < dispatch->policy.attempts_max &&
+         retry_budget_has (dispatch->budget);
+}
+
 guint
 dispatch_attempts (const Dispatch *dispatch)
 {
@@ -121,6 +129,21 @@
   return step;
 }
 
+/*
+ * Work that hung was broken off on the word that another try is in hand: that word holds
+ * even if the budget has been spent meanwhile.
+ */
+static gboolean
+take_retry (Dispatch *dispatch, Reason reason)
+{
+  if (retry_budget_withdraw (dispatch->budget))
+    return TRUE;
+  if (reason != REASON_TIMEOUT)
+    return FALSE;
+  retry_budget_borrow (dispatch->budget);
+  return TRUE;
+}
+
 static DispatchStep
 retry (Dispatch *dispatch, Reason reason, gboolean at_once)
 {
@@ -132,7 +155,7 @@
     return give_up (dispatch, reason);
   /* The budget is for what targets see; a refusal before the target costs them nothing.
    */
-  if (dispatch->arrivals > 0 && !retry_budget_withdraw (dispatch->budget))
+  if (dispatch->arrivals > 0 && !take_retry (dispatch, reason))
     return give_up (dispatch, reason);
   if (at_once)
     return step;
--- a/core/src/request/retry.c
+++ b/core/src/request/retry.c
@@ -69,6 +69,12 @@
   return TRUE;
 }
 
+void
+retry_budget_borrow (RetryBudget *budget)
+{
+  budget->hundredths -= ONE_RETRY;
+}
+
 gint64
 retry_pause_us (guint retry, GRand *rand)
 {
--- a/core/tests/test-dispatch.c
+++ b/core/tests/test-dispatch.c
@@ -168,6 +168,28 @@
   teardown (&fixture);
 }
 
+static void
+test_hanging_work_is_broken_off_only_with_a_retry_in_hand (void **state)
+{
+  Fixture with = setup (TRUE, 2, 1);
+  Fixture without = setup (TRUE, 2, 0);
+  Fixture last = setup (TRUE, 1, 1);
+  DispatchStep step;
+
+  assert_true (dispatch_has_retry (with.dispatch));
+  assert_false (dispatch_has_retry (without.dispatch));
+  assert_false (dispatch_has_retry (last.dispatch));
+  /* The word that was given holds, though somebody else took the retry meanwhile. */
+  assert_true (retry_budget_withdraw (with.budget));
+  step = dispatch_sent (with.dispatch, DISPATCH_FAILED, REASON_TIMEOUT, 0);
+  assert_int_equal (step.kind, DISPATCH_PAUSE);
+  retry_budget_deposit (with.budget);
+  assert_false (retry_budget_has (with.budget));
+  teardown (&with);
+  teardown (&without);
+  teardown (&last);
+}
+
 static void
 test_savings_are_bounded (void **state)
 {
@@ -195,6 +217,7 @@
     cmocka_unit_test (test_a_failing_answer_of_unrepeatable_work_is_final),
     cmocka_unit_test (test_what_may_have_run_is_never_called_not_run),
     cmocka_unit_test (test_the_fence_is_asked_no_longer_than_the_slack),
+    cmocka_unit_test (test_hanging_work_is_broken_off_only_with_a_retry_in_hand),
     cmocka_unit_test (test_savings_are_bounded),
   };
 
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -312,6 +312,7 @@
   args.even_sick = exchange->even_sick;
   args.trial = exchange->trial;
   args.may_queue = exchange->may_queue;
+  args.may_break_off = dispatch_has_retry (exchange->dispatch);
   args.sibling_latency_us = siblings.latency_us;
   args.sibling_failures_ppm = siblings.failures_ppm;
   args.method = (char *)http_request_method (exchange->request);
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -351,6 +351,6 @@
   submission->overdue = TRUE;
   observe (submission, TRUE, silent, age);
   /* There is still time for another target to do it. */
-  if (silent && submission->args.repeatable)
+  if (silent && submission->args.repeatable && submission->args.may_break_off)
     submission_break_off (submission, SW_REASON_TIMEOUT);
 }
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -129,6 +129,7 @@
 	u_int priority;
 	bool_t repeatable;
 	bool_t even_sick;
+	bool_t may_break_off;
 	bool_t may_queue;
 	bool_t trial;
 	u_int sibling_latency_us;
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -323,7 +323,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -333,6 +333,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_break_off))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_queue))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
@@ -347,6 +349,7 @@
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->repeatable);
 		IXDR_PUT_BOOL(buf, objp->even_sick);
+		IXDR_PUT_BOOL(buf, objp->may_break_off);
 		IXDR_PUT_BOOL(buf, objp->may_queue);
 		IXDR_PUT_BOOL(buf, objp->trial);
 		IXDR_PUT_U_LONG(buf, objp->sibling_latency_us);
@@ -373,7 +376,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -383,6 +386,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_break_off))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_queue))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
@@ -397,6 +402,7 @@
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->repeatable = IXDR_GET_BOOL(buf);
 		objp->even_sick = IXDR_GET_BOOL(buf);
+		objp->may_break_off = IXDR_GET_BOOL(buf);
 		objp->may_queue = IXDR_GET_BOOL(buf);
 		objp->trial = IXDR_GET_BOOL(buf);
 		objp->sibling_latency_us = IXDR_GET_U_LONG(buf);
@@ -432,6 +438,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->even_sick))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_break_off))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->may_queue))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->trial))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -113,6 +113,7 @@
   unsigned int priority;       /* 0 first */
   bool repeatable;
   bool even_sick;              /* the ingress knows that the target is held sick */
+  bool may_break_off;          /* if it hangs: the ingress has another try in hand */
   bool may_queue;              /* else it is refused where it could not start at once */
   bool trial;                  /* and sends this only to learn whether it still is */
   unsigned int sibling_latency_us;   /* medians over the service, as the ingress sees them; */
