SIGHUP reads the settings again

What may change while the node runs is taken up (log threshold, defaults of services); what needs a restart is named; a file that is not valid changes nothing. Process test: ten reloads, half of them of a broken file, cut nothing.

--- a/daemon/src/node/main.c
+++ b/daemon/src/node/main.c
@@ -41,18 +41,12 @@
   return signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
-static void
-on_signal (int fd, LoopEvents ready, gpointer data)
+/* What signals act on. */
+typedef struct
 {
-  struct signalfd_siginfo info;
-
-  while (read (fd, &info, sizeof info) == sizeof info)
-    if (info.ssi_signo == SIGHUP)
-      log_event (G_LOG_LEVEL_INFO, "reload", "DETAIL",
-                 "settings are read at the start only", NULL);
-    else
-      node_run_stop (data);
-}
+  NodeRun *run;
+  const char *path; /* of the settings */
+} Program;
 
 static Settings *
 load_settings (const char *path)
@@ -80,9 +74,36 @@
   return settings;
 }
 
+/* A file that is not valid leaves what is in force. */
+static void
+reload (Program *program)
+{
+  Settings *settings = load_settings (program->path);
+
+  if (settings)
+    node_run_reload (program->run, settings);
+  else
+    log_event (G_LOG_LEVEL_WARNING, "reload-refused", "DETAIL", program->path, NULL);
+  settings_destroy (settings);
+}
+
+static void
+on_signal (int fd, LoopEvents ready, gpointer data)
+{
+  Program *program = data;
+  struct signalfd_siginfo info;
+
+  while (read (fd, &info, sizeof info) == sizeof info)
+    if (info.ssi_signo == SIGHUP)
+      reload (program);
+    else
+      node_run_stop (program->run);
+}
+
 static int
-run_node (const Settings *settings)
+run_node (const Settings *settings, const char *path)
 {
+  Program program = { .path = path };
   g_autoptr (GError) error = NULL;
   Clock *clock = clock_create_monotonic ();
   Loop *loop = loop_create (clock);
@@ -100,7 +121,8 @@
       fprintf (stderr, "switchmilld: %s\n", error->message);
       return EXIT_FAILURE;
     }
-  watch = loop_fd_create (loop, signals, LOOP_READ, on_signal, run);
+  program.run = run;
+  watch = loop_fd_create (loop, signals, LOOP_READ, on_signal, &program);
   log_event (G_LOG_LEVEL_INFO, "started", "VERSION", SWITCHMILL_VERSION, NULL);
   loop_run (loop);
   cut = node_run_cut (run);
@@ -146,7 +168,7 @@
   else if (settings)
     {
       mallopt (M_MMAP_THRESHOLD, MAP_THRESHOLD);
-      code = run_node (settings);
+      code = run_node (settings, file->filename[0]);
     }
   settings_destroy (settings);
   arg_freetable (table, G_N_ELEMENTS (table));
--- a/daemon/src/node/node-run.h
+++ b/daemon/src/node/node-run.h
@@ -22,6 +22,12 @@
  */
 void node_run_stop (NodeRun *run);
 
+/*
+ * Takes up what may change while the node runs: the log's threshold, and the defaults of
+ * services, which hold from the next configuration on. `settings` is only looked at.
+ */
+void node_run_reload (NodeRun *run, const Settings *settings);
+
 /* How many requests the stop has cut. */
 guint node_run_cut (const NodeRun *run);
 
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -1,6 +1,7 @@
 #include "node-run.h"
 
 #include <apr_general.h>
+#include <string.h>
 
 #include "adapter.h"
 #include "calls.h"
@@ -107,6 +108,32 @@
   loop_timer_start (run->stop, STOP_CHECK_US);
 }
 
+/* The first setting that only a restart would change, or NULL. */
+static const char *
+needs_restart (const Settings *held, const Settings *fresh)
+{
+  if (strcmp (held->node, fresh->node) != 0 || strcmp (held->hall, fresh->hall) != 0)
+    return "node or hall";
+  if (strcmp (held->callers_address, fresh->callers_address) != 0 ||
+      strcmp (held->nodes_address, fresh->nodes_address) != 0 ||
+      strcmp (held->operators_address, fresh->operators_address) != 0)
+    return "listen";
+  if (strcmp (held->platform_address, fresh->platform_address) != 0)
+    return "platform";
+  return NULL;
+}
+
+void
+node_run_reload (NodeRun *run, const Settings *settings)
+{
+  Node *node = &run->node;
+
+  node->defaults = settings->defaults;
+  log_set_threshold (settings->log);
+  log_event (G_LOG_LEVEL_INFO, "reload", "NEEDS_RESTART",
+             needs_restart (node->settings, settings), NULL);
+}
+
 static guint64
 new_incarnation (void)
 {
@@ -183,6 +210,7 @@
 
   node->settings = settings;
   node->adapter = adapter;
+  node->defaults = settings->defaults;
   node->clock = clock;
   node->loop = loop;
   node->rand = g_rand_new ();
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -31,6 +31,7 @@
 {
   const Settings *settings;
   const struct Adapter *adapter;
+  ServiceDefaults defaults; /* the settings', of the last reload */
   Clock *clock;
   Loop *loop;
   GRand *rand;
--- a/daemon/src/operator/log.c
+++ b/daemon/src/operator/log.c
@@ -121,15 +121,21 @@
 }
 
 void
-log_init (const char *node, LogThreshold threshold, Clock *clock)
+log_set_threshold (LogThreshold threshold)
 {
   static const GLogLevelFlags levels[] = { G_LOG_LEVEL_CRITICAL, G_LOG_LEVEL_WARNING,
                                            G_LOG_LEVEL_INFO, G_LOG_LEVEL_DEBUG };
 
+  level_max = levels[threshold];
+}
+
+void
+log_init (const char *node, LogThreshold threshold, Clock *clock)
+{
   g_free (node_name);
   node_name = g_strdup (node);
   log_clock = clock;
-  level_max = levels[threshold];
+  log_set_threshold (threshold);
   g_log_set_writer_func (write_line, NULL, NULL);
 }
 
--- a/daemon/src/operator/log.h
+++ b/daemon/src/operator/log.h
@@ -11,6 +11,9 @@
    borrowed clock paces what is bounded by the second. */
 void log_init (const char *node, LogThreshold threshold, Clock *clock);
 
+/* Changes the threshold. */
+void log_set_threshold (LogThreshold threshold);
+
 /*
  * One event with text fields: pairs of a name and a value, ended by NULL. A NULL value
  * leaves its pair out.
--- a/tests/proc/test-platform.c
+++ b/tests/proc/test-platform.c
@@ -442,6 +442,29 @@
   fleet_destroy (fleet);
 }
 
+static void
+test_a_reload_cuts_nothing_and_a_bad_file_changes_nothing (void **state)
+{
+  Fleet *fleet = start (7);
+  g_autofree char *path = fleet_path (fleet, "vm-0.json");
+  g_autofree char *text = NULL;
+
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  for (guint i = 0; i < 10; i++)
+    {
+      g_autoptr (Answer) answer = NULL;
+
+      g_file_set_contents (path, i % 2 ? text : "{\"node\":", -1, NULL);
+      fleet_signal_node (fleet, 0, SIGHUP);
+      answer = request (0, "GET", "/read/1", "reload");
+      assert_int_equal (answer->status, 200);
+    }
+  assert_int_equal (ready_status (0), 200);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  assert_int_equal (fleet_wait_node (fleet, 0), 0);
+  fleet_destroy (fleet);
+}
+
 static void
 test_a_node_whose_object_is_there_already_joins (void **state)
 {
@@ -486,6 +509,8 @@
                                fleet_teardown),
     cmocka_unit_test_teardown (test_a_stop_cuts_nothing_and_sends_callers_elsewhere,
                                fleet_teardown),
+    cmocka_unit_test_teardown (test_a_reload_cuts_nothing_and_a_bad_file_changes_nothing,
+                               fleet_teardown),
     cmocka_unit_test_teardown (test_a_node_whose_object_is_there_already_joins,
                                fleet_teardown),
   };
