--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -103,7 +103,8 @@
   if (sync->ready)
     return;
   loop_timer_start (sync->start, START_RETRY_US);
-  config_sync_poll (sync);
+  if (!sync->watching)
+    config_sync_poll (sync);
   if (sync->wanted)
     return;
   all = g_ptr_array_copy (members_all (node->members), NULL, NULL);
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -26,6 +26,7 @@
   LoopTimer *start;
   LoopTimer *fetch;
   gboolean watching;
+  guint watch_failures; /* in a row */
   gboolean polling;
   /* What is being fetched: a head newer than the snapshot's, and its parts so far. */
   ConfigHead *wanted;
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -7,6 +7,8 @@
 #include "sidecar.h"
 
 #define WATCH_PAUSE_US (1 * SECOND_US)
+#define WATCH_PAUSE_FIRST_US (125 * MS_US)
+#define WATCH_DOUBLINGS_MAX 3u
 /* Every node reads the head now and then, should all gossip have passed it by. */
 #define POLL_EVERY_US (60 * SECOND_US)
 
@@ -84,6 +86,9 @@
     config_fetch_want (sync, reading->head, reading->head_len, NULL);
   if (!sync->wanted)
     g_hash_table_remove_all (sync->parts);
+  /* From here on a watch tells of changes sooner than another reading. */
+  if (reading->outcome == CONFIG_READ_HEAD || reading->outcome == CONFIG_READ_NONE)
+    loop_timer_start (sync->watch, 0);
   if ((reading->outcome == CONFIG_READ_NONE && sync->kind->serves_empty) ||
       (reading->outcome == CONFIG_READ_HEAD && !sync->wanted))
     sync->ready = TRUE;
@@ -140,6 +145,20 @@
   return before < sync->kind->watchers_per_hall;
 }
 
+/* A watch that was cut is made anew soon, for changes may have been missed; a store that
+   is away is asked once a second. */
+static gint64
+watch_pause_us (const ConfigSync *sync)
+{
+  double jitter = g_rand_double_range (sync->node->rand, 0.5, 1.5);
+  gint64 pause;
+
+  if (sync->watch_failures == 0)
+    return 0;
+  pause = WATCH_PAUSE_FIRST_US << MIN (sync->watch_failures - 1, WATCH_DOUBLINGS_MAX);
+  return (gint64)((double)pause * jitter);
+}
+
 static void
 on_watched (const ConfigReading *reading, gpointer data)
 {
@@ -150,7 +169,8 @@
 
   sync->watching = FALSE;
   take_reading (sync, reading);
-  loop_timer_start (sync->watch, failed ? WATCH_PAUSE_US : 0);
+  sync->watch_failures = failed ? sync->watch_failures + 1 : 0;
+  loop_timer_start (sync->watch, watch_pause_us (sync));
 }
 
 static void
