--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -96,6 +96,8 @@
 
   settings->linger_us = 1000 * json_view_int (limits, "linger_ms", 0, 3600000, 0);
   settings->stop_us = grace_s > 0 ? (gint64)(grace_s * 1e6) - STOP_MARGIN_US : stop_us;
+  /* Requests taken at the end of the lingering need time to be answered. */
+  settings->linger_us = MIN (settings->linger_us, settings->stop_us / 2);
 }
 
 static void
--- a/core/tests/test-config.c
+++ b/core/tests/test-config.c
@@ -259,6 +259,34 @@
   json_faults_destroy (faults);
 }
 
+static void
+test_a_short_grace_leaves_time_for_the_last_answers (void **state)
+{
+  static const char text[] =
+      "{\"node\":\"n\",\"hall\":\"h\",\"listen\":{\"callers\":\"127.0.0.1:1\","
+      "\"operators\":\"127.0.0.1:2\",\"nodes\":\"127.0.0.1:3\"},"
+      "\"platform\":\"127.0.0.1:4\",\"platform_kind\":\"objects\","
+      "\"fleet_token\":\"sixteen bytes at least\","
+      "\"limits\":{\"linger_ms\":2500,\"grace_s\":%s}}";
+  static const char *const graces[] = { "1", "3", "6", "30.5" };
+  JsonFaults *faults = json_faults_create ();
+
+  for (gsize i = 0; i < G_N_ELEMENTS (graces); i++)
+    {
+      g_auto (GStrv) halves = g_strsplit (text, "%s", 2);
+      g_autofree char *filled = g_strconcat (halves[0], graces[i], halves[1], NULL);
+      Settings *settings = settings_parse (filled, -1, faults);
+
+      assert_non_null (settings);
+      assert_true (settings->stop_us > 0);
+      assert_true (settings->stop_us < (gint64)(g_ascii_strtod (graces[i], NULL) * 1e6));
+      assert_true (settings->linger_us <= settings->stop_us / 2);
+      assert_true (settings->linger_us <= 2500 * 1000);
+      settings_destroy (settings);
+    }
+  json_faults_destroy (faults);
+}
+
 int
 main (void)
 {
@@ -269,6 +297,7 @@
     cmocka_unit_test (test_plan_below_a_floor_counts_healthy_targets_only),
     cmocka_unit_test (test_full_size_loads_and_one_change_touches_one_part),
     cmocka_unit_test (test_settings_report_every_fault),
+    cmocka_unit_test (test_a_short_grace_leaves_time_for_the_last_answers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
