Stand-ins: what speaks the platform's words lies in platform/standins

Cause: the stand-in for the store and the headers in the stand-in for a target are words of the users' platform, and stood outside platform/. Ruled out: taking the header names from the adapter's dialect; the stand-in would then agree with a wrong name there, and no test could fail. The whole suite had not yet been run on this commit.

--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -8,15 +8,16 @@
  * /_control?latency_ms=N&error_percent=N&slow_percent=N&slow_ms=N&flap_ms=N&answer=TEXT
  *   answer: whole, truncated, long (bytes past the end), crossed (another's attempt),
  *   silent (never), hangup (runs, closes without an answer), half (half, then silence),
- *   refused (503 with Not-Executed, and does not run), busy (503 without that word).
- * A request with a Request-Attempt-Id is counted under it, and its answer is signed. Its
- * Calling-Service and Deadline-Milliseconds are told by /_seen, of the last one.
+ *   refused (503 that says so, and does not run), busy (503 that does not say).
+ * A request in the platform's dialect is counted under its id there, and its answer is
+ * signed. Caller, time left and expected target of the last one are told by /_seen.
  *   flap_ms: faults are on and off by turns of that length.
  * /_health always answers well. /_runs: totals, and how many ids ran more than once.
  * /_runs?id=ID: how often that one ran. /_ids: all ids, each with how often it ran.
  */
 #include <io/loop.h>
 #include <io/socket.h>
+#include <target-dialect.h>
 
 #include <errno.h>
 #include <signal.h>
@@ -142,9 +143,7 @@
 static void
 answer (Conn *conn, guint status, const char *body, const char *attempt, gsize extra)
 {
-  const char *echo = conn->signed_answers
-                         ? "Response-Signature: standin\r\nRequest-Attempt-Id: "
-                         : "Switchmill-Attempt: ";
+  const char *echo = conn->signed_answers ? TARGET_DIALECT_ECHO : "Switchmill-Attempt: ";
   g_autofree char *head = g_strdup_printf (
       "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n%s%s%s\r\n",
       status, status < 400 ? "OK" : "Error", strlen (body) + extra, attempt ? echo : "",
@@ -361,36 +360,23 @@
   flush (conn);
 }
 
-static char *
-header_value (char **lines, const char *key)
-{
-  gsize len = strlen (key);
-
-  for (guint i = 1; lines[i]; i++)
-    if (g_ascii_strncasecmp (lines[i], key, len) == 0 && lines[i][len] == ':')
-      return g_strstrip (g_strdup (lines[i] + len + 1));
-  return NULL;
-}
-
-/* A request in the users' dialect is counted under its own id, and answered with it. */
+/* A request in the platform's dialect is counted under its own id, and answered with it.
+ */
 static void
 note_dialect (Conn *conn, char **lines)
 {
-  g_autofree char *id = header_value (lines, "Request-Attempt-Id");
-  g_autofree char *origin = header_value (lines, "Calling-Service");
-  g_autofree char *left = header_value (lines, "Deadline-Milliseconds");
-  g_autofree char *expected = header_value (lines, "Expected-Instance");
+  char *line = NULL;
+  char *id = target_dialect_read (lines, &line);
 
   conn->signed_answers = id != NULL;
   if (!id)
     return;
   g_free (conn->id);
-  conn->id = g_strdup (id);
+  conn->id = id;
   g_free (conn->attempt);
   conn->attempt = g_strdup (id);
   g_free (seen);
-  seen = g_strdup_printf ("%s %s %s\n", origin ? origin : "-", left ? left : "-",
-                          expected ? expected : "-");
+  seen = line;
 }
 
 /* FALSE while the request is not whole. Callers here are libcurl, with lengths. */
@@ -407,7 +393,7 @@
     return FALSE;
   head = g_strndup ((char *)conn->in->data, (gsize)(end - conn->in->data));
   lines = g_strsplit (head, "\r\n", -1);
-  length = header_value (lines, "Content-Length");
+  length = target_header (lines, "Content-Length");
   conn->body_at = (gsize)(end - conn->in->data) + 4;
   conn->body_len = length ? g_ascii_strtoull (length, NULL, 10) : 0;
   if (conn->in->len < conn->body_at + conn->body_len)
@@ -415,9 +401,9 @@
   words = g_strsplit (lines[0], " ", 3);
   conn->path = g_strdup (words[0] && words[1] ? words[1] : "/");
   g_free (conn->id);
-  conn->id = header_value (lines, "X-Request-Id");
+  conn->id = target_header (lines, "X-Request-Id");
   g_free (conn->attempt);
-  conn->attempt = header_value (lines, "Switchmill-Attempt");
+  conn->attempt = target_header (lines, "Switchmill-Attempt");
   note_dialect (conn, lines);
   return TRUE;
 }
@@ -426,7 +412,7 @@
 static void
 refuse (Conn *conn)
 {
-  put (conn, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  put (conn, TARGET_DIALECT_REFUSAL);
   flush (conn);
   g_byte_array_remove_range (conn->in, 0, (guint)(conn->body_at + conn->body_len));
   g_clear_pointer (&conn->path, g_free);
