Splits begin at a random turn on each node

Cause: all nodes went through a route's shares in the same order, begun anew with each configuration. A fleet whose nodes get two or three requests each of such a route sent the greatest share nearly all of them: 200 requests over 100 nodes at 90 to 10 gave the small share none. Ruled out: moving to another part; the ingress has never done so, a request stays with the service that its turn named. Change: a node begins at a random turn, up to 1,000 turns in. Before: test_shares_follow_the_weights_over_a_fleet 0 of 200; after: within 10 to 30 of 200.

--- a/core/include/core/split.h
+++ b/core/include/core/split.h
@@ -9,7 +9,8 @@
 
 typedef struct Splitter Splitter;
 
-Splitter *splitter_create (void);
+/* `rand` is borrowed, and decides at which turn a route begins. */
+Splitter *splitter_create (GRand *rand);
 void splitter_destroy (Splitter *splitter);
 
 /* The service of the next request on a route; borrowed from the route. */
--- a/core/src/request/split.c
+++ b/core/src/request/split.c
@@ -8,8 +8,13 @@
   GArray *credits; /* of gint64, one for each share */
 } Turns;
 
+/* Turns repeat after so many picks as the weights add up to; more of them are not gone
+   through to begin at a random one. */
+#define FIRST_TURN_MAX 1000
+
 struct Splitter
 {
+  GRand *rand;
   GHashTable *routes; /* "host prefix" → Turns */
 };
 
@@ -23,10 +28,11 @@
 }
 
 Splitter *
-splitter_create (void)
+splitter_create (GRand *rand)
 {
   Splitter *splitter = g_new0 (Splitter, 1);
 
+  splitter->rand = rand;
   splitter->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, turns_free);
   return splitter;
 }
@@ -40,18 +46,56 @@
   g_free (splitter);
 }
 
-/* The turns of a route; begun anew when the number of its shares has changed. */
+static gint64
+weights_of (const Route *route)
+{
+  gint64 total = 0;
+
+  for (guint i = 0; i < route->split->len; i++)
+    total += g_array_index (route->split, RouteShare, i).weight;
+  return total;
+}
+
+/* Each share is owed its weight; the one that is owed most takes the turn and pays for
+   it with the sum of all. Returns its place. */
+static guint
+take_turn (Turns *turns, const Route *route, gint64 total)
+{
+  guint best = 0;
+
+  for (guint i = 0; i < route->split->len; i++)
+    {
+      gint64 *credit = &g_array_index (turns->credits, gint64, i);
+
+      *credit += g_array_index (route->split, RouteShare, i).weight;
+      if (*credit > g_array_index (turns->credits, gint64, best))
+        best = i;
+    }
+  g_array_index (turns->credits, gint64, best) -= total;
+  return best;
+}
+
+/*
+ * The turns of a route; begun anew when the number of its shares has changed. Each node
+ * begins at a random turn: with the same first turns on all of them, a fleet that gets a
+ * few requests a node would send nearly all to the greatest share.
+ */
 static Turns *
-turns_of (Splitter *splitter, const Route *route)
+turns_of (Splitter *splitter, const Route *route, gint64 total)
 {
   g_autofree char *key = g_strconcat (route->host, " ", route->prefix, NULL);
   Turns *turns = g_hash_table_lookup (splitter->routes, key);
+  gint32 skipped;
 
   if (turns && turns->credits->len == route->split->len)
     return turns;
   turns = g_new0 (Turns, 1);
   turns->credits = g_array_new (FALSE, TRUE, sizeof (gint64));
   g_array_set_size (turns->credits, route->split->len);
+  skipped =
+      g_rand_int_range (splitter->rand, 0, (gint32)CLAMP (total, 1, FIRST_TURN_MAX));
+  for (gint32 i = 0; i < skipped; i++)
+    take_turn (turns, route, total);
   g_hash_table_replace (splitter->routes, g_steal_pointer (&key), turns);
   return turns;
 }
@@ -59,25 +103,13 @@
 const char *
 splitter_pick (Splitter *splitter, const Route *route)
 {
-  Turns *turns;
-  gint64 total = 0;
-  guint best = 0;
+  gint64 total = weights_of (route);
+  guint place;
 
   if (route->split->len == 0)
     return route->service;
-  turns = turns_of (splitter, route);
-  for (guint i = 0; i < route->split->len; i++)
-    {
-      gint64 weight = g_array_index (route->split, RouteShare, i).weight;
-
-      total += weight;
-      g_array_index (turns->credits, gint64, i) += weight;
-      if (g_array_index (turns->credits, gint64, i) >
-          g_array_index (turns->credits, gint64, best))
-        best = i;
-    }
-  g_array_index (turns->credits, gint64, best) -= total;
-  return g_array_index (route->split, RouteShare, best).service;
+  place = take_turn (turns_of (splitter, route, total), route, total);
+  return g_array_index (route->split, RouteShare, place).service;
 }
 
 void
--- a/core/tests/test-directory.c
+++ b/core/tests/test-directory.c
@@ -93,7 +93,8 @@
 {
   Snapshot *snapshot = snapshot_of (intent_text);
   const Route *route = snapshot_route (snapshot, "h", "/p/x", "BREW");
-  Splitter *splitter = splitter_create ();
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  Splitter *splitter = splitter_create (rand);
   guint second = 0;
 
   assert_non_null (route);
@@ -105,6 +106,27 @@
   snapshot_unref (snapshot);
 }
 
+/* 100 nodes with two requests each: the small share gets its tenth all the same. */
+static void
+test_shares_follow_the_weights_over_a_fleet (void **state)
+{
+  Snapshot *snapshot = snapshot_of (intent_text);
+  const Route *route = snapshot_route (snapshot, "h", "/p/x", "BREW");
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  guint second = 0;
+
+  for (guint node = 0; node < 100; node++)
+    {
+      Splitter *splitter = splitter_create (rand);
+
+      for (guint i = 0; i < 2; i++)
+        second += strcmp (splitter_pick (splitter, route), "pay2") == 0;
+      splitter_destroy (splitter);
+    }
+  assert_in_range (second, 10, 30);
+  snapshot_unref (snapshot);
+}
+
 static void
 test_only_any_method_covers_unknown_ones (void **state)
 {
@@ -138,6 +160,7 @@
     cmocka_unit_test (test_registered_targets_stand_in_their_service),
     cmocka_unit_test (test_a_restart_replaces_and_a_departure_removes),
     cmocka_unit_test (test_shares_follow_the_weights),
+    cmocka_unit_test (test_shares_follow_the_weights_over_a_fleet),
     cmocka_unit_test (test_only_any_method_covers_unknown_ones),
     cmocka_unit_test (test_a_dynamic_service_names_no_targets),
   };
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -207,7 +207,7 @@
   ingress->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)retry_budget_destroy);
   ingress->exchanges = exchanges_create (node);
-  ingress->splitter = splitter_create ();
+  ingress->splitter = splitter_create (node->rand);
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
                                         on_request, ingress, error);
   if (ingress->server)
