A node that stops takes work for its target until half a second before its lingering ends

Cause: after SIGTERM the sidecar refused at once, though the node lives on for 2.5 s and its target stays and is well. Ruled out: remembering the target over the restart (a departure acknowledged just before a kill could be forgotten); a shorter lingering (clients come for two missed readiness checks). Change: at SIGTERM queues close (what waits goes elsewhere, only what can start at once is taken); the drain is told half a second before the lingering ends.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -23,6 +23,9 @@
 /* A planned stop lasts at least this long, for the news of it to get round. */
 #define STOP_LINGER_US (1500 * MS_US)
 #define STOP_CHECK_US (50 * MS_US)
+/* So long before the lingering ends the sidecar takes nothing new, for the news of it to
+   get round. Until then its target, which is well and stays, is of use to the fleet. */
+#define STOP_DRAIN_LEAD_US (500 * MS_US)
 /* For the last answers of a stop that cuts requests. */
 #define STOP_FLUSH_US (200 * MS_US)
 
@@ -33,6 +36,7 @@
   LoopTimer *stop;
   gint64 stop_began_us;
   guint cut;
+  gboolean drained; /* the sidecar takes nothing new */
   gboolean hurried;
   gboolean ending;
 };
@@ -70,6 +74,13 @@
   loop_quit (run->node.loop);
 }
 
+static void
+drain_sidecar (NodeRun *run)
+{
+  run->drained = TRUE;
+  sidecar_drain (run->node.sidecar);
+}
+
 static void
 on_stop_check (gpointer data)
 {
@@ -78,6 +89,8 @@
   gboolean quiet =
       in_flight (run) == 0 && stop_age (run) >= MAX (STOP_LINGER_US, settings->linger_us);
 
+  if (stop_age (run) >= settings->linger_us - STOP_DRAIN_LEAD_US && !run->drained)
+    drain_sidecar (run);
   if (stop_age (run) >= settings->linger_us)
     ingress_drain (run->node.ingress);
   if (run->ending)
@@ -101,7 +114,9 @@
   node->stopping = TRUE;
   run->stop_began_us = clock_now (node->clock);
   log_event (G_LOG_LEVEL_INFO, "stopping", NULL);
-  sidecar_drain (node->sidecar);
+  sidecar_close_queues (node->sidecar);
+  if (node->settings->linger_us <= STOP_DRAIN_LEAD_US)
+    drain_sidecar (run);
   ingress_close_connections (node->ingress);
   if (node->settings->linger_us == 0)
     ingress_drain (node->ingress);
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -126,7 +126,8 @@
                            SW_REASON_SICK);
       return;
     }
-  if (!args->may_queue && !admission_is_free (target->admission))
+  if ((!args->may_queue || sidecar->queues_closed) &&
+      !admission_is_free (target->admission))
     {
       if (entry)
         fence_refuse (entry);
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -47,6 +47,7 @@
   GHashTable *targets;     /* name → SidecarTarget */
   GHashTable *submissions; /* set of Submission */
   LoopTimer *sweep;
+  gboolean queues_closed;
   gboolean draining;
 };
 
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -15,7 +15,8 @@
   stamp->clock_us = (guint64)clock_now (sidecar->node->clock);
 }
 
-/* Those who wait at a target that leaves are better off elsewhere, at once. */
+/* Those who wait at a target that leaves, or would end with its node, are better off
+   elsewhere, at once. */
 static void
 refuse_waiting (Sidecar *sidecar)
 {
@@ -29,7 +30,8 @@
       const Submission *submission = key;
 
       if (!submission->running &&
-          sidecar_target_is_leaving (submission->target, sidecar->draining))
+          (sidecar->queues_closed ||
+           sidecar_target_is_leaving (submission->target, sidecar->draining)))
         g_ptr_array_add (waiting, key);
     }
   for (guint i = 0; i < waiting->len; i++)
@@ -176,6 +178,13 @@
                           &res->states.states_val[res->states.states_len++]);
 }
 
+void
+sidecar_close_queues (Sidecar *sidecar)
+{
+  sidecar->queues_closed = TRUE;
+  refuse_waiting (sidecar);
+}
+
 void
 sidecar_drain (Sidecar *sidecar)
 {
--- a/daemon/src/target/sidecar.h
+++ b/daemon/src/target/sidecar.h
@@ -31,6 +31,9 @@
 /* The states of all targets; the array is the caller's to free, its texts not. */
 void sidecar_states (Sidecar *sidecar, sw_hello_res *res);
 
+/* From now on takes only what can start at once; what waits is sent elsewhere. */
+void sidecar_close_queues (Sidecar *sidecar);
+
 /* Takes nothing new from now on. */
 void sidecar_drain (Sidecar *sidecar);
 
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -16,6 +16,7 @@
 
 #define TOKEN "process-test-operator"
 #define CALL_TIMEOUT_S 60L
+#define LINGER_DEFAULT_MS 1500u
 #define POLL_US 20000
 /* A wait that never ends is a failure; how long it takes is not measured here. */
 #define WAIT_TRIES 3000
@@ -37,6 +38,7 @@
   char *dir;
   guint nodes;
   gboolean objects; /* the users' platform */
+  guint linger_ms;  /* of nodes there */
   GPid platform;
   GPid targets[FLEET_NODES_MAX];
   GPid node_pids[FLEET_NODES_MAX];
@@ -143,6 +145,13 @@
 fleet_use_objects (Fleet *fleet)
 {
   fleet->objects = TRUE;
+  fleet->linger_ms = LINGER_DEFAULT_MS;
+}
+
+void
+fleet_set_linger (Fleet *fleet, guint linger_ms)
+{
+  fleet->linger_ms = linger_ms;
 }
 
 static size_t
@@ -421,9 +430,10 @@
       "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\","
       "\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,\"floor_share\":0.7,"
       "\"detection\":\"strict\",\"queue\":16},"
-      "\"limits\":{\"linger_ms\":1500,\"grace_s\":6},"
+      "\"limits\":{\"linger_ms\":%u,\"grace_s\":%u},"
       "\"operators\":[{\"name\":\"tester\",\"token\":\"" TOKEN "\"}]}",
-      i, i % 3, callers, operators, nodes, ready, registrations, platform, target);
+      i, i % 3, callers, operators, nodes, ready, registrations, platform, target,
+      fleet->linger_ms, 4 * fleet->linger_ms / 1000);
 
   g_file_set_contents (path, text, -1, NULL);
 }
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -29,6 +29,8 @@
 
 /* The users' platform: the store's stand-in, nodes beside targets that register. */
 void fleet_use_objects (Fleet *fleet);
+/* How long nodes of that kind linger after SIGTERM; they have four times that to end. */
+void fleet_set_linger (Fleet *fleet, guint linger_ms);
 
 /* A cmocka teardown: ends the fleet of a test that failed before its end. */
 int fleet_teardown (void **state);
--- a/tests/proc/test-platform.c
+++ b/tests/proc/test-platform.c
@@ -442,6 +442,29 @@
   fleet_destroy (fleet);
 }
 
+/* The target beside a node that stops is well, and may be the only one there is. */
+static void
+test_a_stopping_node_still_takes_work_for_its_target (void **state)
+{
+  Fleet *fleet = start (1);
+  g_autoptr (Answer) answer = NULL;
+
+  /* Long enough for any machine; a second signal ends the waiting. */
+  fleet_set_linger (fleet, 30000);
+  fleet_signal_node (fleet, 0, SIGKILL);
+  fleet_start_node (fleet, 0);
+  assert_int_equal (register_target (0, "i-0", "serving", 2), 200);
+  await_status (1, "/read/x", 200);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  for (guint i = 0; i < TRIES && ready_status (0) != 503; i++)
+    g_usleep (PAUSE_US);
+  answer = request (1, "POST", "/pay/1", "stopping");
+  assert_int_equal (answer->status, 200);
+  fleet_signal_node (fleet, 0, SIGTERM);
+  assert_int_equal (fleet_wait_node (fleet, 0), 0);
+  fleet_destroy (fleet);
+}
+
 static void
 test_a_reload_cuts_nothing_and_a_bad_file_changes_nothing (void **state)
 {
@@ -509,6 +532,8 @@
                                fleet_teardown),
     cmocka_unit_test_teardown (test_a_stop_cuts_nothing_and_sends_callers_elsewhere,
                                fleet_teardown),
+    cmocka_unit_test_teardown (test_a_stopping_node_still_takes_work_for_its_target,
+                               fleet_teardown),
     cmocka_unit_test_teardown (test_a_reload_cuts_nothing_and_a_bad_file_changes_nothing,
                                fleet_teardown),
     cmocka_unit_test_teardown (test_a_node_whose_object_is_there_already_joins,
