Retries are counted in a sliding window, not saved up in a bucket

The users count retries in any span of a length (budget_window), so what calm seconds of the span left may be used in it. Ruled out: overcommitting the savings (all nodes may need them at once, and then break the bound); the bound in a span is the same as before: share of the requests in it, and the burst. Change: retry_budget counts first attempts and retries of a window in slices, on the safe side; service_defaults.retry_window_s; the burst counts after a first window of life, as what was spent before a restart is not known.

--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -6,16 +6,11 @@
 #include <string.h>
 
 #include <core/settings.h>
+#include <core/http-status.h>
 
 #include "explain.h"
 #include "print.h"
 
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_UNAUTHORIZED 401
-#define HTTP_CONFLICT 409
-#define HTTP_UNAVAILABLE 503
-
 static JsonObject *
 object_of (const ApiResult *result)
 {
--- a/core/include/core/retry.h
+++ b/core/include/core/retry.h
@@ -5,20 +5,20 @@
 #ifndef CORE_RETRY_H
 #define CORE_RETRY_H
 
-#include <glib.h>
+#include <core/clock.h>
 
 typedef struct RetryBudget RetryBudget;
 
 /*
- * `percent` retries for each hundred first attempts, on the long run. A share of the
- * retries is saved up, RETRY_SAVED_DEFAULT of them unless retry_budget_set_burst says
- * otherwise, so that a quiet service can retry too.
+ * In any span of `window_us`, `percent` retries for each hundred first attempts in it,
+ * and a burst of ten unless retry_budget_set_burst says otherwise, so that a quiet
+ * service can retry too. What a window leaves is not saved up. `clock` is borrowed.
  */
-RetryBudget *retry_budget_create (guint percent);
+RetryBudget *retry_budget_create (guint percent, gint64 window_us, Clock *clock);
 void retry_budget_destroy (RetryBudget *budget);
 void retry_budget_set_percent (RetryBudget *budget, guint percent);
 
-/* `hundredths` of a retry may be saved up at most; what is saved over that is lost. */
+/* `hundredths` of a retry come on top in each window. */
 void retry_budget_set_burst (RetryBudget *budget, guint hundredths);
 
 /* Notes a first attempt. */
@@ -30,7 +30,7 @@
 /* Takes one retry out; FALSE when there is none left. */
 gboolean retry_budget_withdraw (RetryBudget *budget);
 
-/* Takes one retry out though there may be none left; it is missing afterwards. */
+/* Takes one retry out though there may be none left; it is missing to later ones. */
 void retry_budget_borrow (RetryBudget *budget);
 
 /* A pause before retry number `retry` (from 1): full jitter over a doubling bound. */
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -31,9 +31,10 @@
 /* What a service is given where the configuration does not say it. */
 typedef struct
 {
-  double retry_ratio; /* retries for each request, over the whole fleet */
-  guint retry_burst;  /* and so many more */
-  double floor_share; /* of the slots, which ejections leave */
+  double retry_ratio;     /* retries for each request, over the whole fleet */
+  guint retry_burst;      /* and so many more */
+  gint64 retry_window_us; /* in any span of that length */
+  double floor_share;     /* of the slots, which ejections leave */
   Detection detection;
   guint queue; /* requests that may wait at one target */
 } ServiceDefaults;
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -12,6 +12,9 @@
 /* A planned stop is over so long before the process would be killed. */
 #define STOP_MARGIN_US 700000
 #define GRACE_MAX_S 3600.0
+/* The users' span over which retries are counted, and the longest that is taken. */
+#define RETRY_WINDOW_DEFAULT_S 10.0
+#define RETRY_WINDOW_MAX_S 3600.0
 
 static const char *const platform_names[] = { "own", "objects", NULL };
 static const char *const detection_names[] = { "off", "careful", "quick", "strict",
@@ -80,6 +83,9 @@
 
   defaults->retry_ratio = json_view_double (object, "retry_ratio", 0, 1, 0.2);
   defaults->retry_burst = (guint)json_view_int (object, "retry_burst", 0, G_MAXINT, 0);
+  defaults->retry_window_us =
+      (gint64)(1e6 * json_view_double (object, "retry_window_s", 0.1, RETRY_WINDOW_MAX_S,
+                                       RETRY_WINDOW_DEFAULT_S));
   defaults->floor_share = json_view_double (object, "floor_share", 0, 1, 0.5);
   defaults->detection =
       json_view_choice (object, "detection", detection_names, DETECTION_CAREFUL);
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -209,9 +209,9 @@
 faulted (Dispatch *dispatch, Reason reason)
 {
   dispatch->faulted = TRUE;
+  dispatch->arrivals++;
   if (!dispatch->policy.repeatable)
     return answer (dispatch, OUTCOME_DONE, reason);
-  dispatch->arrivals++;
   return retry (dispatch, reason, TRUE);
 }
 
--- a/core/src/request/retry.c
+++ b/core/src/request/retry.c
@@ -1,28 +1,41 @@
 #include <core/retry.h>
 
-/* Budgets are counted in hundredths of a retry. */
+/* Allowances are counted in hundredths of a retry. */
 #define ONE_RETRY 100
-/* What a quiet service may spend at once, and what a busy one may save. */
-#define START_RETRIES 10
-#define SAVED_RETRIES 100
+/* What a quiet service may spend in a window, where no burst is set. */
+#define BURST_RETRIES 10
 #define PAUSE_FIRST_US 5000
 #define PAUSE_MAX_US 250000
+/* A window is counted in so many slices: the error is a slice, and is on the safe side.
+ */
+#define SLICES 20
+
+typedef struct
+{
+  gint64 number; /* of the slice since the clock's zero */
+  guint firsts;
+  guint retries;
+} Slice;
 
 struct RetryBudget
 {
+  Clock *clock;
+  gint64 slice_us;
   guint percent;
-  gint saved_max; /* hundredths */
-  gint hundredths;
+  guint burst; /* hundredths */
+  /* The slices of a window, and the one that has just begun. */
+  Slice slices[SLICES + 1];
 };
 
 RetryBudget *
-retry_budget_create (guint percent)
+retry_budget_create (guint percent, gint64 window_us, Clock *clock)
 {
   RetryBudget *budget = g_new0 (RetryBudget, 1);
 
+  budget->clock = clock;
+  budget->slice_us = MAX (window_us / SLICES, 1);
   budget->percent = percent;
-  budget->saved_max = SAVED_RETRIES * ONE_RETRY;
-  budget->hundredths = percent ? START_RETRIES * ONE_RETRY : 0;
+  budget->burst = percent ? BURST_RETRIES * ONE_RETRY : 0;
   return budget;
 }
 
@@ -37,27 +50,58 @@
 {
   budget->percent = percent;
   if (!percent)
-    budget->hundredths = 0;
+    budget->burst = 0;
 }
 
 void
 retry_budget_set_burst (RetryBudget *budget, guint hundredths)
 {
-  budget->saved_max = (gint)hundredths;
-  budget->hundredths = MIN (budget->hundredths, budget->saved_max);
+  budget->burst = hundredths;
+}
+
+static gint64
+present (const RetryBudget *budget)
+{
+  return clock_now (budget->clock) / budget->slice_us;
+}
+
+/* The slice of this moment; it takes the place of one that has left the window. */
+static Slice *
+present_slice (RetryBudget *budget)
+{
+  gint64 number = present (budget);
+  Slice *slice = &budget->slices[number % (SLICES + 1)];
+
+  if (slice->number != number)
+    *slice = (Slice){ .number = number };
+  return slice;
 }
 
 void
 retry_budget_deposit (RetryBudget *budget)
 {
-  budget->hundredths =
-      MIN (budget->hundredths + (gint)budget->percent, budget->saved_max);
+  present_slice (budget)->firsts++;
 }
 
+/* The slice that a window reaches into by a part is counted for retries alone. */
 gboolean
 retry_budget_has (const RetryBudget *budget)
 {
-  return budget->hundredths >= ONE_RETRY;
+  gint64 now = present (budget);
+  guint64 allowed = budget->burst;
+  guint64 spent = 0;
+
+  for (guint i = 0; i <= SLICES; i++)
+    {
+      const Slice *slice = &budget->slices[i];
+      gint64 age = now - slice->number;
+
+      if (age < SLICES)
+        allowed += (guint64)slice->firsts * budget->percent;
+      if (age <= SLICES)
+        spent += (guint64)slice->retries * ONE_RETRY;
+    }
+  return spent + ONE_RETRY <= allowed;
 }
 
 gboolean
@@ -65,14 +109,14 @@
 {
   if (!retry_budget_has (budget))
     return FALSE;
-  budget->hundredths -= ONE_RETRY;
+  retry_budget_borrow (budget);
   return TRUE;
 }
 
 void
 retry_budget_borrow (RetryBudget *budget)
 {
-  budget->hundredths -= ONE_RETRY;
+  present_slice (budget)->retries++;
 }
 
 gint64
--- a/daemon/src/config/platform.c
+++ b/daemon/src/config/platform.c
@@ -2,15 +2,11 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
+
 #define CALL_TIMEOUT_US (3 * SECOND_US)
 #define WATCH_MS 20000
 #define ANSWER_MAX (2u * 1024 * 1024)
-#define HTTP_OK 200
-#define HTTP_CREATED 201
-#define HTTP_NOT_MODIFIED 304
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_PRECONDITION_FAILED 412
 
 typedef struct
 {
--- a/daemon/src/operator/metrics-listener.c
+++ b/daemon/src/operator/metrics-listener.c
@@ -3,11 +3,10 @@
 #include <string.h>
 
 #include <io/http-server.h>
+#include <core/http-status.h>
 
 #define METRICS_PATH "/metrics"
 #define CONNECTIONS_MAX 16u
-#define HTTP_OK 200
-#define HTTP_NOT_FOUND 404
 
 struct MetricsListener
 {
--- a/daemon/src/operator/operators.c
+++ b/daemon/src/operator/operators.c
@@ -5,18 +5,13 @@
 #include <core/names.h>
 #include <io/http-server.h>
 #include <core/json-write.h>
+#include <core/http-status.h>
 
 #include "config-sync.h"
 #include "confirm.h"
 #include "log.h"
 #include "status.h"
 
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_UNAUTHORIZED 401
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_UNAVAILABLE 503
 #define CONNECTIONS_MAX 64u
 #define BODY_MAX (16u * 1024 * 1024)
 
--- a/daemon/src/operator/readiness.c
+++ b/daemon/src/operator/readiness.c
@@ -3,14 +3,12 @@
 #include <string.h>
 
 #include <io/http-server.h>
+#include <core/http-status.h>
 
 #include "config-sync.h"
 
 #define READY_PATH "/ready"
 #define CONNECTIONS_MAX 64u
-#define HTTP_OK 200
-#define HTTP_NOT_FOUND 404
-#define HTTP_UNAVAILABLE 503
 
 struct Readiness
 {
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -1,12 +1,11 @@
 #include "status.h"
 #include <core/json-write.h>
+#include <core/http-status.h>
 
 #include "config-sync.h"
 #include "ingress.h"
 #include "sidecar.h"
 
-#define HTTP_OK 200
-
 /* One word for how a target stands, as this ingress sees it. */
 static const char *
 verdict_of (const Target *target, const TargetStatus *status)
--- a/daemon/src/request/answer.c
+++ b/daemon/src/request/answer.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-#define HTTP_UNAVAILABLE 503
+#include <core/http-status.h>
+
 /* When a node that cannot serve now is worth another try. */
 #define RETRY_AFTER_US SECOND_US
 
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -2,14 +2,13 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
+
 #define PREFIX "Switchmill-"
 #define OUTCOME_HEADER PREFIX "Outcome"
 #define REASON_HEADER PREFIX "Reason"
 #define ATTEMPT_HEADER PREFIX "Attempt"
 #define DEADLINE_HEADER PREFIX "Deadline-Ms"
-#define HTTP_BAD_GATEWAY 502
-#define HTTP_UNAVAILABLE 503
-#define HTTP_GATEWAY_TIMEOUT 504
 /* How long after the deadline the fence is still asked before "unknown" is said. */
 #define SLACK_US (500 * MS_US)
 
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -2,10 +2,11 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
+
 #include "path-probe.h"
 #include "request-log.h"
 
-#define HTTP_SERVER_ERROR 500
 /* A connection to a node that is there is made in a round trip; 400 ms cover a lost
    packet's first repetition (200 ms) with room to spare. */
 #define OPEN_TIMEOUT_US (400 * MS_US)
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -1,11 +1,11 @@
 #include "exchange-private.h"
 
+#include <core/http-status.h>
+
 #include "answer.h"
 #include "request-log.h"
 
 #define TICKET_TIMEOUT_US (2 * SECOND_US)
-#define HTTP_CREATED 201
-#define HTTP_UNAVAILABLE 503
 
 static void
 exchange_free (Exchange *exchange)
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -5,6 +5,7 @@
 #include <io/http-server.h>
 
 #include <core/split.h>
+#include <core/http-status.h>
 
 #include "adapter.h"
 #include "answer.h"
@@ -13,10 +14,6 @@
 
 /* Hundredths of a retry, in which budgets are counted. */
 #define RETRY_HUNDREDTHS 100u
-#define HTTP_BAD_REQUEST 400
-#define HTTP_UNAUTHORIZED 401
-#define HTTP_NOT_FOUND 404
-#define HTTP_UNAVAILABLE 503
 
 struct Ingress
 {
@@ -26,9 +23,22 @@
   Exchanges *exchanges;
   Splitter *splitter;
   guint64 split_generation; /* of the routes that the splitter's turns belong to */
+  gint64 began_us;
   gboolean draining;
 };
 
+/* An ingress's share of the retries that the fleet may make beyond those for requests.
+   In the first window there are none: what was spent before a restart is not known. */
+static guint
+burst_share (const Ingress *ingress, const Service *service)
+{
+  const Node *node = ingress->node;
+
+  if (clock_now (node->clock) - ingress->began_us < node->defaults.retry_window_us)
+    return 0;
+  return service->retry_burst * RETRY_HUNDREDTHS / members_count_alive (node->members);
+}
+
 static RetryBudget *
 budget_of (Ingress *ingress, const Service *service)
 {
@@ -36,17 +46,14 @@
 
   if (!budget)
     {
-      budget = retry_budget_create (service->retry_percent);
-      /* A fleet that restarts must not have its savings over again. */
-      if (service->retry_burst > 0)
-        retry_budget_set_burst (budget, 0);
+      budget = retry_budget_create (service->retry_percent,
+                                    ingress->node->defaults.retry_window_us,
+                                    ingress->node->clock);
       g_hash_table_insert (ingress->budgets, g_strdup (service->name), budget);
     }
   retry_budget_set_percent (budget, service->retry_percent);
-  /* What the fleet may save up is shared out among its ingresses. */
   if (service->retry_burst > 0)
-    retry_budget_set_burst (budget, service->retry_burst * RETRY_HUNDREDTHS /
-                                        members_count_alive (ingress->node->members));
+    retry_budget_set_burst (budget, burst_share (ingress, service));
   return budget;
 }
 
@@ -204,6 +211,7 @@
   Ingress *ingress = g_new0 (Ingress, 1);
 
   ingress->node = node;
+  ingress->began_us = clock_now (node->clock);
   ingress->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)retry_budget_destroy);
   ingress->exchanges = exchanges_create (node);
--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -1,5 +1,7 @@
 #include "request-log.h"
 
+#include <core/http-status.h>
+
 #include "log.h"
 
 char *
@@ -88,7 +90,7 @@
   g_autofree char *attempt = own_attempt_name (exchange);
   g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, took_us);
   /* The attempt that a good answer came from has not been counted as an arrival. */
-  guint answered = done && step->reason == REASON_NONE;
+  guint answered = done && exchange->answer.status < HTTP_SERVER_ERROR;
   g_autofree char *refusals =
       g_strdup_printf ("%u", dispatch_refusals (exchange->dispatch) - answered);
   g_autofree char *arrivals =
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -4,6 +4,7 @@
 
 #include <core/names.h>
 #include <io/http-server.h>
+#include <core/http-status.h>
 
 #include "config-sync.h"
 #include "log.h"
@@ -17,9 +18,6 @@
 /* Names of ended targets that are remembered, for a late heartbeat must not bring one
    back. A target ends every few seconds at most, and a heartbeat is seconds late. */
 #define ENDED_MAX 64u
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
 #define SLOTS_MAX 100000
 
 static const char *const state_names[] = { "serving", "leaving", NULL };
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -2,13 +2,13 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
 #include <wire/convert.h>
 
 #include "adapter.h"
 #include "log.h"
 #include "request-log.h"
 
-#define HTTP_SERVER_ERROR 500
 /* A running request this much slower than its siblings counts against the target. */
 #define OVERDUE_FACTOR 20
 #define OVERDUE_MIN_US (500 * MS_US)
