A retry is paid for once until a target sees it

Cause: after a first break each further try took a retry out of the budget, those too that a sidecar refused, which costs no target anything. Ruled out: giving the retry back when nothing comes of it (a slice of the window that has passed cannot be credited); asking more targets. Change: the dispatch remembers a retry that no target has seen yet; after a refusal by a sidecar the next target is asked at once. Test: a retry is paid for once until a target sees it (fails before).

--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -18,6 +18,7 @@
   guint asks;
   gboolean asking;
   gboolean may_have_run;
+  gboolean paid;    /* a retry has been taken out that no target has seen yet */
   gboolean faulted; /* the owner holds an answer that says the target failed */
   Reason reason;    /* of the last attempt that came to nothing */
   gint64 retry_after_us;
@@ -136,14 +137,26 @@
 static gboolean
 take_retry (Dispatch *dispatch, Reason reason)
 {
-  if (retry_budget_withdraw (dispatch->budget))
+  if (dispatch->paid)
     return TRUE;
-  if (reason != REASON_TIMEOUT)
-    return FALSE;
-  retry_budget_borrow (dispatch->budget);
+  if (!retry_budget_withdraw (dispatch->budget))
+    {
+      if (reason != REASON_TIMEOUT)
+        return FALSE;
+      retry_budget_borrow (dispatch->budget);
+    }
+  dispatch->paid = TRUE;
   return TRUE;
 }
 
+/* A target has seen the attempt, or may have: the next one is another retry. */
+static void
+note_arrival (Dispatch *dispatch)
+{
+  dispatch->arrivals++;
+  dispatch->paid = FALSE;
+}
+
 static DispatchStep
 retry (Dispatch *dispatch, Reason reason, gboolean at_once)
 {
@@ -184,21 +197,22 @@
 refused (Dispatch *dispatch, Reason reason, gint64 retry_after_us)
 {
   dispatch->asking = FALSE;
-  dispatch->arrivals += reason == REASON_TARGET_REFUSED;
+  if (reason == REASON_TARGET_REFUSED)
+    note_arrival (dispatch);
   /* The sidecar's proof is about the attempt's name, and so about the whole ticket. */
   if (dispatch->policy.pinned)
     dispatch->may_have_run = FALSE;
   if (retry_after_us > 0)
     dispatch->retry_after_us = retry_after_us;
   /* A refusal is quick and cost no target anything: a pause would only be lost time. */
-  return retry (dispatch, reason, dispatch->arrivals == 0);
+  return retry (dispatch, reason, reason != REASON_TARGET_REFUSED);
 }
 
 static DispatchStep
 failed (Dispatch *dispatch, Reason reason)
 {
   dispatch->may_have_run = TRUE;
-  dispatch->arrivals++;
+  note_arrival (dispatch);
   if (!dispatch->policy.repeatable)
     return answer (dispatch, OUTCOME_UNKNOWN, reason);
   return retry (dispatch, reason, FALSE);
@@ -209,7 +223,7 @@
 faulted (Dispatch *dispatch, Reason reason)
 {
   dispatch->faulted = TRUE;
-  dispatch->arrivals++;
+  note_arrival (dispatch);
   if (!dispatch->policy.repeatable)
     return answer (dispatch, OUTCOME_DONE, reason);
   return retry (dispatch, reason, TRUE);
--- a/core/tests/test-dispatch.c
+++ b/core/tests/test-dispatch.c
@@ -205,6 +205,29 @@
   teardown (&unsafe);
 }
 
+/* One retry in hand: sidecars that refuse it cost nothing, a target that fails it does.
+ */
+static void
+test_a_retry_is_paid_for_once_until_a_target_sees_it (void **state)
+{
+  Fixture fixture = setup (TRUE, 3, 1);
+  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
+
+  assert_int_equal (step.kind, DISPATCH_PAUSE);
+  assert_int_equal (dispatch_resume (fixture.dispatch).kind, DISPATCH_CHOOSE);
+  for (guint i = 0; i < 3; i++)
+    {
+      assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+      step = dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
+      assert_int_equal (step.kind, DISPATCH_CHOOSE);
+    }
+  assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+  step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_UNKNOWN);
+  teardown (&fixture);
+}
+
 static void
 test_a_burst_is_bounded_in_each_window (void **state)
 {
@@ -265,6 +288,7 @@
     cmocka_unit_test (test_the_fence_is_asked_no_longer_than_the_slack),
     cmocka_unit_test (test_hanging_work_is_broken_off_only_with_a_retry_in_hand),
     cmocka_unit_test (test_a_failure_told_by_the_target_is_an_arrival),
+    cmocka_unit_test (test_a_retry_is_paid_for_once_until_a_target_sees_it),
     cmocka_unit_test (test_a_burst_is_bounded_in_each_window),
     cmocka_unit_test (test_a_bunch_of_failures_may_use_the_whole_window),
   };
