A fault soak of our own: real processes, faults from outside, promises checked from what is seen

Why: the users ask for it; tests so far follow one order of events each. What: platform/soak runs store, targets, relays and nodes as processes and draws faults from a seed, in series and overlapping: nodes killed, frozen, stopped, reloaded; links cut one way, both ways, delayed, reset; the store down, refusing, losing answers, forgetting; targets that answer badly, die, freeze, are replaced; changes of the configuration. Callers keep their connections until the node ends them. Checked: at most once, true refusals, own whole answers, nothing proper denied, nothing cut, drain kept, configuration in force and never back, planned stops, processes that run on, recovery. The stand-in for a target writes its runs to a file, as its memory dies with it; the relay resets; the harness is split (fleet-http.c) and what speaks the platform's words has moved to platform/tests. fleet_signal_node no longer signals process 0 for a node that is not there. Not caught there: a sidecar that takes work for a target that leaves (other nodes hear of the departure first); its own test does.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The front door: each target does all the set-up that it needs on a bare Debian machine.
 BUILD ?= build
 
-.PHONY: demo check bench lint model build setup
+.PHONY: demo check bench lint model soak build setup
 
 demo: build
 	./scripts/demo.sh
@@ -15,6 +15,9 @@
 lint: build
 	./scripts/lint.sh
 
+soak: build
+	./scripts/soak.sh
+
 model: setup
 	./scripts/model.sh
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Everything that must hold: the tests, the same under the address and undefined-behaviour
-# sanitizers, formatter and linter, and the model. Each counts. A line of KNOWN-RED.txt
+# sanitizers, formatter and linter, the model, and a short soak. Each counts. A line of KNOWN-RED.txt
 # ("name: cause, issue") names a test that may fail; it is printed, and counted as failed.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -26,14 +26,17 @@
   done < <(find "$1" -name 'test-*' -type f -perm -u+x | sort)
 }
 
-run_script () { # name
-  echo "== $1"
-  if "./scripts/$1.sh"; then passed=$((passed + 1)); else failures+=("$1"); fi
+run_script () { # name options...
+  local name=$1
+  echo "== $*"
+  shift
+  if "./scripts/$name.sh" "$@"; then passed=$((passed + 1)); else failures+=("$name"); fi
 }
 
 run_tests "$build"
 run_script lint
 run_script model
+run_script soak --ci
 [ -f build-sanitized/build.ninja ] ||
   meson setup build-sanitized -Db_sanitize=address,undefined >/dev/null
 if ninja -C build-sanitized >"$dir/build" 2>&1; then
--- a/standins/src/relay.c
+++ b/standins/src/relay.c
@@ -2,7 +2,8 @@
  * A stand-in for a link that can break in one direction: forwards TCP connections and
  * UDP datagrams to one address, and holds back (TCP) or drops (UDP) what goes one way.
  *
- * GET /_control?forth=0|1&back=0|1 on the control address opens and closes the ways.
+ * GET /_control?forth=0|1&back=0|1 on the control address opens and closes the ways;
+ * reset=1 breaks all connections off, in a way that loses what is under way.
  */
 #include <io/http-server.h>
 #include <io/loop.h>
@@ -188,6 +189,22 @@
       g_debug ("the far side does not listen");
 }
 
+/* Closing at once, instead of after the last bytes, resets both sides. */
+static void
+reset_all (void)
+{
+  const struct linger at_once = { 1, 0 };
+
+  while (pairs->len > 0)
+    {
+      Pair *pair = g_ptr_array_index (pairs, 0);
+
+      setsockopt (pair->near.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      setsockopt (pair->far.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      pair_free (pair);
+    }
+}
+
 static void
 on_control (HttpRequest *request, gpointer data)
 {
@@ -198,6 +215,8 @@
     forth = *f == '1';
   if (b)
     back = *b == '1';
+  if (http_request_argument (request, "reset"))
+    reset_all ();
   for (guint i = pairs->len; i-- > 0;)
     settle (g_ptr_array_index (pairs, i));
   http_request_answer_json (request, 200, "{}\n");
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -12,6 +12,9 @@
  * A request in the platform's dialect is counted under its id there, and its answer is
  * signed. Caller, time left and expected target of the last one are told by /_seen.
  *   flap_ms: faults are on and off by turns of that length.
+ * With RUNS_FILE each run adds a line to it when it begins, "ID EXPECTED MICROSECONDS"
+ * (the target that the request was meant for; the monotonic clock), which outlives the
+ * process.
  * /_health always answers well. /_runs: totals, and how many ids ran more than once.
  * /_runs?id=ID: how often that one ran. /_ids: all ids, each with how often it ran.
  */
@@ -60,6 +63,7 @@
   char *path;
   char *id;
   char *attempt;
+  char *expected;          /* the target that it is meant for, NULL where none is said */
   gboolean signed_answers; /* the caller speaks the users' dialect */
   gsize body_at;
   gsize body_len;
@@ -81,6 +85,7 @@
 static AnswerKind answer_kind;
 static char *name;
 static char *seen; /* what /_seen tells */
+static FILE *runs_file;
 
 static void next_waiting (void);
 static void take_request (Conn *conn);
@@ -116,6 +121,7 @@
   g_free (conn->path);
   g_free (conn->id);
   g_free (conn->attempt);
+  g_free (conn->expected);
   g_free (conn);
   next_waiting ();
 }
@@ -237,6 +243,16 @@
     take_request (conn);
 }
 
+static void
+record_run (const Conn *conn)
+{
+  if (!runs_file)
+    return;
+  fprintf (runs_file, "%s %s %" G_GINT64_FORMAT "\n", conn->id ? conn->id : "-",
+           conn->expected ? conn->expected : "-", clock_now (loop_clock (loop)));
+  fflush (runs_file);
+}
+
 static void
 run (Conn *conn)
 {
@@ -250,6 +266,7 @@
   peak = MAX (peak, busy);
   conn->busy = TRUE;
   total++;
+  record_run (conn);
   if (conn->id)
     {
       count = GPOINTER_TO_UINT (g_hash_table_lookup (runs, conn->id));
@@ -366,7 +383,10 @@
 note_dialect (Conn *conn, char **lines)
 {
   char *line = NULL;
-  char *id = target_dialect_read (lines, &line);
+  char *id;
+
+  g_clear_pointer (&conn->expected, g_free);
+  id = target_dialect_read (lines, &line, &conn->expected);
 
   conn->signed_answers = id != NULL;
   if (!id)
@@ -490,9 +510,10 @@
   g_autoptr (GError) error = NULL;
   int fd;
 
-  if (argc < 3 || argc > 5)
+  if (argc < 3 || argc > 6)
     {
-      fprintf (stderr, "usage: standin-target ADDRESS:PORT SLOTS [LATENCY_MS [SEED]]\n");
+      fprintf (stderr, "usage: standin-target ADDRESS:PORT SLOTS [LATENCY_MS [SEED "
+                       "[RUNS_FILE]]]\n");
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
@@ -503,6 +524,8 @@
   slots = (guint)atoi (argv[2]);
   if (argc > 3)
     latency_us = atoi (argv[3]) * MS_US;
+  if (argc > 5)
+    runs_file = fopen (argv[5], "a");
   fd = socket_listen (argv[1], &error);
   if (fd < 0)
     {
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -14,8 +14,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define TOKEN "process-test-operator"
-#define CALL_TIMEOUT_S 60L
 #define LINGER_DEFAULT_MS 1500u
 #define POLL_US 20000
 /* A wait that never ends is a failure; how long it takes is not measured here. */
@@ -39,6 +37,7 @@
   guint nodes;
   gboolean objects; /* the users' platform */
   guint linger_ms;  /* of nodes there */
+  gboolean keep_files;
   GPid platform;
   GPid targets[FLEET_NODES_MAX];
   GPid node_pids[FLEET_NODES_MAX];
@@ -48,12 +47,21 @@
 /* The fleet of the running test, for the teardown of one that failed half way. */
 static Fleet *current;
 
+/* Fleets beside each other need ports of their own. */
+static guint
+port_offset (void)
+{
+  const char *text = g_getenv ("FLEET_PORT_OFFSET");
+
+  return text ? (guint)g_ascii_strtoull (text, NULL, 10) : 0;
+}
+
 char *
 fleet_address (const char *kind, guint i)
 {
   for (gsize k = 0; k < G_N_ELEMENTS (ports); k++)
     if (strcmp (ports[k].kind, kind) == 0)
-      return g_strdup_printf ("127.0.0.1:%u", ports[k].base + i);
+      return g_strdup_printf ("127.0.0.1:%u", ports[k].base + port_offset () + i);
   return NULL;
 }
 
@@ -121,14 +129,15 @@
       end (&fleet->relays[i]);
     }
   end (&fleet->platform);
-  while ((name = g_dir_read_name (dir)))
+  while (!fleet->keep_files && (name = g_dir_read_name (dir)))
     {
       g_autofree char *path = fleet_path (fleet, name);
 
       g_unlink (path);
     }
   current = NULL;
-  g_rmdir (fleet->dir);
+  if (!fleet->keep_files)
+    g_rmdir (fleet->dir);
   g_free (fleet->dir);
   g_free (fleet);
 }
@@ -154,142 +163,11 @@
   fleet->linger_ms = linger_ms;
 }
 
-static size_t
-on_body (char *bytes, size_t size, size_t count, void *data)
-{
-  g_string_append_len (data, bytes, (gssize)(size * count));
-  return size * count;
-}
-
-static size_t
-on_header (char *bytes, size_t size, size_t count, void *data)
-{
-  Answer *answer = data;
-  g_autofree char *line = g_strndup (bytes, size * count);
-  char *colon = strchr (line, ':');
-
-  if (!colon)
-    return size * count;
-  *colon = '\0';
-  if (g_ascii_strcasecmp (line, "Switchmill-Outcome") == 0)
-    answer->outcome = g_strstrip (g_strdup (colon + 1));
-  if (g_ascii_strcasecmp (line, "Switchmill-Ticket") == 0)
-    answer->ticket = g_strstrip (g_strdup (colon + 1));
-  if (g_ascii_strcasecmp (line, "Connection") == 0)
-    answer->connection = g_strstrip (g_strdup (colon + 1));
-  if (g_ascii_strcasecmp (line, "Retry-After") == 0)
-    answer->retry_after = g_strstrip (g_strdup (colon + 1));
-  return size * count;
-}
-
-Answer *
-fleet_http (const char *address,
-            const char *method,
-            const char *path,
-            const char *const *lines,
-            const char *body)
-{
-  g_autofree char *url = g_strdup_printf ("http://%s%s", address, path);
-  struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
-  GString *text = g_string_new (NULL);
-  Answer *answer = g_new0 (Answer, 1);
-  CURL *easy = curl_easy_init ();
-
-  for (guint i = 0; lines && lines[i]; i++)
-    headers = curl_slist_append (headers, lines[i]);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, CALL_TIMEOUT_S);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, answer);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  if (body)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)strlen (body));
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-    }
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  if (curl_easy_perform (easy) == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer->status);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  answer->body = g_string_free (text, FALSE);
-  if (!answer->outcome)
-    answer->outcome = g_strdup ("");
-  if (!answer->connection)
-    answer->connection = g_strdup ("");
-  return answer;
-}
-
-static Answer *
-call (const char *address,
-      const char *method,
-      const char *path,
-      const char *header,
-      const char *second,
-      const char *body)
-{
-  const char *headers[] = { header ? header : second, header ? second : NULL, NULL };
-
-  return fleet_http (address, method, path, headers, body);
-}
-
-void
-answer_free (Answer *answer)
-{
-  g_free (answer->outcome);
-  g_free (answer->retry_after);
-  g_free (answer->ticket);
-  g_free (answer->connection);
-  g_free (answer->body);
-  g_free (answer);
-}
-
-Answer *
-fleet_call (Fleet *fleet,
-            guint node,
-            const char *method,
-            const char *path,
-            const char *id,
-            const char *body)
-{
-  g_autofree char *address = fleet_address ("callers", node);
-  g_autofree char *header = g_strconcat ("X-Request-Id: ", id, NULL);
-
-  return call (address, method, path, header, NULL, body);
-}
-
-Answer *
-fleet_call_ticket (Fleet *fleet,
-                   guint node,
-                   const char *path,
-                   const char *id,
-                   const char *ticket,
-                   const char *body)
-{
-  g_autofree char *address = fleet_address ("callers", node);
-  g_autofree char *header = g_strconcat ("X-Request-Id: ", id, NULL);
-  g_autofree char *second = g_strconcat ("Switchmill-Ticket: ", ticket, NULL);
-
-  return call (address, "POST", path, header, second, body);
-}
-
-Answer *
-fleet_operate (
-    Fleet *fleet, guint node, const char *method, const char *path, const char *body)
-{
-  g_autofree char *address = fleet_address ("operators", node);
-
-  return call (address, method, path, "Authorization: Bearer " TOKEN, NULL, body);
-}
-
 static void
 control (const char *address, const char *query)
 {
   g_autofree char *path = g_strconcat ("/_control?", query, NULL);
-  g_autoptr (Answer) answer = call (address, "GET", path, NULL, NULL, NULL);
+  g_autoptr (Answer) answer = fleet_http (address, "GET", path, NULL, NULL);
 
   assert_int_equal (answer->status, 200);
 }
@@ -323,7 +201,7 @@
 {
   g_autofree char *address = fleet_address ("targets", target);
   g_autofree char *path = g_strconcat ("/_runs?id=", id, NULL);
-  g_autoptr (Answer) answer = call (address, "GET", path, NULL, NULL, NULL);
+  g_autoptr (Answer) answer = fleet_http (address, "GET", path, NULL, NULL);
 
   return (guint)g_ascii_strtoull (answer->body, NULL, 10);
 }
@@ -332,7 +210,7 @@
 fleet_ids (Fleet *fleet, guint target)
 {
   g_autofree char *address = fleet_address ("targets", target);
-  g_autoptr (Answer) answer = call (address, "GET", "/_ids", NULL, NULL, NULL);
+  g_autoptr (Answer) answer = fleet_http (address, "GET", "/_ids", NULL, NULL);
 
   return g_steal_pointer (&answer->body);
 }
@@ -342,7 +220,7 @@
 {
   for (guint i = 0; i < WAIT_TRIES; i++)
     {
-      g_autoptr (Answer) answer = call (address, "GET", path, NULL, NULL, NULL);
+      g_autoptr (Answer) answer = fleet_http (address, "GET", path, NULL, NULL);
 
       if (answer->status)
         return;
@@ -370,7 +248,10 @@
   g_autofree char *address = fleet_address ("targets", i);
   g_autofree char *slot_text = g_strdup_printf ("%u", slots);
   g_autofree char *latency = g_strdup_printf ("%u", latency_ms);
-  char *words[] = { path, address, slot_text, latency, NULL };
+  g_autofree char *seed = g_strdup_printf ("%u", i + 1);
+  g_autofree char *name = g_strdup_printf ("runs-%u", i);
+  g_autofree char *runs = fleet_path (fleet, name);
+  char *words[] = { path, address, slot_text, latency, seed, runs, NULL };
 
   fleet->targets[i] = spawn (fleet, "log", words);
   await_port (address, "/_runs");
@@ -405,7 +286,7 @@
       "\"fleet_token\":\"process-test-fleet\",\"peers\":[\"%s\",\"%s\"],\"log\":"
       "\"debug\","
       "\"limits\":{\"read_ms\":1500,\"body_bytes\":2000000},"
-      "\"operators\":[{\"name\":\"tester\",\"token\":\"" TOKEN "\"}]}",
+      "\"operators\":[{\"name\":\"tester\",\"token\":\"" FLEET_TOKEN "\"}]}",
       i, i % 3, callers, operators, nodes, advertise, platform, seed0, seed1);
 
   g_file_set_contents (path, text, -1, NULL);
@@ -422,18 +303,20 @@
   g_autofree char *registrations = fleet_address ("registrations", i);
   g_autofree char *target = fleet_address ("targets", i);
   g_autofree char *platform = fleet_address ("platform", 0);
+  g_autofree char *advertise = fleet_address (fleet->relays[i] ? "relays" : "nodes", i);
   g_autofree char *text = g_strdup_printf (
       "{\"node\":\"vm-%u\",\"hall\":\"hall-%u\",\"listen\":{\"callers\":\"%s\","
       "\"operators\":\"%s\",\"nodes\":\"%s\",\"readiness\":\"%s\","
-      "\"registration\":\"%s\"},\"platform\":\"%s\",\"platform_kind\":\"objects\","
+      "\"registration\":\"%s\"},\"advertise\":\"%s\",\"platform\":\"%s\",\"platform_"
+      "kind\":\"objects\","
       "\"target\":{\"address\":\"%s\",\"service\":\"pay\"},"
       "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\","
       "\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,\"floor_share\":0.7,"
       "\"detection\":\"strict\",\"queue\":16},"
       "\"limits\":{\"linger_ms\":%u,\"grace_s\":%u},"
-      "\"operators\":[{\"name\":\"tester\",\"token\":\"" TOKEN "\"}]}",
-      i, i % 3, callers, operators, nodes, ready, registrations, platform, target,
-      fleet->linger_ms, 4 * fleet->linger_ms / 1000);
+      "\"operators\":[{\"name\":\"tester\",\"token\":\"" FLEET_TOKEN "\"}]}",
+      i, i % 3, callers, operators, nodes, ready, registrations, advertise, platform,
+      target, fleet->linger_ms, 4 * fleet->linger_ms / 1000);
 
   g_file_set_contents (path, text, -1, NULL);
 }
@@ -471,6 +354,9 @@
 void
 fleet_signal_node (Fleet *fleet, guint i, int signal)
 {
+  /* Process 0 would be this process's whole group. */
+  if (!fleet->node_pids[i])
+    return;
   kill (fleet->node_pids[i], signal);
   if (signal == SIGKILL)
     end (&fleet->node_pids[i]);
@@ -482,6 +368,31 @@
   end (&fleet->targets[i]);
 }
 
+void
+fleet_signal_target (Fleet *fleet, guint i, int signal)
+{
+  if (fleet->targets[i])
+    kill (fleet->targets[i], signal);
+}
+
+gboolean
+fleet_node_ended (Fleet *fleet, guint i, int *code)
+{
+  int status = 0;
+
+  if (!fleet->node_pids[i] || waitpid (fleet->node_pids[i], &status, WNOHANG) <= 0)
+    return FALSE;
+  fleet->node_pids[i] = 0;
+  *code = WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+  return TRUE;
+}
+
+void
+fleet_keep_files (Fleet *fleet)
+{
+  fleet->keep_files = TRUE;
+}
+
 int
 fleet_wait_node (Fleet *fleet, guint i)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -7,7 +7,9 @@
 
 #include <glib.h>
 
-#define FLEET_NODES_MAX 8
+#define FLEET_NODES_MAX 64
+/* Of the operator that every node knows. */
+#define FLEET_TOKEN "process-test-operator"
 
 typedef struct Fleet Fleet;
 
@@ -45,6 +47,11 @@
 
 void fleet_signal_node (Fleet *fleet, guint i, int signal);
 void fleet_kill_target (Fleet *fleet, guint i);
+void fleet_signal_target (Fleet *fleet, guint i, int signal);
+/* Whether a node's process has ended; then *code is as fleet_wait_node says. */
+gboolean fleet_node_ended (Fleet *fleet, guint i, int *code);
+/* Leaves the folder with logs and settings when the fleet is destroyed. */
+void fleet_keep_files (Fleet *fleet);
 /* Waits for a node to end; its exit code, or -1 for a signal. */
 int fleet_wait_node (Fleet *fleet, guint i);
 
@@ -100,8 +107,10 @@
 /* Waits for it and shows what it printed; its exit code. */
 int fleet_join (Fleet *fleet, GPid pid);
 
+/* Where something listens; FLEET_PORT_OFFSET in the environment is added to its port. */
+char *fleet_address (const char *kind, guint i);
+
 /* A path in the fleet's folder; the caller frees it. */
 char *fleet_path (Fleet *fleet, const char *name);
-char *fleet_address (const char *kind, guint i);
 
 #endif
