Targets that shed are asked after the steady ones and before anything waits

Cause: a target that turns work away with free slots was taken for a good one, as a refusal says nothing against its answers. Ruled out: counting refusals as failures (sick targets are trialled, and get nothing while any is healthy; a shedding one does no harm); the load reports of answers alone (an ingress of 79 hears of each of 60 targets every ten seconds: the news must come by gossip). Change: the sidecar, which counts slots exactly, notes a refusal for 2 s, 4 s if it goes on, and tells it with its verdicts. Ingresses ask steady targets for a slot first, then two that shed, and then wait at a steady one. Tests: targets that shed come after the steady ones, a target sheds for a while after a refusal.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -25,8 +25,19 @@
   guint severity;
   gboolean slow; /* sick by slowness alone */
   gboolean draining;
+  gboolean shedding; /* it has lately turned work away though it had free slots */
 } TargetReport;
 
+/* The part of a report that gossip carries. */
+typedef struct
+{
+  guint64 incarnation;
+  guint serial;
+  guint severity;
+  gboolean draining;
+  gboolean shedding;
+} TargetVerdict;
+
 /* How the targets of a service do, for a sidecar to compare its own with. */
 typedef struct
 {
@@ -50,11 +61,20 @@
   BALANCER_OTHERS_FIRST /* another, if any target there is left */
 } BalancerHalls;
 
+/* What becomes of targets that turn work away though they have free slots. */
+typedef enum
+{
+  BALANCER_SHEDDING_LAST,  /* one of them where there is no other */
+  BALANCER_SHEDDING_NEVER, /* none rather than one of them */
+  BALANCER_SHEDDING_ONLY   /* none rather than another */
+} BalancerShedding;
+
 /* What is wanted of a choice. */
 typedef struct
 {
   BalancerTrial trial;
   BalancerHalls halls;
+  BalancerShedding shedding;
   const GPtrArray *tried; /* names that are left out; may be NULL */
 } BalancerWish;
 
@@ -76,13 +96,10 @@
 
 void balancer_note_report (Balancer *balancer, const TargetReport *report);
 
-/* The part of a report that gossip carries, of the same sidecar and serial numbers. */
+/* Of the same sidecar and serial numbers as reports. */
 void balancer_note_verdict (Balancer *balancer,
                             const char *target,
-                            guint64 incarnation,
-                            guint serial,
-                            guint severity,
-                            gboolean draining);
+                            const TargetVerdict *verdict);
 
 /*
  * What the membership says of a node; nodes never spoken of count as reachable. Reports
--- /dev/null
+++ b/core/src/health/shedding.c
@@ -0,0 +1,45 @@
+#include <core/shedding.h>
+
+/* Others are asked first for so long after a refusal: some ten requests of the users'
+   targets (6 a second), few enough for the target to be found well soon. */
+#define HOLD_US (2 * SECOND_US)
+/* One that goes on is held off for twice as long: each change is told to the whole fleet.
+ */
+#define HOLD_LONG_US (4 * SECOND_US)
+
+struct Shedding
+{
+  Clock *clock;
+  gint64 until_us;
+};
+
+Shedding *
+shedding_create (Clock *clock)
+{
+  Shedding *shedding = g_new0 (Shedding, 1);
+
+  shedding->clock = clock;
+  shedding->until_us = clock_now (clock) - HOLD_LONG_US;
+  return shedding;
+}
+
+void
+shedding_destroy (Shedding *shedding)
+{
+  g_free (shedding);
+}
+
+void
+shedding_note (Shedding *shedding)
+{
+  gint64 now = clock_now (shedding->clock);
+  gboolean again = now - shedding->until_us < HOLD_US;
+
+  shedding->until_us = now + (again ? HOLD_LONG_US : HOLD_US);
+}
+
+gboolean
+shedding_is_on (const Shedding *shedding)
+{
+  return clock_now (shedding->clock) < shedding->until_us;
+}
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -149,22 +149,20 @@
 void
 balancer_note_verdict (Balancer *balancer,
                        const char *target,
-                       guint64 incarnation,
-                       guint serial,
-                       guint severity,
-                       gboolean draining)
+                       const TargetVerdict *verdict)
 {
   View *view = view_of (balancer, target);
-  gboolean same = view->report.incarnation == incarnation;
+  gboolean same = view->report.incarnation == verdict->incarnation;
 
-  if (same && serial < view->report.serial)
+  if (same && verdict->serial < view->report.serial)
     return;
   if (!same)
-    view->report = (TargetReport){ .incarnation = incarnation };
-  note_severity (balancer, view, severity);
-  view->report.serial = serial;
-  view->report.severity = severity;
-  view->report.draining = draining;
+    view->report = (TargetReport){ .incarnation = verdict->incarnation };
+  note_severity (balancer, view, verdict->severity);
+  view->report.serial = verdict->serial;
+  view->report.severity = verdict->severity;
+  view->report.draining = verdict->draining;
+  view->report.shedding = verdict->shedding;
 }
 
 void
@@ -392,6 +390,55 @@
     }
 }
 
+/* The targets of one choice, by what is held of them. */
+typedef struct
+{
+  GArray *steady; /* of Candidate, as the others */
+  GArray *shedding;
+  GArray *sick; /* and kept for the floor */
+} Pools;
+
+static void
+pools_init (Pools *pools)
+{
+  pools->steady = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  pools->shedding = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  pools->sick = g_array_new (FALSE, FALSE, sizeof (Candidate));
+}
+
+static void
+pools_clear (Pools *pools)
+{
+  g_array_unref (pools->steady);
+  g_array_unref (pools->shedding);
+  g_array_unref (pools->sick);
+}
+
+static void
+pools_add (Balancer *balancer, Pools *pools, const Target *target, const EjectItem *item)
+{
+  const View *view = view_of (balancer, target->name);
+  gboolean shedding =
+      is_current (view, path_of (balancer, target->vm)) && view->report.shedding;
+
+  if (item->severity == 0)
+    add_candidate (balancer, shedding ? pools->shedding : pools->steady, target);
+  else if (!item->ejected)
+    add_candidate (balancer, pools->sick, target);
+}
+
+/* The pool of healthy targets that a wish is for; sick ones may stand in for the steady.
+ */
+static const GArray *
+pools_healthy (const Pools *pools, BalancerShedding shedding)
+{
+  if (shedding == BALANCER_SHEDDING_ONLY)
+    return pools->shedding;
+  if (shedding == BALANCER_SHEDDING_NEVER || pools->steady->len > 0)
+    return pools->steady;
+  return pools->shedding;
+}
+
 static guint
 severity_of (Balancer *balancer, const Target *target)
 {
@@ -406,11 +453,11 @@
   BalancerChoice choice = { .retry_after_us = RETRY_AFTER_US };
   guint count = service->targets->len;
   g_autofree EjectItem *items = g_new0 (EjectItem, count + 1);
-  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  g_autoptr (GArray) sick = g_array_new (FALSE, FALSE, sizeof (Candidate));
   gboolean any_available = FALSE;
   gboolean any_healthy = FALSE;
+  Pools pools;
 
+  pools_init (&pools);
   fill_items (balancer, service, items);
   eject_apply (items, count, floor_of (service));
   for (guint i = 0; i < count; i++)
@@ -421,23 +468,23 @@
       any_healthy |= items[i].available && items[i].severity == 0;
       if (!items[i].available || was_tried (wish->tried, target->name))
         continue;
-      if (items[i].severity == 0)
-        add_candidate (balancer, candidates, target);
-      else if (!items[i].ejected)
-        add_candidate (balancer, sick, target);
+      pools_add (balancer, &pools, target, &items[i]);
       if (items[i].severity > 0 && wish->trial != BALANCER_NO_TRIAL && !wish->tried &&
           trial_is_due (balancer, view_of (balancer, target->name), wish->trial))
         {
           choice.target = target;
           choice.trial = TRUE;
           choice.sick = TRUE;
+          pools_clear (&pools);
           return choice;
         }
     }
   if (!any_available)
-    add_last_resorts (balancer, service, wish->tried, candidates);
-  choice.target =
-      pick_healthy_first (balancer, candidates, sick, wish->halls, any_healthy);
+    add_last_resorts (balancer, service, wish->tried, pools.steady);
+  if (wish->shedding != BALANCER_SHEDDING_ONLY || pools.shedding->len > 0)
+    choice.target = pick_healthy_first (balancer, pools_healthy (&pools, wish->shedding),
+                                        pools.sick, wish->halls, any_healthy);
+  pools_clear (&pools);
   choice.local = choice.target && strcmp (choice.target->hall, balancer->hall) == 0;
   choice.sick = choice.target && severity_of (balancer, choice.target) > 0;
   return choice;
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include <core/balancer.h>
+#include <core/shedding.h>
 
 #define TARGETS 4u
 #define ROUNDS 400u
@@ -83,7 +84,7 @@
 
   for (guint n = 0; n < ROUNDS; n++)
     {
-      BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, tried };
+      BalancerWish wish = { .tried = tried };
       BalancerChoice choice =
           balancer_choose (fixture->balancer, fixture->service, &wish);
 
@@ -138,7 +139,7 @@
 test_with_all_failing_any_is_better_than_none (void **state)
 {
   Fixture fixture = setup ();
-  BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, NULL };
+  BalancerWish wish = { .trial = BALANCER_NO_TRIAL };
   BalancerChoice choice;
 
   for (guint i = 0; i < TARGETS; i++)
@@ -166,7 +167,7 @@
 static guint
 trials (Fixture *fixture, BalancerTrial trial, gint64 span_us)
 {
-  BalancerWish wish = { trial, BALANCER_BY_LOAD, NULL };
+  BalancerWish wish = { .trial = trial };
   guint count = 0;
 
   for (gint64 t = 0; t < span_us; t += 20 * MS_US)
@@ -217,8 +218,8 @@
 {
   Fixture fixture = setup ();
   Balancer *foreign = balancer_create ("elsewhere", fixture.rand, fixture.clock);
-  BalancerWish own = { BALANCER_NO_TRIAL, BALANCER_OWN_FIRST, NULL };
-  BalancerWish others = { BALANCER_NO_TRIAL, BALANCER_OTHERS_FIRST, NULL };
+  BalancerWish own = { .halls = BALANCER_OWN_FIRST };
+  BalancerWish others = { .halls = BALANCER_OTHERS_FIRST };
 
   assert_true (balancer_choose (fixture.balancer, fixture.service, &own).local);
   /* Where one kind is missing the other does. */
@@ -228,6 +229,59 @@
   teardown (&fixture);
 }
 
+static void
+shed (Fixture *fixture, guint i)
+{
+  g_autofree char *name = g_strdup_printf ("t%u", i);
+  TargetVerdict verdict = { .incarnation = 1, .serial = 2, .shedding = TRUE };
+
+  balancer_note_verdict (fixture->balancer, name, &verdict);
+}
+
+/* What turns work away is asked when the others have no slot, and is better than none. */
+static void
+test_targets_that_shed_come_after_the_steady_ones (void **state)
+{
+  Fixture fixture = setup ();
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+  BalancerWish never = { .shedding = BALANCER_SHEDDING_NEVER, .tried = tried };
+  BalancerWish only = { .shedding = BALANCER_SHEDDING_ONLY };
+
+  for (guint i = 0; i < TARGETS; i++)
+    report (&fixture, i, 0, 0, FALSE);
+  assert_null (balancer_choose (fixture.balancer, fixture.service, &only).target);
+  shed (&fixture, 0);
+  shed (&fixture, 1);
+  assert_int_equal (share (&fixture, 0, NULL) + share (&fixture, 1, NULL), 0);
+  g_ptr_array_add (tried, "t2");
+  g_ptr_array_add (tried, "t3");
+  assert_null (balancer_choose (fixture.balancer, fixture.service, &never).target);
+  assert_true (share (&fixture, 0, tried) > 0);
+  assert_non_null (balancer_choose (fixture.balancer, fixture.service, &only).target);
+  teardown (&fixture);
+}
+
+static void
+test_a_target_sheds_for_a_while_after_a_refusal (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  Shedding *shedding = shedding_create (clock);
+
+  assert_false (shedding_is_on (shedding));
+  shedding_note (shedding);
+  assert_true (shedding_is_on (shedding));
+  clock_advance (clock, 2 * SECOND_US);
+  assert_false (shedding_is_on (shedding));
+  /* Again soon after: it goes on, and is held off for longer. */
+  shedding_note (shedding);
+  clock_advance (clock, 3 * SECOND_US);
+  assert_true (shedding_is_on (shedding));
+  clock_advance (clock, SECOND_US);
+  assert_false (shedding_is_on (shedding));
+  shedding_destroy (shedding);
+  clock_destroy (clock);
+}
+
 int
 main (void)
 {
@@ -240,6 +294,8 @@
     cmocka_unit_test (test_trials_are_paced_and_rarer_without_a_retry_in_hand),
     cmocka_unit_test (test_a_large_fleet_tries_at_once_even_without_retries),
     cmocka_unit_test (test_halls_are_kept_apart_as_wished),
+    cmocka_unit_test (test_targets_that_shed_come_after_the_steady_ones),
+    cmocka_unit_test (test_a_target_sheds_for_a_while_after_a_refusal),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/core/tests/test-floor.c
+++ b/core/tests/test-floor.c
@@ -81,8 +81,7 @@
 static void
 check_choice (Balancer *balancer, const Service *service, gboolean repeatable)
 {
-  BalancerWish wish = { repeatable ? BALANCER_TRIAL_DUE : BALANCER_NO_TRIAL,
-                        BALANCER_BY_LOAD, NULL };
+  BalancerWish wish = { .trial = repeatable ? BALANCER_TRIAL_DUE : BALANCER_NO_TRIAL };
   BalancerChoice choice = balancer_choose (balancer, service, &wish);
   TargetStatus status;
 
@@ -100,6 +99,7 @@
   const Target *target = g_ptr_array_index (
       service->targets, (guint)g_rand_int_range (rand, 0, (gint32)service->targets->len));
   TargetReport report = { .target = target->name, .incarnation = 1, .serial = serial };
+  TargetVerdict verdict = { .incarnation = 1, .serial = serial };
 
   switch (g_rand_int_range (rand, 0, 6))
     {
@@ -110,9 +110,10 @@
       balancer_note_path (balancer, target->vm, g_rand_boolean (rand));
       break;
     case 2:
-      balancer_note_verdict (balancer, target->name, 1, serial,
-                             (guint)g_rand_int_range (rand, 0, 3) * 100,
-                             g_rand_int_range (rand, 0, 6) == 0);
+      verdict.severity = (guint)g_rand_int_range (rand, 0, 3) * 100;
+      verdict.draining = g_rand_int_range (rand, 0, 6) == 0;
+      verdict.shedding = g_rand_boolean (rand);
+      balancer_note_verdict (balancer, target->name, &verdict);
       break;
     case 3:
       clock_advance (clock, g_rand_int_range (rand, 0, 3000) * MS_US);
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -361,10 +361,11 @@
     return;
   for (guint i = 0; i < payload.verdicts.verdicts_len; i++)
     {
-      const sw_verdict *verdict = &payload.verdicts.verdicts_val[i];
+      const sw_verdict *said = &payload.verdicts.verdicts_val[i];
+      TargetVerdict verdict = { member->incarnation, said->serial, said->severity,
+                                said->draining, said->shedding };
 
-      balancer_note_verdict (node->balancer, verdict->target, member->incarnation,
-                             verdict->serial, verdict->severity, verdict->draining);
+      balancer_note_verdict (node->balancer, said->target, &verdict);
     }
   take_registration (node, member, &payload);
   xdr_free ((xdrproc_t)xdr_sw_member_payload, (char *)&payload);
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -143,6 +143,7 @@
     .severity = state->severity,
     .slow = state->slow,
     .draining = state->draining,
+    .shedding = state->shedding,
   };
 
   if (*state->target)
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -8,6 +8,8 @@
    within the hall costs a fraction of a millisecond and no bytes that are paid for. */
 #define OWN_HALL_TRIES 4u
 #define OTHER_HALL_TRIES 2u
+/* Those that turn a part of their work away are mostly free: the first has a slot. */
+#define SHEDDING_TRIES 2u
 
 /* A ticket's target; FALSE when the configuration no longer has it. */
 static gboolean
@@ -53,14 +55,25 @@
 }
 
 static BalancerChoice
-choose_once (Exchange *exchange, BalancerTrial trial, BalancerHalls halls)
+choose_once (Exchange *exchange,
+             BalancerTrial trial,
+             BalancerHalls halls,
+             BalancerShedding shedding)
 {
   g_autoptr (GPtrArray) names = excluded (exchange);
-  BalancerWish wish = { trial, halls, names->len ? names : NULL };
+  BalancerWish wish = { trial, halls, shedding, names->len ? names : NULL };
 
   return balancer_choose (exchange->owner->node->balancer, exchange->service, &wish);
 }
 
+/* What a target has turned away once had better wait for a slot that is sure. */
+static gboolean
+may_ask_shedding (const Exchange *exchange)
+{
+  return dispatch_arrivals (exchange->dispatch) == 0 &&
+         exchange->asked_shedding < SHEDDING_TRIES;
+}
+
 /*
  * What an ingress knows of the others' load is old by the time it chooses. A few targets
  * are therefore asked for a free slot, first those of its own hall, for bytes between
@@ -76,11 +89,18 @@
   /* Other refusals use up tries too; some must be left for a place in a queue. */
   if (exchange->busy_other < OTHER_HALL_TRIES &&
       dispatch_refusals (exchange->dispatch) < OWN_HALL_TRIES + OTHER_HALL_TRIES)
-    choice = choose_once (exchange, trial_of (exchange), halls);
+    choice = choose_once (exchange, trial_of (exchange), halls, BALANCER_SHEDDING_NEVER);
+  if (choice.target)
+    return choice;
+  if (may_ask_shedding (exchange))
+    choice = choose_once (exchange, BALANCER_NO_TRIAL, BALANCER_OWN_FIRST,
+                          BALANCER_SHEDDING_ONLY);
+  exchange->asked_shedding++;
   if (choice.target)
     return choice;
   exchange->may_queue = TRUE;
-  return choose_once (exchange, BALANCER_NO_TRIAL, BALANCER_BY_LOAD);
+  return choose_once (exchange, BALANCER_NO_TRIAL, BALANCER_BY_LOAD,
+                      BALANCER_SHEDDING_LAST);
 }
 
 void
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -44,6 +44,7 @@
   GPtrArray *busy;  /* names of targets that had no free slot */
   guint busy_own;   /* how many of them are in this hall */
   guint busy_other;
+  guint asked_shedding; /* how many that turn work away have been asked for a slot */
   /* The last attempt. */
   AttemptId attempt; /* its node is borrowed */
   const Target *target;
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -212,7 +212,8 @@
 exchanges_give_ticket (Exchanges *exchanges, const ExchangeOrder *order)
 {
   Exchange *exchange = exchange_create (exchanges, order);
-  BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, NULL };
+  BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, BALANCER_SHEDDING_LAST,
+                        NULL };
   BalancerChoice choice =
       balancer_choose (exchanges->node->balancer, order->service, &wish);
 
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -9,6 +9,7 @@
   target->admission = admission_create (config->slots, service->queue, clock);
   target->detection = service->detection;
   target->detector = detector_create (service->detection, clock);
+  target->shedding = shedding_create (clock);
   sidecar_target_update (target, service, config, clock);
   return target;
 }
@@ -18,6 +19,7 @@
 {
   admission_destroy (target->admission);
   detector_destroy (target->detector);
+  shedding_destroy (target->shedding);
   g_free (target->name);
   g_free (target->service);
   g_free (target->address);
@@ -64,5 +66,6 @@
                     &state->samples);
   state->severity = detector_severity (target->detector);
   state->slow = detector_is_slow (target->detector);
+  state->shedding = shedding_is_on (target->shedding);
   state->draining = sidecar_target_is_leaving (target, draining);
 }
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -7,6 +7,7 @@
 #include <core/admission.h>
 #include <core/config.h>
 #include <core/detector.h>
+#include <core/shedding.h>
 #include <wire/message.h>
 
 typedef struct
@@ -19,11 +20,13 @@
   gsize answer_max;
   Admission *admission;
   Detector *detector;
+  Shedding *shedding;
   gint64 good_us;       /* when the last good answer came; 0 for never */
   gint64 next_trial_us; /* while it is sick */
   guint32 serial;
   guint told_severity; /* as last published */
   gboolean told_leaving;
+  gboolean told_shedding;
   gboolean told;    /* it has been published at all */
   gboolean present; /* named by the configuration in force */
 } SidecarTarget;
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -156,8 +156,11 @@
 
 /* The target did not run it: proof for the caller, and the place of an answer. */
 static void
-note_target_refusal (Submission *submission, sw_submit_res *res)
+note_target_refusal (Submission *submission, guint status, sw_submit_res *res)
 {
+  /* Taken for another target, it says nothing of its own readiness. */
+  if (status != HTTP_MISDIRECTED)
+    shedding_note (submission->target->shedding);
   res->retry_after_ms =
       (u_int)(admission_retry_after_us (submission->target->admission) / MS_US);
   metrics_add (submission->sidecar->node->metrics, METRIC_TARGET_REFUSED, 1);
@@ -191,7 +194,7 @@
   submission->call = NULL;
   sidecar->node->adapter->dialect->judge (&submission->args, result, &res);
   if (res.result == SW_REFUSED)
-    note_target_refusal (submission, &res);
+    note_target_refusal (submission, result->status, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
   if (!submission->overdue && res.reason != SW_REASON_TARGET_REFUSED)
     observe (submission, failed, res.result == SW_FAILED, result->took_us);
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -11,6 +11,7 @@
 note_verdict (Node *node, SidecarTarget *target, gboolean leaving)
 {
   guint severity = detector_severity (target->detector);
+  gboolean shedding = shedding_is_on (target->shedding);
 
   if ((severity > 0) != (target->told_severity > 0))
     events_add (node->events, severity ? "target-sick" : "target-well", target->name,
@@ -18,6 +19,10 @@
   if (leaving != target->told_leaving)
     events_add (node->events, leaving ? "target-leaving" : "target-serving", target->name,
                 NULL);
+  if (shedding != target->told_shedding)
+    events_add (node->events, shedding ? "target-sheds" : "target-takes", target->name,
+                NULL);
+  target->told_shedding = shedding;
   target->told_severity = severity;
   target->told_leaving = leaving;
   target->told = TRUE;
@@ -41,7 +46,8 @@
       gboolean leaving = sidecar_target_is_leaving (target, draining);
       guint severity = detector_severity (target->detector);
 
-      if (severity == target->told_severity && leaving == target->told_leaving)
+      if (severity == target->told_severity && leaving == target->told_leaving &&
+          shedding_is_on (target->shedding) == target->told_shedding)
         continue;
       note_verdict (node, target, leaving);
       changed = TRUE;
@@ -61,7 +67,7 @@
       if (target->told)
         list[words.verdicts.verdicts_len++] =
             (sw_verdict){ target->name, ++target->serial, target->told_severity,
-                          target->told_leaving };
+                          target->told_leaving, target->told_shedding };
     }
   payload = wire_pack ((xdrproc_t)xdr_sw_member_payload, &words);
   members_set_payload (node->members, payload);
@@ -92,6 +98,7 @@
       json_write_int (builder, "mean_latency_us", state.latency_us);
       json_write_int (builder, "failures_ppm", state.failures_ppm);
       json_write_bool (builder, "leaving", state.draining);
+      json_write_bool (builder, "shedding", state.shedding);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -50,6 +50,7 @@
 	u_int severity;
 	bool_t slow;
 	bool_t draining;
+	bool_t shedding;
 };
 typedef struct sw_target_state sw_target_state;
 
@@ -65,6 +66,7 @@
 	u_int serial;
 	u_int severity;
 	bool_t draining;
+	bool_t shedding;
 };
 typedef struct sw_verdict sw_verdict;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -40,7 +40,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -62,6 +62,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->draining))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->shedding))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->serial);
 			IXDR_PUT_U_LONG(buf, objp->in_use);
@@ -73,12 +75,13 @@
 			IXDR_PUT_U_LONG(buf, objp->severity);
 			IXDR_PUT_BOOL(buf, objp->slow);
 			IXDR_PUT_BOOL(buf, objp->draining);
+			IXDR_PUT_BOOL(buf, objp->shedding);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -100,6 +103,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->draining))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->shedding))
+				 return FALSE;
 		} else {
 			objp->serial = IXDR_GET_U_LONG(buf);
 			objp->in_use = IXDR_GET_U_LONG(buf);
@@ -111,6 +116,7 @@
 			objp->severity = IXDR_GET_U_LONG(buf);
 			objp->slow = IXDR_GET_BOOL(buf);
 			objp->draining = IXDR_GET_BOOL(buf);
+			objp->shedding = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -137,6 +143,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->shedding))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -159,6 +167,49 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->serial))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->severity))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->shedding))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->serial);
+			IXDR_PUT_U_LONG(buf, objp->severity);
+			IXDR_PUT_BOOL(buf, objp->draining);
+			IXDR_PUT_BOOL(buf, objp->shedding);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->serial))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->severity))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->shedding))
+				 return FALSE;
+		} else {
+			objp->serial = IXDR_GET_U_LONG(buf);
+			objp->severity = IXDR_GET_U_LONG(buf);
+			objp->draining = IXDR_GET_BOOL(buf);
+			objp->shedding = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->serial))
@@ -167,6 +218,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->draining))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->shedding))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -42,6 +42,7 @@
   unsigned int severity;      /* 0 healthy; higher is worse */
   bool slow;                  /* sick by slowness alone: what it answers is good */
   bool draining;
+  bool shedding;              /* it has turned work away though it had free slots */
 };
 
 /* The sidecar's clock and incarnation at the moment of the answer. */
@@ -57,6 +58,7 @@
   unsigned int serial;        /* of the target's state when this was said */
   unsigned int severity;
   bool draining;
+  bool shedding;
 };
 
 /* A target that has registered itself at the node beside it. */
