A node that does not answer at once gets nothing new

Ruled out: closing the path sooner (a lost packet takes 200 ms to come again, and what is on its way would be given up); watching the kernel's unacknowledged bytes (no proof, and a frozen process still acknowledges). Change: the first ping after 60 ms; 60 ms without an answer make the path doubtful, and work goes there only where nobody else can take it, until the node answers. Paths close after 600 ms as before. Test: a doubtful node gets only what nobody else can take.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -116,6 +116,10 @@
 /* Closes the path to a node, or opens it: it gets nothing from here while another can. */
 void balancer_set_path (Balancer *balancer, const char *vm, gboolean open);
 
+/* A node has not answered at once: it gets work where nobody else can take it, until
+   balancer_note_path says that it answered. */
+void balancer_doubt_path (Balancer *balancer, const char *vm);
+
 /* How a call to a node's sidecar went, for the breaker of the path there. */
 void balancer_note_path (Balancer *balancer, const char *vm, gboolean answered);
 
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -209,6 +209,12 @@
     path_note (path, TRUE, clock_now (balancer->clock));
 }
 
+void
+balancer_doubt_path (Balancer *balancer, const char *vm)
+{
+  path_of (balancer, vm)->doubtful = TRUE;
+}
+
 static void
 fill_items (Balancer *balancer, const Service *service, EjectItem *items)
 {
@@ -395,7 +401,8 @@
 {
   GArray *steady; /* of Candidate, as the others */
   GArray *shedding;
-  GArray *sick; /* and kept for the floor */
+  GArray *doubtful; /* behind a node that has not answered at once */
+  GArray *sick;     /* and kept for the floor */
 } Pools;
 
 static void
@@ -403,6 +410,7 @@
 {
   pools->steady = g_array_new (FALSE, FALSE, sizeof (Candidate));
   pools->shedding = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  pools->doubtful = g_array_new (FALSE, FALSE, sizeof (Candidate));
   pools->sick = g_array_new (FALSE, FALSE, sizeof (Candidate));
 }
 
@@ -411,6 +419,7 @@
 {
   g_array_unref (pools->steady);
   g_array_unref (pools->shedding);
+  g_array_unref (pools->doubtful);
   g_array_unref (pools->sick);
 }
 
@@ -418,13 +427,18 @@
 pools_add (Balancer *balancer, Pools *pools, const Target *target, const EjectItem *item)
 {
   const View *view = view_of (balancer, target->name);
-  gboolean shedding =
-      is_current (view, path_of (balancer, target->vm)) && view->report.shedding;
+  const Path *path = path_of (balancer, target->vm);
+  GArray *pool = pools->steady;
 
-  if (item->severity == 0)
-    add_candidate (balancer, shedding ? pools->shedding : pools->steady, target);
-  else if (!item->ejected)
-    add_candidate (balancer, pools->sick, target);
+  if (item->ejected)
+    return;
+  if (item->severity > 0)
+    pool = pools->sick;
+  else if (path->doubtful)
+    pool = pools->doubtful;
+  else if (is_current (view, path) && view->report.shedding)
+    pool = pools->shedding;
+  add_candidate (balancer, pool, target);
 }
 
 /* The pool of healthy targets that a wish is for; sick ones may stand in for the steady.
@@ -436,7 +450,7 @@
     return pools->shedding;
   if (shedding == BALANCER_SHEDDING_NEVER || pools->steady->len > 0)
     return pools->steady;
-  return pools->shedding;
+  return pools->shedding->len > 0 ? pools->shedding : pools->doubtful;
 }
 
 static guint
--- a/core/src/request/path.c
+++ b/core/src/request/path.c
@@ -10,6 +10,7 @@
 {
   if (answered)
     {
+      path->doubtful = FALSE;
       path->losses = 0;
       path->opened = 0;
       path->closed_until_us = 0;
--- a/core/src/request/path.h
+++ b/core/src/request/path.h
@@ -15,6 +15,7 @@
   guint opened;           /* times in a row that the breaker opened */
   gint64 closed_until_us; /* no work until then */
   gboolean closed;        /* the owner has closed it, and will open it */
+  gboolean doubtful; /* a question to the node has gone unanswered for a moment */
 } Path;
 
 /* Notes a call's fate at time `now_us`. */
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -261,6 +261,23 @@
   teardown (&fixture);
 }
 
+static void
+test_a_doubtful_node_gets_only_what_nobody_else_can_take (void **state)
+{
+  Fixture fixture = setup ();
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+
+  balancer_doubt_path (fixture.balancer, "v0");
+  assert_int_equal (share (&fixture, 0, NULL), 0);
+  g_ptr_array_add (tried, "t1");
+  g_ptr_array_add (tried, "t2");
+  g_ptr_array_add (tried, "t3");
+  assert_int_equal (share (&fixture, 0, tried), ROUNDS);
+  balancer_note_path (fixture.balancer, "v0", TRUE);
+  assert_true (share (&fixture, 0, NULL) > 0);
+  teardown (&fixture);
+}
+
 static void
 test_a_target_sheds_for_a_while_after_a_refusal (void **state)
 {
@@ -295,6 +312,7 @@
     cmocka_unit_test (test_a_large_fleet_tries_at_once_even_without_retries),
     cmocka_unit_test (test_halls_are_kept_apart_as_wished),
     cmocka_unit_test (test_targets_that_shed_come_after_the_steady_ones),
+    cmocka_unit_test (test_a_doubtful_node_gets_only_what_nobody_else_can_take),
     cmocka_unit_test (test_a_target_sheds_for_a_while_after_a_refusal),
   };
 
--- a/daemon/src/member/peer-watch.c
+++ b/daemon/src/member/peer-watch.c
@@ -1,9 +1,14 @@
 #include "peer-watch.h"
 
-/* A node that has said nothing for so long is pinged. */
+/* A node that has said nothing for so long is pinged; at first sooner, for many that die
+   have done so before the request, and others must not be sent after it. */
+#define QUIET_FIRST_US (60 * MS_US)
 #define QUIET_US (250 * MS_US)
-/* Long enough for a lost packet to be sent again (200 ms) and answered. */
-#define PING_TIMEOUT_US (350 * MS_US)
+/* A ping takes some 4 ms between halls, and 20 ms on a node that is slow: without an
+   answer in three times that the node had better get nothing new. */
+#define DOUBT_US (60 * MS_US)
+/* Long enough for a lost packet to be sent twice more (200 ms each) and answered. */
+#define PING_TIMEOUT_US (540 * MS_US)
 
 typedef struct
 {
@@ -32,25 +37,41 @@
   if (!watch)
     return;
   watch->ping = NULL;
+  loop_timer_stop (watch->timer);
   /* A refusal is an answer too. */
   if (outcome == RPC_OK || outcome == RPC_DENIED)
-    loop_timer_start (watch->timer, QUIET_US);
+    {
+      balancer_note_path (watch->node->balancer, watch->vm, TRUE);
+      loop_timer_start (watch->timer, QUIET_US);
+    }
   else
     watch->lost (watch->data);
 }
 
+static gint64
+quiet_us (const PeerWatch *watch)
+{
+  return clock_now (watch->node->clock) - peers_heard_us (watch->node->peers, watch->vm);
+}
+
 static void
 on_timer (gpointer data)
 {
   PeerWatch *watch = data;
-  gint64 quiet =
-      clock_now (watch->node->clock) - peers_heard_us (watch->node->peers, watch->vm);
+  gint64 quiet = quiet_us (watch);
 
-  if (quiet < QUIET_US)
+  if (watch->ping)
+    {
+      if (quiet >= DOUBT_US)
+        balancer_doubt_path (watch->node->balancer, watch->vm);
+      return;
+    }
+  if (quiet < QUIET_FIRST_US)
     {
-      loop_timer_start (watch->timer, QUIET_US - quiet);
+      loop_timer_start (watch->timer, QUIET_FIRST_US - quiet);
       return;
     }
+  loop_timer_start (watch->timer, DOUBT_US);
   watch->ping = g_new0 (Ping, 1);
   watch->ping->watch = watch;
   peers_call (watch->node->peers, watch->vm, &null_procedure, NULL, PING_TIMEOUT_US,
@@ -67,7 +88,7 @@
   watch->lost = lost;
   watch->data = data;
   watch->timer = loop_timer_create (node->loop, on_timer, watch);
-  loop_timer_start (watch->timer, QUIET_US);
+  loop_timer_start (watch->timer, QUIET_FIRST_US);
   return watch;
 }
 
