HTTP server in three files; processes of a test end with it

http-server.c had grown to 619 lines: requests and answers (http-request.c), callers who hang up (http-gone.c) and what the three share are apart now; no line of logic changed. A soak that could not start a program (it was being linked anew) left 13 processes behind, which then answered the next test on the same ports: 8 of 8 failed there. Children now get SIGKILL when the test ends, however it ends.

--- /dev/null
+++ b/io/src/http-gone.c
@@ -0,0 +1,77 @@
+#include "http-server-private.h"
+
+#include <poll.h>
+
+/* How soon a caller's hang-up is noticed at the latest: a quarter of the half second
+   after which work for nobody counts as waste at the users' platform. */
+#define GONE_CHECK_US (125 * MS_US)
+
+/* Tells of those whose callers have hung up; each is told of once. */
+static void
+tell_gone (HttpServer *server, GPtrArray *requests, const GArray *polls)
+{
+  for (guint i = 0; i < requests->len; i++)
+    {
+      HttpRequest *request = g_ptr_array_index (requests, i);
+
+      if (!(g_array_index (polls, struct pollfd, i).revents &
+            (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)))
+        continue;
+      if (g_hash_table_remove (server->watched, request))
+        request->gone (request->gone_data);
+    }
+}
+
+/*
+ * libmicrohttpd does not look at a connection while its request is being worked on. One
+ * poll for all of them now and then does; unlike a watch in the loop it sees a hang-up
+ * behind requests that wait unread.
+ */
+void
+http_gone_check (gpointer data)
+{
+  HttpServer *server = data;
+  guint count = g_hash_table_size (server->watched);
+  g_autoptr (GArray) polls = NULL;
+  g_autoptr (GPtrArray) requests = NULL;
+  GHashTableIter iter;
+  gpointer key;
+
+  if (count == 0)
+    return;
+  polls = g_array_sized_new (FALSE, FALSE, sizeof (struct pollfd), count);
+  requests = g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
+  g_hash_table_iter_init (&iter, server->watched);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      HttpRequest *request = key;
+      struct pollfd look = { request->conn->fd, POLLRDHUP, 0 };
+
+      g_array_append_val (polls, look);
+      g_ptr_array_add (requests, http_request_ref (request));
+    }
+  if (poll ((struct pollfd *)polls->data, polls->len, 0) > 0)
+    tell_gone (server, requests, polls);
+  loop_timer_start (server->gone_check, GONE_CHECK_US);
+}
+
+void
+http_request_watch_gone (HttpRequest *request, HttpGoneFunc func, gpointer data)
+{
+  HttpServer *server = request->server;
+
+  request->gone = func;
+  request->gone_data = data;
+  if (!server)
+    return;
+  if (!func)
+    {
+      g_hash_table_remove (server->watched, request);
+      return;
+    }
+  if (!request->conn || !request->connection)
+    return;
+  if (g_hash_table_size (server->watched) == 0)
+    loop_timer_start (server->gone_check, GONE_CHECK_US);
+  g_hash_table_add (server->watched, request);
+}
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -1,8 +1,6 @@
-#include <io/http-server.h>
+#include "http-server-private.h"
 
 #include <gio/gio.h>
-#include <microhttpd.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,83 +8,10 @@
 #include <io/socket.h>
 
 #define SWEEP_US (SECOND_US / 4)
-/* How soon a caller's hang-up is noticed at the latest: a quarter of the half second
-   after which work for nobody counts as waste at the users' platform. */
-#define GONE_CHECK_US (125 * MS_US)
 #define SLOW_ANSWER                                                                      \
   "HTTP/1.1 408 Request Timeout\r\nSwitchmill-Outcome: not-run\r\n"                      \
   "Connection: close\r\nContent-Length: 0\r\n\r\n"
 
-/* One connection of a caller; kept by libmicrohttpd as its socket context. */
-typedef struct
-{
-  HttpServer *server;
-  int fd;
-  gint64 reading_since_us; /* 0 while no request is being read */
-  gint64 idle_since_us;    /* 0 while there is a request */
-  gboolean refused;        /* told that nothing ran: nothing that still comes may run */
-} Conn;
-
-struct HttpServer
-{
-  Loop *loop;
-  int fd;
-  struct MHD_Daemon *daemon;
-  LoopFd *watch;
-  LoopTimer *sweep;
-  LoopTimer *gone_check;
-  GHashTable *watched; /* set of HttpRequest whose callers may hang up */
-  gboolean closing;
-  HttpLimits limits;
-  HttpHandler handler;
-  gpointer data;
-  GHashTable *conns; /* set of Conn */
-  guint active;
-  gboolean woken; /* a connection was resumed since the daemon last ran */
-};
-
-struct HttpRequest
-{
-  gatomicrefcount refs;
-  HttpServer *server;
-  struct MHD_Connection *connection; /* NULL once the exchange has ended */
-  Conn *conn;
-  char *method;
-  char *target;
-  char *path;
-  GArray *headers;
-  GByteArray *body;
-  gboolean handled;
-  gboolean suspended;
-  gboolean dropped;
-  HttpGoneFunc gone;
-  gpointer gone_data;
-  guint status;
-  struct MHD_Response *response;
-};
-
-HttpRequest *
-http_request_ref (HttpRequest *request)
-{
-  g_atomic_ref_count_inc (&request->refs);
-  return request;
-}
-
-void
-http_request_unref (HttpRequest *request)
-{
-  if (!g_atomic_ref_count_dec (&request->refs))
-    return;
-  if (request->response)
-    MHD_destroy_response (request->response);
-  g_free (request->method);
-  g_free (request->target);
-  g_free (request->path);
-  g_array_unref (request->headers);
-  g_byte_array_unref (request->body);
-  g_free (request);
-}
-
 static enum MHD_Result
 copy_header (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
 {
@@ -342,55 +267,6 @@
   loop_timer_start (server->sweep, SWEEP_US);
 }
 
-/* Tells of those whose callers have hung up; each is told of once. */
-static void
-tell_gone (HttpServer *server, GPtrArray *requests, const GArray *polls)
-{
-  for (guint i = 0; i < requests->len; i++)
-    {
-      HttpRequest *request = g_ptr_array_index (requests, i);
-
-      if (!(g_array_index (polls, struct pollfd, i).revents &
-            (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)))
-        continue;
-      if (g_hash_table_remove (server->watched, request))
-        request->gone (request->gone_data);
-    }
-}
-
-/*
- * libmicrohttpd does not look at a connection while its request is being worked on. One
- * poll for all of them now and then does; unlike a watch in the loop it sees a hang-up
- * behind requests that wait unread.
- */
-static void
-on_gone_check (gpointer data)
-{
-  HttpServer *server = data;
-  guint count = g_hash_table_size (server->watched);
-  g_autoptr (GArray) polls = NULL;
-  g_autoptr (GPtrArray) requests = NULL;
-  GHashTableIter iter;
-  gpointer key;
-
-  if (count == 0)
-    return;
-  polls = g_array_sized_new (FALSE, FALSE, sizeof (struct pollfd), count);
-  requests = g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
-  g_hash_table_iter_init (&iter, server->watched);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      HttpRequest *request = key;
-      struct pollfd look = { request->conn->fd, POLLRDHUP, 0 };
-
-      g_array_append_val (polls, look);
-      g_ptr_array_add (requests, http_request_ref (request));
-    }
-  if (poll ((struct pollfd *)polls->data, polls->len, 0) > 0)
-    tell_gone (server, requests, polls);
-  loop_timer_start (server->gone_check, GONE_CHECK_US);
-}
-
 static void
 on_ready (int fd, LoopEvents ready, gpointer data)
 {
@@ -460,7 +336,7 @@
   info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   server->watch = loop_fd_create (loop, info->epoll_fd, LOOP_READ, on_ready, server);
   loop_add_prepare (loop, on_prepare, server);
-  server->gone_check = loop_timer_create (loop, on_gone_check, server);
+  server->gone_check = loop_timer_create (loop, http_gone_check, server);
   server->sweep = loop_timer_create (loop, on_sweep, server);
   loop_timer_start (server->sweep, SWEEP_US);
   return server;
@@ -502,118 +378,3 @@
 {
   return server->active;
 }
-
-const char *
-http_request_method (const HttpRequest *request)
-{
-  return request->method;
-}
-
-const char *
-http_request_target (const HttpRequest *request)
-{
-  return request->target;
-}
-
-const char *
-http_request_path (const HttpRequest *request)
-{
-  return request->path;
-}
-
-const char *
-http_request_argument (const HttpRequest *request, const char *name)
-{
-  if (!request->connection)
-    return NULL;
-  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
-const GArray *
-http_request_headers (const HttpRequest *request)
-{
-  return request->headers;
-}
-
-const char *
-http_request_header (const HttpRequest *request, const char *name)
-{
-  return http_headers_get (request->headers, name);
-}
-
-const GByteArray *
-http_request_body (const HttpRequest *request)
-{
-  return request->body;
-}
-
-static void
-wake (HttpRequest *request)
-{
-  if (!request->suspended || !request->connection || !request->server)
-    return;
-  request->suspended = FALSE;
-  request->server->woken = TRUE;
-  MHD_resume_connection (request->connection);
-}
-
-void
-http_request_answer (HttpRequest *request,
-                     guint status,
-                     const GArray *headers,
-                     const void *body,
-                     gsize len)
-{
-  g_return_if_fail (!request->response);
-  request->status = status;
-  request->response =
-      MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY);
-  for (guint i = 0; headers && i < headers->len; i++)
-    {
-      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
-
-      if (!http_header_is_hop (header->name))
-        MHD_add_response_header (request->response, header->name, header->value);
-    }
-  if (request->server && request->server->closing)
-    MHD_add_response_header (request->response, "Connection", "close");
-  http_request_watch_gone (request, NULL, NULL);
-  wake (request);
-}
-
-void
-http_request_watch_gone (HttpRequest *request, HttpGoneFunc func, gpointer data)
-{
-  HttpServer *server = request->server;
-
-  request->gone = func;
-  request->gone_data = data;
-  if (!server)
-    return;
-  if (!func)
-    {
-      g_hash_table_remove (server->watched, request);
-      return;
-    }
-  if (!request->conn || !request->connection)
-    return;
-  if (g_hash_table_size (server->watched) == 0)
-    loop_timer_start (server->gone_check, GONE_CHECK_US);
-  g_hash_table_add (server->watched, request);
-}
-
-void
-http_request_drop (HttpRequest *request)
-{
-  request->dropped = TRUE;
-  wake (request);
-}
-
-void
-http_request_answer_json (HttpRequest *request, guint status, const char *json)
-{
-  g_autoptr (GArray) headers = http_headers_new ();
-
-  http_headers_add (headers, "Content-Type", "application/json");
-  http_request_answer (request, status, headers, json, strlen (json));
-}
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -11,6 +11,7 @@
 #include <json-glib/json-glib.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -79,6 +80,13 @@
   return g_build_filename (fleet->dir, name, NULL);
 }
 
+/* A test that ends in any way, by a signal too, takes its processes with it. */
+static void
+end_with_the_test (gpointer data)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static GPid
 spawn (Fleet *fleet, const char *log_name, char **words)
 {
@@ -87,8 +95,8 @@
   int fd = g_open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   GPid pid = 0;
 
-  if (!g_spawn_async_with_fds (NULL, words, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-                               &pid, -1, fd, fd, &error))
+  if (!g_spawn_async_with_fds (NULL, words, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                               end_with_the_test, NULL, &pid, -1, fd, fd, &error))
     fail_msg ("%s", error->message);
   close (fd);
   return pid;
