Calls allow for no retries, and those of a repeated request are retries

The users count retries against what clients asked for. Calls that targets make were counted as such, and the calls of a request that runs for the second time, which count as repeats, were not. The sliding window makes full use of what is allowed, so that it showed.

--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -17,6 +17,8 @@
 typedef struct
 {
   gboolean repeatable;
+  gboolean call;      /* made by a target: allows for no retries of its own */
+  gboolean repeat;    /* and for a request that is repeated: counts as a retry itself */
   gboolean pinned;    /* one attempt at one target: a ticket's */
   gint64 deadline_us; /* on the ingress's clock */
   gint64 slack_us;    /* past the deadline, until the caller is told at the latest */
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -104,7 +104,10 @@
 {
   DispatchStep step = { .kind = DISPATCH_CHOOSE };
 
-  retry_budget_deposit (dispatch->budget);
+  if (dispatch->policy.repeat)
+    retry_budget_borrow (dispatch->budget);
+  else if (!dispatch->policy.call)
+    retry_budget_deposit (dispatch->budget);
   return step;
 }
 
--- a/core/tests/test-dispatch.c
+++ b/core/tests/test-dispatch.c
@@ -228,6 +228,36 @@
   teardown (&fixture);
 }
 
+/* The users count retries against what callers asked for: a target's calls are not that,
+   and those of a request that is repeated are retries themselves. */
+static void
+test_calls_allow_for_no_retries (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  RetryBudget *budget = retry_budget_create (100, WINDOW_US, clock);
+  GRand *rand = g_rand_new_with_seed (1);
+  DispatchPolicy policies[] = { { .attempts_max = 1 },
+                                { .attempts_max = 1, .call = TRUE },
+                                { .attempts_max = 1, .call = TRUE, .repeat = TRUE } };
+  gboolean allowed[] = { TRUE, TRUE, FALSE };
+
+  retry_budget_set_burst (budget, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (policies); i++)
+    {
+      Dispatch *dispatch = dispatch_create (&policies[i], budget, rand, clock);
+
+      dispatch_begin (dispatch);
+      dispatch_destroy (dispatch);
+      assert_int_equal (retry_budget_has (budget), allowed[i]);
+    }
+  retry_budget_deposit (budget);
+  assert_true (retry_budget_withdraw (budget));
+  assert_false (retry_budget_has (budget));
+  g_rand_free (rand);
+  retry_budget_destroy (budget);
+  clock_destroy (clock);
+}
+
 static void
 test_a_burst_is_bounded_in_each_window (void **state)
 {
@@ -289,6 +319,7 @@
     cmocka_unit_test (test_hanging_work_is_broken_off_only_with_a_retry_in_hand),
     cmocka_unit_test (test_a_failure_told_by_the_target_is_an_arrival),
     cmocka_unit_test (test_a_retry_is_paid_for_once_until_a_target_sees_it),
+    cmocka_unit_test (test_calls_allow_for_no_retries),
     cmocka_unit_test (test_a_burst_is_bounded_in_each_window),
     cmocka_unit_test (test_a_bunch_of_failures_may_use_the_whole_window),
   };
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -82,6 +82,13 @@
   return strcmp (echo, own) != 0;
 }
 
+/* Callers here do not say what a request belongs to. */
+static gboolean
+carries (const sw_submit_args *args, const char *id)
+{
+  return FALSE;
+}
+
 static void
 judge (const sw_submit_args *args, const HttpResult *result, sw_submit_res *res)
 {
@@ -137,6 +144,7 @@
   .forwards = forwards,
   .add_origin = add_origin,
   .add_attempt = add_attempt,
+  .carries = carries,
   .judge = judge,
   .returns = returns,
   .status = status,
--- a/daemon/src/request/dialect.c
+++ b/daemon/src/request/dialect.c
@@ -5,6 +5,7 @@
 void
 caller_words_clear (CallerWords *words)
 {
+  g_clear_pointer (&words->parent, g_free);
   g_clear_pointer (&words->host, g_free);
   g_clear_pointer (&words->path, g_free);
 }
--- a/daemon/src/request/dialect.h
+++ b/daemon/src/request/dialect.h
@@ -17,6 +17,8 @@
 typedef struct
 {
   const char *id; /* the caller's own name of this try, NULL for none */
+  char *parent;   /* the id of the request that a target makes this call for; NULL for a
+                     caller's own, or where it cannot be told; owned */
   char *host;     /* lower case, without a port; owned */
   char *path;     /* what routes are matched against; owned */
   gint64 wait_us; /* how long the caller waits; 0 when it does not say */
@@ -40,6 +42,8 @@
   void (*add_origin) (const Settings *settings, GArray *headers);
   /* Headers that the sidecar adds to one attempt, with `left_us` until its deadline. */
   void (*add_attempt) (const sw_submit_args *args, gint64 left_us, GArray *headers);
+  /* Whether an attempt carries the request that has this id. */
+  gboolean (*carries) (const sw_submit_args *args, const char *id);
   /* Judges what the target answered: result, reason, and the answer (borrowed). */
   void (*judge) (const sw_submit_args *args,
                  const HttpResult *result,
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -310,6 +310,7 @@
   args.remaining_ms = (u_int)MAX (1, exchange->remaining_us / MS_US);
   args.priority = exchange->route->priority;
   args.repeatable = exchange->route->repeatable;
+  args.repeat = exchange->repeat || dispatch_arrivals (exchange->dispatch) > 0;
   args.even_sick = exchange->even_sick;
   args.trial = exchange->trial;
   args.may_queue = exchange->may_queue;
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -40,6 +40,7 @@
   RetryBudget *budget; /* borrowed */
   LoopTimer *timer;
   gint64 began_us;
+  gboolean repeat;  /* a call for a request that is not at its first attempt */
   GPtrArray *tried; /* names of targets */
   GPtrArray *busy;  /* names of targets that had no free slot */
   guint busy_own;   /* how many of them are in this hall */
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -141,6 +141,8 @@
   Exchange *exchange = g_new0 (Exchange, 1);
   DispatchPolicy policy = { .repeatable = order->route->repeatable,
                             .pinned = order->ticket != NULL,
+                            .call = order->call,
+                            .repeat = order->repeat,
                             .slack_us = node->adapter->dialect->slack_us,
                             .attempts_max = order->route->attempts };
 
@@ -154,6 +156,7 @@
   exchange->service = order->service;
   exchange->ticket = order->ticket;
   exchange->budget = order->budget;
+  exchange->repeat = order->repeat;
   if (order->ticket)
     {
       exchange->attempt = *order->ticket->attempt;
--- a/daemon/src/request/exchange.h
+++ b/daemon/src/request/exchange.h
@@ -22,6 +22,8 @@
   const Service *service;
   RetryBudget *budget; /* borrowed for the exchange's life */
   gint64 span_us;      /* until its deadline */
+  gboolean call;       /* a target makes it for a request that it runs */
+  gboolean repeat;     /* and that request is not at its first attempt */
   Ticket *ticket;      /* taken over; NULL for none */
 } ExchangeOrder;
 
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -11,6 +11,7 @@
 #include "answer.h"
 #include "config-sync.h"
 #include "exchange.h"
+#include "sidecar.h"
 
 /* Hundredths of a retry, in which budgets are counted. */
 #define RETRY_HUNDREDTHS 100u
@@ -169,6 +170,9 @@
 
   if (!find_route (ingress, words, &order))
     return;
+  order.call = words->parent != NULL;
+  order.repeat =
+      order.call && sidecar_runs_repeat (ingress->node->sidecar, words->parent);
   order.span_us = deadline_span (words, order.route);
   begin (ingress, &order);
 }
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "adapter.h"
 #include "verdicts.h"
 
 /* How often verdicts, waiting requests and overdue ones are looked at. */
@@ -164,6 +165,25 @@
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
+gboolean
+sidecar_runs_repeat (const Sidecar *sidecar, const char *id)
+{
+  const Dialect *dialect = sidecar->node->adapter->dialect;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Submission *submission = key;
+
+      if (submission->running && submission->args.repeat &&
+          dialect->carries (&submission->args, id))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 void
 sidecar_states (Sidecar *sidecar, sw_hello_res *res)
 {
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -130,6 +130,7 @@
 	u_int remaining_ms;
 	u_int priority;
 	bool_t repeatable;
+	bool_t repeat;
 	bool_t even_sick;
 	bool_t may_break_off;
 	bool_t may_queue;
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -376,7 +376,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -384,6 +384,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->repeat))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_break_off))
@@ -401,6 +403,7 @@
 		IXDR_PUT_U_LONG(buf, objp->remaining_ms);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->repeatable);
+		IXDR_PUT_BOOL(buf, objp->repeat);
 		IXDR_PUT_BOOL(buf, objp->even_sick);
 		IXDR_PUT_BOOL(buf, objp->may_break_off);
 		IXDR_PUT_BOOL(buf, objp->may_queue);
@@ -429,7 +432,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -437,6 +440,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->repeat))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_break_off))
@@ -454,6 +459,7 @@
 		objp->remaining_ms = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->repeatable = IXDR_GET_BOOL(buf);
+		objp->repeat = IXDR_GET_BOOL(buf);
 		objp->even_sick = IXDR_GET_BOOL(buf);
 		objp->may_break_off = IXDR_GET_BOOL(buf);
 		objp->may_queue = IXDR_GET_BOOL(buf);
@@ -489,6 +495,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->repeatable))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->repeat))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->even_sick))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->may_break_off))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -114,6 +114,7 @@
   unsigned int remaining_ms;
   unsigned int priority;       /* 0 first */
   bool repeatable;
+  bool repeat;                 /* a target has seen it before, or it is called for by such */
   bool even_sick;              /* the ingress knows that the target is held sick */
   bool may_break_off;          /* if it hangs: the ingress has another try in hand */
   bool may_queue;              /* else it is refused where it could not start at once */
