An attempt that was never sent has no name in the log; soaks keep off the tests' ports

Cause: found while walking an incident: 'switchmill explain' of one refused request printed 3,500 lines of others, for all attempts that never reached a node were logged under the name -0-0. Change: the field is left out until there is a name. The soak's first slot used the ports of the process tests. Soaks now begin at ports 1,000 higher.

--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -12,12 +12,15 @@
                           (guint64)attempt->incarnation, (guint64)attempt->counter);
 }
 
+/* NULL before the first attempt has its name, which it gets from the node it goes to. */
 static char *
 own_attempt_name (const Exchange *exchange)
 {
   sw_attempt attempt = { exchange->attempt.node, exchange->attempt.incarnation,
                          exchange->attempt.counter };
 
+  if (!attempt.node)
+    return NULL;
   return request_log_attempt_name (&attempt);
 }
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -15,7 +15,7 @@
 one () { # slot seed options...
   local slot=$1 seed=$2
   shift 2
-  FLEET_PORT_OFFSET=$((slot * 1000)) timeout 600 "$build/tests/soak" --seed "$seed" "$@" \
+  FLEET_PORT_OFFSET=$(((slot + 1) * 1000)) timeout 600 "$build/tests/soak" --seed "$seed" "$@" \
     >"$dir/$seed.log" 2>&1 || cp "$dir/$seed.log" "$dir/$seed.failed"
   tail -n 1 "$dir/$seed.log" | grep '^soak' || grep -h '^soak\|^broken\|^logs' "$dir/$seed.log" || tail -n 3 "$dir/$seed.log"
 }
