Doubt of a node ends after a second

Cause: found while reading the diff. A node came in doubt when a ping went unanswered for 60 ms, and out of it when it answered; where the exchange that asked had ended meanwhile (its caller left, its connection was reset) nobody took the answer, and the node stayed in doubt until it was the last resort. Ruled out: taking late pongs as well (a ping that is lost with its connection has none). Change: doubt lasts a second at the most; by then the path to a node that is gone is closed. Test: a doubtful node gets only what nobody else can take (its last part fails before).

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -117,7 +117,7 @@
 void balancer_set_path (Balancer *balancer, const char *vm, gboolean open);
 
 /* A node has not answered at once: it gets work where nobody else can take it, until
-   balancer_note_path says that it answered. */
+   balancer_note_path says that it answered, and for a second at the most. */
 void balancer_doubt_path (Balancer *balancer, const char *vm);
 
 /* How a call to a node's sidecar went, for the breaker of the path there. */
--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -208,7 +208,7 @@
     return;
   if (item->severity > 0)
     pool = pools->sick;
-  else if (path->doubtful)
+  else if (path_is_doubtful (path, clock_now (balancer->clock)))
     pool = pools->doubtful;
   else if (balancer_is_current (view, path) && view->report.shedding)
     pool = pools->shedding;
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -163,7 +163,7 @@
 void
 balancer_doubt_path (Balancer *balancer, const char *vm)
 {
-  balancer_path (balancer, vm)->doubtful = TRUE;
+  path_doubt (balancer_path (balancer, vm), clock_now (balancer->clock));
 }
 
 gboolean
--- a/core/src/request/path.c
+++ b/core/src/request/path.c
@@ -2,6 +2,8 @@
 
 /* So many calls in a row without any answer break a path. */
 #define LOSSES_TO_BREAK 3u
+/* By then the path to a node that is gone is closed. */
+#define DOUBT_US G_GINT64_CONSTANT (1000000)
 #define PAUSE_FIRST_US G_GINT64_CONSTANT (1000000)
 #define PAUSE_DOUBLINGS_MAX 5u
 
@@ -10,7 +12,7 @@
 {
   if (answered)
     {
-      path->doubtful = FALSE;
+      path->doubtful_until_us = 0;
       path->losses = 0;
       path->opened = 0;
       path->closed_until_us = 0;
@@ -25,6 +27,18 @@
   path->opened++;
 }
 
+void
+path_doubt (Path *path, gint64 now_us)
+{
+  path->doubtful_until_us = now_us + DOUBT_US;
+}
+
+gboolean
+path_is_doubtful (const Path *path, gint64 now_us)
+{
+  return now_us < path->doubtful_until_us;
+}
+
 gboolean
 path_usable (const Path *path, gint64 now_us)
 {
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -275,6 +275,11 @@
   assert_int_equal (share (&fixture, 0, tried), ROUNDS);
   balancer_note_path (fixture.balancer, "v0", TRUE);
   assert_true (share (&fixture, 0, NULL) > 0);
+  /* Who asked may be gone when the answer comes: doubt must not last. */
+  balancer_doubt_path (fixture.balancer, "v0");
+  assert_int_equal (share (&fixture, 0, NULL), 0);
+  clock_advance (fixture.clock, SECOND_US);
+  assert_true (share (&fixture, 0, NULL) > 0);
   teardown (&fixture);
 }
 
