--- a/core/include/core/members.h
+++ b/core/include/core/members.h
@@ -98,8 +98,8 @@
 /* Digests of the view: of all of it, and by bucket. Equal views have equal digests. */
 guint64 members_digest (const Members *members);
 void members_buckets (const Members *members, guint64 buckets[MEMBERS_BUCKETS]);
-/* The members in buckets that differ from `buckets`: in all that are empty there, as a new
-   node's are, and in a few of the others, from a random one on; borrowed. */
+/* The members in buckets that differ from `buckets`: in all that are empty there, as a
+   new node's are, and in a few of the others, from a random one on; borrowed. */
 GPtrArray *members_differing (Members *members, const guint64 buckets[MEMBERS_BUCKETS]);
 
 const Member *members_self (const Members *members);
