Bytes sent to other nodes are counted by kind and by hall

Nothing told where the bytes between halls go. Each sender counts what it sends, by what it is for and by whether it leaves the hall; the counts are on the metrics address and in the log once a minute and at a stop.

--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -3,6 +3,7 @@
 #include "config-sync.h"
 #include "gossip.h"
 #include "log.h"
+#include "peers.h"
 #include "sidecar.h"
 
 /* Whether a caller's own words name a member that is there, or one that is new. */
@@ -16,6 +17,21 @@
   return member && member->incarnation == from->incarnation && members_is_alive (member);
 }
 
+/* Answers a call, and counts the bytes of the answer. */
+static void
+reply (Node *node,
+       RpcConn *conn,
+       guint32 xid,
+       TrafficKind kind,
+       xdrproc_t proc,
+       void *result)
+{
+  gsize bytes = rpc_conn_reply (conn, xid, proc, result);
+
+  traffic_add (node->traffic, kind, peers_in_own_hall (node, rpc_conn_peer (conn)),
+               bytes);
+}
+
 static void
 on_hello (Node *node, RpcConn *conn, guint32 xid, XDR *in)
 {
@@ -37,7 +53,7 @@
       res.welcome = TRUE;
       sidecar_stamp (node->sidecar, &res.stamp);
       sidecar_states (node->sidecar, &res);
-      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_hello_res, &res);
+      reply (node, conn, xid, TRAFFIC_SESSIONS, (xdrproc_t)xdr_sw_hello_res, &res);
       g_free (res.states.states_val);
     }
   xdr_free ((xdrproc_t)xdr_sw_hello_args, (char *)&args);
@@ -75,7 +91,7 @@
   if (xdr_sw_cancel_args (in, &args))
     {
       sidecar_cancel (node->sidecar, &args);
-      rpc_conn_reply (conn, xid, wire_void, NULL);
+      reply (node, conn, xid, TRAFFIC_CONTROL, wire_void, NULL);
     }
   else
     rpc_conn_deny (conn, xid);
@@ -88,7 +104,7 @@
   sw_head_res res = { 0 };
 
   config_sync_answer_head (node->config, &res);
-  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_head_res, &res);
+  reply (node, conn, xid, TRAFFIC_CONFIG, (xdrproc_t)xdr_sw_head_res, &res);
 }
 
 static void
@@ -100,7 +116,7 @@
   if (xdr_sw_part_args (in, &args))
     {
       config_sync_answer_part (node->config, &args, &res);
-      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_part_res, &res);
+      reply (node, conn, xid, TRAFFIC_CONFIG, (xdrproc_t)xdr_sw_part_res, &res);
     }
   else
     rpc_conn_deny (conn, xid);
@@ -116,7 +132,7 @@
   if (xdr_sw_view_args (in, &args))
     {
       gossip_answer_view (node, &args, &res);
-      rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_view_res, &res);
+      reply (node, conn, xid, TRAFFIC_VIEWS, (xdrproc_t)xdr_sw_view_res, &res);
       g_free (res.rumours.rumours_val);
     }
   else
@@ -143,7 +159,7 @@
   switch (call->procedure)
     {
     case SW_NULL:
-      rpc_conn_reply (conn, call->xid, wire_void, NULL);
+      reply (node, conn, call->xid, TRAFFIC_SESSIONS, wire_void, NULL);
       break;
     case SW_SUBMIT:
       on_submit (node, conn, call->xid, in);
@@ -163,7 +179,7 @@
     case SW_LEAVE:
       events_add (node->events, "vm-leaving", node->settings->node, rpc_conn_peer (conn));
       sidecar_drain (node->sidecar);
-      rpc_conn_reply (conn, call->xid, wire_void, NULL);
+      reply (node, conn, call->xid, TRAFFIC_CONTROL, wire_void, NULL);
       break;
     case SW_VIEW:
       on_view (node, conn, call->xid, in);
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -120,6 +120,20 @@
     gossip_fill_rumour (g_ptr_array_index (news, i), &message->rumours.rumours_val[i]);
 }
 
+/* Counts a message's bytes: its news, and the rest. */
+static void
+count_sent (Gossip *gossip, const char *to, const sw_gossip *message, gsize bytes)
+{
+  Node *node = gossip->node;
+  gboolean own_hall = peers_in_own_hall (node, to);
+  gsize news = 0;
+
+  for (guint i = 0; i < message->rumours.rumours_len; i++)
+    news += xdr_sizeof ((xdrproc_t)xdr_sw_rumour, &message->rumours.rumours_val[i]);
+  traffic_add (node->traffic, TRAFFIC_RUMOURS, own_hall, news);
+  traffic_add (node->traffic, TRAFFIC_PROBES, own_hall, bytes - news);
+}
+
 static void
 send_call (Gossip *gossip,
            const char *address,
@@ -133,9 +147,12 @@
 
   fill_gossip (gossip, to, &message);
   bytes = wire_call_encode (xid, procedure, (xdrproc_t)xdr_sw_gossip, &message);
-  g_free (message.rumours.rumours_val);
   if (bytes)
-    datagram_send (gossip->datagram, address, bytes);
+    {
+      datagram_send (gossip->datagram, address, bytes);
+      count_sent (gossip, to, &message, bytes->len);
+    }
+  g_free (message.rumours.rumours_val);
 }
 
 static void
@@ -146,9 +163,12 @@
 
   fill_gossip (gossip, to, &message);
   bytes = wire_reply_encode (xid, (xdrproc_t)xdr_sw_gossip, &message);
-  g_free (message.rumours.rumours_val);
   if (bytes)
-    datagram_send (gossip->datagram, address, bytes);
+    {
+      datagram_send (gossip->datagram, address, bytes);
+      count_sent (gossip, to, &message, bytes->len);
+    }
+  g_free (message.rumours.rumours_val);
 }
 
 static void
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -180,6 +180,44 @@
   g_free (opening);
 }
 
+/* What the bytes of a call are counted as. */
+static TrafficKind
+traffic_of (const RpcProcedure *procedure)
+{
+  switch (procedure->procedure)
+    {
+    case SW_SUBMIT:
+      return TRAFFIC_REQUESTS;
+    case SW_FENCE:
+    case SW_CANCEL:
+    case SW_LEAVE:
+      return TRAFFIC_CONTROL;
+    case SW_HEAD:
+    case SW_PART:
+      return TRAFFIC_CONFIG;
+    case SW_VIEW:
+      return TRAFFIC_VIEWS;
+    default:
+      return TRAFFIC_SESSIONS;
+    }
+}
+
+gboolean
+peers_in_own_hall (const Node *node, const char *vm)
+{
+  const Member *member = vm ? members_find (node->members, vm) : NULL;
+
+  return member && strcmp (member->hall, node->settings->hall) == 0;
+}
+
+static gsize
+count_sent (Node *node, const char *vm, const RpcProcedure *procedure, gsize bytes)
+{
+  traffic_add (node->traffic, traffic_of (procedure), peers_in_own_hall (node, vm),
+               bytes);
+  return bytes;
+}
+
 static void
 say_hello (Peers *peers, Peer *peer, gint64 timeout_us, PeersOpened opened, gpointer data)
 {
@@ -191,7 +229,8 @@
   opening->opened = opened;
   opening->data = data;
   gossip_fill_rumour (members_self (peers->node->members), &args.from);
-  rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening);
+  count_sent (peers->node, peer->vm, &hello,
+              rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening));
 }
 
 void
@@ -230,7 +269,7 @@
   return peer ? rpc_peer_heard_us (peer->rpc) : 0;
 }
 
-void
+gsize
 peers_call (Peers *peers,
             const char *vm,
             const RpcProcedure *procedure,
@@ -242,7 +281,9 @@
   Peer *peer = peer_of (peers, vm);
 
   if (peer)
-    rpc_peer_call (peer->rpc, procedure, args, timeout_us, done, data);
-  else
-    done (RPC_UNSENT, NULL, data);
+    return count_sent (
+        peers->node, vm, procedure,
+        rpc_peer_call (peer->rpc, procedure, args, timeout_us, done, data));
+  done (RPC_UNSENT, NULL, data);
+  return 0;
 }
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -30,14 +30,17 @@
 /* When a node was last heard over RPC; 0 for never. */
 gint64 peers_heard_us (const Peers *peers, const char *vm);
 
-/* Calls a node; RPC_UNSENT when its address is not known. */
-void peers_call (Peers *peers,
-                 const char *vm,
-                 const RpcProcedure *procedure,
-                 void *args,
-                 gint64 timeout_us,
-                 RpcDoneFunc done,
-                 gpointer data);
+/* Calls a node; RPC_UNSENT when its address is not known. Returns the bytes sent. */
+gsize peers_call (Peers *peers,
+                  const char *vm,
+                  const RpcProcedure *procedure,
+                  void *args,
+                  gint64 timeout_us,
+                  RpcDoneFunc done,
+                  gpointer data);
+
+/* Whether a node is of this node's data hall; an unknown one is not. */
+gboolean peers_in_own_hall (const Node *node, const char *vm);
 
 /* Takes the stamp and the state that came with an answer. */
 void peers_note_stamp (Peers *peers, const sw_stamp *stamp);
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -69,6 +69,7 @@
 {
   g_autofree char *cut = g_strdup_printf ("%u", run->cut);
 
+  traffic_log (run->node.traffic);
   log_event (run->cut ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, "stopped", "REQUESTS_CUT",
              cut, NULL);
   loop_quit (run->node.loop);
@@ -231,6 +232,7 @@
   node->rand = g_rand_new ();
   node->incarnation = new_incarnation ();
   node->metrics = metrics_create ();
+  node->traffic = traffic_create (loop);
   node->events = events_create (clock);
   node->http = http_client_create (loop);
   self.address = settings->advertise_address;
@@ -277,6 +279,7 @@
   members_destroy (node->members);
   events_destroy (node->events);
   metrics_destroy (node->metrics);
+  traffic_destroy (node->traffic);
   loop_timer_destroy (run->stop);
   g_rand_free (node->rand);
   g_free (run);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -13,6 +13,7 @@
 
 #include "events.h"
 #include "metrics.h"
+#include "traffic.h"
 
 typedef struct Peers Peers;
 typedef struct Gossip Gossip;
@@ -37,6 +38,7 @@
   GRand *rand;
   guint64 incarnation; /* random, new with each start */
   Metrics *metrics;
+  Traffic *traffic;
   Events *events;
   HttpClient *http;
   Members *members;
--- a/daemon/src/operator/metrics-listener.c
+++ b/daemon/src/operator/metrics-listener.c
@@ -27,7 +27,7 @@
       return;
     }
   headers = http_headers_new ();
-  text = metrics_text (listener->node->metrics);
+  text = metrics_text (listener->node->metrics, listener->node->traffic);
   http_headers_add (headers, "Content-Type", "text/plain; version=0.0.4");
   http_request_answer (request, HTTP_OK, headers, text, strlen (text));
 }
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -134,7 +134,7 @@
 }
 
 char *
-metrics_text (const Metrics *metrics)
+metrics_text (const Metrics *metrics, const Traffic *traffic)
 {
   GString *text = g_string_new (NULL);
   GHashTableIter iter;
@@ -150,5 +150,6 @@
   g_hash_table_iter_init (&iter, metrics->classes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     append_class (text, value);
+  traffic_append (traffic, text);
   return g_string_free (text, FALSE);
 }
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -7,6 +7,8 @@
 #include <core/outcome.h>
 #include <glib.h>
 
+#include "traffic.h"
+
 typedef struct Metrics Metrics;
 
 typedef enum
@@ -44,7 +46,7 @@
                       Outcome outcome,
                       gint64 took_us);
 
-/* All of it in the usual text exposition. */
-char *metrics_text (const Metrics *metrics);
+/* All of it, and the bytes sent, in the usual text exposition. */
+char *metrics_text (const Metrics *metrics, const Traffic *traffic);
 
 #endif
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -160,6 +160,17 @@
     g_free (name);
 }
 
+/* The bytes that the refused attempt has cost. */
+static void
+count_refused (Exchange *exchange)
+{
+  const Node *node = exchange->owner->node;
+
+  traffic_recount (node->traffic, TRAFFIC_REQUESTS, TRAFFIC_REFUSED,
+                   peers_in_own_hall (node, exchange->target->vm), exchange->sent_bytes);
+  exchange->sent_bytes = 0;
+}
+
 static void
 attempt_ended (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
 {
@@ -175,6 +186,8 @@
   report = report_of (exchange, outcome, res);
   if (outcome == RPC_OK)
     note_refusal (exchange, (Reason)res->reason);
+  if (report == DISPATCH_REFUSED)
+    count_refused (exchange);
   step = dispatch_sent (exchange->dispatch, report,
                         outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
                         outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
@@ -330,6 +343,7 @@
   exchange->pending->exchange = exchange;
   exchange->watch =
       peer_watch_create (node, exchange->target->vm, on_node_lost, exchange);
+  exchange->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
   peers_call (node->peers, exchange->target->vm, &submit, &args, exchange->wait_us,
               on_submitted, exchange->pending);
   g_free (args.headers.headers_val);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -62,6 +62,7 @@
   gboolean out;       /* an attempt is counted at the balancer */
   gboolean abandoned; /* the caller has hung up */
   gboolean submitted; /* a sidecar may hold the attempt */
+  gsize sent_bytes;   /* of the last submission */
   sw_answer answer;   /* owned once the outcome is "done" */
 };
 
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -7,6 +7,7 @@
 
 #include "adapter.h"
 #include "log.h"
+#include "peers.h"
 #include "request-log.h"
 
 /* A running request this much slower than its siblings counts against the target. */
@@ -31,7 +32,9 @@
   res->state.target = "";
   if (target)
     sidecar_target_state (target, sidecar->draining, &res->state);
-  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, res);
+  traffic_add (sidecar->node->traffic, TRAFFIC_ANSWERS,
+               peers_in_own_hall (sidecar->node, rpc_conn_peer (conn)),
+               rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, res));
 }
 
 void
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -33,8 +33,9 @@
 RpcConn *rpc_conn_ref (RpcConn *conn);
 void rpc_conn_unref (RpcConn *conn);
 
-/* Answers one call; dropped without harm when the connection has gone. */
-void rpc_conn_reply (RpcConn *conn, guint32 xid, xdrproc_t proc, void *result);
+/* Answers one call; dropped without harm when the connection has gone. Returns the bytes
+   that go out, 0 for none. */
+gsize rpc_conn_reply (RpcConn *conn, guint32 xid, xdrproc_t proc, void *result);
 
 /* Refuses one call with AUTH_ERROR. */
 void rpc_conn_deny (RpcConn *conn, guint32 xid);
@@ -69,13 +70,14 @@
 RpcPeer *rpc_peer_create (Loop *loop, const char *address);
 void rpc_peer_destroy (RpcPeer *peer);
 
-/* Calls; `done` runs exactly once, never inside this function. */
-void rpc_peer_call (RpcPeer *peer,
-                    const RpcProcedure *procedure,
-                    void *args,
-                    gint64 timeout_us,
-                    RpcDoneFunc done,
-                    gpointer data);
+/* Calls; `done` runs exactly once, never inside this function. Returns the bytes that go
+   out, 0 for none. */
+gsize rpc_peer_call (RpcPeer *peer,
+                     const RpcProcedure *procedure,
+                     void *args,
+                     gint64 timeout_us,
+                     RpcDoneFunc done,
+                     gpointer data);
 
 /* When the peer last sent anything, on the loop's clock; 0 for never. */
 gint64 rpc_peer_heard_us (const RpcPeer *peer);
--- a/io/src/rpc-peer.c
+++ b/io/src/rpc-peer.c
@@ -170,7 +170,7 @@
     peer->stream = stream_create (peer->loop, fd, TRUE, &stream_events, peer);
 }
 
-void
+gsize
 rpc_peer_call (RpcPeer *peer,
                const RpcProcedure *procedure,
                void *args,
@@ -196,9 +196,10 @@
   if (!message || !peer->stream)
     {
       call_fail_soon (call, RPC_UNSENT);
-      return;
+      return 0;
     }
   stream_send (peer->stream, message);
+  return message->len;
 }
 
 gint64
--- a/io/src/rpc-server.c
+++ b/io/src/rpc-server.c
@@ -166,27 +166,31 @@
   g_free (server);
 }
 
-static void
+static gsize
 send_message (RpcConn *conn, GByteArray *message)
 {
+  gsize sent = 0;
+
   if (!message)
     {
       if (conn->stream)
         stream_fail (conn->stream);
-      return;
+      return 0;
     }
   if (conn->stream)
     {
+      sent = message->len;
       conn->active_us = clock_now (loop_clock (conn->server->loop));
       stream_send (conn->stream, message);
     }
   g_byte_array_unref (message);
+  return sent;
 }
 
-void
+gsize
 rpc_conn_reply (RpcConn *conn, guint32 xid, xdrproc_t proc, void *result)
 {
-  send_message (conn, wire_reply_encode (xid, proc, result));
+  return send_message (conn, wire_reply_encode (xid, proc, result));
 }
 
 void
