--- a/bench/src/member-net.c
+++ b/bench/src/member-net.c
@@ -5,9 +5,9 @@
 
 #define STEP_US (50 * MS_US)
 #define NEWS_MAX 550u
-/* RPC header, token, generation, digest and sender of a gossip message, and IP and UDP.
- */
-#define MESSAGE_BYTES (40u + 24u + 32u + 28u)
+/* RPC header, seal, generation, digest, sender and counts of a gossip message, and IP and
+   UDP. */
+#define MESSAGE_BYTES (40u + 8u + 48u + 28u)
 #define MISMATCHES_TO_REPAIR 3u
 #define NONE G_MAXUINT
 
@@ -87,22 +87,41 @@
   return (guint)g_rand_int_range (net->rand, 0, 100) >= net->loss_percent;
 }
 
+static void
+count_sent (MemberNet *net, guint from, guint to, gsize bytes)
+{
+  net->nodes[from].sent_bytes += bytes;
+  if (net->nodes[from].hall != net->nodes[to].hall)
+    net->nodes[from].far_bytes += bytes;
+}
+
+static void
+take (Members *members, const MemberNews *news)
+{
+  MemberBrief brief = members_brief (news->member);
+
+  if (news->brief)
+    members_merge_brief (members, &brief);
+  else
+    members_merge (members, news->member);
+}
+
 /* Sends a message with news; TRUE when it has arrived and been taken in. */
 static gboolean
 send_news (MemberNet *net, guint from, guint to)
 {
   NetNode *sender = &net->nodes[from];
   g_autofree char *name = g_strdup_printf ("node-%u", to);
-  GPtrArray *news = members_news (sender->members, name, NEWS_MAX);
+  const GArray *news = members_news (sender->members, name, NEWS_MAX);
 
   sender->messages++;
-  sender->sent_bytes += MESSAGE_BYTES;
+  count_sent (net, from, to, MESSAGE_BYTES);
   for (guint i = 0; i < news->len; i++)
-    sender->sent_bytes += members_weight (g_ptr_array_index (news, i));
+    count_sent (net, from, to, members_weight (&g_array_index (news, MemberNews, i)));
   if (!passes (net, from, to))
     return FALSE;
   for (guint i = 0; i < news->len; i++)
-    members_merge (net->nodes[to].members, g_ptr_array_index (news, i));
+    take (net->nodes[to].members, &g_array_index (news, MemberNews, i));
   return TRUE;
 }
 
@@ -135,10 +154,12 @@
   node->mismatches = 0;
   members_buckets (node->members, buckets);
   differing = members_differing (other, buckets);
-  node->sent_bytes += sizeof buckets;
+  count_sent (net, i, with, sizeof buckets);
   for (guint j = 0; j < differing->len; j++)
     {
-      net->nodes[with].sent_bytes += members_weight (g_ptr_array_index (differing, j));
+      MemberNews whole = { g_ptr_array_index (differing, j), FALSE };
+
+      count_sent (net, with, i, members_weight (&whole));
       members_merge (node->members, g_ptr_array_index (differing, j));
     }
 }
--- a/bench/src/member-net.h
+++ b/bench/src/member-net.h
@@ -14,6 +14,7 @@
   guint hall;
   guint starts;
   guint64 sent_bytes; /* by the weight of news and a fixed share for each message */
+  guint64 far_bytes;  /* of these, to other halls */
   guint64 messages;
   guint mismatches;
 } NetNode;
--- a/core/include/core/members.h
+++ b/core/include/core/members.h
@@ -1,8 +1,9 @@
 /*
  * The membership of a fleet by gossip, without I/O: who is there, at which address, in
- * which incarnation. Probes go to one random member a second, through others when it
- * does not answer; news travels on probes and answers; digests repair what got lost.
- * No wall clock, and no clock of another node, is ever compared.
+ * which incarnation. Probes go to one random member a second, mostly of the own data
+ * hall, through others when it does not answer; news travels on probes and answers;
+ * digests repair what got lost. No wall clock, and no clock of another node, is ever
+ * compared.
  */
 #ifndef CORE_MEMBERS_H
 #define CORE_MEMBERS_H
@@ -28,10 +29,34 @@
   guint64 incarnation; /* random, new with each start */
   guint32 epoch;       /* raised by the member alone, to overrule what is said of it */
   MemberStatus status;
-  guint32 serial;  /* of the payload, within one epoch */
-  GBytes *payload; /* the member's own words, may be NULL */
+  guint32 serial;         /* of payload and state, within one epoch */
+  guint32 payload_serial; /* the serial that the payload came with */
+  GBytes *payload;        /* the member's own words that seldom change; may be NULL */
+  GBytes *state;          /* and those that change all the time; may be NULL */
 } Member;
 
+/*
+ * What is new of a member whose name, addresses and payload the reader knows already. The
+ * whole of a member takes some 170 bytes, and targets fall sick and recover every second.
+ */
+typedef struct
+{
+  guint32 id;          /* members_id of its name */
+  guint32 incarnation; /* the low half: tells starts and names that share an id apart */
+  guint32 epoch;
+  MemberStatus status;
+  guint32 serial;
+  guint32 payload_serial;
+  GBytes *state; /* borrowed; may be NULL */
+} MemberBrief;
+
+/* One piece of news on a message. */
+typedef struct
+{
+  const Member *member;
+  gboolean brief; /* a brief will do */
+} MemberNews;
+
 typedef struct Members Members;
 
 /* Time spans of the protocol. */
@@ -82,18 +107,26 @@
 /* An answer to the probe of that number has come, directly or through another. */
 void members_answered (Members *members, guint sequence);
 
-/* Takes in what another says of a member. */
-void members_merge (Members *members, const Member *rumour);
+/* Takes in what another says of a member. TRUE when it was news. */
+gboolean members_merge (Members *members, const Member *rumour);
+
+/* Likewise of a brief; one about an unknown member, or one with another payload than the
+   one that is held, is passed over: digests mend what it would have said. */
+gboolean members_merge_brief (Members *members, const MemberBrief *brief);
+
+/* A brief about a member. */
+MemberBrief members_brief (const Member *member);
 
 /*
  * News to put on a message to `to` (may be NULL), at most `max_bytes` by the estimate
- * of members_weight; borrowed until the next call on `members`. The sender itself
- * comes first, and what is known of `to` where it differs from `to`'s own words.
+ * of members_weight; an array of MemberNews, borrowed until the next call on `members`.
+ * The sender itself comes first, and what is known of `to` where it differs from `to`'s
+ * own words.
  */
-GPtrArray *members_news (Members *members, const char *to, gsize max_bytes);
+const GArray *members_news (Members *members, const char *to, gsize max_bytes);
 
-/* About how many bytes a rumour takes on the wire. */
-gsize members_weight (const Member *member);
+/* About how many bytes a piece of news takes on the wire. */
+gsize members_weight (const MemberNews *news);
 
 /* Digests of the view: of all of it, and by bucket. Equal views have equal digests. */
 guint64 members_digest (const Members *members);
@@ -111,8 +144,11 @@
 /* Whether any member that is not known dead was heard of besides self. */
 gboolean members_is_alive (const Member *member);
 
-/* Replaces self's payload; it is spread when it differs. */
-void members_set_payload (Members *members, GBytes *payload);
+/* Whether a member is of the same data hall as self. */
+gboolean members_in_own_hall (const Members *members, const Member *member);
+
+/* Replaces self's payload and state; what differs is spread. */
+void members_set_words (Members *members, GBytes *payload, GBytes *state);
 
 /* Marks self as left; the news goes out with the messages that follow. */
 void members_leave (Members *members);
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -56,6 +56,7 @@
   PlatformKind platform;
   char **peers; /* NULL-terminated addresses of other nodes */
   char *fleet_token;
+  guint64 fleet_seal;   /* a digest of the token, for messages that are to be short */
   GPtrArray *operators; /* of OperatorAccount */
   guint connections_max;
   gsize header_max;
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -194,6 +194,16 @@
   json_view_close (limits);
 }
 
+/* The first half of the token's digest: as hard to guess as a token of 8 bytes. */
+static guint64
+seal_of (const char *token)
+{
+  g_autofree char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, token, -1);
+
+  digest[2 * sizeof (guint64)] = '\0';
+  return g_ascii_strtoull (digest, NULL, 16);
+}
+
 Settings *
 settings_parse (const char *text, gssize len, JsonFaults *faults)
 {
@@ -218,6 +228,7 @@
   read_defaults (settings, view);
   settings->platform_address = g_strdup (names_required_address (view, "platform"));
   settings->fleet_token = read_token (view, "fleet_token");
+  settings->fleet_seal = seal_of (settings->fleet_token);
   settings->log = json_view_choice (view, "log", log_names, LOG_INFO);
   read_peers (settings, view);
   read_operators (settings, view);
--- /dev/null
+++ b/core/src/member/members-news.c
@@ -0,0 +1,140 @@
+#include "members-private.h"
+
+#include <string.h>
+
+/* So many buckets of an asker that has something in them are compared at once. While
+   targets fall sick and recover all views differ all the time: a view of 1,200 members,
+   some 150 KB, every ten seconds would be five times what control may cost; an eighth of
+   it, 2 KB a second at the most, mends what news has missed in a minute or two. */
+#define DIFFERING_MAX 8u
+
+gsize
+members_weight (const MemberNews *news)
+{
+  const Member *member = news->member;
+  gsize payload = member->payload ? g_bytes_get_size (member->payload) : 0;
+  gsize state = member->state ? g_bytes_get_size (member->state) : 0;
+
+  /* Six numbers and a length. */
+  if (news->brief)
+    return 24 + 4 + state;
+  /* Six numbers, one of them long, five lengths, and up to three bytes of padding to each
+     text. */
+  return 28 + 20 + 12 + strlen (member->node) + strlen (member->hall) +
+         strlen (member->address) + payload + state;
+}
+
+MemberBrief
+members_brief (const Member *member)
+{
+  MemberBrief brief = { members_table_id (member->node),
+                        (guint32)member->incarnation,
+                        member->epoch,
+                        member->status,
+                        member->serial,
+                        member->payload_serial,
+                        member->state };
+
+  return brief;
+}
+
+static gboolean
+add_news (GArray *news, MemberRecord *record, gboolean brief, gsize *room)
+{
+  MemberNews item = { &record->member, brief };
+  gsize weight = members_weight (&item);
+
+  if (weight > *room)
+    return FALSE;
+  *room -= weight;
+  g_array_append_val (news, item);
+  return TRUE;
+}
+
+/* Whether self has been introduced to the receiver's present start; notes that it is.
+   What gets lost, others tell, and digests mend. */
+static gboolean
+introduced (MemberRecord *receiver)
+{
+  gboolean before = receiver && receiver->introduced;
+
+  if (receiver)
+    receiver->introduced = TRUE;
+  return before;
+}
+
+static void
+count_send (MemberRecord *record)
+{
+  record->sends_left -= MIN (record->sends_left, 1);
+  record->full_left -= MIN (record->full_left, 1);
+}
+
+const GArray *
+members_news (Members *members, const char *to, gsize max_bytes)
+{
+  GArray *news = members->news;
+  MemberRecord *receiver = to ? members_table_find (members->table, to) : NULL;
+  g_autoptr (GPtrArray) fresh = g_ptr_array_new ();
+  gsize room = max_bytes;
+
+  g_array_set_size (news, 0);
+  add_news (news, members->self, introduced (receiver) && members->self->full_left == 0,
+            &room);
+  count_send (members->self);
+  /* A member that is held suspect, dead or another must hear of it, to overrule it. */
+  if (receiver && receiver != members->self &&
+      (receiver->member.status != MEMBER_ALIVE || receiver->contested))
+    add_news (news, receiver, FALSE, &room);
+  members_table_fresh (members->table, fresh);
+  for (guint i = 0; i < fresh->len; i++)
+    {
+      MemberRecord *record = g_ptr_array_index (fresh, i);
+
+      if (record == members->self || record == receiver)
+        continue;
+      if (!add_news (news, record, record->full_left == 0, &room))
+        break;
+      count_send (record);
+    }
+  return news;
+}
+
+guint64
+members_digest (const Members *members)
+{
+  guint64 buckets[MEMBERS_BUCKETS];
+  guint64 all = 0;
+
+  members_buckets (members, buckets);
+  for (guint i = 0; i < MEMBERS_BUCKETS; i++)
+    all ^= buckets[i];
+  return all;
+}
+
+void
+members_buckets (const Members *members, guint64 buckets[MEMBERS_BUCKETS])
+{
+  members_table_buckets (members->table, buckets);
+}
+
+GPtrArray *
+members_differing (Members *members, const guint64 buckets[MEMBERS_BUCKETS])
+{
+  guint64 own[MEMBERS_BUCKETS];
+  guint first = (guint)g_rand_int_range (members->rand, 0, MEMBERS_BUCKETS);
+  guint differing = 0;
+
+  g_ptr_array_set_size (members->borrowed, 0);
+  members_buckets (members, own);
+  for (guint n = 0; n < MEMBERS_BUCKETS; n++)
+    {
+      guint i = (first + n) % MEMBERS_BUCKETS;
+
+      if (own[i] == buckets[i] || own[i] == 0)
+        continue;
+      if (buckets[i] == 0 || differing++ < DIFFERING_MAX)
+        members_table_bucket (members->table, i, members->borrowed);
+    }
+  return members->borrowed;
+}
--- a/core/src/member/table.c
+++ b/core/src/member/table.c
@@ -5,6 +5,7 @@
 struct MembersTable
 {
   GHashTable *records; /* node → MemberRecord */
+  GHashTable *by_id;   /* id → MemberRecord: of those that share one, the last put */
   guint64 buckets[MEMBERS_BUCKETS];
 };
 
@@ -15,6 +16,7 @@
   g_free ((char *)member->hall);
   g_free ((char *)member->address);
   g_clear_pointer (&member->payload, g_bytes_unref);
+  g_clear_pointer (&member->state, g_bytes_unref);
 }
 
 static void
@@ -34,6 +36,7 @@
   to->hall = g_strdup (from->hall);
   to->address = g_strdup (from->address);
   to->payload = from->payload ? g_bytes_ref (from->payload) : NULL;
+  to->state = from->state ? g_bytes_ref (from->state) : NULL;
 }
 
 MembersTable *
@@ -42,12 +45,14 @@
   MembersTable *table = g_new0 (MembersTable, 1);
 
   table->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, record_free);
+  table->by_id = g_hash_table_new (NULL, NULL);
   return table;
 }
 
 void
 members_table_destroy (MembersTable *table)
 {
+  g_hash_table_unref (table->by_id);
   g_hash_table_unref (table->records);
   g_free (table);
 }
@@ -58,6 +63,22 @@
   return node ? g_hash_table_lookup (table->records, node) : NULL;
 }
 
+guint32
+members_table_id (const char *node)
+{
+  return g_str_hash (node);
+}
+
+MemberRecord *
+members_table_of (const MembersTable *table, const MemberBrief *brief)
+{
+  MemberRecord *record = g_hash_table_lookup (table->by_id, GUINT_TO_POINTER (brief->id));
+
+  if (!record || (guint32)record->member.incarnation != brief->incarnation)
+    return NULL;
+  return record;
+}
+
 /* The finalizer of MurmurHash3 (public domain): spreads each bit over all of them. */
 static guint64
 mix (guint64 x)
@@ -100,6 +121,8 @@
   record->hash = hash_of (&record->member);
   table->buckets[record->bucket] ^= record->hash;
   g_hash_table_insert (table->records, (char *)record->member.node, record);
+  g_hash_table_insert (table->by_id,
+                       GUINT_TO_POINTER (members_table_id (record->member.node)), record);
   return record;
 }
 
@@ -115,13 +138,18 @@
   g_free ((char *)old.hall);
   g_free ((char *)old.address);
   g_clear_pointer (&old.payload, g_bytes_unref);
+  g_clear_pointer (&old.state, g_bytes_unref);
   members_table_rehash (table, record);
 }
 
 void
 members_table_remove (MembersTable *table, MemberRecord *record)
 {
+  guint32 id = members_table_id (record->member.node);
+
   table->buckets[record->bucket] ^= record->hash;
+  if (g_hash_table_lookup (table->by_id, GUINT_TO_POINTER (id)) == record)
+    g_hash_table_remove (table->by_id, GUINT_TO_POINTER (id));
   g_hash_table_remove (table->records, record->member.node);
 }
 
--- a/core/src/member/table.h
+++ b/core/src/member/table.h
@@ -11,9 +11,11 @@
   Member member; /* its texts and payload are owned here */
   gint64 status_since_us;
   guint sends_left; /* how often this news is still to be sent */
+  guint full_left;  /* and how often in full */
   guint64 hash;     /* its share of its bucket's digest */
   guint bucket;
-  gboolean contested; /* somebody speaks for another incarnation: the member must hear */
+  gboolean contested;  /* somebody speaks for another incarnation: the member must hear */
+  gboolean introduced; /* self has been told to it in full */
 } MemberRecord;
 
 typedef struct MembersTable MembersTable;
@@ -22,6 +24,8 @@
 void members_table_destroy (MembersTable *table);
 
 MemberRecord *members_table_find (const MembersTable *table, const char *node);
+/* The record that a brief is about, or NULL. */
+MemberRecord *members_table_of (const MembersTable *table, const MemberBrief *brief);
 MemberRecord *members_table_put (MembersTable *table, const Member *member);
 void
 members_table_update (MembersTable *table, MemberRecord *record, const Member *member);
@@ -29,6 +33,9 @@
 /* To be called after a record's epoch, status or serial was changed in place. */
 void members_table_rehash (MembersTable *table, MemberRecord *record);
 
+/* What members are called in briefs. */
+guint32 members_table_id (const char *node);
+
 /* Appends copies of all names. */
 void members_table_names (const MembersTable *table, GPtrArray *names);
 /* Appends the borrowed addresses of the dead. */
--- /dev/null
+++ b/daemon/src/member/gossip-private.h
@@ -0,0 +1,38 @@
+/*
+ * What the files of gossip share: gossip.c its datagrams, gossip-news.c what rumours say
+ * and what they bring about, gossip-repair.c the comparison of views.
+ */
+#ifndef DAEMON_GOSSIP_PRIVATE_H
+#define DAEMON_GOSSIP_PRIVATE_H
+
+#include <io/datagram.h>
+
+#include "gossip.h"
+
+struct Gossip
+{
+  Node *node;
+  Datagram *datagram;
+  LoopTimer *timer;
+  LoopTimer *retell;  /* news from another hall is told on in this one */
+  GHashTable *relays; /* xid → Relay */
+  guint32 relay_sequence;
+  guint mismatches;     /* digests of this hall's nodes in a row that differed */
+  guint mismatches_far; /* and of other halls' */
+  gint64 repaired_us;
+};
+
+/* Puts this node's news for `to` (NULL for nobody known) on a message. */
+void gossip_put_news (Node *node, const char *to, sw_gossip *message);
+void gossip_drop_news (sw_gossip *message);
+
+/* Takes a message's news in; TRUE when there was any. */
+gboolean gossip_take_news (Node *node, const sw_gossip *message);
+
+/* What the membership tells of a change of `member`; `data` is the node. */
+void gossip_on_changed (const Member *member, gpointer data);
+
+/* Compares the views bucket by bucket with a member whose digest keeps differing. */
+void gossip_repair (Gossip *gossip, const char *from, guint64 digest);
+
+#endif
--- /dev/null
+++ b/daemon/src/member/gossip-repair.c
@@ -0,0 +1,96 @@
+#include "gossip-private.h"
+
+#include "peers.h"
+
+/* Views are compared in full no more often than this: with nodes of the own hall, and
+   with others, whose bytes are dear and whom a hall of its own hears through others. */
+#define REPAIR_EVERY_US (10 * SECOND_US)
+#define REPAIR_FAR_EVERY_US (30 * SECOND_US)
+#define REPAIR_TIMEOUT_US (5 * SECOND_US)
+/* A digest that differs once may only be news on its way. */
+#define MISMATCHES_TO_REPAIR 3u
+
+/* A comparison of views that waits for its session. */
+typedef struct
+{
+  Gossip *gossip;
+  char *vm;
+} Repair;
+
+static const RpcProcedure view = { SW_VIEW, (xdrproc_t)xdr_sw_view_args,
+                                   (xdrproc_t)xdr_sw_view_res, sizeof (sw_view_res) };
+
+static void
+on_view (RpcOutcome outcome, void *result, gpointer data)
+{
+  Gossip *gossip = data;
+  sw_view_res *res = result;
+
+  if (outcome != RPC_OK)
+    return;
+  for (guint i = 0; i < res->rumours.rumours_len; i++)
+    gossip_merge_rumour (gossip->node, &res->rumours.rumours_val[i]);
+}
+
+/* Compares the views with a node that a session has been opened with. */
+static void
+ask_view (const PeerStamp *stamp, gpointer data)
+{
+  Repair *repair = data;
+  Node *node = repair->gossip->node;
+  guint64 buckets[MEMBERS_BUCKETS];
+  sw_view_args args = { 0 };
+
+  if (stamp)
+    {
+      members_buckets (node->members, buckets);
+      args.buckets.buckets_val = buckets;
+      args.buckets.buckets_len = MEMBERS_BUCKETS;
+      peers_call (node->peers, repair->vm, &view, &args, REPAIR_TIMEOUT_US, on_view,
+                  repair->gossip);
+    }
+  g_free (repair->vm);
+  g_free (repair);
+}
+
+void
+gossip_repair (Gossip *gossip, const char *from, guint64 digest)
+{
+  Node *node = gossip->node;
+  gint64 now = clock_now (node->clock);
+  gboolean near = peers_in_own_hall (node, from);
+  guint *mismatches = near ? &gossip->mismatches : &gossip->mismatches_far;
+  Repair *repair;
+
+  if (digest == members_digest (node->members))
+    {
+      *mismatches = 0;
+      return;
+    }
+  if (++*mismatches < MISMATCHES_TO_REPAIR ||
+      now - gossip->repaired_us < (near ? REPAIR_EVERY_US : REPAIR_FAR_EVERY_US))
+    return;
+  *mismatches = 0;
+  gossip->repaired_us = now;
+  repair = g_new0 (Repair, 1);
+  repair->gossip = gossip;
+  repair->vm = g_strdup (from);
+  peers_open (node->peers, from, REPAIR_TIMEOUT_US, ask_view, repair);
+}
+
+void
+gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res)
+{
+  guint64 buckets[MEMBERS_BUCKETS] = { 0 };
+  GPtrArray *members;
+  guint count;
+
+  for (guint i = 0; i < MIN (args->buckets.buckets_len, MEMBERS_BUCKETS); i++)
+    buckets[i] = args->buckets.buckets_val[i];
+  members = members_differing (node->members, buckets);
+  count = MIN (members->len, SW_MEMBERS_MAX);
+  res->rumours.rumours_val = g_new0 (sw_rumour, count + 1);
+  res->rumours.rumours_len = count;
+  for (guint i = 0; i < count; i++)
+    gossip_fill_rumour (g_ptr_array_index (members, i), &res->rumours.rumours_val[i]);
+}
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -1,26 +1,19 @@
-#include "gossip.h"
+#include "gossip-private.h"
 
 #include <string.h>
 
-#include <io/datagram.h>
-#include <wire/convert.h>
-
 #include "config-sync.h"
-#include "log.h"
 #include "peers.h"
 
-/* Two messages a second each way, both full of news, stay under 3 KB/s for control. */
-#define NEWS_BYTES_MAX 550u
-#define PUSH_FANOUT 4u
+/* News of this node is told to so many of its hall at once, and to one of so many other
+   halls, where it is told on to as many. */
+#define NEAR_FANOUT 3u
+#define FAR_FANOUT 3u
+/* News of several changes that comes from other halls at once is told on once. */
+#define RETELL_US (10 * MS_US)
 /* Numbers of probes made for others; the membership's own are below. */
 #define RELAY_SEQUENCES 0x80000000u
 #define RELAY_LIFE_US (2 * SECOND_US)
-/* Views are compared in full no more often than this. */
-#define REPAIR_EVERY_US (10 * SECOND_US)
-#define REPAIR_TIMEOUT_US (5 * SECOND_US)
-/* A digest that differs once may only be news on its way. */
-#define MISMATCHES_TO_REPAIR 3u
-
 /* A probe carried for another node. */
 typedef struct
 {
@@ -29,27 +22,6 @@
   gint64 until_us;
 } Relay;
 
-/* A comparison of views that waits for its session. */
-typedef struct
-{
-  Gossip *gossip;
-  char *vm;
-} Repair;
-
-struct Gossip
-{
-  Node *node;
-  Datagram *datagram;
-  LoopTimer *timer;
-  GHashTable *relays; /* xid → Relay */
-  guint32 relay_sequence;
-  guint mismatches;
-  gint64 repaired_us;
-};
-
-static const RpcProcedure view = { SW_VIEW, (xdrproc_t)xdr_sw_view_args,
-                                   (xdrproc_t)xdr_sw_view_res, sizeof (sw_view_res) };
-
 static void
 relay_free (gpointer data)
 {
@@ -59,65 +31,19 @@
   g_free (relay);
 }
 
-void
-gossip_fill_rumour (const Member *member, sw_rumour *rumour)
-{
-  gsize len = 0;
-
-  memset (rumour, 0, sizeof *rumour);
-  rumour->node = (char *)member->node;
-  rumour->hall = (char *)member->hall;
-  rumour->address = (char *)member->address;
-  rumour->incarnation = member->incarnation;
-  rumour->epoch = member->epoch;
-  rumour->status = member->status;
-  rumour->serial = member->serial;
-  if (!member->payload)
-    return;
-  rumour->payload.payload_val = (char *)g_bytes_get_data (member->payload, &len);
-  rumour->payload.payload_len = (u_int)len;
-}
-
-void
-gossip_merge_rumour (Node *node, const sw_rumour *rumour)
-{
-  g_autoptr (GBytes) payload = NULL;
-  Member member = {
-    .node = rumour->node,
-    .hall = rumour->hall,
-    .address = rumour->address,
-    .incarnation = rumour->incarnation,
-    .epoch = rumour->epoch,
-    .status = rumour->status,
-    .serial = rumour->serial,
-  };
-
-  if (rumour->status > MEMBER_LEFT || !*rumour->node)
-    return;
-  if (rumour->payload.payload_len)
-    payload = g_bytes_new (rumour->payload.payload_val, rumour->payload.payload_len);
-  member.payload = payload;
-  members_merge (node->members, &member);
-}
-
-/* Messages with this node's news on them; the rumours' array is the caller's to free. */
+/* A message with this node's news on it, which gossip_drop_news drops. */
 static void
 fill_gossip (Gossip *gossip, const char *to, sw_gossip *message)
 {
   Node *node = gossip->node;
-  GPtrArray *news = members_news (node->members, to, NEWS_BYTES_MAX);
-  guint count = MIN (news->len, SW_RUMOURS_MAX);
 
-  message->token = node->settings->fleet_token;
+  message->seal = node->settings->fleet_seal;
   message->from = node->settings->node;
   message->generation = snapshot_generation (config_sync_snapshot (node->config));
   message->digest = members_digest (node->members);
   if (!message->subject)
     message->subject = "";
-  message->rumours.rumours_val = g_new0 (sw_rumour, count + 1);
-  message->rumours.rumours_len = count;
-  for (guint i = 0; i < count; i++)
-    gossip_fill_rumour (g_ptr_array_index (news, i), &message->rumours.rumours_val[i]);
+  gossip_put_news (node, to, message);
 }
 
 /* Counts a message's bytes: its news, and the rest. */
@@ -130,6 +56,8 @@
 
   for (guint i = 0; i < message->rumours.rumours_len; i++)
     news += xdr_sizeof ((xdrproc_t)xdr_sw_rumour, &message->rumours.rumours_val[i]);
+  for (guint i = 0; i < message->briefs.briefs_len; i++)
+    news += xdr_sizeof ((xdrproc_t)xdr_sw_brief, &message->briefs.briefs_val[i]);
   traffic_add (node->traffic, TRAFFIC_RUMOURS, own_hall, news);
   traffic_add (node->traffic, TRAFFIC_PROBES, own_hall, bytes - news);
 }
@@ -152,7 +80,7 @@
       datagram_send (gossip->datagram, address, bytes);
       count_sent (gossip, to, &message, bytes->len);
     }
-  g_free (message.rumours.rumours_val);
+  gossip_drop_news (&message);
 }
 
 static void
@@ -168,75 +96,19 @@
       datagram_send (gossip->datagram, address, bytes);
       count_sent (gossip, to, &message, bytes->len);
     }
-  g_free (message.rumours.rumours_val);
-}
-
-static void
-on_view (RpcOutcome outcome, void *result, gpointer data)
-{
-  Gossip *gossip = data;
-  sw_view_res *res = result;
-
-  if (outcome != RPC_OK)
-    return;
-  for (guint i = 0; i < res->rumours.rumours_len; i++)
-    gossip_merge_rumour (gossip->node, &res->rumours.rumours_val[i]);
-}
-
-/* Compares the views with a node that a session has been opened with. */
-static void
-ask_view (const PeerStamp *stamp, gpointer data)
-{
-  Repair *repair = data;
-  Node *node = repair->gossip->node;
-  guint64 buckets[MEMBERS_BUCKETS];
-  sw_view_args args = { 0 };
-
-  if (stamp)
-    {
-      members_buckets (node->members, buckets);
-      args.buckets.buckets_val = buckets;
-      args.buckets.buckets_len = MEMBERS_BUCKETS;
-      peers_call (node->peers, repair->vm, &view, &args, REPAIR_TIMEOUT_US, on_view,
-                  repair->gossip);
-    }
-  g_free (repair->vm);
-  g_free (repair);
-}
-
-/* Compares the views bucket by bucket with a member whose digest keeps differing. */
-static void
-repair_view (Gossip *gossip, const char *from, guint64 digest)
-{
-  Node *node = gossip->node;
-  gint64 now = clock_now (node->clock);
-  Repair *repair;
-
-  if (digest == members_digest (node->members))
-    {
-      gossip->mismatches = 0;
-      return;
-    }
-  if (++gossip->mismatches < MISMATCHES_TO_REPAIR ||
-      now - gossip->repaired_us < REPAIR_EVERY_US)
-    return;
-  gossip->mismatches = 0;
-  gossip->repaired_us = now;
-  repair = g_new0 (Repair, 1);
-  repair->gossip = gossip;
-  repair->vm = g_strdup (from);
-  peers_open (node->peers, from, REPAIR_TIMEOUT_US, ask_view, repair);
+  gossip_drop_news (&message);
 }
 
 static void
 take_message (Gossip *gossip, const sw_gossip *message)
 {
   Node *node = gossip->node;
+  gboolean any = gossip_take_news (node, message);
 
-  for (guint i = 0; i < message->rumours.rumours_len; i++)
-    gossip_merge_rumour (node, &message->rumours.rumours_val[i]);
+  if (any && !peers_in_own_hall (node, message->from))
+    loop_timer_start (gossip->retell, RETELL_US);
   config_sync_note_generation (node->config, message->from, message->generation);
-  repair_view (gossip, message->from, message->digest);
+  gossip_repair (gossip, message->from, message->digest);
 }
 
 static void
@@ -266,7 +138,7 @@
 
   xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
   if (wire_call_decode (&xdr, &call) && xdr_sw_gossip (&xdr, &message) &&
-      settings_secret_equal (message.token, gossip->node->settings->fleet_token))
+      message.seal == gossip->node->settings->fleet_seal)
     {
       take_message (gossip, &message);
       if (call.procedure == SW_PROBE_VIA)
@@ -286,7 +158,7 @@
 
   if (wire_reply_decode (data, len, (xdrproc_t)xdr_sw_gossip, &message) ==
           WIRE_REPLY_OK &&
-      settings_secret_equal (message.token, gossip->node->settings->fleet_token))
+      message.seal == gossip->node->settings->fleet_seal)
     {
       take_message (gossip, &message);
       relay = g_hash_table_lookup (gossip->relays, GUINT_TO_POINTER (xid));
@@ -351,57 +223,57 @@
                     members_next_tick_us (node->members) - clock_now (node->clock));
 }
 
-/* The target that registered itself at a member; a member that has gone has none. */
-static void
-take_registration (Node *node, const Member *member, const sw_member_payload *payload)
+/* A few live members other than self, in an order at random: up to `near` of this hall,
+   and one of each of up to `far` others. */
+static GPtrArray *
+some_members (const Gossip *gossip, guint near, guint far)
 {
-  const sw_registration *words = payload->registrations.registrations_val;
-  Registration registration = { .address = "" };
+  Node *node = gossip->node;
+  g_autoptr (GPtrArray) all = g_ptr_array_copy (members_all (node->members), NULL, NULL);
+  g_autoptr (GHashTable) halls = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *some = g_ptr_array_new ();
 
-  if (!members_is_alive (member) || payload->registrations.registrations_len == 0)
+  while (all->len > 0 && (near > 0 || far > 0))
     {
-      config_sync_set_registration (node->config, member->node, member->hall, NULL);
-      return;
+      guint i = (guint)g_rand_int_range (node->rand, 0, (gint32)all->len);
+      const Member *member = g_ptr_array_steal_index_fast (all, i);
+      gboolean own = members_in_own_hall (node->members, member);
+      guint *left = own ? &near : &far;
+
+      if (*left == 0 || member == members_self (node->members) ||
+          !members_is_alive (member) ||
+          (!own && !g_hash_table_add (halls, (char *)member->hall)))
+        continue;
+      (*left)--;
+      g_ptr_array_add (some, (gpointer)member);
     }
-  registration.name = words->target;
-  registration.service = words->service;
-  registration.slots = words->slots;
-  registration.leaving = words->leaving;
-  config_sync_set_registration (node->config, member->node, member->hall, &registration);
+  return some;
 }
 
-/* What a member says of its targets; verdicts that it leaves out are good ones. */
 static void
-take_payload (Node *node, const Member *member)
+tell (Gossip *gossip, guint near, guint far)
 {
-  sw_member_payload payload = { 0 };
+  g_autoptr (GPtrArray) some = some_members (gossip, near, far);
 
-  if (member->payload &&
-      !wire_unpack ((xdrproc_t)xdr_sw_member_payload, member->payload, &payload))
-    return;
-  for (guint i = 0; i < payload.verdicts.verdicts_len; i++)
+  for (guint i = 0; i < some->len; i++)
     {
-      const sw_verdict *said = &payload.verdicts.verdicts_val[i];
-      TargetVerdict verdict = { member->incarnation, said->serial, said->severity,
-                                said->draining, said->shedding };
+      const Member *member = g_ptr_array_index (some, i);
 
-      balancer_note_verdict (node->balancer, said->target, &verdict);
+      send_call (gossip, member->address, member->node, SW_NEWS, NULL,
+                 RELAY_SEQUENCES | ++gossip->relay_sequence);
     }
-  take_registration (node, member, &payload);
-  xdr_free ((xdrproc_t)xdr_sw_member_payload, (char *)&payload);
+}
+
+void
+gossip_push (Gossip *gossip)
+{
+  tell (gossip, NEAR_FANOUT, FAR_FANOUT);
 }
 
 static void
-on_changed (const Member *member, gpointer data)
+on_retell (gpointer data)
 {
-  Node *node = data;
-  static const char *const names[] = { "alive", "suspect", "dead", "left" };
-
-  balancer_set_member (node->balancer, member->node, member->incarnation,
-                       members_is_alive (member));
-  take_payload (node, member);
-  log_event (G_LOG_LEVEL_DEBUG, "member", "SUBJECT", member->node, "DETAIL",
-             names[member->status], NULL);
+  tell (data, NEAR_FANOUT, 0);
 }
 
 Gossip *
@@ -419,7 +291,8 @@
     }
   gossip->relays = g_hash_table_new_full (NULL, NULL, NULL, relay_free);
   gossip->timer = loop_timer_create (node->loop, on_timer, gossip);
-  members_set_changed (node->members, on_changed, node);
+  gossip->retell = loop_timer_create (node->loop, on_retell, gossip);
+  members_set_changed (node->members, gossip_on_changed, node);
   loop_timer_start (gossip->timer, 0);
   return gossip;
 }
@@ -430,32 +303,12 @@
   if (!gossip)
     return;
   loop_timer_destroy (gossip->timer);
+  loop_timer_destroy (gossip->retell);
   datagram_destroy (gossip->datagram);
   g_hash_table_unref (gossip->relays);
   g_free (gossip);
 }
 
-void
-gossip_push (Gossip *gossip)
-{
-  Node *node = gossip->node;
-  g_autoptr (GPtrArray) all = g_ptr_array_copy (members_all (node->members), NULL, NULL);
-  guint sent = 0;
-
-  for (guint tries = 0; tries < 4 * PUSH_FANOUT && all->len > 1 && sent < PUSH_FANOUT;
-       tries++)
-    {
-      const Member *member = g_ptr_array_index (
-          all, (guint)g_rand_int_range (node->rand, 0, (gint32)all->len));
-
-      if (member == members_self (node->members) || !members_is_alive (member))
-        continue;
-      send_call (gossip, member->address, member->node, SW_PROBE, NULL,
-                 RELAY_SEQUENCES | ++gossip->relay_sequence);
-      sent++;
-    }
-}
-
 void
 gossip_join (Gossip *gossip, const char *const *addresses)
 {
@@ -463,20 +316,3 @@
     send_call (gossip, addresses[i], NULL, SW_PROBE, NULL,
                RELAY_SEQUENCES | ++gossip->relay_sequence);
 }
-
-void
-gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res)
-{
-  guint64 buckets[MEMBERS_BUCKETS] = { 0 };
-  GPtrArray *members;
-  guint count;
-
-  for (guint i = 0; i < MIN (args->buckets.buckets_len, MEMBERS_BUCKETS); i++)
-    buckets[i] = args->buckets.buckets_val[i];
-  members = members_differing (node->members, buckets);
-  count = MIN (members->len, SW_MEMBERS_MAX);
-  res->rumours.rumours_val = g_new0 (sw_rumour, count + 1);
-  res->rumours.rumours_len = count;
-  for (guint i = 0; i < count; i++)
-    gossip_fill_rumour (g_ptr_array_index (members, i), &res->rumours.rumours_val[i]);
-}
--- a/daemon/src/member/gossip.h
+++ b/daemon/src/member/gossip.h
@@ -16,10 +16,10 @@
 /* A member as a rumour whose texts are borrowed from it. */
 void gossip_fill_rumour (const Member *member, sw_rumour *rumour);
 
-/* Takes a rumour in. */
-void gossip_merge_rumour (Node *node, const sw_rumour *rumour);
+/* Takes a rumour in; TRUE when it was news. */
+gboolean gossip_merge_rumour (Node *node, const sw_rumour *rumour);
 
-/* Tells a few members at once, rather than with the next probe. */
+/* Tells a few members of each hall at once, rather than with the next probe. */
 void gossip_push (Gossip *gossip);
 
 /* Makes itself known at each of the addresses (NULL-terminated). */
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -27,7 +27,6 @@
   guint told_severity; /* as last published */
   gboolean told_leaving;
   gboolean told_shedding;
-  gboolean told;    /* it has been published at all */
   gboolean present; /* named by the configuration in force */
 } SidecarTarget;
 
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -25,16 +25,12 @@
   target->told_shedding = shedding;
   target->told_severity = severity;
   target->told_leaving = leaving;
-  target->told = TRUE;
 }
 
-void
-verdicts_publish (Node *node, GHashTable *targets, gboolean draining)
+/* Notes what has changed since the last time; FALSE when nothing has. */
+static gboolean
+note_changes (Node *node, GHashTable *targets, gboolean draining)
 {
-  g_autofree sw_verdict *list = NULL;
-  sw_registration registration = { 0 };
-  sw_member_payload words = { 0 };
-  g_autoptr (GBytes) payload = NULL;
   gboolean changed = registry_take_news (node->registry);
   GHashTableIter iter;
   gpointer value;
@@ -52,25 +48,57 @@
       note_verdict (node, target, leaving);
       changed = TRUE;
     }
-  if (!changed)
+  return changed;
+}
+
+static sw_verdict
+verdict_on (SidecarTarget *target)
+{
+  sw_verdict verdict = { ++target->serial, target->told_severity, 0 };
+
+  if (target->told_leaving)
+    verdict.flags |= SW_VERDICT_DRAINING;
+  if (target->told_shedding)
+    verdict.flags |= SW_VERDICT_SHEDDING;
+  return verdict;
+}
+
+void
+verdicts_publish (Node *node, GHashTable *targets, gboolean draining)
+{
+  g_autofree sw_target_name *names = NULL;
+  g_autofree sw_verdict *verdicts = NULL;
+  sw_registration registration = { 0 };
+  sw_member_payload payload_words = { 0 };
+  sw_member_state state_words = { 0 };
+  g_autoptr (GBytes) payload = NULL;
+  g_autoptr (GBytes) state = NULL;
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+
+  if (!note_changes (node, targets, draining))
     return;
-  list = g_new0 (sw_verdict, SW_VERDICTS_MAX);
-  words.verdicts.verdicts_val = list;
-  words.registrations.registrations_val = &registration;
-  words.registrations.registrations_len = registry_fill (node->registry, &registration);
+  names = g_new0 (sw_target_name, SW_VERDICTS_MAX);
+  verdicts = g_new0 (sw_verdict, SW_VERDICTS_MAX);
   g_hash_table_iter_init (&iter, targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value) &&
-         words.verdicts.verdicts_len < SW_VERDICTS_MAX)
+  while (g_hash_table_iter_next (&iter, NULL, &value) && count < SW_VERDICTS_MAX)
     {
       SidecarTarget *target = value;
 
-      if (target->told)
-        list[words.verdicts.verdicts_len++] =
-            (sw_verdict){ target->name, ++target->serial, target->told_severity,
-                          target->told_leaving, target->told_shedding };
+      names[count] = target->name;
+      verdicts[count++] = verdict_on (target);
     }
-  payload = wire_pack ((xdrproc_t)xdr_sw_member_payload, &words);
-  members_set_payload (node->members, payload);
+  payload_words.targets.targets_val = names;
+  payload_words.targets.targets_len = count;
+  payload_words.registrations.registrations_val = &registration;
+  payload_words.registrations.registrations_len =
+      registry_fill (node->registry, &registration);
+  state_words.verdicts.verdicts_val = verdicts;
+  state_words.verdicts.verdicts_len = count;
+  payload = wire_pack ((xdrproc_t)xdr_sw_member_payload, &payload_words);
+  state = wire_pack ((xdrproc_t)xdr_sw_member_state, &state_words);
+  members_set_words (node->members, payload, state);
   gossip_push (node->gossip);
 }
 
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -22,6 +22,7 @@
 #define SW_VERDICTS_MAX 64
 #define SW_REGISTRATIONS_MAX 1
 #define SW_PAYLOAD_MAX 2048
+#define SW_STATE_MAX 1024
 #define SW_BUCKETS 64
 #define SW_MEMBERS_MAX 4096
 
@@ -62,13 +63,15 @@
 typedef struct sw_stamp sw_stamp;
 
 struct sw_verdict {
-	char *target;
 	u_int serial;
 	u_int severity;
-	bool_t draining;
-	bool_t shedding;
+	u_int flags;
 };
 typedef struct sw_verdict sw_verdict;
+#define SW_VERDICT_DRAINING 1
+#define SW_VERDICT_SHEDDING 2
+
+typedef char *sw_target_name;
 
 struct sw_registration {
 	char *target;
@@ -80,9 +83,9 @@
 
 struct sw_member_payload {
 	struct {
-		u_int verdicts_len;
-		sw_verdict *verdicts_val;
-	} verdicts;
+		u_int targets_len;
+		sw_target_name *targets_val;
+	} targets;
 	struct {
 		u_int registrations_len;
 		sw_registration *registrations_val;
@@ -90,6 +93,14 @@
 };
 typedef struct sw_member_payload sw_member_payload;
 
+struct sw_member_state {
+	struct {
+		u_int verdicts_len;
+		sw_verdict *verdicts_val;
+	} verdicts;
+};
+typedef struct sw_member_state sw_member_state;
+
 struct sw_rumour {
 	char *node;
 	char *hall;
@@ -98,13 +109,32 @@
 	u_int epoch;
 	u_int status;
 	u_int serial;
+	u_int payload_serial;
 	struct {
 		u_int payload_len;
 		char *payload_val;
 	} payload;
+	struct {
+		u_int state_len;
+		char *state_val;
+	} state;
 };
 typedef struct sw_rumour sw_rumour;
 
+struct sw_brief {
+	u_int id;
+	u_int incarnation;
+	u_int epoch;
+	u_int status;
+	u_int serial;
+	u_int payload_serial;
+	struct {
+		u_int state_len;
+		char *state_val;
+	} state;
+};
+typedef struct sw_brief sw_brief;
+
 struct sw_hello_args {
 	sw_rumour from;
 	char *token;
@@ -216,7 +246,7 @@
 typedef struct sw_fence_args sw_fence_args;
 
 struct sw_gossip {
-	char *token;
+	u_quad_t seal;
 	char *from;
 	u_quad_t generation;
 	u_quad_t digest;
@@ -225,6 +255,10 @@
 		u_int rumours_len;
 		sw_rumour *rumours_val;
 	} rumours;
+	struct {
+		u_int briefs_len;
+		sw_brief *briefs_val;
+	} briefs;
 };
 typedef struct sw_gossip sw_gossip;
 
@@ -310,6 +344,9 @@
 #define SW_CANCEL 11
 extern  void * sw_cancel_1(sw_cancel_args *, CLIENT *);
 extern  void * sw_cancel_1_svc(sw_cancel_args *, struct svc_req *);
+#define SW_NEWS 12
+extern  void * sw_news_1(sw_gossip *, CLIENT *);
+extern  void * sw_news_1_svc(sw_gossip *, struct svc_req *);
 #define SW_LEAVE 10
 extern  void * sw_leave_1(void *, CLIENT *);
 extern  void * sw_leave_1_svc(void *, struct svc_req *);
@@ -346,6 +383,9 @@
 #define SW_CANCEL 11
 extern  void * sw_cancel_1();
 extern  void * sw_cancel_1_svc();
+#define SW_NEWS 12
+extern  void * sw_news_1();
+extern  void * sw_news_1_svc();
 #define SW_LEAVE 10
 extern  void * sw_leave_1();
 extern  void * sw_leave_1_svc();
@@ -360,9 +400,12 @@
 extern  bool_t xdr_sw_target_state (XDR *, sw_target_state*);
 extern  bool_t xdr_sw_stamp (XDR *, sw_stamp*);
 extern  bool_t xdr_sw_verdict (XDR *, sw_verdict*);
+extern  bool_t xdr_sw_target_name (XDR *, sw_target_name*);
 extern  bool_t xdr_sw_registration (XDR *, sw_registration*);
 extern  bool_t xdr_sw_member_payload (XDR *, sw_member_payload*);
+extern  bool_t xdr_sw_member_state (XDR *, sw_member_state*);
 extern  bool_t xdr_sw_rumour (XDR *, sw_rumour*);
+extern  bool_t xdr_sw_brief (XDR *, sw_brief*);
 extern  bool_t xdr_sw_hello_args (XDR *, sw_hello_args*);
 extern  bool_t xdr_sw_hello_res (XDR *, sw_hello_res*);
 extern  bool_t xdr_sw_submit_args (XDR *, sw_submit_args*);
@@ -385,9 +428,12 @@
 extern bool_t xdr_sw_target_state ();
 extern bool_t xdr_sw_stamp ();
 extern bool_t xdr_sw_verdict ();
+extern bool_t xdr_sw_target_name ();
 extern bool_t xdr_sw_registration ();
 extern bool_t xdr_sw_member_payload ();
+extern bool_t xdr_sw_member_state ();
 extern bool_t xdr_sw_rumour ();
+extern bool_t xdr_sw_brief ();
 extern bool_t xdr_sw_hello_args ();
 extern bool_t xdr_sw_hello_res ();
 extern bool_t xdr_sw_submit_args ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -167,58 +167,21 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->serial))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->severity))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->draining))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->shedding))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->serial);
-			IXDR_PUT_U_LONG(buf, objp->severity);
-			IXDR_PUT_BOOL(buf, objp->draining);
-			IXDR_PUT_BOOL(buf, objp->shedding);
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->serial))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->severity))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->draining))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->shedding))
-				 return FALSE;
-		} else {
-			objp->serial = IXDR_GET_U_LONG(buf);
-			objp->severity = IXDR_GET_U_LONG(buf);
-			objp->draining = IXDR_GET_BOOL(buf);
-			objp->shedding = IXDR_GET_BOOL(buf);
-		}
-	 return TRUE;
-	}
-
-	 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->serial))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->severity))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	 if (!xdr_u_int (xdrs, &objp->flags))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->shedding))
+	return TRUE;
+}
+
+bool_t
+xdr_sw_target_name (XDR *xdrs, sw_target_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, SW_NAME_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -244,8 +207,8 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, SW_VERDICTS_MAX,
-		sizeof (sw_verdict), (xdrproc_t) xdr_sw_verdict))
+	 if (!xdr_array (xdrs, (char **)&objp->targets.targets_val, (u_int *) &objp->targets.targets_len, SW_VERDICTS_MAX,
+		sizeof (sw_target_name), (xdrproc_t) xdr_sw_target_name))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->registrations.registrations_val, (u_int *) &objp->registrations.registrations_len, SW_REGISTRATIONS_MAX,
 		sizeof (sw_registration), (xdrproc_t) xdr_sw_registration))
@@ -253,6 +216,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_member_state (XDR *xdrs, sw_member_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, SW_VERDICTS_MAX,
+		sizeof (sw_verdict), (xdrproc_t) xdr_sw_verdict))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_rumour (XDR *xdrs, sw_rumour *objp)
 {
@@ -268,7 +242,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->epoch))
 				 return FALSE;
@@ -276,14 +250,19 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->payload_serial))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->epoch);
 		IXDR_PUT_U_LONG(buf, objp->status);
 		IXDR_PUT_U_LONG(buf, objp->serial);
+		IXDR_PUT_U_LONG(buf, objp->payload_serial);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, SW_PAYLOAD_MAX))
 			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->node, SW_NAME_MAX))
@@ -294,7 +273,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->epoch))
 				 return FALSE;
@@ -302,14 +281,19 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->payload_serial))
+				 return FALSE;
 
 		} else {
 		objp->epoch = IXDR_GET_U_LONG(buf);
 		objp->status = IXDR_GET_U_LONG(buf);
 		objp->serial = IXDR_GET_U_LONG(buf);
+		objp->payload_serial = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, SW_PAYLOAD_MAX))
 			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -327,8 +311,91 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->serial))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->payload_serial))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, SW_PAYLOAD_MAX))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sw_brief (XDR *xdrs, sw_brief *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->id))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->incarnation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->serial))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->payload_serial))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->id);
+		IXDR_PUT_U_LONG(buf, objp->incarnation);
+		IXDR_PUT_U_LONG(buf, objp->epoch);
+		IXDR_PUT_U_LONG(buf, objp->status);
+		IXDR_PUT_U_LONG(buf, objp->serial);
+		IXDR_PUT_U_LONG(buf, objp->payload_serial);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->id))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->incarnation))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->epoch))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->status))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->serial))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->payload_serial))
+				 return FALSE;
+
+		} else {
+		objp->id = IXDR_GET_U_LONG(buf);
+		objp->incarnation = IXDR_GET_U_LONG(buf);
+		objp->epoch = IXDR_GET_U_LONG(buf);
+		objp->status = IXDR_GET_U_LONG(buf);
+		objp->serial = IXDR_GET_U_LONG(buf);
+		objp->payload_serial = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->serial))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->payload_serial))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->state.state_val, (u_int *) &objp->state.state_len, SW_STATE_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -603,7 +670,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->token, 256))
+	 if (!xdr_u_quad_t (xdrs, &objp->seal))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->from, SW_NAME_MAX))
 		 return FALSE;
@@ -616,6 +683,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rumours.rumours_val, (u_int *) &objp->rumours.rumours_len, SW_RUMOURS_MAX,
 		sizeof (sw_rumour), (xdrproc_t) xdr_sw_rumour))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->briefs.briefs_val, (u_int *) &objp->briefs.briefs_len, SW_RUMOURS_MAX,
+		sizeof (sw_brief), (xdrproc_t) xdr_sw_brief))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -14,6 +14,7 @@
 const SW_VERDICTS_MAX = 64;
 const SW_REGISTRATIONS_MAX = 1;
 const SW_PAYLOAD_MAX = 2048;
+const SW_STATE_MAX = 1024;
 const SW_BUCKETS = 64;
 const SW_MEMBERS_MAX = 4096;
 
@@ -54,13 +55,16 @@
 
 /* What gossip tells of a target that is not, or was not always, simply well. */
 struct sw_verdict {
-  string target<SW_NAME_MAX>;
   unsigned int serial;        /* of the target's state when this was said */
   unsigned int severity;
-  bool draining;
-  bool shedding;
+  unsigned int flags;         /* SW_VERDICT_* */
 };
 
+const SW_VERDICT_DRAINING = 1;
+const SW_VERDICT_SHEDDING = 2;
+
+typedef string sw_target_name<SW_NAME_MAX>;
+
 /* A target that has registered itself at the node beside it. */
 struct sw_registration {
   string target<SW_NAME_MAX>;
@@ -70,14 +74,20 @@
 };
 
 /*
- * The payload of a rumour: verdicts on targets, where those that it leaves out have always
- * been well, and the targets that registered themselves, at most one of them serving.
+ * The payload of a rumour, which seldom changes: the targets that the state's verdicts are
+ * on, in their order, and the targets that registered themselves, at most one of them
+ * serving.
  */
 struct sw_member_payload {
-  sw_verdict verdicts<SW_VERDICTS_MAX>;
+  sw_target_name targets<SW_VERDICTS_MAX>;
   sw_registration registrations<SW_REGISTRATIONS_MAX>;
 };
 
+/* The state of a rumour, which changes as targets fall sick and recover. */
+struct sw_member_state {
+  sw_verdict verdicts<SW_VERDICTS_MAX>;
+};
+
 /*
  * One member as gossip tells it. A higher epoch wins, then a higher status, then a
  * higher serial; only the member itself raises its epoch and its serial.
@@ -90,7 +100,20 @@
   unsigned int epoch;
   unsigned int status;
   unsigned int serial;
+  unsigned int payload_serial;  /* the serial that the payload came with */
   opaque payload<SW_PAYLOAD_MAX>;
+  opaque state<SW_STATE_MAX>;
+};
+
+/* A rumour for those who know the member: its name, addresses and payload left out. */
+struct sw_brief {
+  unsigned int id;              /* a hash of the name */
+  unsigned int incarnation;     /* the low half */
+  unsigned int epoch;
+  unsigned int status;
+  unsigned int serial;
+  unsigned int payload_serial;
+  opaque state<SW_STATE_MAX>;
 };
 
 /* Opens a connection: who calls, as gossip would tell it. */
@@ -183,12 +206,13 @@
 
 /* A probe or its answer, in one datagram. */
 struct sw_gossip {
-  string token<256>;
+  unsigned hyper seal;          /* a digest of the fleet's token */
   string from<SW_NAME_MAX>;
   unsigned hyper generation;    /* of the configuration in force at the sender */
   unsigned hyper digest;        /* of the sender's view of members */
   string subject<SW_NAME_MAX>;  /* for SW_PROBE_VIA: whom to probe */
   sw_rumour rumours<SW_RUMOURS_MAX>;
+  sw_brief briefs<SW_RUMOURS_MAX>;
 };
 
 /* An attempt that nobody waits for any more. */
@@ -236,6 +260,7 @@
     sw_part_res SW_PART (sw_part_args) = 8;
     sw_view_res SW_VIEW (sw_view_args) = 9;
     void SW_CANCEL (sw_cancel_args) = 11;
+    void SW_NEWS (sw_gossip) = 12;  /* not answered */
     void SW_LEAVE (void) = 10;  /* the platform says that the callee's VM leaves */
   } = 1;
 } = 0x20057a11;
