--- a/bench/src/overload.c
+++ b/bench/src/overload.c
@@ -182,9 +182,18 @@
 send_guarded (Sim *sim, Request *request)
 {
   Admission *admission = sim->targets[request->target].admission;
+  RetryKind kind = dispatch_retry_kind (request->dispatch);
+  AdmissionOrder order = { request->priority, request->deadline_us, 0 };
   Request *displaced;
 
-  switch (admission_offer (admission, request, request->priority, request->deadline_us))
+  if (!retry_budget_allows (sim->budget, kind))
+    {
+      refused (sim, request);
+      return;
+    }
+  retry_budget_note (sim->budget, kind);
+
+  switch (admission_offer (admission, request, &order))
     {
     case ADMISSION_START:
       start (sim, request, request->target);
@@ -305,7 +314,7 @@
     schedule (sim, gap, EVENT_ARRIVAL, NULL, 0);
   schedule (sim, DEADLINE_US, EVENT_DEADLINE, request, 0);
   policy.deadline_us = request->deadline_us;
-  request->dispatch = dispatch_create (&policy, sim->budget, sim->rand, sim->clock);
+  request->dispatch = dispatch_create (&policy, sim->rand, sim->clock);
   if (sim->what->guarded)
     carry_out (sim, request, dispatch_begin (request->dispatch));
   else
--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -29,9 +29,17 @@
 /* Whether a request offered now would start at once. */
 gboolean admission_is_free (const Admission *admission);
 
-/* Asks for a slot. `deadline_us` is on the sidecar's clock. */
+/* What a request asks of the admission; times are on the sidecar's clock. */
+typedef struct
+{
+  guint priority; /* 0 first */
+  gint64 deadline_us;
+  gint64 start_by_us; /* it had better be refused than start later; 0 for no such bound */
+} AdmissionOrder;
+
+/* Asks for a slot. */
 AdmissionAnswer
-admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us);
+admission_offer (Admission *admission, gpointer item, const AdmissionOrder *order);
 
 /* An item that made room for one of a higher priority in a full queue, or NULL. */
 gpointer admission_displaced (Admission *admission);
--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -38,27 +38,20 @@
   gboolean shedding;
 } TargetVerdict;
 
-/* How the targets of a service do, for a sidecar to compare its own with. */
-typedef struct
-{
-  guint latency_us;   /* median of the targets' medians; 0 when too few are known */
-  guint failures_ppm; /* likewise */
-} SiblingMedians;
-
 /* Whether a request may be spent on learning whether a sick target is well again. */
 typedef enum
 {
   BALANCER_NO_TRIAL,
-  BALANCER_TRIAL_LATE, /* rarely: there is no retry should it fail */
   BALANCER_TRIAL_DUE
 } BalancerTrial;
 
 /* Which data halls a request had better stay in. */
 typedef enum
 {
-  BALANCER_BY_LOAD,     /* its own, while that is not much more loaded */
-  BALANCER_OWN_FIRST,   /* its own, if any target there is left */
-  BALANCER_OTHERS_FIRST /* another, if any target there is left */
+  BALANCER_BY_LOAD,      /* its own, while that is not much more loaded */
+  BALANCER_OWN_FIRST,    /* its own, if any target there is left */
+  BALANCER_OTHERS_FIRST, /* another, if any target there is left */
+  BALANCER_OWN_BEST      /* its own alone, and there the one with the shortest wait */
 } BalancerHalls;
 
 /* What becomes of targets that turn work away though they have free slots. */
@@ -131,8 +124,9 @@
 void balancer_begin (Balancer *balancer, const char *target);
 void balancer_end (Balancer *balancer, const char *target);
 
-/* The medians over the targets of a service that are not ejected. */
-SiblingMedians balancer_medians (Balancer *balancer, const Service *service);
+/* The median of the failures of a service's targets in a million, for a sidecar to
+   compare its own with; 0 when too few are known. */
+guint balancer_failures_ppm (Balancer *balancer, const Service *service);
 
 /* How the ingress sees one target. */
 typedef struct
--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -78,6 +78,7 @@
   gboolean account; /* only for callers with an account of the service's tenant */
   guint attempts;   /* targets that one request may reach at most */
   gint64 deadline_us;
+  gint64 objective_us; /* an answer after it is late; 0 for none */
 } Route;
 
 typedef struct
--- a/core/include/core/detector.h
+++ b/core/include/core/detector.h
@@ -36,9 +36,15 @@
 Detector *detector_create_kind (DetectorKind kind, Detection setting, Clock *clock);
 void detector_destroy (Detector *detector);
 
-/* Takes one sample in. */
+/*
+ * Takes one sample in. While the target is sick only failures of what was sent after it
+ * fell sick count against it: older work says nothing of how it does now.
+ */
 void detector_observe (Detector *detector, const DetectorSample *sample);
 
+/* The target has been silent for too long: it is sick until it answers. */
+void detector_suspect (Detector *detector);
+
 /*
  * 0 while the target is held healthy; else how bad it is, up to DETECTOR_SEVERITY_MAX.
  * Time alone may lower it: a sick target that gets no work is given another chance.
--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -17,8 +17,8 @@
 typedef struct
 {
   gboolean repeatable;
-  gboolean call;      /* made by a target: allows for no retries of its own */
-  gboolean repeat;    /* and for a request that is repeated: counts as a retry itself */
+  gboolean call;      /* made by a target */
+  gboolean repeat;    /* and for a request that is not at its first attempt */
   gboolean pinned;    /* one attempt at one target: a ticket's */
   gint64 deadline_us; /* on the ingress's clock */
   gint64 slack_us;    /* past the deadline, until the caller is told at the latest */
@@ -59,11 +59,8 @@
   DISPATCH_LOST     /* no answer: nothing is known */
 } DispatchReport;
 
-/* `budget` and `rand` are borrowed. */
-Dispatch *dispatch_create (const DispatchPolicy *policy,
-                           RetryBudget *budget,
-                           GRand *rand,
-                           Clock *clock);
+/* `rand` is borrowed. */
+Dispatch *dispatch_create (const DispatchPolicy *policy, GRand *rand, Clock *clock);
 void dispatch_destroy (Dispatch *dispatch);
 
 DispatchStep dispatch_begin (Dispatch *dispatch);
@@ -86,8 +83,21 @@
 /* After PAUSE. */
 DispatchStep dispatch_resume (Dispatch *dispatch);
 
-/* Whether another try would follow if the attempt now on its way were broken off. */
-gboolean dispatch_has_retry (const Dispatch *dispatch);
+/*
+ * A second attempt beside the one that is on its way: whether there may be one, that it
+ * has been sent, and how one of the two ended while the other goes on. The end of the
+ * last goes to dispatch_sent.
+ */
+gboolean dispatch_may_hedge (const Dispatch *dispatch);
+void dispatch_beside_sent (Dispatch *dispatch);
+void dispatch_beside_ended (Dispatch *dispatch, DispatchReport report, Reason reason);
+
+/* What the next attempt is to the retry budget of its service, which the sidecars hold.
+ */
+RetryKind dispatch_retry_kind (const Dispatch *dispatch);
+
+/* Time left until the deadline. */
+gint64 dispatch_remaining_us (const Dispatch *dispatch);
 
 /* Attempts that were sent, refused ones too. */
 guint dispatch_attempts (const Dispatch *dispatch);
--- a/core/include/core/retry.h
+++ b/core/include/core/retry.h
@@ -9,6 +9,17 @@
 
 typedef struct RetryBudget RetryBudget;
 
+/* What an attempt is to the budget of the service that it is sent to. */
+typedef enum
+{
+  RETRY_NONE,      /* the first of a caller's request: allows for a share of a retry */
+  RETRY_CALL,      /* the first of a call that a target makes: allows for none */
+  RETRY_INHERITED, /* the same, for a request that is not at its first attempt: counts as
+                      a retry, though it cannot be denied any more */
+  RETRY_AGAIN,     /* another one: needs a retry in the budget */
+  RETRY_KINDS
+} RetryKind;
+
 /*
  * In any span of `window_us`, `percent` retries for each hundred first attempts in it,
  * and a burst of ten unless retry_budget_set_burst says otherwise, so that a quiet
@@ -21,6 +32,10 @@
 /* `hundredths` of a retry come on top in each window. */
 void retry_budget_set_burst (RetryBudget *budget, guint hundredths);
 
+/* Whether the budget has room for an attempt, and that it is made. */
+gboolean retry_budget_allows (const RetryBudget *budget, RetryKind kind);
+void retry_budget_note (RetryBudget *budget, RetryKind kind);
+
 /* Notes a first attempt. */
 void retry_budget_deposit (RetryBudget *budget);
 
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -54,7 +54,8 @@
   char *target_service;       /* its service; both NULL for none */
   char *platform_address;
   PlatformKind platform;
-  char **peers; /* NULL-terminated addresses of other nodes */
+  gboolean first_start; /* the whole fleet starts for the first time */
+  char **peers;         /* NULL-terminated addresses of other nodes */
   char *fleet_token;
   guint64 fleet_seal;   /* a digest of the token, for messages that are to be short */
   GPtrArray *operators; /* of OperatorAccount */
--- a/core/src/config/route.c
+++ b/core/src/config/route.c
@@ -161,6 +161,8 @@
   route->account = json_view_bool (view, "account", FALSE);
   route->deadline_us = 1000 * json_view_int (view, "deadline_ms", DEADLINE_MIN_MS,
                                              CONFIG_DEADLINE_MAX_MS, DEADLINE_DEFAULT_MS);
+  route->objective_us =
+      1000 * json_view_int (view, "objective_ms", 0, CONFIG_DEADLINE_MAX_MS, 0);
   route->attempts =
       (guint)json_view_int (view, "attempts", 1, ATTEMPTS_MAX, ATTEMPTS_DEFAULT);
   trim_slash (route->prefix);
@@ -230,6 +232,8 @@
   json_write_bool (builder, "account", route->account);
   json_write_int (builder, "attempts", route->attempts);
   json_write_int (builder, "deadline_ms", route->deadline_us / 1000);
+  if (route->objective_us > 0)
+    json_write_int (builder, "objective_ms", route->objective_us / 1000);
   json_builder_end_object (builder);
 }
 
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -224,6 +224,7 @@
           : g_strdup (settings->nodes_address);
   settings->platform =
       json_view_choice (view, "platform_kind", platform_names, PLATFORM_OWN);
+  settings->first_start = json_view_bool (view, "first_start", FALSE);
   read_target (settings, view);
   read_defaults (settings, view);
   settings->platform_address = g_strdup (names_required_address (view, "platform"));
--- a/core/src/health/detector-kind.h
+++ b/core/src/health/detector-kind.h
@@ -29,6 +29,7 @@
 typedef struct
 {
   gboolean failed;
+  gboolean stale;            /* begun before the target fell sick */
   double latency_ratio;      /* to the reference mean; 0 when there is none */
   double reference_failures; /* share, 0 to 1 */
 } DetectorInput;
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -9,8 +9,9 @@
 #define BASELINE_SAMPLES 32u
 /* A slow answer is capped in means at so many times the reference. */
 #define CAP_RATIO 20.0
-/* Slower than this beside the reference, a trial has not gone well. */
-#define TRIAL_RATIO_MAX 1.8
+/* Slower than this beside the reference, a trial has not gone well. Of answers with the
+   users' spread (0.8) one in twenty-five is slower by chance. */
+#define TRIAL_RATIO_MAX 3.0
 /* Sick again sooner than this after a return is flapping. */
 #define FLAP_US (60 * SECOND_US)
 /* After a return on time alone, this share of the bound is held against the target. */
@@ -221,6 +222,8 @@
   gint64 now = clock_now (detector->clock);
   guint needed;
 
+  if (input->failed && input->stale)
+    return;
   if (input->failed || input->latency_ratio > TRIAL_RATIO_MAX)
     {
       detector->good_trials = 0;
@@ -246,6 +249,7 @@
   if (reference > 0)
     input.latency_ratio = (double)sample->took_us / reference;
   input.reference_failures = sample->sibling_ppm / PPM;
+  input.stale = clock_now (detector->clock) - sample->took_us < detector->sick_since_us;
   remember (detector, sample);
   if (detector->severity > 0)
     {
@@ -264,6 +268,18 @@
   fall_sick (detector);
 }
 
+void
+detector_suspect (Detector *detector)
+{
+  if (detector->severity > 0 || !detector->life->breaks_tell)
+    return;
+  detector->evidence.failures =
+      MAX (detector->evidence.failures, detector->bounds.failure_bound);
+  detector->severity = weigh (detector);
+  g_strlcpy (detector->why, "silence", WHY_MAX);
+  fall_sick (detector);
+}
+
 guint
 detector_severity (Detector *detector)
 {
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -16,8 +16,7 @@
 typedef struct
 {
   gpointer item;
-  guint priority;
-  gint64 deadline_us;
+  AdmissionOrder order;
 } Waiting;
 
 struct Admission
@@ -103,7 +102,7 @@
   guint place = admission->queue->len;
 
   while (place > 0 &&
-         g_array_index (admission->queue, Waiting, place - 1).priority > priority)
+         g_array_index (admission->queue, Waiting, place - 1).order.priority > priority)
     place--;
   return place;
 }
@@ -118,7 +117,7 @@
   if (admission->queue->len == 0)
     return FALSE;
   waiting = &g_array_index (admission->queue, Waiting, last);
-  if (waiting->priority <= priority)
+  if (waiting->order.priority <= priority)
     return FALSE;
   admission->displaced = waiting->item;
   g_array_remove_index (admission->queue, last);
@@ -131,24 +130,35 @@
   return admission->in_use < admission->limit && admission->queue->len == 0;
 }
 
+/* Whether what is expected to wait so long might as well not wait at all. */
+static gboolean
+would_be_late (const Admission *admission, const AdmissionOrder *order, gint64 wait_us)
+{
+  gint64 start = clock_now (admission->clock) + wait_us;
+
+  if (order->start_by_us > 0 && start > order->start_by_us)
+    return TRUE;
+  /* What could not start and finish in time would only waste the slot. */
+  return start + took_us (admission) > order->deadline_us;
+}
+
 AdmissionAnswer
-admission_offer (Admission *admission, gpointer item, guint priority, gint64 deadline_us)
+admission_offer (Admission *admission, gpointer item, const AdmissionOrder *order)
 {
-  Waiting waiting = { item, priority, deadline_us };
-  gint64 now = clock_now (admission->clock);
-  guint place = place_for (admission, priority);
+  Waiting waiting = { item, *order };
+  guint place = place_for (admission, order->priority);
 
-  if (deadline_us <= now)
+  if (order->deadline_us <= clock_now (admission->clock))
     return ADMISSION_REFUSED;
   if (admission_is_free (admission))
     {
       admission->in_use++;
       return ADMISSION_START;
     }
-  /* What could not start and finish in time would only waste the slot. */
-  if (now + expected_wait_us (admission, place) + took_us (admission) > deadline_us)
+  if (would_be_late (admission, order, expected_wait_us (admission, place)))
     return ADMISSION_REFUSED;
-  if (admission->queue->len >= admission->queue_max && !displace (admission, priority))
+  if (admission->queue->len >= admission->queue_max &&
+      !displace (admission, order->priority))
     return ADMISSION_REFUSED;
   g_array_insert_val (admission->queue, place, waiting);
   return ADMISSION_QUEUED;
@@ -209,6 +219,16 @@
   return item;
 }
 
+/* When a waiting item's time is over: what cannot be done in the time left would only
+   keep others from a slot. */
+static gint64
+expiry_us (const Admission *admission, const AdmissionOrder *order)
+{
+  gint64 expiry = order->deadline_us - least_us (admission);
+
+  return order->start_by_us > 0 ? MIN (expiry, order->start_by_us) : expiry;
+}
+
 gpointer
 admission_expired (Admission *admission)
 {
@@ -219,8 +239,7 @@
       Waiting *waiting = &g_array_index (admission->queue, Waiting, i);
       gpointer item = waiting->item;
 
-      /* What cannot be done in the time left would only keep others from a slot. */
-      if (waiting->deadline_us > now + least_us (admission))
+      if (expiry_us (admission, &waiting->order) > now)
         continue;
       g_array_remove_index (admission->queue, i);
       return item;
@@ -271,7 +290,7 @@
 
   for (guint i = 0; i < admission->queue->len; i++)
     {
-      gint64 due = g_array_index (admission->queue, Waiting, i).deadline_us;
+      gint64 due = g_array_index (admission->queue, Waiting, i).order.deadline_us;
 
       if (first < 0 || due < first)
         first = due;
--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -4,8 +4,6 @@
 
 /* Above this share of its slots in use, a hall's pick is weighed against other halls. */
 #define SPILL_PERCENT 80u
-/* Of trials that could not be repeated should they fail, this share is made. */
-#define LATE_SHARE 0.5
 #define LATENCY_UNKNOWN_US 1000u
 /* Slow targets that stay for the floor help out when the others are loaded so far. */
 #define FULL_LOAD 1.5
@@ -28,18 +26,18 @@
   return FALSE;
 }
 
-/* Takes an ejected target's turn for a trial, and sets the next. */
+/* Takes a sick target's turn for a trial, and sets the next. */
 static gboolean
-trial_is_due (Balancer *balancer, View *view, BalancerTrial trial)
+trial_is_due (Balancer *balancer, const Target *target, View *view)
 {
   gint64 now = clock_now (balancer->clock);
-  gint64 every = BALANCER_TRIAL_EVERY_US * balancer->ingresses;
+  gint64 every = balancer_trial_every_us (balancer, target->hall);
 
   if (now < view->trial_due_us)
     return FALSE;
   view->trial_due_us =
       now + (gint64)(every * g_rand_double_range (balancer->rand, 0.5, 1.5));
-  return trial == BALANCER_TRIAL_DUE || g_rand_double (balancer->rand) < LATE_SHARE;
+  return TRUE;
 }
 
 static double
@@ -93,12 +91,32 @@
   return best;
 }
 
+/* The own hall's with the best score. */
+static const Candidate *
+pick_best (const GArray *candidates)
+{
+  const Candidate *best = NULL;
+
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
+
+      if (candidate->local && (!best || score_of (candidate) < score_of (best)))
+        best = candidate;
+    }
+  return best;
+}
+
 static const Candidate *
 pick (Balancer *balancer, const GArray *candidates, BalancerHalls halls)
 {
-  const Candidate *local = pick_two (balancer, candidates, TRUE);
-  const Candidate *other = pick_two (balancer, candidates, FALSE);
+  const Candidate *local = NULL;
+  const Candidate *other = NULL;
 
+  if (halls == BALANCER_OWN_BEST)
+    return pick_best (candidates);
+  local = pick_two (balancer, candidates, TRUE);
+  other = pick_two (balancer, candidates, FALSE);
   if (!local && !other)
     return NULL;
   if (!other)
@@ -259,10 +277,11 @@
         continue;
       pools_add (balancer, &pools, target, &items[i]);
       if (items[i].severity > 0 && wish->trial != BALANCER_NO_TRIAL && !wish->tried &&
-          trial_is_due (balancer, balancer_view (balancer, target->name), wish->trial))
+          trial_is_due (balancer, target, balancer_view (balancer, target->name)))
         {
           choice.target = target;
           choice.trial = TRUE;
+          choice.local = strcmp (target->hall, balancer->hall) == 0;
           choice.sick = TRUE;
           pools_clear (&pools);
           return choice;
--- a/core/src/request/balancer-private.h
+++ b/core/src/request/balancer-private.h
@@ -10,9 +10,13 @@
 
 #include "path.h"
 
-/* Each ejected target is offered about one trial in so long, by all ingresses together.
- */
+/* A sick target of another hall is offered about one trial in so long, by all ingresses
+   together. */
 #define BALANCER_TRIAL_EVERY_US (SECOND_US / 2)
+/* One of the own hall in so long by each: its sidecar takes one at a time, and a refusal
+   within the hall costs less than a millisecond. Those that serve repeatable requests are
+   few, and three good trials in a row should not take longer than a second. */
+#define BALANCER_TRIAL_NEAR_US (SECOND_US / 5)
 
 /* What this ingress holds of one target. */
 typedef struct
@@ -37,6 +41,9 @@
 View *balancer_view (Balancer *balancer, const char *target);
 Path *balancer_path (Balancer *balancer, const char *vm);
 
+/* How long an ingress waits between two offers of trials to one target. */
+gint64 balancer_trial_every_us (const Balancer *balancer, const char *hall);
+
 /* Whether what is held of a target comes from its sidecar's present incarnation. */
 gboolean balancer_is_current (const View *view, const Path *path);
 
--- a/core/src/request/balancer-status.c
+++ b/core/src/request/balancer-status.c
@@ -23,30 +23,21 @@
   return g_array_index (values, guint, (values->len - 1) / 2);
 }
 
-SiblingMedians
-balancer_medians (Balancer *balancer, const Service *service)
+guint
+balancer_failures_ppm (Balancer *balancer, const Service *service)
 {
-  g_autoptr (GArray) latencies = g_array_new (FALSE, FALSE, sizeof (guint));
   g_autoptr (GArray) failures = g_array_new (FALSE, FALSE, sizeof (guint));
-  SiblingMedians medians = { 0 };
 
   for (guint i = 0; i < service->targets->len; i++)
     {
       const Target *target = g_ptr_array_index (service->targets, i);
       const View *view = balancer_view (balancer, target->name);
 
-      if (!view->known || view->report.samples < MEDIAN_SAMPLES_MIN)
-        continue;
-      g_array_append_val (latencies, view->report.latency_us);
-      g_array_append_val (failures, view->report.failures_ppm);
+      if (view->known && view->report.samples >= MEDIAN_SAMPLES_MIN)
+        g_array_append_val (failures, view->report.failures_ppm);
     }
-  /* One target is no measure for itself, nor is one other: which of two is the slow one?
-   */
-  if (latencies->len < 2)
-    return medians;
-  medians.latency_us = median (latencies);
-  medians.failures_ppm = median (failures);
-  return medians;
+  /* One target is no measure for itself, nor is one other: which of two fails? */
+  return failures->len < 2 ? 0 : median (failures);
 }
 
 TargetStatus
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -74,6 +74,14 @@
       g_hash_table_iter_remove (&iter);
 }
 
+gint64
+balancer_trial_every_us (const Balancer *balancer, const char *hall)
+{
+  if (strcmp (hall, balancer->hall) == 0)
+    return BALANCER_TRIAL_NEAR_US;
+  return BALANCER_TRIAL_EVERY_US * balancer->ingresses;
+}
+
 /*
  * A target has just been found sick: most ingresses hear of it at once, so that each
  * takes a place of its own in the order of first trials.
@@ -81,7 +89,7 @@
 static void
 note_severity (Balancer *balancer, View *view, guint severity)
 {
-  gint64 every = BALANCER_TRIAL_EVERY_US * balancer->ingresses;
+  gint64 every = BALANCER_TRIAL_EVERY_US * balancer->ingresses; /* wherever it is */
 
   if (severity == 0 || view->report.severity > 0)
     return;
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -10,7 +10,6 @@
 struct Dispatch
 {
   DispatchPolicy policy;
-  RetryBudget *budget;
   GRand *rand;
   Clock *clock;
   guint attempts;
@@ -18,22 +17,18 @@
   guint asks;
   gboolean asking;
   gboolean may_have_run;
-  gboolean paid;    /* a retry has been taken out that no target has seen yet */
+  gboolean beside;  /* two attempts are on their way */
   gboolean faulted; /* the owner holds an answer that says the target failed */
   Reason reason;    /* of the last attempt that came to nothing */
   gint64 retry_after_us;
 };
 
 Dispatch *
-dispatch_create (const DispatchPolicy *policy,
-                 RetryBudget *budget,
-                 GRand *rand,
-                 Clock *clock)
+dispatch_create (const DispatchPolicy *policy, GRand *rand, Clock *clock)
 {
   Dispatch *dispatch = g_new0 (Dispatch, 1);
 
   dispatch->policy = *policy;
-  dispatch->budget = budget;
   dispatch->rand = rand;
   dispatch->clock = clock;
   dispatch->retry_after_us = RETRY_AFTER_DEFAULT_US;
@@ -48,14 +43,6 @@
   g_free (dispatch);
 }
 
-gboolean
-dispatch_has_retry (const Dispatch *dispatch)
-{
-  return dispatch->policy.repeatable && !dispatch->policy.pinned &&
-         dispatch->arrivals + 1 < dispatch->policy.attempts_max &&
-         retry_budget_has (dispatch->budget);
-}
-
 guint
 dispatch_attempts (const Dispatch *dispatch)
 {
@@ -80,6 +67,30 @@
   return dispatch->policy.deadline_us - clock_now (dispatch->clock);
 }
 
+gint64
+dispatch_remaining_us (const Dispatch *dispatch)
+{
+  return remaining (dispatch);
+}
+
+RetryKind
+dispatch_retry_kind (const Dispatch *dispatch)
+{
+  if (dispatch->arrivals > 0)
+    return RETRY_AGAIN;
+  if (!dispatch->policy.call)
+    return RETRY_NONE;
+  return dispatch->policy.repeat ? RETRY_INHERITED : RETRY_CALL;
+}
+
+gboolean
+dispatch_may_hedge (const Dispatch *dispatch)
+{
+  return dispatch->policy.repeatable && !dispatch->policy.pinned && !dispatch->beside &&
+         dispatch->arrivals + 1 < dispatch->policy.attempts_max &&
+         remaining (dispatch) > 0;
+}
+
 static DispatchStep
 answer (Dispatch *dispatch, Outcome outcome, Reason reason)
 {
@@ -104,10 +115,6 @@
 {
   DispatchStep step = { .kind = DISPATCH_CHOOSE };
 
-  if (dispatch->policy.repeat)
-    retry_budget_borrow (dispatch->budget);
-  else if (!dispatch->policy.call)
-    retry_budget_deposit (dispatch->budget);
   return step;
 }
 
@@ -133,31 +140,11 @@
   return step;
 }
 
-/*
- * Work that hung was broken off on the word that another try is in hand: that word holds
- * even if the budget has been spent meanwhile.
- */
-static gboolean
-take_retry (Dispatch *dispatch, Reason reason)
-{
-  if (dispatch->paid)
-    return TRUE;
-  if (!retry_budget_withdraw (dispatch->budget))
-    {
-      if (reason != REASON_TIMEOUT)
-        return FALSE;
-      retry_budget_borrow (dispatch->budget);
-    }
-  dispatch->paid = TRUE;
-  return TRUE;
-}
-
-/* A target has seen the attempt, or may have: the next one is another retry. */
+/* A target has seen the attempt, or may have. */
 static void
 note_arrival (Dispatch *dispatch)
 {
   dispatch->arrivals++;
-  dispatch->paid = FALSE;
 }
 
 static DispatchStep
@@ -169,10 +156,6 @@
   if (dispatch->policy.pinned || dispatch->arrivals >= dispatch->policy.attempts_max ||
       dispatch_refusals (dispatch) >= REFUSALS_MAX || remaining (dispatch) <= 0)
     return give_up (dispatch, reason);
-  /* The budget is for what targets see; a refusal before the target costs them nothing.
-   */
-  if (dispatch->arrivals > 0 && !take_retry (dispatch, reason))
-    return give_up (dispatch, reason);
   if (at_once)
     return step;
   step.wait_us = retry_pause_us (dispatch->attempts, dispatch->rand);
@@ -232,6 +215,26 @@
   return retry (dispatch, reason, TRUE);
 }
 
+void
+dispatch_beside_sent (Dispatch *dispatch)
+{
+  dispatch->attempts++;
+  dispatch->beside = TRUE;
+}
+
+void
+dispatch_beside_ended (Dispatch *dispatch, DispatchReport report, Reason reason)
+{
+  dispatch->reason = reason;
+  dispatch->beside = FALSE;
+  if (report == DISPATCH_UNSENT ||
+      (report == DISPATCH_REFUSED && reason != REASON_TARGET_REFUSED))
+    return;
+  note_arrival (dispatch);
+  dispatch->faulted |= report == DISPATCH_FAULT;
+  dispatch->may_have_run |= report != DISPATCH_REFUSED;
+}
+
 DispatchStep
 dispatch_sent (Dispatch *dispatch,
                DispatchReport report,
--- /dev/null
+++ b/core/src/request/latency-views.c
@@ -0,0 +1,114 @@
+#include <core/latency.h>
+
+/* So many targets' words are held for a route, the oldest out first: enough for a median,
+   and news of a change after as many answers. */
+#define TARGETS_MAX 9u
+#define ROUTES_MAX 1024u
+
+typedef struct
+{
+  guint target; /* a hash of its name */
+  LatencyFit fit;
+} Word;
+
+typedef struct
+{
+  Word words[TARGETS_MAX];
+  guint count;
+  guint next; /* place of the next target that is new */
+} RouteView;
+
+struct LatencyViews
+{
+  GHashTable *routes; /* id → RouteView */
+};
+
+LatencyViews *
+latency_views_create (void)
+{
+  LatencyViews *views = g_new0 (LatencyViews, 1);
+
+  views->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return views;
+}
+
+void
+latency_views_destroy (LatencyViews *views)
+{
+  if (!views)
+    return;
+  g_hash_table_unref (views->routes);
+  g_free (views);
+}
+
+static Word *
+word_of (RouteView *view, guint target)
+{
+  Word *word;
+
+  for (guint i = 0; i < view->count; i++)
+    if (view->words[i].target == target)
+      return &view->words[i];
+  word = &view->words[view->next];
+  view->next = (view->next + 1) % TARGETS_MAX;
+  view->count = MIN (view->count + 1, TARGETS_MAX);
+  word->target = target;
+  return word;
+}
+
+void
+latency_views_note (LatencyViews *views,
+                    guint32 route,
+                    const char *target,
+                    const LatencyFit *fit)
+{
+  RouteView *view = g_hash_table_lookup (views->routes, GUINT_TO_POINTER (route));
+
+  if (fit->samples == 0)
+    return;
+  if (!view)
+    {
+      if (g_hash_table_size (views->routes) >= ROUTES_MAX)
+        g_hash_table_remove_all (views->routes);
+      view = g_new0 (RouteView, 1);
+      g_hash_table_insert (views->routes, GUINT_TO_POINTER (route), view);
+    }
+  word_of (view, g_str_hash (target))->fit = *fit;
+}
+
+static gint
+compare_doubles (gconstpointer a, gconstpointer b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+static double
+median (double *values, guint count)
+{
+  qsort (values, count, sizeof *values, compare_doubles);
+  return values[(count - 1) / 2];
+}
+
+LatencyFit
+latency_views_fit (const LatencyViews *views, guint32 route)
+{
+  const RouteView *view = g_hash_table_lookup (views->routes, GUINT_TO_POINTER (route));
+  double means[TARGETS_MAX];
+  double sds[TARGETS_MAX];
+  LatencyFit fit = { 0 };
+
+  if (!view)
+    return fit;
+  for (guint i = 0; i < view->count; i++)
+    {
+      means[i] = view->words[i].fit.log_mean;
+      sds[i] = view->words[i].fit.log_sd;
+      fit.samples += view->words[i].fit.samples;
+    }
+  fit.log_mean = median (means, view->count);
+  fit.log_sd = median (sds, view->count);
+  return fit;
+}
--- /dev/null
+++ b/core/src/request/latency.c
@@ -0,0 +1,173 @@
+#include <core/latency.h>
+
+#include <math.h>
+
+/* A fit follows its last samples: as many answers of one route as a target gives in some
+   ten seconds. */
+#define SAMPLES_MAX 64u
+/* The relative error of a mean of so many samples of the users' spread (0.8) is a third.
+ */
+#define SAMPLES_MIN 5u
+/* Few samples may lie close together by chance. */
+#define LOG_SD_MIN 0.35
+/* One answer in a hundred takes several times as long as the others of its route do. */
+#define TAIL_SHARE 0.01
+#define TAIL_FACTOR 4.0
+/* Routes that are known at once; beyond, the book starts anew. */
+#define ROUTES_MAX 1024u
+
+/* Layout of a packed fit. */
+#define THOUSANDTHS 1000.0
+#define PACKED_MEAN_MAX 0xffffu
+#define PACKED_SD_SHIFT 16u
+#define PACKED_SD_MAX 0xfffu
+#define PACKED_SAMPLES_SHIFT 28u
+#define PACKED_SAMPLES_MAX 0xfu
+
+typedef struct
+{
+  LatencyFit fit; /* log_sd unused */
+  double variance;
+} Route;
+
+struct LatencyBook
+{
+  GHashTable *routes; /* id → Route */
+};
+
+LatencyBook *
+latency_book_create (void)
+{
+  LatencyBook *book = g_new0 (LatencyBook, 1);
+
+  book->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return book;
+}
+
+void
+latency_book_destroy (LatencyBook *book)
+{
+  if (!book)
+    return;
+  g_hash_table_unref (book->routes);
+  g_free (book);
+}
+
+static Route *
+route_of (LatencyBook *book, guint32 id)
+{
+  Route *route = g_hash_table_lookup (book->routes, GUINT_TO_POINTER (id));
+
+  if (route)
+    return route;
+  if (g_hash_table_size (book->routes) >= ROUTES_MAX)
+    g_hash_table_remove_all (book->routes);
+  route = g_new0 (Route, 1);
+  g_hash_table_insert (book->routes, GUINT_TO_POINTER (id), route);
+  return route;
+}
+
+void
+latency_book_add (LatencyBook *book, guint32 route_id, gint64 took_us)
+{
+  Route *route = route_of (book, route_id);
+  double sample = log ((double)MAX (took_us, 1));
+  double off = sample - route->fit.log_mean;
+  double weight;
+
+  route->fit.samples = MIN (route->fit.samples + 1, SAMPLES_MAX);
+  weight = 1.0 / route->fit.samples;
+  route->fit.log_mean += weight * off;
+  route->variance = (1 - weight) * (route->variance + weight * off * off);
+}
+
+LatencyFit
+latency_book_fit (const LatencyBook *book, guint32 id)
+{
+  const Route *route = g_hash_table_lookup (book->routes, GUINT_TO_POINTER (id));
+  LatencyFit fit = { 0 };
+
+  if (!route)
+    return fit;
+  fit = route->fit;
+  fit.log_sd = MAX (sqrt (route->variance), LOG_SD_MIN);
+  return fit;
+}
+
+guint32
+latency_route (const char *name)
+{
+  return g_str_hash (name);
+}
+
+gboolean
+latency_fit_is_known (const LatencyFit *fit)
+{
+  return fit->samples >= SAMPLES_MIN;
+}
+
+gint64
+latency_fit_mean_us (const LatencyFit *fit)
+{
+  if (fit->samples == 0)
+    return 0;
+  return (gint64)exp (fit->log_mean + fit->log_sd * fit->log_sd / 2);
+}
+
+/* Of the log-normal distribution alone. */
+static double
+survival (const LatencyFit *fit, double age_us)
+{
+  return erfc ((log (age_us) - fit->log_mean) / fit->log_sd * M_SQRT1_2) / 2;
+}
+
+double
+latency_fit_log_survival (const LatencyFit *fit, gint64 age_us)
+{
+  double age = (double)MAX (age_us, 1);
+
+  if (!latency_fit_is_known (fit))
+    return 0;
+  return log ((1 - TAIL_SHARE) * survival (fit, age) +
+              TAIL_SHARE * survival (fit, age / TAIL_FACTOR) + G_MINDOUBLE);
+}
+
+gint64
+latency_fit_age_us (const LatencyFit *fit, double log_probability)
+{
+  double low = fit->log_mean;
+  double high = fit->log_mean + 12 * fit->log_sd + log (TAIL_FACTOR);
+
+  /* Survival falls all the way: halving the span 30 times finds the place to a millionth.
+   */
+  for (guint i = 0; i < 30; i++)
+    {
+      double middle = (low + high) / 2;
+
+      if (latency_fit_log_survival (fit, (gint64)exp (middle)) > log_probability)
+        low = middle;
+      else
+        high = middle;
+    }
+  return (gint64)exp (high);
+}
+
+guint32
+latency_fit_pack (const LatencyFit *fit)
+{
+  guint32 mean = (guint32)CLAMP (fit->log_mean * THOUSANDTHS, 0, PACKED_MEAN_MAX);
+  guint32 sd = (guint32)CLAMP (fit->log_sd * THOUSANDTHS, 0, PACKED_SD_MAX);
+
+  return mean | sd << PACKED_SD_SHIFT |
+         MIN (fit->samples, PACKED_SAMPLES_MAX) << PACKED_SAMPLES_SHIFT;
+}
+
+LatencyFit
+latency_fit_unpack (guint32 packed)
+{
+  LatencyFit fit = { (packed & PACKED_MEAN_MAX) / THOUSANDTHS,
+                     (packed >> PACKED_SD_SHIFT & PACKED_SD_MAX) / THOUSANDTHS,
+                     packed >> PACKED_SAMPLES_SHIFT };
+
+  return fit;
+}
--- a/core/src/request/retry.c
+++ b/core/src/request/retry.c
@@ -119,6 +119,21 @@
   present_slice (budget)->retries++;
 }
 
+gboolean
+retry_budget_allows (const RetryBudget *budget, RetryKind kind)
+{
+  return kind != RETRY_AGAIN || retry_budget_has (budget);
+}
+
+void
+retry_budget_note (RetryBudget *budget, RetryKind kind)
+{
+  if (kind == RETRY_NONE)
+    retry_budget_deposit (budget);
+  else if (kind == RETRY_INHERITED || kind == RETRY_AGAIN)
+    retry_budget_borrow (budget);
+}
+
 gint64
 retry_pause_us (guint retry, GRand *rand)
 {
--- a/core/tests/test-admission.c
+++ b/core/tests/test-admission.c
@@ -36,8 +36,9 @@
 static AdmissionAnswer
 offer (Fixture *fixture, guint item, guint priority, gint64 left_us)
 {
-  return admission_offer (fixture->admission, &fixture->items[item], priority,
-                          clock_now (fixture->clock) + left_us);
+  AdmissionOrder order = { priority, clock_now (fixture->clock) + left_us, 0 };
+
+  return admission_offer (fixture->admission, &fixture->items[item], &order);
 }
 
 static void
@@ -104,6 +105,33 @@
   teardown (&fixture);
 }
 
+/* What could still be done by its deadline, but not by the time it is wanted. */
+static void
+test_nothing_waits_longer_than_it_is_worth (void **state)
+{
+  Fixture fixture = setup ();
+  AdmissionOrder soon = { 1, 60 * SECOND_US, 0 };
+  AdmissionOrder later = soon;
+
+  fill (&fixture);
+  for (guint i = 0; i < 40; i++)
+    {
+      admission_release (fixture.admission, SECOND_US / 10);
+      assert_int_equal (offer (&fixture, 0, 1, SECOND_US), ADMISSION_START);
+    }
+  soon.start_by_us = clock_now (fixture.clock) + SECOND_US / 1000;
+  later.start_by_us = clock_now (fixture.clock) + SECOND_US;
+  assert_int_equal (admission_offer (fixture.admission, &fixture.items[5], &soon),
+                    ADMISSION_REFUSED);
+  assert_int_equal (admission_offer (fixture.admission, &fixture.items[6], &later),
+                    ADMISSION_QUEUED);
+  clock_advance (fixture.clock, SECOND_US - 1);
+  assert_null (admission_expired (fixture.admission));
+  clock_advance (fixture.clock, 1);
+  assert_ptr_equal (admission_expired (fixture.admission), &fixture.items[6]);
+  teardown (&fixture);
+}
+
 static void
 test_limit_shrinks_with_slowness_and_comes_back (void **state)
 {
@@ -166,6 +194,7 @@
     cmocka_unit_test (test_slots_are_exact),
     cmocka_unit_test (test_queue_is_bounded_and_by_priority),
     cmocka_unit_test (test_nothing_waits_that_could_not_start_in_time),
+    cmocka_unit_test (test_nothing_waits_longer_than_it_is_worth),
     cmocka_unit_test (test_limit_shrinks_with_slowness_and_comes_back),
     cmocka_unit_test (test_retries_are_a_share_of_first_attempts),
   };
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -179,35 +179,51 @@
 }
 
 static void
-test_trials_are_paced_and_rarer_without_a_retry_in_hand (void **state)
+test_trials_are_paced (void **state)
 {
   Fixture fixture = setup ();
-  guint due;
-  guint late;
 
   report (&fixture, 0, 0, 100, FALSE);
   assert_int_equal (trials (&fixture, BALANCER_NO_TRIAL, 10 * SECOND_US), 0);
-  due = trials (&fixture, BALANCER_TRIAL_DUE, 20 * SECOND_US);
-  late = trials (&fixture, BALANCER_TRIAL_LATE, 20 * SECOND_US);
-  assert_in_range (due, 25, 60);
-  assert_in_range (late, due / 4, due * 3 / 4);
+  /* Of its own hall, five a second: the sidecar takes one at a time. */
+  assert_in_range (trials (&fixture, BALANCER_TRIAL_DUE, 20 * SECOND_US), 75, 125);
+  teardown (&fixture);
+}
+
+/* All ingresses of other halls together make about two a second. */
+static void
+test_trials_in_other_halls_are_shared (void **state)
+{
+  Fixture fixture = setup ();
+  Balancer *own = fixture.balancer;
+
+  fixture.balancer = balancer_create ("elsewhere", fixture.rand, fixture.clock);
+  balancer_set_ingresses (fixture.balancer, 4);
+  report (&fixture, 0, 0, 100, FALSE);
+  assert_in_range (trials (&fixture, BALANCER_TRIAL_DUE, 80 * SECOND_US), 25, 60);
+  balancer_destroy (fixture.balancer);
+  fixture.balancer = own;
   teardown (&fixture);
 }
 
 /* Sound targets that are held sick by mistake must not wait for work. */
 static void
-test_a_large_fleet_tries_at_once_even_without_retries (void **state)
+test_a_large_fleet_tries_at_once (void **state)
 {
   guint count = 0;
 
   for (guint i = 0; i < INGRESSES; i++)
     {
       Fixture fixture = setup ();
+      Balancer *own = fixture.balancer;
 
       g_rand_set_seed (fixture.rand, i);
+      fixture.balancer = balancer_create ("elsewhere", fixture.rand, fixture.clock);
       balancer_set_ingresses (fixture.balancer, INGRESSES);
       report (&fixture, 0, 0, 100, FALSE);
-      count += trials (&fixture, BALANCER_TRIAL_LATE, 2 * SECOND_US);
+      count += trials (&fixture, BALANCER_TRIAL_DUE, 2 * SECOND_US);
+      balancer_destroy (fixture.balancer);
+      fixture.balancer = own;
       teardown (&fixture);
     }
   assert_in_range (count, 1, 8);
@@ -313,8 +329,9 @@
     cmocka_unit_test (test_a_failing_target_is_no_choice_where_healthy_ones_were_tried),
     cmocka_unit_test (test_with_all_failing_any_is_better_than_none),
     cmocka_unit_test (test_a_closed_path_gets_nothing_until_it_opens),
-    cmocka_unit_test (test_trials_are_paced_and_rarer_without_a_retry_in_hand),
-    cmocka_unit_test (test_a_large_fleet_tries_at_once_even_without_retries),
+    cmocka_unit_test (test_trials_are_paced),
+    cmocka_unit_test (test_trials_in_other_halls_are_shared),
+    cmocka_unit_test (test_a_large_fleet_tries_at_once),
     cmocka_unit_test (test_halls_are_kept_apart_as_wished),
     cmocka_unit_test (test_targets_that_shed_come_after_the_steady_ones),
     cmocka_unit_test (test_a_doubtful_node_gets_only_what_nobody_else_can_take),
--- a/core/tests/test-dispatch.c
+++ b/core/tests/test-dispatch.c
@@ -15,13 +15,12 @@
 {
   Clock *clock;
   GRand *rand;
-  RetryBudget *budget;
   Dispatch *dispatch;
 } Fixture;
 
 /* A dispatch whose first attempt has just been sent. */
 static Fixture
-setup (gboolean repeatable, guint attempts, guint retries)
+setup (gboolean repeatable, guint attempts)
 {
   Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
   DispatchPolicy policy = { .repeatable = repeatable,
@@ -30,11 +29,7 @@
                             .attempts_max = attempts };
 
   fixture.rand = g_rand_new_with_seed (1);
-  /* As many retries as wanted, and none for the request itself. */
-  fixture.budget = retry_budget_create (0, WINDOW_US, fixture.clock);
-  retry_budget_set_burst (fixture.budget, 100 * retries);
-  fixture.dispatch =
-      dispatch_create (&policy, fixture.budget, fixture.rand, fixture.clock);
+  fixture.dispatch = dispatch_create (&policy, fixture.rand, fixture.clock);
   assert_int_equal (dispatch_begin (fixture.dispatch).kind, DISPATCH_CHOOSE);
   assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
   return fixture;
@@ -44,7 +39,6 @@
 teardown (Fixture *fixture)
 {
   dispatch_destroy (fixture->dispatch);
-  retry_budget_destroy (fixture->budget);
   g_rand_free (fixture->rand);
   clock_destroy (fixture->clock);
 }
@@ -52,7 +46,7 @@
 static void
 test_an_attempt_is_waited_for_to_the_deadline (void **state)
 {
-  Fixture fixture = setup (TRUE, 2, 1);
+  Fixture fixture = setup (TRUE, 2);
   DispatchStep step =
       dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
 
@@ -67,7 +61,7 @@
 static void
 test_refusals_before_a_target_are_free_and_bounded (void **state)
 {
-  Fixture fixture = setup (FALSE, 1, 0);
+  Fixture fixture = setup (FALSE, 1);
   DispatchStep step;
   guint tries = 1;
 
@@ -91,7 +85,7 @@
 static void
 test_a_targets_own_refusal_counts_as_an_arrival (void **state)
 {
-  Fixture fixture = setup (FALSE, 1, 1);
+  Fixture fixture = setup (FALSE, 1);
   DispatchStep step =
       dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_TARGET_REFUSED, 0);
 
@@ -101,22 +95,35 @@
   teardown (&fixture);
 }
 
+/* The sidecars hold the budget: each that has no room for it refuses a retry, and what
+   they all refuse has not run. */
 static void
 test_a_second_arrival_needs_the_budget (void **state)
 {
-  Fixture fixture = setup (FALSE, 3, 0);
-  DispatchStep step =
-      dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_TARGET_REFUSED, 0);
+  Fixture fixture = setup (FALSE, 3);
+  DispatchStep step;
 
+  assert_int_equal (dispatch_retry_kind (fixture.dispatch), RETRY_NONE);
+  step = dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_TARGET_REFUSED, 0);
+  assert_int_equal (step.kind, DISPATCH_PAUSE);
+  assert_int_equal (dispatch_resume (fixture.dispatch).kind, DISPATCH_CHOOSE);
+  do
+    {
+      assert_int_equal (dispatch_retry_kind (fixture.dispatch), RETRY_AGAIN);
+      assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
+      step = dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_BUDGET, 0);
+    }
+  while (step.kind == DISPATCH_CHOOSE);
   assert_int_equal (step.kind, DISPATCH_ANSWER);
   assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  assert_int_equal (dispatch_arrivals (fixture.dispatch), 1);
   teardown (&fixture);
 }
 
 static void
 test_a_failing_answer_is_tried_again_and_else_delivered (void **state)
 {
-  Fixture fixture = setup (TRUE, 2, 1);
+  Fixture fixture = setup (TRUE, 2);
   DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
 
   assert_int_equal (step.kind, DISPATCH_CHOOSE);
@@ -130,7 +137,7 @@
 static void
 test_a_failing_answer_of_unrepeatable_work_is_final (void **state)
 {
-  Fixture fixture = setup (FALSE, 3, 2);
+  Fixture fixture = setup (FALSE, 3);
   DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
 
   assert_int_equal (step.kind, DISPATCH_ANSWER);
@@ -141,7 +148,7 @@
 static void
 test_what_may_have_run_is_never_called_not_run (void **state)
 {
-  Fixture fixture = setup (TRUE, 2, 1);
+  Fixture fixture = setup (TRUE, 2);
   DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
 
   assert_int_equal (step.kind, DISPATCH_PAUSE);
@@ -156,7 +163,7 @@
 static void
 test_the_fence_is_asked_no_longer_than_the_slack (void **state)
 {
-  Fixture fixture = setup (FALSE, 2, 1);
+  Fixture fixture = setup (FALSE, 2);
   DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_LOST, REASON_LOST, 0);
 
   assert_int_equal (step.kind, DISPATCH_ASK);
@@ -168,32 +175,65 @@
 }
 
 static void
-test_hanging_work_is_broken_off_only_with_a_retry_in_hand (void **state)
+test_only_what_may_reach_another_target_is_hedged (void **state)
 {
-  Fixture with = setup (TRUE, 2, 1);
-  Fixture without = setup (TRUE, 2, 0);
-  Fixture last = setup (TRUE, 1, 1);
-  DispatchStep step;
+  Fixture two = setup (TRUE, 2);
+  Fixture one = setup (TRUE, 1);
+  Fixture unsafe = setup (FALSE, 3);
+
+  assert_true (dispatch_may_hedge (two.dispatch));
+  assert_false (dispatch_may_hedge (one.dispatch));
+  assert_false (dispatch_may_hedge (unsafe.dispatch));
+  dispatch_beside_sent (two.dispatch);
+  assert_false (dispatch_may_hedge (two.dispatch));
+  /* Refused before a target saw it: another may be sent. One that arrived was the last.
+   */
+  dispatch_beside_ended (two.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD);
+  assert_true (dispatch_may_hedge (two.dispatch));
+  dispatch_beside_sent (two.dispatch);
+  dispatch_beside_ended (two.dispatch, DISPATCH_FAILED, REASON_BROKEN);
+  assert_false (dispatch_may_hedge (two.dispatch));
+  clock_advance (unsafe.clock, 2 * DEADLINE_US);
+  assert_false (dispatch_may_hedge (unsafe.dispatch));
+  teardown (&two);
+  teardown (&one);
+  teardown (&unsafe);
+}
 
-  assert_true (dispatch_has_retry (with.dispatch));
-  assert_false (dispatch_has_retry (without.dispatch));
-  assert_false (dispatch_has_retry (last.dispatch));
-  /* The word that was given holds, though somebody else took the retry meanwhile. */
-  assert_true (retry_budget_withdraw (with.budget));
-  step = dispatch_sent (with.dispatch, DISPATCH_FAILED, REASON_TIMEOUT, 0);
-  assert_int_equal (step.kind, DISPATCH_PAUSE);
-  assert_false (retry_budget_has (with.budget));
-  teardown (&with);
-  teardown (&without);
-  teardown (&last);
+/* Of two attempts the one that ends first and badly is remembered; the last one decides.
+ */
+static void
+test_the_last_of_two_attempts_decides (void **state)
+{
+  Fixture good = setup (TRUE, 2);
+  Fixture faulted = setup (TRUE, 2);
+  Fixture lost = setup (TRUE, 2);
+
+  dispatch_beside_sent (good.dispatch);
+  dispatch_beside_ended (good.dispatch, DISPATCH_LOST, REASON_TIMEOUT);
+  assert_int_equal (dispatch_sent (good.dispatch, DISPATCH_DONE, REASON_NONE, 0).outcome,
+                    OUTCOME_DONE);
+  dispatch_beside_sent (faulted.dispatch);
+  dispatch_beside_ended (faulted.dispatch, DISPATCH_FAULT, REASON_NONE);
+  assert_int_equal (
+      dispatch_sent (faulted.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0).outcome,
+      OUTCOME_DONE);
+  dispatch_beside_sent (lost.dispatch);
+  dispatch_beside_ended (lost.dispatch, DISPATCH_LOST, REASON_TIMEOUT);
+  assert_int_equal (
+      dispatch_sent (lost.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0).outcome,
+      OUTCOME_UNKNOWN);
+  teardown (&good);
+  teardown (&faulted);
+  teardown (&lost);
 }
 
 /* A target that says it failed has seen the request, whether or not it is tried again. */
 static void
 test_a_failure_told_by_the_target_is_an_arrival (void **state)
 {
-  Fixture safe = setup (TRUE, 1, 0);
-  Fixture unsafe = setup (FALSE, 1, 0);
+  Fixture safe = setup (TRUE, 1);
+  Fixture unsafe = setup (FALSE, 1);
 
   dispatch_sent (safe.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
   dispatch_sent (unsafe.dispatch, DISPATCH_FAULT, REASON_NONE, 0);
@@ -205,29 +245,6 @@
   teardown (&unsafe);
 }
 
-/* One retry in hand: sidecars that refuse it cost nothing, a target that fails it does.
- */
-static void
-test_a_retry_is_paid_for_once_until_a_target_sees_it (void **state)
-{
-  Fixture fixture = setup (TRUE, 3, 1);
-  DispatchStep step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
-
-  assert_int_equal (step.kind, DISPATCH_PAUSE);
-  assert_int_equal (dispatch_resume (fixture.dispatch).kind, DISPATCH_CHOOSE);
-  for (guint i = 0; i < 3; i++)
-    {
-      assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
-      step = dispatch_sent (fixture.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
-      assert_int_equal (step.kind, DISPATCH_CHOOSE);
-    }
-  assert_int_equal (dispatch_chosen (fixture.dispatch, TRUE, 0).kind, DISPATCH_SEND);
-  step = dispatch_sent (fixture.dispatch, DISPATCH_FAILED, REASON_BROKEN, 0);
-  assert_int_equal (step.kind, DISPATCH_ANSWER);
-  assert_int_equal (step.outcome, OUTCOME_UNKNOWN);
-  teardown (&fixture);
-}
-
 /* The users count retries against what callers asked for: a target's calls are not that,
    and those of a request that is repeated are retries themselves. */
 static void
@@ -239,20 +256,26 @@
   DispatchPolicy policies[] = { { .attempts_max = 1 },
                                 { .attempts_max = 1, .call = TRUE },
                                 { .attempts_max = 1, .call = TRUE, .repeat = TRUE } };
-  gboolean allowed[] = { TRUE, TRUE, FALSE };
+  RetryKind kinds[] = { RETRY_NONE, RETRY_CALL, RETRY_INHERITED };
+  gboolean left[] = { TRUE, TRUE, FALSE };
 
   retry_budget_set_burst (budget, 0);
   for (guint i = 0; i < G_N_ELEMENTS (policies); i++)
     {
-      Dispatch *dispatch = dispatch_create (&policies[i], budget, rand, clock);
+      Dispatch *dispatch = dispatch_create (&policies[i], rand, clock);
 
       dispatch_begin (dispatch);
+      assert_int_equal (dispatch_retry_kind (dispatch), kinds[i]);
+      /* Firsts are never denied, whatever the budget holds. */
+      assert_true (retry_budget_allows (budget, kinds[i]));
+      retry_budget_note (budget, kinds[i]);
       dispatch_destroy (dispatch);
-      assert_int_equal (retry_budget_has (budget), allowed[i]);
+      assert_int_equal (retry_budget_allows (budget, RETRY_AGAIN), left[i]);
     }
-  retry_budget_deposit (budget);
-  assert_true (retry_budget_withdraw (budget));
-  assert_false (retry_budget_has (budget));
+  retry_budget_note (budget, RETRY_NONE);
+  assert_true (retry_budget_allows (budget, RETRY_AGAIN));
+  retry_budget_note (budget, RETRY_AGAIN);
+  assert_false (retry_budget_allows (budget, RETRY_AGAIN));
   g_rand_free (rand);
   retry_budget_destroy (budget);
   clock_destroy (clock);
@@ -316,9 +339,9 @@
     cmocka_unit_test (test_a_failing_answer_of_unrepeatable_work_is_final),
     cmocka_unit_test (test_what_may_have_run_is_never_called_not_run),
     cmocka_unit_test (test_the_fence_is_asked_no_longer_than_the_slack),
-    cmocka_unit_test (test_hanging_work_is_broken_off_only_with_a_retry_in_hand),
+    cmocka_unit_test (test_only_what_may_reach_another_target_is_hedged),
+    cmocka_unit_test (test_the_last_of_two_attempts_decides),
     cmocka_unit_test (test_a_failure_told_by_the_target_is_an_arrival),
-    cmocka_unit_test (test_a_retry_is_paid_for_once_until_a_target_sees_it),
     cmocka_unit_test (test_calls_allow_for_no_retries),
     cmocka_unit_test (test_a_burst_is_bounded_in_each_window),
     cmocka_unit_test (test_a_bunch_of_failures_may_use_the_whole_window),
--- a/core/tests/test-fence.c
+++ b/core/tests/test-fence.c
@@ -46,7 +46,6 @@
   Clock *clock;
   FakeSidecar sidecars[SIDECARS];
   Dispatch *dispatch;
-  RetryBudget *budget;
   GArray *network; /* of Packet; any may be delivered, dropped or copied */
   guint executions;
   /* The ingress's side. */
@@ -310,8 +309,7 @@
   Outcome outcome;
 
   world.network = g_array_new (FALSE, FALSE, sizeof (Packet));
-  world.budget = retry_budget_create (100, 10 * SECOND_US, world.clock);
-  world.dispatch = dispatch_create (&policy, world.budget, world.rand, world.clock);
+  world.dispatch = dispatch_create (&policy, world.rand, world.clock);
   for (guint i = 0; i < SIDECARS; i++)
     {
       world.sidecars[i].clock =
@@ -341,7 +339,6 @@
       clock_destroy (world.sidecars[i].clock);
     }
   dispatch_destroy (world.dispatch);
-  retry_budget_destroy (world.budget);
   g_array_unref (world.network);
   g_rand_free (world.rand);
   clock_destroy (world.clock);
--- /dev/null
+++ b/core/tests/test-latency.c
@@ -0,0 +1,131 @@
+/* What is known of how long a route's answers take, and what silence then says. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <math.h>
+
+#include <core/latency.h>
+
+#define ROUTE 7u
+#define MEDIAN_US (100.0 * MS_US)
+
+/* A log-normal sample, by the sum of twelve uniform ones. */
+static gint64
+draw (GRand *rand, double median_us, double sd)
+{
+  double sum = -6;
+
+  for (guint i = 0; i < 12; i++)
+    sum += g_rand_double (rand);
+  return (gint64)(median_us * exp (sd * sum));
+}
+
+static LatencyBook *
+filled (double median_us, double sd, guint count)
+{
+  LatencyBook *book = latency_book_create ();
+  GRand *rand = g_rand_new_with_seed (5);
+
+  for (guint i = 0; i < count; i++)
+    latency_book_add (book, ROUTE, draw (rand, median_us, sd));
+  g_rand_free (rand);
+  return book;
+}
+
+static void
+test_a_fit_follows_its_samples (void **state)
+{
+  LatencyBook *book = filled (MEDIAN_US, 0.5, 400);
+  LatencyFit fit = latency_book_fit (book, ROUTE);
+
+  assert_true (fabs (fit.log_mean - log (MEDIAN_US)) < 0.2);
+  assert_true (fabs (fit.log_sd - 0.5) < 0.15);
+  assert_in_range (latency_fit_mean_us (&fit), 90 * MS_US, 140 * MS_US);
+  latency_book_destroy (book);
+}
+
+static void
+test_nothing_is_said_of_what_is_not_known (void **state)
+{
+  LatencyBook *book = filled (MEDIAN_US, 0.5, 4);
+  LatencyFit few = latency_book_fit (book, ROUTE);
+  LatencyFit none = latency_book_fit (book, ROUTE + 1);
+
+  assert_false (latency_fit_is_known (&few));
+  assert_true (latency_fit_log_survival (&few, 3600 * SECOND_US) == 0);
+  assert_true (latency_fit_log_survival (&none, 3600 * SECOND_US) == 0);
+  assert_int_equal (latency_fit_mean_us (&none), 0);
+  latency_book_destroy (book);
+}
+
+/* The same rule does for routes of 5 ms and of 2 s. */
+static void
+test_silence_is_judged_by_the_routes_own_measure (void **state)
+{
+  const double medians_us[] = { 5.0 * MS_US, 100.0 * MS_US, 2000.0 * MS_US };
+
+  for (guint i = 0; i < G_N_ELEMENTS (medians_us); i++)
+    {
+      LatencyBook *book = filled (medians_us[i], 0.5, 400);
+      LatencyFit fit = latency_book_fit (book, ROUTE);
+      double half = latency_fit_log_survival (&fit, (gint64)medians_us[i]);
+      double five = latency_fit_log_survival (&fit, (gint64)(5 * medians_us[i]));
+      gint64 hundredth = latency_fit_age_us (&fit, log (0.01));
+
+      assert_true (half > log (0.35) && half < log (0.65));
+      assert_true (five < log (0.02));
+      assert_in_range (hundredth, (gint64)(2.5 * medians_us[i]),
+                       (gint64)(8 * medians_us[i]));
+      latency_book_destroy (book);
+    }
+}
+
+static void
+test_a_fit_survives_its_packing (void **state)
+{
+  LatencyFit fit = { log (MEDIAN_US), 0.512, 60 };
+  LatencyFit back = latency_fit_unpack (latency_fit_pack (&fit));
+  LatencyFit none = { 0 };
+
+  assert_true (fabs (back.log_mean - fit.log_mean) < 0.002);
+  assert_true (fabs (back.log_sd - fit.log_sd) < 0.002);
+  assert_true (latency_fit_is_known (&back));
+  none = latency_fit_unpack (latency_fit_pack (&none));
+  assert_int_equal (none.samples, 0);
+}
+
+/* One slow target of three moves neither what the others are compared with. */
+static void
+test_a_slow_target_is_no_measure_for_the_others (void **state)
+{
+  LatencyViews *views = latency_views_create ();
+  LatencyFit good = { log (MEDIAN_US), 0.5, 10 };
+  LatencyFit slow = { log (12 * MEDIAN_US), 0.5, 10 };
+  LatencyFit seen;
+
+  latency_views_note (views, ROUTE, "slow", &slow);
+  latency_views_note (views, ROUTE, "a", &good);
+  latency_views_note (views, ROUTE, "b", &good);
+  latency_views_note (views, ROUTE, "slow", &slow);
+  seen = latency_views_fit (views, ROUTE);
+  assert_true (fabs (seen.log_mean - good.log_mean) < 0.001);
+  assert_int_equal (seen.samples, 30);
+  assert_int_equal (latency_views_fit (views, ROUTE + 1).samples, 0);
+  latency_views_destroy (views);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_fit_follows_its_samples),
+    cmocka_unit_test (test_nothing_is_said_of_what_is_not_known),
+    cmocka_unit_test (test_silence_is_judged_by_the_routes_own_measure),
+    cmocka_unit_test (test_a_fit_survives_its_packing),
+    cmocka_unit_test (test_a_slow_target_is_no_measure_for_the_others),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/core/tests/test-retry.c
@@ -0,0 +1,162 @@
+/* Retry budgets that many sidecars share: no schedule of requests, bunches of failures
+ * and restarts lets a service receive more retries in any window than the fleet may make.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/retry.h>
+
+#define SCHEDULES 300u
+#define HOLDERS 6u
+#define PERCENT 20u
+#define BURST 60u
+#define WINDOW_US (10 * SECOND_US)
+#define LENGTH_US (60 * SECOND_US)
+
+typedef struct
+{
+  RetryBudget *budget;
+  gint64 began_us;
+  gboolean first_life;
+} Holder;
+
+typedef struct
+{
+  Clock *clock;
+  GRand *rand;
+  Holder holders[HOLDERS];
+  GArray *firsts; /* of gint64: when */
+  GArray *retries;
+} Fleet;
+
+static void
+start (Fleet *fleet, Holder *holder, gboolean first_life)
+{
+  retry_budget_destroy (holder->budget);
+  holder->budget = retry_budget_create (PERCENT, WINDOW_US, fleet->clock);
+  holder->began_us = clock_now (fleet->clock);
+  holder->first_life = first_life;
+}
+
+static void
+ask (Fleet *fleet, Holder *holder, RetryKind kind)
+{
+  gint64 now = clock_now (fleet->clock);
+  gboolean burst = holder->first_life || now - holder->began_us >= WINDOW_US;
+
+  retry_budget_set_burst (holder->budget, burst ? 100 * BURST / HOLDERS : 0);
+  if (!retry_budget_allows (holder->budget, kind))
+    return;
+  retry_budget_note (holder->budget, kind);
+  g_array_append_val (kind == RETRY_AGAIN ? fleet->retries : fleet->firsts, now);
+}
+
+static guint
+count (const GArray *times, gint64 from, gint64 to)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < times->len; i++)
+    {
+      gint64 at = g_array_index (times, gint64, i);
+
+      n += at > from && at <= to;
+    }
+  return n;
+}
+
+/* The window that ends with each retry, as the users count it: against the requests of
+   the window, of the one before, or of the one half a window before. */
+static void
+check (const Fleet *fleet, guint seed)
+{
+  for (guint i = 0; i < fleet->retries->len; i++)
+    {
+      gint64 to = g_array_index (fleet->retries, gint64, i);
+      guint spent = count (fleet->retries, to - WINDOW_US, to);
+      guint firsts = 0;
+
+      for (gint64 back = 0; back <= WINDOW_US; back += WINDOW_US / 2)
+        firsts = MAX (firsts, count (fleet->firsts, to - WINDOW_US - back, to - back));
+      if (spent * 100 > PERCENT * firsts + 100 * BURST)
+        fail_msg ("schedule %u: %u retries beside %u requests", seed, spent, firsts);
+    }
+}
+
+static void
+run (guint seed)
+{
+  Fleet fleet = { .clock = clock_create_manual (SECOND_US),
+                  .rand = g_rand_new_with_seed (seed) };
+  guint rate = (guint)g_rand_int_range (fleet.rand, 1, 20);
+
+  fleet.firsts = g_array_new (FALSE, FALSE, sizeof (gint64));
+  fleet.retries = g_array_new (FALSE, FALSE, sizeof (gint64));
+  for (guint i = 0; i < HOLDERS; i++)
+    start (&fleet, &fleet.holders[i], TRUE);
+  while (clock_now (fleet.clock) < LENGTH_US)
+    {
+      Holder *holder = &fleet.holders[g_rand_int_range (fleet.rand, 0, HOLDERS)];
+      guint what = (guint)g_rand_int_range (fleet.rand, 0, 1000);
+
+      if (what == 0)
+        start (&fleet, holder, FALSE);
+      /* Failures come in bunches. */
+      else if (what < 20)
+        for (guint i = 0; i < 40; i++)
+          ask (&fleet, &fleet.holders[g_rand_int_range (fleet.rand, 0, HOLDERS)],
+               RETRY_AGAIN);
+      else
+        ask (&fleet, holder, what < 700 ? RETRY_NONE : RETRY_AGAIN);
+      clock_advance (fleet.clock, SECOND_US / 10 / rate);
+    }
+  check (&fleet, seed);
+  for (guint i = 0; i < HOLDERS; i++)
+    retry_budget_destroy (fleet.holders[i].budget);
+  g_array_unref (fleet.firsts);
+  g_array_unref (fleet.retries);
+  g_rand_free (fleet.rand);
+  clock_destroy (fleet.clock);
+}
+
+static void
+test_no_schedule_exceeds_what_the_fleet_may_retry (void **state)
+{
+  for (guint seed = 1; seed <= SCHEDULES; seed++)
+    run (seed);
+}
+
+/* The budget is there from the first second of a fleet. */
+static void
+test_a_first_life_may_burst_at_once (void **state)
+{
+  Fleet fleet = { .clock = clock_create_manual (SECOND_US) };
+  Holder *holder = &fleet.holders[0];
+
+  fleet.firsts = g_array_new (FALSE, FALSE, sizeof (gint64));
+  fleet.retries = g_array_new (FALSE, FALSE, sizeof (gint64));
+  start (&fleet, holder, TRUE);
+  for (guint i = 0; i < 2 * BURST; i++)
+    ask (&fleet, holder, RETRY_AGAIN);
+  assert_int_equal (fleet.retries->len, BURST / HOLDERS);
+  start (&fleet, holder, FALSE);
+  ask (&fleet, holder, RETRY_AGAIN);
+  assert_int_equal (fleet.retries->len, BURST / HOLDERS);
+  retry_budget_destroy (holder->budget);
+  g_array_unref (fleet.firsts);
+  g_array_unref (fleet.retries);
+  clock_destroy (fleet.clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_no_schedule_exceeds_what_the_fleet_may_retry),
+    cmocka_unit_test (test_a_first_life_may_burst_at_once),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/core/tests/test-strict.c
+++ b/core/tests/test-strict.c
@@ -6,7 +6,7 @@
 
 #include <core/detector.h>
 
-#define TOOK_US (200 * MS_US)
+#define TOOK_US (100 * MS_US)
 
 typedef struct
 {
@@ -105,6 +105,38 @@
   teardown (&fixture);
 }
 
+/* What was sent before the target fell sick says nothing of how it does since. */
+static void
+test_older_work_that_fails_is_no_trial (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+  DetectorSample old = { TRUE, TRUE, 5 * SECOND_US, TOOK_US, 0 };
+
+  observe (&fixture, TRUE, TRUE);
+  clock_advance (fixture.clock, 2900 * MS_US);
+  detector_observe (fixture.detector, &old);
+  assert_int_equal (detector_failed_trials (fixture.detector), 0);
+  clock_advance (fixture.clock, 200 * MS_US);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+}
+
+static void
+test_silence_is_enough_and_an_answer_ends_it (void **state)
+{
+  Fixture fixture = setup (DETECTION_STRICT);
+  Fixture careful = setup (DETECTION_CAREFUL);
+
+  detector_suspect (fixture.detector);
+  detector_suspect (careful.detector);
+  assert_true (is_sick (&fixture));
+  assert_false (is_sick (&careful));
+  observe (&fixture, FALSE, FALSE);
+  assert_false (is_sick (&fixture));
+  teardown (&fixture);
+  teardown (&careful);
+}
+
 static void
 test_without_any_work_it_gets_another_chance (void **state)
 {
@@ -145,6 +177,8 @@
     cmocka_unit_test (test_careful_needs_more_than_one_break),
     cmocka_unit_test (test_a_single_break_is_over_with_one_good_trial),
     cmocka_unit_test (test_a_bad_spell_takes_two_good_trials_in_a_row),
+    cmocka_unit_test (test_older_work_that_fails_is_no_trial),
+    cmocka_unit_test (test_silence_is_enough_and_an_answer_ends_it),
     cmocka_unit_test (test_without_any_work_it_gets_another_chance),
     cmocka_unit_test (test_quick_failures_do_not_pass_for_speed),
   };
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -17,14 +17,24 @@
 };
 
 static const char *const counter_names[METRIC_COUNT] = {
-  "switchmill_attempts_total",          "switchmill_retries_total",
-  "switchmill_fence_questions_total",   "switchmill_trials_total",
-  "switchmill_cancels_total",           "switchmill_abandoned_total",
-  "switchmill_sidecar_started_total",   "switchmill_sidecar_refused_total",
-  "switchmill_sidecar_failed_total",    "switchmill_target_refused_total",
-  "switchmill_rpc_denied_total",        "switchmill_config_applied_total",
-  "switchmill_config_generation",       "switchmill_platform_calls_total",
-  "switchmill_gossip_sent_bytes_total", "switchmill_gossip_received_bytes_total",
+  "switchmill_attempts_total",
+  "switchmill_retries_total",
+  "switchmill_hedges_total",
+  "switchmill_budget_refused_total",
+  "switchmill_fence_questions_total",
+  "switchmill_trials_total",
+  "switchmill_cancels_total",
+  "switchmill_abandoned_total",
+  "switchmill_sidecar_started_total",
+  "switchmill_sidecar_refused_total",
+  "switchmill_sidecar_failed_total",
+  "switchmill_target_refused_total",
+  "switchmill_rpc_denied_total",
+  "switchmill_config_applied_total",
+  "switchmill_config_generation",
+  "switchmill_platform_calls_total",
+  "switchmill_gossip_sent_bytes_total",
+  "switchmill_gossip_received_bytes_total",
 };
 
 /* Upper bounds of the exposed buckets, in microseconds. */
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -22,31 +22,70 @@
 static const RpcProcedure cancel = { SW_CANCEL, (xdrproc_t)xdr_sw_cancel_args, wire_void,
                                      0 };
 
+Attempt *
+attempt_create (Exchange *exchange)
+{
+  Attempt *attempt = g_new0 (Attempt, 1);
+
+  attempt->exchange = exchange;
+  return attempt;
+}
+
 /* What still comes of the submission is not waited for any more. */
-void
-exchange_drop_pending (Exchange *exchange)
+static void
+drop_pending (Attempt *attempt)
+{
+  if (attempt->pending)
+    attempt->pending->attempt = NULL;
+  attempt->pending = NULL;
+  g_clear_pointer (&attempt->watch, peer_watch_destroy);
+}
+
+static void
+attempt_over (Attempt *attempt)
 {
-  if (exchange->pending)
-    exchange->pending->exchange = NULL;
-  exchange->pending = NULL;
-  g_clear_pointer (&exchange->watch, peer_watch_destroy);
+  drop_pending (attempt);
+  if (attempt->out)
+    balancer_end (attempt->exchange->owner->node->balancer, attempt->target->name);
+  attempt->out = FALSE;
 }
 
 static void
-attempt_over (Exchange *exchange)
+attempt_free (Attempt *attempt)
+{
+  g_clear_pointer (&attempt->targets, snapshot_unref);
+  g_free (attempt);
+}
+
+void
+attempt_destroy (Attempt *attempt)
+{
+  if (!attempt)
+    return;
+  attempt_over (attempt);
+  attempt->exchange = NULL;
+  /* The session that is being opened still calls back. */
+  if (!attempt->opening)
+    attempt_free (attempt);
+}
+
+/* A session has been opened for it, or not. FALSE when nobody waits any more. */
+static gboolean
+attempt_opened (Attempt *attempt)
 {
-  exchange_drop_pending (exchange);
-  if (exchange->out)
-    balancer_end (exchange->owner->node->balancer, exchange->target->name);
-  exchange->out = FALSE;
+  attempt->opening = FALSE;
+  if (attempt->exchange)
+    return TRUE;
+  attempt_free (attempt);
+  return FALSE;
 }
 
 static void
-fill_attempt (const Exchange *exchange, sw_attempt *attempt)
+fill_attempt (const Attempt *attempt, sw_attempt *words)
 {
-  attempt->node = exchange->attempt.node;
-  attempt->incarnation = exchange->attempt.incarnation;
-  attempt->counter = exchange->attempt.counter;
+  words->node = attempt->id.node;
+  words->incarnation = attempt->id.incarnation;
+  words->counter = attempt->id.counter;
 }
 
 static void
@@ -55,42 +94,43 @@
   /* A cancellation that is lost only leaves work to run to its deadline. */
 }
 
-/* Tells the sidecar that nobody waits for the last attempt any more. */
 void
-exchange_cancel_attempt (Exchange *exchange)
+attempt_cancel (Attempt *attempt)
 {
+  Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
   sw_cancel_args args = { 0 };
 
-  if (!exchange->submitted || exchange->ticket)
+  if (!attempt->submitted || exchange->ticket)
     return;
-  exchange->submitted = FALSE;
-  fill_attempt (exchange, &args.attempt);
-  args.sidecar = exchange->stamp.incarnation;
-  args.clock_us = (guint64)exchange->stamp.reading_us;
-  args.target = exchange->target->name;
+  attempt->submitted = FALSE;
+  fill_attempt (attempt, &args.attempt);
+  args.sidecar = attempt->stamp.incarnation;
+  args.clock_us = (guint64)attempt->stamp.reading_us;
+  args.target = attempt->target->name;
   args.repeatable = exchange->route->repeatable;
   metrics_add (node->metrics, METRIC_CANCELS, 1);
-  peers_call (node->peers, exchange->target->vm, &cancel, &args, CANCEL_TIMEOUT_US,
+  peers_call (node->peers, attempt->target->vm, &cancel, &args, CANCEL_TIMEOUT_US,
               on_cancelled, NULL);
 }
 
 static gboolean
-is_own_attempt (const Exchange *exchange, const sw_attempt *attempt)
+is_own_attempt (const Attempt *attempt, const sw_attempt *words)
 {
-  return attempt->counter == exchange->attempt.counter &&
-         attempt->incarnation == exchange->attempt.incarnation &&
-         strcmp (attempt->node, exchange->attempt.node) == 0;
+  return words->counter == attempt->id.counter &&
+         words->incarnation == attempt->id.incarnation &&
+         strcmp (words->node, attempt->id.node) == 0;
 }
 
-/* How a sidecar's answer reads for the dispatch; one to another attempt is no answer. */
-static DispatchReport
-report_of (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
+DispatchReport
+attempt_report (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res)
 {
+  Exchange *exchange = attempt->exchange;
+
   /* What is denied has been turned away before it was looked at. */
   if (outcome == RPC_UNSENT || outcome == RPC_DENIED)
     return DISPATCH_UNSENT;
-  if (outcome != RPC_OK || !is_own_attempt (exchange, &res->attempt))
+  if (outcome != RPC_OK || !is_own_attempt (attempt, &res->attempt))
     return DISPATCH_LOST;
   switch (res->result)
     {
@@ -112,10 +152,10 @@
 }
 
 static void
-note_path (Exchange *exchange, RpcOutcome outcome)
+note_path (const Attempt *attempt, RpcOutcome outcome)
 {
-  Node *node = exchange->owner->node;
-  const char *vm = exchange->target->vm;
+  Node *node = attempt->exchange->owner->node;
+  const char *vm = attempt->target->vm;
 
   /* Silence may be a slow target's: whether the node itself answers has to be asked. */
   if (outcome == RPC_TIMEOUT)
@@ -125,71 +165,98 @@
 }
 
 static void
-note_answer (Exchange *exchange, const sw_submit_res *res)
+note_answer (const Attempt *attempt, const sw_submit_res *res)
 {
+  const Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
+  LatencyFit fit = latency_fit_unpack (res->route_fit);
 
+  latency_views_note (exchange->owner->latencies, latency_route (exchange->route->class),
+                      attempt->target->name, &fit);
   peers_note_stamp (node->peers, &res->stamp);
   peers_note_state (node->peers, &res->stamp, &res->state);
 }
 
 static void
-note_busy (Exchange *exchange, char *name)
+note_busy (const Attempt *attempt, char *name)
 {
+  Exchange *exchange = attempt->exchange;
+
   g_ptr_array_add (exchange->busy, name);
-  if (exchange->local)
+  if (attempt->local)
     exchange->busy_own++;
   else
     exchange->busy_other++;
 }
 
+static char *
+take_tried (Exchange *exchange, const char *name)
+{
+  for (guint i = exchange->tried->len; i-- > 0;)
+    if (strcmp (g_ptr_array_index (exchange->tried, i), name) == 0)
+      return g_ptr_array_steal_index (exchange->tried, i);
+  return NULL;
+}
+
 /* A target that only refused may be chosen again, if in other circumstances. */
 static void
-note_refusal (Exchange *exchange, Reason reason)
+note_refusal (const Attempt *attempt, Reason reason)
 {
-  gpointer name;
+  Exchange *exchange = attempt->exchange;
+  char *name;
 
-  if (exchange->tried->len == 0 || (reason != REASON_SICK && reason != REASON_OVERLOAD))
+  if (reason != REASON_SICK && reason != REASON_OVERLOAD && reason != REASON_BUDGET)
     return;
-  name = g_ptr_array_steal_index (exchange->tried, exchange->tried->len - 1);
-  if (reason == REASON_OVERLOAD && !exchange->may_queue)
-    note_busy (exchange, name);
-  else if (reason == REASON_OVERLOAD)
-    g_ptr_array_add (exchange->tried, name);
-  else
+  name = take_tried (exchange, attempt->target->name);
+  if (!name)
+    return;
+  if (reason == REASON_SICK)
     g_free (name);
+  else if (!attempt->may_queue)
+    note_busy (attempt, name);
+  else
+    g_ptr_array_add (exchange->tried, name);
 }
 
 /* The bytes that the refused attempt has cost. */
 static void
-count_refused (Exchange *exchange)
+count_refused (Attempt *attempt)
 {
-  const Node *node = exchange->owner->node;
+  const Node *node = attempt->exchange->owner->node;
 
   traffic_recount (node->traffic, TRAFFIC_REQUESTS, TRAFFIC_REFUSED,
-                   peers_in_own_hall (node, exchange->target->vm), exchange->sent_bytes);
-  exchange->sent_bytes = 0;
+                   peers_in_own_hall (node, attempt->target->vm), attempt->sent_bytes);
+  attempt->sent_bytes = 0;
 }
 
 static void
-attempt_ended (Exchange *exchange, RpcOutcome outcome, sw_submit_res *res)
+attempt_ended (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res)
 {
+  Exchange *exchange = attempt->exchange;
+  Reason reason = outcome == RPC_OK ? (Reason)res->reason : REASON_LOST;
   DispatchReport report;
   DispatchStep step;
 
-  request_log_attempt_end (exchange, outcome, res);
-  attempt_over (exchange);
-  note_path (exchange, outcome);
-  exchange->submitted &= outcome == RPC_TIMEOUT || outcome == RPC_LOST;
+  request_log_attempt_end (attempt, outcome, res);
+  attempt_over (attempt);
+  note_path (attempt, outcome);
+  attempt->submitted &= outcome == RPC_TIMEOUT || outcome == RPC_LOST;
   if (outcome == RPC_OK)
-    note_answer (exchange, res);
-  report = report_of (exchange, outcome, res);
+    note_answer (attempt, res);
+  report = attempt_report (attempt, outcome, res);
   if (outcome == RPC_OK)
-    note_refusal (exchange, (Reason)res->reason);
+    note_refusal (attempt, reason);
   if (report == DISPATCH_REFUSED)
-    count_refused (exchange);
-  step = dispatch_sent (exchange->dispatch, report,
-                        outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
+    count_refused (attempt);
+  if (attempt == exchange->hedge)
+    {
+      exchange_hedge_ended (exchange, report, reason);
+      return;
+    }
+  if (exchange_promote_hedge (exchange, report, reason))
+    return;
+  exchange_drop_hedge (exchange);
+  step = dispatch_sent (exchange->dispatch, report, reason,
                         outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
   exchange_carry_out (exchange, &step);
 }
@@ -198,38 +265,39 @@
 on_submitted (RpcOutcome outcome, void *result, gpointer data)
 {
   Pending *pending = data;
-  Exchange *exchange = pending->exchange;
+  Attempt *attempt = pending->attempt;
 
-  if (exchange)
-    exchange->pending = NULL;
+  if (attempt)
+    attempt->pending = NULL;
   g_free (pending);
-  if (exchange)
-    attempt_ended (exchange, outcome, result);
+  if (attempt)
+    attempt_ended (attempt, outcome, result);
 }
 
 /* The node does not even answer a ping: its answer is not to be expected. */
 static void
 on_node_lost (gpointer data)
 {
-  Exchange *exchange = data;
+  Attempt *attempt = data;
 
-  path_probes_begin (exchange->owner->node->paths, exchange->target->vm);
-  attempt_ended (exchange, RPC_LOST, NULL);
+  path_probes_begin (attempt->exchange->owner->node->paths, attempt->target->vm);
+  attempt_ended (attempt, RPC_LOST, NULL);
 }
 
 static void
 on_asked (RpcOutcome outcome, void *result, gpointer data)
 {
   Exchange *exchange = data;
+  Attempt *attempt = exchange->attempt;
   sw_submit_res *res = result;
   DispatchReport report;
   DispatchStep step;
 
-  note_path (exchange, outcome);
+  note_path (attempt, outcome);
   if (outcome == RPC_OK)
-    note_answer (exchange, res);
-  report = report_of (exchange, outcome, res);
-  exchange->submitted &= report != DISPATCH_REFUSED;
+    note_answer (attempt, res);
+  report = attempt_report (attempt, outcome, res);
+  attempt->submitted &= report != DISPATCH_REFUSED;
   step = dispatch_asked (exchange->dispatch, report,
                          outcome == RPC_OK ? (Reason)res->reason : REASON_LOST,
                          outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
@@ -278,91 +346,128 @@
  * already, and is good for one incarnation of its sidecar only: FALSE when that has gone.
  */
 gboolean
-exchange_name_attempt (Exchange *exchange, const PeerStamp *stamp)
+attempt_name (Attempt *attempt, const PeerStamp *stamp)
 {
+  Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
 
   if (exchange->ticket)
-    return stamp->incarnation == exchange->stamp.incarnation;
-  exchange->attempt.node = node->settings->node;
-  exchange->attempt.incarnation = node->incarnation;
-  exchange->attempt.counter = ++exchange->owner->counter;
-  exchange->stamp = *stamp;
+    return stamp->incarnation == attempt->stamp.incarnation;
+  attempt->id.node = node->settings->node;
+  attempt->id.incarnation = node->incarnation;
+  attempt->id.counter = ++exchange->owner->counter;
+  attempt->stamp = *stamp;
   return TRUE;
 }
 
+LatencyFit
+exchange_fit (const Exchange *exchange)
+{
+  return latency_views_fit (exchange->owner->latencies,
+                            latency_route (exchange->route->class));
+}
+
+/* What the sidecar needs to know of the attempt, but for the request itself. */
 static void
-on_session (const PeerStamp *stamp, gpointer data)
+fill_terms (const Attempt *attempt, sw_submit_args *args)
 {
-  Exchange *exchange = data;
+  const Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+  LatencyFit fit = exchange_fit (exchange);
+
+  fill_attempt (attempt, &args->attempt);
+  args->sidecar = attempt->stamp.incarnation;
+  args->clock_us = (guint64)attempt->stamp.reading_us;
+  args->target = attempt->target->name;
+  args->tenant = attempt->service->tenant;
+  args->remaining_ms = (u_int)MAX (1, attempt->remaining_us / MS_US);
+  args->priority = exchange->route->priority;
+  args->repeatable = exchange->route->repeatable;
+  args->retry = attempt->retry;
+  args->even_sick = attempt->even_sick;
+  args->trial = attempt->trial;
+  args->may_queue = attempt->may_queue;
+  args->wait_ms = (u_int)(attempt->max_wait_us / MS_US);
+  args->route = latency_route (exchange->route->class);
+  args->sibling_fit = latency_fit_pack (&fit);
+  args->sibling_failures_ppm = balancer_failures_ppm (node->balancer, attempt->service);
+}
+
+static void
+submit_now (Attempt *attempt)
+{
+  const Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
   const GByteArray *body = http_request_body (exchange->request);
-  g_autoptr (GArray) headers = NULL;
-  SiblingMedians siblings;
+  g_autoptr (GArray) headers = forwarded_headers (exchange);
   sw_submit_args args = { 0 };
+
+  fill_terms (attempt, &args);
+  args.method = (char *)http_request_method (exchange->request);
+  args.path = (char *)http_request_target (exchange->request);
+  args.body.body_val = (char *)body->data;
+  args.body.body_len = body->len;
+  fill_headers (headers, &args);
+  attempt->submitted = TRUE;
+  request_log_attempt (attempt);
+  metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
+  attempt->pending = g_new0 (Pending, 1);
+  attempt->pending->attempt = attempt;
+  attempt->watch = peer_watch_create (node, attempt->target->vm, on_node_lost, attempt);
+  attempt->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
+  peers_call (node->peers, attempt->target->vm, &submit, &args, attempt->wait_us,
+              on_submitted, attempt->pending);
+  g_free (args.headers.headers_val);
+}
+
+static void
+on_session (const PeerStamp *stamp, gpointer data)
+{
+  Attempt *attempt = data;
+  Exchange *exchange = attempt->exchange;
   DispatchStep step;
 
+  if (!attempt_opened (attempt))
+    return;
   if (!stamp)
     {
-      attempt_ended (exchange, RPC_UNSENT, NULL);
+      attempt_ended (attempt, RPC_UNSENT, NULL);
       return;
     }
-  if (!exchange_name_attempt (exchange, stamp))
+  if (!attempt_name (attempt, stamp))
     {
-      attempt_over (exchange);
+      attempt_over (attempt);
       step = dispatch_sent (exchange->dispatch, DISPATCH_UNSURE, REASON_INCARNATION, 0);
       exchange_carry_out (exchange, &step);
       return;
     }
-  siblings = balancer_medians (node->balancer, exchange->service);
-  fill_attempt (exchange, &args.attempt);
-  args.sidecar = exchange->stamp.incarnation;
-  args.clock_us = (guint64)exchange->stamp.reading_us;
-  args.target = exchange->target->name;
-  args.tenant = exchange->service->tenant;
-  args.remaining_ms = (u_int)MAX (1, exchange->remaining_us / MS_US);
-  args.priority = exchange->route->priority;
-  args.repeatable = exchange->route->repeatable;
-  args.repeat = exchange->repeat || dispatch_arrivals (exchange->dispatch) > 0;
-  args.even_sick = exchange->even_sick;
-  args.trial = exchange->trial;
-  args.may_queue = exchange->may_queue;
-  args.may_break_off = dispatch_has_retry (exchange->dispatch);
-  args.sibling_latency_us = siblings.latency_us;
-  args.sibling_failures_ppm = siblings.failures_ppm;
-  args.method = (char *)http_request_method (exchange->request);
-  args.path = (char *)http_request_target (exchange->request);
-  args.body.body_val = (char *)body->data;
-  args.body.body_len = body->len;
-  headers = forwarded_headers (exchange);
-  fill_headers (headers, &args);
-  exchange->submitted = TRUE;
-  request_log_attempt (exchange);
-  metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
-  exchange->pending = g_new0 (Pending, 1);
-  exchange->pending->exchange = exchange;
-  exchange->watch =
-      peer_watch_create (node, exchange->target->vm, on_node_lost, exchange);
-  exchange->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
-  peers_call (node->peers, exchange->target->vm, &submit, &args, exchange->wait_us,
-              on_submitted, exchange->pending);
-  g_free (args.headers.headers_val);
+  submit_now (attempt);
+}
+
+void
+attempt_send (Attempt *attempt, gint64 wait_us, gint64 remaining_us)
+{
+  Node *node = attempt->exchange->owner->node;
+
+  attempt->wait_us = wait_us;
+  attempt->remaining_us = remaining_us;
+  attempt->out = TRUE;
+  attempt->opening = TRUE;
+  balancer_begin (node->balancer, attempt->target->name);
+  peers_open (node->peers, attempt->target->vm, MIN (wait_us, OPEN_TIMEOUT_US),
+              on_session, attempt);
 }
 
 void
 exchange_send (Exchange *exchange, const DispatchStep *step)
 {
-  Node *node = exchange->owner->node;
+  Attempt *attempt = exchange->attempt;
 
-  g_assert (exchange->target);
-  exchange->wait_us = step->wait_us;
-  exchange->remaining_us = step->remaining_us;
-  exchange->out = TRUE;
-  balancer_begin (node->balancer, exchange->target->name);
+  attempt->retry = dispatch_retry_kind (exchange->dispatch);
   if (dispatch_attempts (exchange->dispatch) > 1)
-    metrics_add (node->metrics, METRIC_RETRIES, 1);
-  peers_open (node->peers, exchange->target->vm, MIN (step->wait_us, OPEN_TIMEOUT_US),
-              on_session, exchange);
+    metrics_add (exchange->owner->node->metrics, METRIC_RETRIES, 1);
+  exchange_hedge_later (exchange);
+  attempt_send (attempt, step->wait_us, step->remaining_us);
 }
 
 /* The question goes to the incarnation that the attempt was sent to, or is pointless. */
@@ -370,6 +475,7 @@
 on_session_to_ask (const PeerStamp *stamp, gpointer data)
 {
   Exchange *exchange = data;
+  const Attempt *attempt = exchange->attempt;
   sw_fence_args args = { 0 };
   DispatchStep step;
 
@@ -378,30 +484,30 @@
       on_asked (RPC_UNSENT, NULL, exchange);
       return;
     }
-  if (stamp->incarnation != exchange->stamp.incarnation)
+  if (stamp->incarnation != attempt->stamp.incarnation)
     {
       step = dispatch_asked (exchange->dispatch, DISPATCH_UNSURE, REASON_INCARNATION, 0);
       exchange_carry_out (exchange, &step);
       return;
     }
-  fill_attempt (exchange, &args.attempt);
-  args.sidecar = exchange->stamp.incarnation;
-  args.clock_us = (guint64)exchange->stamp.reading_us;
-  args.target = exchange->target->name;
-  args.wait_ms = (u_int)(exchange->hold_us / MS_US);
-  peers_call (exchange->owner->node->peers, exchange->target->vm, &fence, &args,
-              exchange->wait_us, on_asked, exchange);
+  fill_attempt (attempt, &args.attempt);
+  args.sidecar = attempt->stamp.incarnation;
+  args.clock_us = (guint64)attempt->stamp.reading_us;
+  args.target = attempt->target->name;
+  args.wait_ms = (u_int)(attempt->hold_us / MS_US);
+  peers_call (exchange->owner->node->peers, attempt->target->vm, &fence, &args,
+              attempt->wait_us, on_asked, exchange);
 }
 
 void
 exchange_ask (Exchange *exchange, const DispatchStep *step)
 {
   Node *node = exchange->owner->node;
+  Attempt *attempt = exchange->attempt;
 
-  g_assert (exchange->target);
-  exchange->wait_us = step->wait_us;
-  exchange->hold_us = step->hold_us;
+  attempt->wait_us = step->wait_us;
+  attempt->hold_us = step->hold_us;
   metrics_add (node->metrics, METRIC_FENCE_QUESTIONS, 1);
-  peers_open (node->peers, exchange->target->vm, step->wait_us, on_session_to_ask,
+  peers_open (node->peers, attempt->target->vm, step->wait_us, on_session_to_ask,
               exchange);
 }
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -1,22 +1,25 @@
 /*
  * What the files of an exchange share: exchange.c its life, exchange-choice.c the choice
- * of a target, exchange-call.c the calls to sidecars.
+ * of a target, exchange-call.c the calls to sidecars, exchange-hedge.c a second attempt
+ * beside one that takes too long.
  */
 #ifndef DAEMON_EXCHANGE_PRIVATE_H
 #define DAEMON_EXCHANGE_PRIVATE_H
 
 #include <core/dispatch.h>
+#include <core/latency.h>
 
 #include "adapter.h"
 #include "exchange.h"
 #include "peer-watch.h"
 
 typedef struct Exchange Exchange;
+typedef struct Attempt Attempt;
 
 /* One submission on its way: its answer may come when nobody waits for it any more. */
 typedef struct
 {
-  Exchange *exchange; /* NULL once it has been given up */
+  Attempt *attempt; /* NULL once it has been given up */
 } Pending;
 
 struct Exchanges
@@ -24,6 +27,33 @@
   Node *node;
   GHashTable *set; /* of Exchange */
   guint64 counter; /* of attempts, those of tickets too */
+  LatencyViews *latencies;
+};
+
+/* One attempt at one target. */
+struct Attempt
+{
+  Exchange *exchange; /* NULL once it has been given up while a session was opened */
+  Snapshot *targets;  /* holds the service alive */
+  const Service *service;
+  const Target *target;
+  AttemptId id; /* its node is borrowed */
+  PeerStamp stamp;
+  RetryKind retry;
+  gint64 wait_us;
+  gint64 max_wait_us; /* in the sidecar's queue; 0 for up to the deadline */
+  gint64 remaining_us;
+  gint64 hold_us;
+  gsize sent_bytes;
+  gboolean trial;     /* the target is sick, and this is to show whether it still is */
+  gboolean local;     /* the target is in this hall */
+  gboolean may_queue; /* free slots have been looked for in vain */
+  gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
+  gboolean opening;   /* a session is being opened for it */
+  gboolean out;       /* it is counted at the balancer */
+  gboolean submitted; /* a sidecar may hold it */
+  Pending *pending;   /* the submission that is waited for; NULL for none */
+  PeerWatch *watch;   /* over the node that it went to */
 };
 
 struct Exchange
@@ -33,36 +63,26 @@
   char *id;           /* the caller's own, NULL for none */
   Snapshot *snapshot; /* holds the route alive */
   const Route *route;
-  Snapshot *targets; /* holds the service alive: the newest at the last choice */
-  const Service *service;
+  char *service; /* the name of the route's service, or of its share */
+  char *tenant;
   Ticket *ticket; /* NULL for none */
   Dispatch *dispatch;
-  RetryBudget *budget; /* borrowed */
   LoopTimer *timer;
   gint64 began_us;
-  gboolean repeat;  /* a call for a request that is not at its first attempt */
+  gboolean call;    /* made by a target */
+  gboolean repeat;  /* and for a request that is not at its first attempt */
   GPtrArray *tried; /* names of targets */
   GPtrArray *busy;  /* names of targets that had no free slot */
   guint busy_own;   /* how many of them are in this hall */
   guint busy_other;
+  guint own_queues;     /* of the own hall that were tried */
   guint asked_shedding; /* how many that turn work away have been asked for a slot */
-  /* The last attempt. */
-  AttemptId attempt; /* its node is borrowed */
-  const Target *target;
-  PeerStamp stamp;
-  gint64 wait_us;
-  gint64 remaining_us;
-  gint64 hold_us;
-  gboolean trial;     /* the target is sick, and this is to show whether it still is */
-  gboolean local;     /* the target is in this hall */
-  gboolean may_queue; /* free slots have been looked for in vain */
-  gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
-  Pending *pending;   /* the submission that is waited for; NULL for none */
-  PeerWatch *watch;   /* over the node that it went to */
-  gboolean out;       /* an attempt is counted at the balancer */
+  gboolean may_queue;   /* free slots have been looked for in vain */
+  Attempt *attempt;     /* the dispatch's last; NULL before the first */
+  Attempt *hedge;       /* beside it; NULL for none */
+  LoopTimer *hedge_timer;
+  guint hedges;       /* that were asked for */
   gboolean abandoned; /* the caller has hung up */
-  gboolean submitted; /* a sidecar may hold the attempt */
-  gsize sent_bytes;   /* of the last submission */
   sw_answer answer;   /* owned once the outcome is "done" */
 };
 
@@ -72,17 +92,45 @@
 /* Finds a target for the next attempt, and goes on. */
 void exchange_choose (Exchange *exchange);
 
+/* A target with a free slot for a second attempt; FALSE when there is none to ask. */
+gboolean exchange_choose_hedge (Exchange *exchange, Attempt *attempt);
+
+/* An attempt of this exchange, at no target yet. */
+Attempt *attempt_create (Exchange *exchange);
+
+/* Gives it up; what still comes of it is dropped. */
+void attempt_destroy (Attempt *attempt);
+
+/* Nobody waits for it any more: its sidecar is told. */
+void attempt_cancel (Attempt *attempt);
+
+/* Sends it to its target. */
+void attempt_send (Attempt *attempt, gint64 wait_us, gint64 remaining_us);
+
+/* Names it; FALSE for a ticket of another start of its sidecar. */
+gboolean attempt_name (Attempt *attempt, const PeerStamp *stamp);
+
 /* Sends the next attempt, or asks the fence about the last one. */
 void exchange_send (Exchange *exchange, const DispatchStep *step);
 void exchange_ask (Exchange *exchange, const DispatchStep *step);
 
-/* Names the next attempt; FALSE for a ticket of another start of its sidecar. */
-gboolean exchange_name_attempt (Exchange *exchange, const PeerStamp *stamp);
+/* How a sidecar's answer reads for the dispatch; one to another attempt is no answer. A
+   whole answer is taken over by the exchange. */
+DispatchReport attempt_report (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res);
 
-/* Nobody waits for the last attempt any more: its sidecar is told. */
-void exchange_cancel_attempt (Exchange *exchange);
+/* What is known of how long answers on the exchange's route take. */
+LatencyFit exchange_fit (const Exchange *exchange);
 
-/* What still comes of the last submission is not waited for any more. */
-void exchange_drop_pending (Exchange *exchange);
+/* The attempt has been sent: a second one follows if it takes too long. */
+void exchange_hedge_later (Exchange *exchange);
+/* What the timer of the second attempt calls; `data` is the exchange. */
+void exchange_on_hedge_timer (gpointer data);
+/* No second one follows any more, and one that is on its way is given up. */
+void exchange_drop_hedge (Exchange *exchange);
+/* The second attempt has ended. */
+void exchange_hedge_ended (Exchange *exchange, DispatchReport report, Reason reason);
+/* The first has ended, and badly: the second, if there is one, takes its place. */
+gboolean
+exchange_promote_hedge (Exchange *exchange, DispatchReport report, Reason reason);
 
 #endif
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -3,6 +3,7 @@
 #include <core/http-status.h>
 
 #include "answer.h"
+#include "peers.h"
 #include "request-log.h"
 
 #define TICKET_TIMEOUT_US (2 * SECOND_US)
@@ -12,7 +13,9 @@
 {
   g_hash_table_remove (exchange->owner->set, exchange);
   http_request_watch_gone (exchange->request, NULL, NULL);
-  exchange_drop_pending (exchange);
+  attempt_destroy (exchange->hedge);
+  attempt_destroy (exchange->attempt);
+  loop_timer_destroy (exchange->hedge_timer);
   loop_timer_destroy (exchange->timer);
   dispatch_destroy (exchange->dispatch);
   g_ptr_array_unref (exchange->tried);
@@ -20,12 +23,22 @@
   ticket_free (exchange->ticket);
   xdr_free ((xdrproc_t)xdr_sw_answer, (char *)&exchange->answer);
   snapshot_unref (exchange->snapshot);
-  snapshot_unref (exchange->targets);
   http_request_unref (exchange->request);
+  g_free (exchange->service);
+  g_free (exchange->tenant);
   g_free (exchange->id);
   g_free (exchange);
 }
 
+/* Nobody waits for what is on its way. */
+static void
+cancel_attempts (Exchange *exchange)
+{
+  exchange_drop_hedge (exchange);
+  if (exchange->attempt)
+    attempt_cancel (exchange->attempt);
+}
+
 static void
 finish (Exchange *exchange, const DispatchStep *step)
 {
@@ -34,11 +47,11 @@
   Verdict verdict = { step->outcome, step->reason, step->retry_after_us };
   gint64 took = clock_now (node->clock) - exchange->began_us;
 
-  metrics_request (node->metrics, exchange->service->tenant, exchange->route->class,
-                   step->outcome, took);
+  metrics_request (node->metrics, exchange->tenant, exchange->route->class, step->outcome,
+                   took);
   request_log_end (exchange, step, took);
   if (step->outcome != OUTCOME_DONE)
-    exchange_cancel_attempt (exchange);
+    cancel_attempts (exchange);
   if (step->outcome == OUTCOME_DONE)
     answer_pass (dialect, exchange->request, &exchange->answer);
   else
@@ -54,8 +67,7 @@
 
   exchange->abandoned = TRUE;
   request_log_gone (exchange);
-  if (exchange->submitted)
-    exchange_cancel_attempt (exchange);
+  cancel_attempts (exchange);
 }
 
 static void
@@ -71,7 +83,7 @@
 static void
 abandon (Exchange *exchange)
 {
-  exchange_cancel_attempt (exchange);
+  cancel_attempts (exchange);
   metrics_add (exchange->owner->node->metrics, METRIC_ABANDONED, 1);
   http_request_drop (exchange->request);
   exchange_free (exchange);
@@ -112,6 +124,7 @@
 
   exchanges->node = node;
   exchanges->set = g_hash_table_new (NULL, NULL);
+  exchanges->latencies = latency_views_create ();
   return exchanges;
 }
 
@@ -131,6 +144,7 @@
       exchange_free (key);
     }
   g_hash_table_unref (exchanges->set);
+  latency_views_destroy (exchanges->latencies);
   g_free (exchanges);
 }
 
@@ -151,23 +165,18 @@
   exchange->request = http_request_ref (order->request);
   exchange->id = g_strdup (order->id);
   exchange->snapshot = snapshot_ref (order->snapshot);
-  exchange->targets = snapshot_ref (order->snapshot);
   exchange->route = order->route;
-  exchange->service = order->service;
+  exchange->service = g_strdup (order->service->name);
+  exchange->tenant = g_strdup (order->service->tenant);
   exchange->ticket = order->ticket;
-  exchange->budget = order->budget;
-  exchange->repeat = order->repeat;
-  if (order->ticket)
-    {
-      exchange->attempt = *order->ticket->attempt;
-      exchange->stamp = order->ticket->stamp;
-    }
   exchange->began_us = clock_now (node->clock);
   exchange->tried = g_ptr_array_new_with_free_func (g_free);
   exchange->busy = g_ptr_array_new_with_free_func (g_free);
   exchange->timer = loop_timer_create (node->loop, on_pause_over, exchange);
+  exchange->hedge_timer =
+      loop_timer_create (node->loop, exchange_on_hedge_timer, exchange);
   policy.deadline_us = exchange->began_us + order->span_us;
-  exchange->dispatch = dispatch_create (&policy, order->budget, node->rand, node->clock);
+  exchange->dispatch = dispatch_create (&policy, node->rand, node->clock);
   return exchange;
 }
 
@@ -185,8 +194,9 @@
 on_ticket_session (const PeerStamp *stamp, gpointer data)
 {
   Exchange *exchange = data;
+  Attempt *attempt = exchange->attempt;
   Node *node = exchange->owner->node;
-  Ticket ticket = { .attempt = &exchange->attempt };
+  Ticket ticket = { .attempt = &attempt->id };
   Verdict verdict = { .outcome = OUTCOME_NOT_RUN };
   g_autoptr (GArray) headers = NULL;
   g_autofree char *text = NULL;
@@ -198,10 +208,10 @@
       exchange_free (exchange);
       return;
     }
-  exchange_name_attempt (exchange, stamp);
-  ticket.service = exchange->service->name;
-  ticket.vm = exchange->target->vm;
-  ticket.target = exchange->target->name;
+  attempt_name (attempt, stamp);
+  ticket.service = exchange->service;
+  ticket.vm = attempt->target->vm;
+  ticket.target = attempt->target->name;
   ticket.stamp = *stamp;
   text = ticket_text (&ticket, node->settings->fleet_token);
   headers = http_headers_new ();
@@ -215,12 +225,16 @@
 exchanges_give_ticket (Exchanges *exchanges, const ExchangeOrder *order)
 {
   Exchange *exchange = exchange_create (exchanges, order);
+  Attempt *attempt = attempt_create (exchange);
   BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_BY_LOAD, BALANCER_SHEDDING_LAST,
                         NULL };
   BalancerChoice choice =
       balancer_choose (exchanges->node->balancer, order->service, &wish);
 
-  exchange->target = choice.target;
+  exchange->attempt = attempt;
+  attempt->targets = snapshot_ref (order->snapshot);
+  attempt->service = order->service;
+  attempt->target = choice.target;
   if (choice.target)
     peers_open (exchanges->node->peers, choice.target->vm, TICKET_TIMEOUT_US,
                 on_ticket_session, exchange);
--- a/daemon/src/request/exchange.h
+++ b/daemon/src/request/exchange.h
@@ -5,7 +5,7 @@
 #ifndef DAEMON_EXCHANGE_H
 #define DAEMON_EXCHANGE_H
 
-#include <core/retry.h>
+#include <core/config.h>
 #include <io/http-server.h>
 
 #include "ticket.h"
@@ -20,11 +20,10 @@
   Snapshot *snapshot; /* holds route and service alive */
   const Route *route;
   const Service *service;
-  RetryBudget *budget; /* borrowed for the exchange's life */
-  gint64 span_us;      /* until its deadline */
-  gboolean call;       /* a target makes it for a request that it runs */
-  gboolean repeat;     /* and that request is not at its first attempt */
-  Ticket *ticket;      /* taken over; NULL for none */
+  gint64 span_us;  /* until its deadline */
+  gboolean call;   /* a target makes it for a request that it runs */
+  gboolean repeat; /* and that request is not at its first attempt */
+  Ticket *ticket;  /* taken over; NULL for none */
 } ExchangeOrder;
 
 Exchanges *exchanges_create (Node *node);
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -13,51 +13,16 @@
 #include "exchange.h"
 #include "sidecar.h"
 
-/* Hundredths of a retry, in which budgets are counted. */
-#define RETRY_HUNDREDTHS 100u
-
 struct Ingress
 {
   Node *node;
   HttpServer *server;
-  GHashTable *budgets; /* service → RetryBudget */
   Exchanges *exchanges;
   Splitter *splitter;
   guint64 split_generation; /* of the routes that the splitter's turns belong to */
-  gint64 began_us;
   gboolean draining;
 };
 
-/* An ingress's share of the retries that the fleet may make beyond those for requests.
-   In the first window there are none: what was spent before a restart is not known. */
-static guint
-burst_share (const Ingress *ingress, const Service *service)
-{
-  const Node *node = ingress->node;
-
-  if (clock_now (node->clock) - ingress->began_us < node->defaults.retry_window_us)
-    return 0;
-  return service->retry_burst * RETRY_HUNDREDTHS / members_count_alive (node->members);
-}
-
-static RetryBudget *
-budget_of (Ingress *ingress, const Service *service)
-{
-  RetryBudget *budget = g_hash_table_lookup (ingress->budgets, service->name);
-
-  if (!budget)
-    {
-      budget = retry_budget_create (service->retry_percent,
-                                    ingress->node->defaults.retry_window_us,
-                                    ingress->node->clock);
-      g_hash_table_insert (ingress->budgets, g_strdup (service->name), budget);
-    }
-  retry_budget_set_percent (budget, service->retry_percent);
-  if (service->retry_burst > 0)
-    retry_budget_set_burst (budget, burst_share (ingress, service));
-  return budget;
-}
-
 /* The route's deadline, which a caller may shorten. */
 static gint64
 deadline_span (const CallerWords *words, const Route *route)
@@ -81,7 +46,6 @@
                          ? http_request_header (order->request, TICKET_HEADER)
                          : NULL;
 
-  order->budget = budget_of (ingress, order->service);
   if (!text || order->route->repeatable)
     {
       exchanges_begin (ingress->exchanges, order);
@@ -215,9 +179,6 @@
   Ingress *ingress = g_new0 (Ingress, 1);
 
   ingress->node = node;
-  ingress->began_us = clock_now (node->clock);
-  ingress->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            (GDestroyNotify)retry_budget_destroy);
   ingress->exchanges = exchanges_create (node);
   ingress->splitter = splitter_create (node->rand);
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
@@ -226,7 +187,6 @@
     return ingress;
   exchanges_destroy (ingress->exchanges);
   splitter_destroy (ingress->splitter);
-  g_hash_table_unref (ingress->budgets);
   g_free (ingress);
   return NULL;
 }
@@ -239,7 +199,6 @@
   http_server_destroy (ingress->server);
   exchanges_destroy (ingress->exchanges);
   splitter_destroy (ingress->splitter);
-  g_hash_table_unref (ingress->budgets);
   g_free (ingress);
 }
 
--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -14,14 +14,16 @@
 
 /* NULL before the first attempt has its name, which it gets from the node it goes to. */
 static char *
-own_attempt_name (const Exchange *exchange)
+own_attempt_name (const Attempt *attempt)
 {
-  sw_attempt attempt = { exchange->attempt.node, exchange->attempt.incarnation,
-                         exchange->attempt.counter };
+  sw_attempt words = { 0 };
 
-  if (!attempt.node)
+  if (!attempt || !attempt->id.node)
     return NULL;
-  return request_log_attempt_name (&attempt);
+  words.node = attempt->id.node;
+  words.incarnation = attempt->id.incarnation;
+  words.counter = attempt->id.counter;
+  return request_log_attempt_name (&words);
 }
 
 static const char *
@@ -31,26 +33,27 @@
 }
 
 void
-request_log_attempt (const Exchange *exchange)
+request_log_attempt (const Attempt *attempt)
 {
-  g_autofree char *attempt = own_attempt_name (exchange);
+  const Exchange *exchange = attempt->exchange;
+  g_autofree char *name = own_attempt_name (attempt);
   g_autofree char *number =
       g_strdup_printf ("%u", dispatch_attempts (exchange->dispatch));
   g_autofree char *left =
-      g_strdup_printf ("%" G_GINT64_FORMAT, exchange->remaining_us / MS_US);
+      g_strdup_printf ("%" G_GINT64_FORMAT, attempt->remaining_us / MS_US);
   g_autofree char *generation =
-      g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (exchange->targets));
+      g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (attempt->targets));
 
-  log_event (G_LOG_LEVEL_INFO, "attempt", "ID", exchange->id, "ATTEMPT", attempt,
-             "NUMBER", number, "SERVICE", exchange->service->name, "TARGET",
-             exchange->target->name, "VM", exchange->target->vm, "LEFT_MS", left,
-             "GENERATION", generation, "TRIAL", yes_no (exchange->trial), "KNOWN_SICK",
-             yes_no (exchange->even_sick), "MAY_QUEUE", yes_no (exchange->may_queue),
-             NULL);
+  log_event (G_LOG_LEVEL_INFO, "attempt", "ID", exchange->id, "ATTEMPT", name, "NUMBER",
+             number, "SERVICE", exchange->service, "TARGET", attempt->target->name, "VM",
+             attempt->target->vm, "LEFT_MS", left, "GENERATION", generation, "TRIAL",
+             yes_no (attempt->trial), "KNOWN_SICK", yes_no (attempt->even_sick),
+             "MAY_QUEUE", yes_no (attempt->may_queue), "OWN_HALL",
+             yes_no (attempt->local), NULL);
 }
 
 void
-request_log_attempt_end (const Exchange *exchange,
+request_log_attempt_end (const Attempt *attempt,
                          RpcOutcome outcome,
                          const sw_submit_res *res)
 {
@@ -59,21 +62,21 @@
   static const char *const results[] = { "done", "refused", "failed", "started",
                                          "unknown" };
   gboolean answered = outcome == RPC_OK && res;
-  g_autofree char *attempt = NULL;
+  g_autofree char *name = NULL;
   g_autofree char *in_use = NULL;
   g_autofree char *queued = NULL;
 
   /* A good answer is told by the request's own line. */
   if (answered && res->result == SW_DONE)
     return;
-  attempt = own_attempt_name (exchange);
+  name = own_attempt_name (attempt);
   if (answered)
     {
       in_use = g_strdup_printf ("%u", res->state.in_use);
       queued = g_strdup_printf ("%u", res->state.queued);
     }
-  log_event (G_LOG_LEVEL_INFO, "attempt-end", "ID", exchange->id, "ATTEMPT", attempt,
-             "TARGET", exchange->target->name, "CALL", outcomes[outcome], "RESULT",
+  log_event (G_LOG_LEVEL_INFO, "attempt-end", "ID", attempt->exchange->id, "ATTEMPT",
+             name, "TARGET", attempt->target->name, "CALL", outcomes[outcome], "RESULT",
              answered ? results[res->result] : NULL, "REASON",
              answered ? reason_name ((Reason)res->reason) : NULL, "IN_USE", in_use,
              "QUEUED", queued, NULL);
@@ -83,14 +86,14 @@
 request_log_gone (const Exchange *exchange)
 {
   log_event (G_LOG_LEVEL_INFO, "caller-gone", "ID", exchange->id, "SENT",
-             yes_no (exchange->submitted), NULL);
+             yes_no (exchange->attempt && exchange->attempt->submitted), NULL);
 }
 
 void
 request_log_end (const Exchange *exchange, const DispatchStep *step, gint64 took_us)
 {
   gboolean done = step->outcome == OUTCOME_DONE;
-  g_autofree char *attempt = own_attempt_name (exchange);
+  g_autofree char *attempt = own_attempt_name (exchange->attempt);
   g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, took_us);
   /* The attempt that a good answer came from has not been counted as an arrival. */
   guint answered = done && exchange->answer.status < HTTP_SERVER_ERROR;
@@ -101,9 +104,11 @@
   g_autofree char *status = done ? g_strdup_printf ("%u", exchange->answer.status) : NULL;
 
   log_event (G_LOG_LEVEL_INFO, done ? "request" : "request-failed", "ID", exchange->id,
-             "ATTEMPT", attempt, "SERVICE", exchange->service->name, "CLASS",
+             "ATTEMPT", attempt, "SERVICE", exchange->service, "CLASS",
              exchange->route->class, "OUTCOME", outcome_name (step->outcome), "REASON",
              reason_name (step->reason), "STATUS", status, "TARGET",
-             exchange->target ? exchange->target->name : NULL, "REFUSALS", refusals,
-             "ARRIVALS", arrivals, "TOOK_US", took, NULL);
+             exchange->attempt && exchange->attempt->target
+                 ? exchange->attempt->target->name
+                 : NULL,
+             "REFUSALS", refusals, "ARRIVALS", arrivals, "TOOK_US", took, NULL);
 }
--- a/daemon/src/request/request-log.h
+++ b/daemon/src/request/request-log.h
@@ -12,9 +12,9 @@
 char *request_log_attempt_name (const sw_attempt *attempt);
 
 /* An attempt goes out. */
-void request_log_attempt (const Exchange *exchange);
+void request_log_attempt (const Attempt *attempt);
 /* It has ended, or nobody waits for it any more. `res` is NULL without an answer. */
-void request_log_attempt_end (const Exchange *exchange,
+void request_log_attempt_end (const Attempt *attempt,
                               RpcOutcome outcome,
                               const sw_submit_res *res);
 /* The caller has left. */
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -135,6 +135,15 @@
                            SW_REASON_OVERLOAD);
       return;
     }
+  if (!sidecar_budgets_allow (sidecar->budgets, target->service, args->retry))
+    {
+      if (entry)
+        fence_refuse (entry);
+      metrics_add (sidecar->node->metrics, METRIC_BUDGET_REFUSED, 1);
+      sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
+                           SW_REASON_BUDGET);
+      return;
+    }
   submission = submission_create (sidecar, target, args);
   submission->entry = entry;
   if (entry)
@@ -205,6 +214,7 @@
   submission = find_submission (sidecar, &id);
   if (submission && submission->running)
     {
+      submission_note_given_up (submission);
       if (args->repeatable)
         submission_break_off (submission, SW_REASON_CANCELLED);
       return;
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -6,8 +6,10 @@
 #define DAEMON_SIDECAR_PRIVATE_H
 
 #include <core/fence.h>
+#include <core/latency.h>
 #include <io/http-client.h>
 
+#include "sidecar-budget.h"
 #include "sidecar-target.h"
 #include "sidecar.h"
 
@@ -46,6 +48,8 @@
   Fence *fence;
   GHashTable *targets;     /* name → SidecarTarget */
   GHashTable *submissions; /* set of Submission */
+  LatencyBook *latencies;
+  SidecarBudgets *budgets;
   LoopTimer *sweep;
   gboolean queues_closed;
   gboolean draining;
@@ -72,12 +76,21 @@
 /* Starts it, lets it wait, or refuses it; it may be over afterwards. */
 void submission_offer (Submission *submission);
 
+/* Starts what waits at a target and has a slot, and ends what waited too long. */
+void submission_start_waiting (SidecarTarget *target);
+
 /* Ends one that never started. */
 void submission_refuse (Submission *submission, sw_reason reason);
 
 /* Ends one that runs and may be repeated; its connection to the target is closed. */
 void submission_break_off (Submission *submission, sw_reason reason);
 
+/* Nobody waits for it any more: that it took too long counts against its target. */
+void submission_note_given_up (Submission *submission);
+
+/* What is known of how long answers on its route take. */
+LatencyFit submission_fit (const Submission *submission);
+
 /* What time brings about; the latter may end the submission. */
 void submission_answer_late_waiters (Submission *submission, gint64 now);
 void submission_check_overdue (Submission *submission, gint64 now);
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -8,6 +8,7 @@
 #include <core/config.h>
 #include <core/detector.h>
 #include <core/shedding.h>
+#include <core/silence.h>
 #include <wire/message.h>
 
 typedef struct
@@ -21,8 +22,9 @@
   Admission *admission;
   Detector *detector;
   Shedding *shedding;
-  gint64 good_us;       /* when the last good answer came; 0 for never */
+  gint64 answered_us;   /* when the last whole answer came; 0 for never */
   gint64 next_trial_us; /* while it is sick */
+  Silence silence;      /* of what runs there, at the last look */
   guint32 serial;
   guint told_severity; /* as last published */
   gboolean told_leaving;
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -44,6 +44,32 @@
     }
 }
 
+/* Holds targets sick that have been silent for too long. */
+static void
+check_silence (Sidecar *sidecar, gint64 now)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &key))
+    ((SidecarTarget *)key)->silence = (Silence){ 0 };
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Submission *submission = key;
+      LatencyFit fit = submission_fit (submission);
+
+      if (submission->running)
+        silence_add (&submission->target->silence, &fit, now - submission->started_us,
+                     MAX (submission->target->answered_us - submission->started_us, 0));
+    }
+  g_hash_table_iter_init (&iter, sidecar->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &key))
+    if (silence_tells (&((SidecarTarget *)key)->silence))
+      detector_suspect (((SidecarTarget *)key)->detector);
+}
+
 static void
 on_sweep (gpointer data)
 {
@@ -62,14 +88,11 @@
       submission_answer_late_waiters (item->data, now);
       submission_check_overdue (item->data, now);
     }
+  check_silence (sidecar, now);
   g_hash_table_iter_init (&iter, sidecar->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      SidecarTarget *target = value;
-      Submission *expired;
-
-      while ((expired = admission_expired (target->admission)))
-        submission_refuse (expired, SW_REASON_DEADLINE);
+      submission_start_waiting (value);
     }
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
   loop_timer_start (sidecar->sweep, SWEEP_US);
@@ -88,6 +111,8 @@
   sidecar->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                             (GDestroyNotify)sidecar_target_destroy);
   sidecar->submissions = g_hash_table_new (NULL, NULL);
+  sidecar->latencies = latency_book_create ();
+  sidecar->budgets = sidecar_budgets_create (node);
   sidecar->sweep = loop_timer_create (node->loop, on_sweep, sidecar);
   loop_timer_start (sidecar->sweep, SWEEP_US);
   return sidecar;
@@ -111,6 +136,8 @@
     }
   g_hash_table_unref (sidecar->submissions);
   g_hash_table_unref (sidecar->targets);
+  latency_book_destroy (sidecar->latencies);
+  sidecar_budgets_destroy (sidecar->budgets);
   fence_destroy (sidecar->fence);
   g_free (sidecar);
 }
@@ -165,6 +192,14 @@
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
+/* Whether a target may have seen the request before, or one that called for it. */
+static gboolean
+is_repeat (const Submission *submission)
+{
+  return submission->args.retry == RETRY_AGAIN ||
+         submission->args.retry == RETRY_INHERITED;
+}
+
 gboolean
 sidecar_runs_repeat (const Sidecar *sidecar, const char *id)
 {
@@ -177,7 +212,7 @@
     {
       const Submission *submission = key;
 
-      if (submission->running && submission->args.repeat &&
+      if (submission->running && is_repeat (submission) &&
           dialect->carries (&submission->args, id))
         return TRUE;
     }
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -10,14 +10,6 @@
 #include "peers.h"
 #include "request-log.h"
 
-/* A running request this much slower than its siblings counts against the target. */
-#define OVERDUE_FACTOR 20
-#define OVERDUE_MIN_US (500 * MS_US)
-/* So much slower, with nothing good from the target meanwhile, it hangs: work takes three
-   times its mean once in a hundred requests. */
-#define HANG_FACTOR 4
-#define HANG_MIN_US (300 * MS_US)
-
 static void start (Submission *submission);
 
 /* Completes an answer with the sidecar's stamp and the target's state, and sends it. */
@@ -113,8 +105,8 @@
   finish (submission, &res);
 }
 
-static void
-start_waiting (SidecarTarget *target)
+void
+submission_start_waiting (SidecarTarget *target)
 {
   Submission *next;
 
@@ -124,12 +116,30 @@
     start (next);
 }
 
+LatencyFit
+submission_fit (const Submission *submission)
+{
+  LatencyFit siblings = latency_fit_unpack (submission->args.sibling_fit);
+
+  if (latency_fit_is_known (&siblings))
+    return siblings;
+  return latency_book_fit (submission->sidecar->latencies, submission->args.route);
+}
+
+/* Whether the target has answered nothing since this was sent to it. */
+static gboolean
+is_silent (const Submission *submission)
+{
+  return submission->target->answered_us < submission->started_us;
+}
+
 static void
 observe (const Submission *submission, gboolean failed, gboolean broken, gint64 took_us)
 {
   SidecarTarget *target = submission->target;
   gint64 now = clock_now (submission->sidecar->node->clock);
-  DetectorSample sample = { failed, broken, took_us, submission->args.sibling_latency_us,
+  LatencyFit fit = submission_fit (submission);
+  DetectorSample sample = { failed, broken, took_us, (guint)latency_fit_mean_us (&fit),
                             submission->args.sibling_failures_ppm };
 
   detector_observe (target->detector, &sample);
@@ -185,6 +195,38 @@
              "DETAIL", result->detail, NULL);
 }
 
+/* Of a request that takes too long while others are answered, the target is not to blame:
+   some routes' work outlasts what the route allows. */
+static gboolean
+is_slow_route (const Submission *submission, const sw_submit_res *res)
+{
+  return res->reason == SW_REASON_TIMEOUT && !is_silent (submission);
+}
+
+/* What the end of an exchange says of the target, and of its route. */
+static void
+note_end (const Submission *submission,
+          sw_submit_res *res,
+          const HttpResult *result,
+          gboolean failed)
+{
+  Sidecar *sidecar = submission->sidecar;
+  LatencyFit fit;
+
+  if (!submission->overdue && !is_slow_route (submission, res) &&
+      res->reason != SW_REASON_TARGET_REFUSED)
+    observe (submission, failed, res->result == SW_FAILED, result->took_us);
+  /* An answer that says the work failed shows all the same that the target answers. How
+     long it takes when it is well is for the others to tell: failing is often quick. */
+  if (res->result == SW_DONE)
+    submission->target->answered_us = clock_now (sidecar->node->clock);
+  if (failed)
+    return;
+  latency_book_add (sidecar->latencies, submission->args.route, result->took_us);
+  fit = latency_book_fit (sidecar->latencies, submission->args.route);
+  res->route_fit = latency_fit_pack (&fit);
+}
+
 static void
 on_target_done (const HttpResult *result, gpointer data)
 {
@@ -199,10 +241,7 @@
   if (res.result == SW_REFUSED)
     note_target_refusal (submission, result->status, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
-  if (!submission->overdue && res.reason != SW_REASON_TARGET_REFUSED)
-    observe (submission, failed, res.result == SW_FAILED, result->took_us);
-  if (!failed)
-    target->good_us = clock_now (sidecar->node->clock);
+  note_end (submission, &res, result, failed);
   if (failed)
     log_failure (submission, result, &res);
   if (failed)
@@ -211,7 +250,7 @@
   record_end (submission, &res);
   finish (submission, &res);
   g_free (res.answer.headers.headers_val);
-  start_waiting (target);
+  submission_start_waiting (target);
 }
 
 static GArray *
@@ -255,6 +294,7 @@
     }
   submission->running = TRUE;
   submission->started_us = now;
+  sidecar_budgets_note (sidecar->budgets, target->service, args->retry);
   headers = request_headers (submission, submission->deadline_us - now);
   url = g_strdup_printf ("http://%s%s", target->address, args->path);
   order.url = url;
@@ -292,10 +332,14 @@
 submission_offer (Submission *submission)
 {
   SidecarTarget *target = submission->target;
+  gint64 now = clock_now (submission->sidecar->node->clock);
+  AdmissionOrder order = { .priority = submission->args.priority,
+                           .deadline_us = submission->deadline_us };
   Submission *displaced;
 
-  switch (admission_offer (target->admission, submission, submission->args.priority,
-                           submission->deadline_us))
+  if (submission->args.wait_ms > 0)
+    order.start_by_us = now + (gint64)submission->args.wait_ms * MS_US;
+  switch (admission_offer (target->admission, submission, &order))
     {
     case ADMISSION_START:
       start (submission);
@@ -322,7 +366,7 @@
   http_call_cancel (submission->call);
   admission_release (target->admission, -1);
   finish (submission, &res);
-  start_waiting (target);
+  submission_start_waiting (target);
 }
 
 void
@@ -341,22 +385,30 @@
     }
 }
 
-/* A request that hangs speaks against its target long before its deadline does. */
+/* A request that takes too long speaks against its target long before its deadline. */
+static void
+note_overdue (Submission *submission, gint64 age)
+{
+  submission->overdue = TRUE;
+  observe (submission, TRUE, is_silent (submission), age);
+}
+
 void
 submission_check_overdue (Submission *submission, gint64 now)
 {
-  gint64 sibling = submission->args.sibling_latency_us;
   gint64 age = now - submission->started_us;
-  gboolean silent = submission->target->good_us < submission->started_us;
+  LatencyFit fit = submission_fit (submission);
 
-  if (!submission->running || submission->overdue || !sibling)
-    return;
-  if (age < MAX (sibling * OVERDUE_FACTOR, OVERDUE_MIN_US) &&
-      !(silent && age >= MAX (sibling * HANG_FACTOR, HANG_MIN_US)))
-    return;
-  submission->overdue = TRUE;
-  observe (submission, TRUE, silent, age);
-  /* There is still time for another target to do it. */
-  if (silent && submission->args.repeatable && submission->args.may_break_off)
-    submission_break_off (submission, SW_REASON_TIMEOUT);
+  if (submission->running && !submission->overdue && silence_is_overdue (&fit, age))
+    note_overdue (submission, age);
+}
+
+void
+submission_note_given_up (Submission *submission)
+{
+  gint64 age = clock_now (submission->sidecar->node->clock) - submission->started_us;
+  LatencyFit fit = submission_fit (submission);
+
+  if (!submission->overdue && silence_is_late (&fit, age))
+    note_overdue (submission, age);
 }
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -160,12 +160,13 @@
 	u_int remaining_ms;
 	u_int priority;
 	bool_t repeatable;
-	bool_t repeat;
+	u_int retry;
 	bool_t even_sick;
-	bool_t may_break_off;
 	bool_t may_queue;
+	u_int wait_ms;
 	bool_t trial;
-	u_int sibling_latency_us;
+	u_int route;
+	u_int sibling_fit;
 	u_int sibling_failures_ppm;
 	char *method;
 	char *path;
@@ -208,6 +209,7 @@
 	SW_REASON_TARGET_FAILED = 15,
 	SW_REASON_CANCELLED = 16,
 	SW_REASON_SICK = 17,
+	SW_REASON_BUDGET = 18,
 };
 typedef enum sw_reason sw_reason;
 
@@ -230,6 +232,7 @@
 	sw_reason reason;
 	u_int retry_after_ms;
 	u_int target_us;
+	u_int route_fit;
 	sw_answer answer;
 	sw_stamp stamp;
 	sw_target_state state;
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -443,7 +443,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -451,17 +451,19 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->repeat))
+			 if (!xdr_u_int (xdrs, &objp->retry))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->may_break_off))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_queue))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
+			 if (!xdr_u_int (xdrs, &objp->route))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 				 return FALSE;
@@ -470,12 +472,13 @@
 		IXDR_PUT_U_LONG(buf, objp->remaining_ms);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->repeatable);
-		IXDR_PUT_BOOL(buf, objp->repeat);
+		IXDR_PUT_U_LONG(buf, objp->retry);
 		IXDR_PUT_BOOL(buf, objp->even_sick);
-		IXDR_PUT_BOOL(buf, objp->may_break_off);
 		IXDR_PUT_BOOL(buf, objp->may_queue);
+		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		IXDR_PUT_BOOL(buf, objp->trial);
-		IXDR_PUT_U_LONG(buf, objp->sibling_latency_us);
+		IXDR_PUT_U_LONG(buf, objp->route);
+		IXDR_PUT_U_LONG(buf, objp->sibling_fit);
 		IXDR_PUT_U_LONG(buf, objp->sibling_failures_ppm);
 		}
 		 if (!xdr_string (xdrs, &objp->method, 32))
@@ -499,7 +502,7 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -507,17 +510,19 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->repeatable))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->repeat))
+			 if (!xdr_u_int (xdrs, &objp->retry))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->even_sick))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->may_break_off))
-				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->may_queue))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
+			 if (!xdr_u_int (xdrs, &objp->route))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 				 return FALSE;
@@ -526,12 +531,13 @@
 		objp->remaining_ms = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->repeatable = IXDR_GET_BOOL(buf);
-		objp->repeat = IXDR_GET_BOOL(buf);
+		objp->retry = IXDR_GET_U_LONG(buf);
 		objp->even_sick = IXDR_GET_BOOL(buf);
-		objp->may_break_off = IXDR_GET_BOOL(buf);
 		objp->may_queue = IXDR_GET_BOOL(buf);
+		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		objp->trial = IXDR_GET_BOOL(buf);
-		objp->sibling_latency_us = IXDR_GET_U_LONG(buf);
+		objp->route = IXDR_GET_U_LONG(buf);
+		objp->sibling_fit = IXDR_GET_U_LONG(buf);
 		objp->sibling_failures_ppm = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_string (xdrs, &objp->method, 32))
@@ -562,17 +568,19 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->repeatable))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->repeat))
+	 if (!xdr_u_int (xdrs, &objp->retry))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->even_sick))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->may_break_off))
-		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->may_queue))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->trial))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->sibling_latency_us))
+	 if (!xdr_u_int (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 		 return FALSE;
@@ -628,6 +636,65 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_sw_attempt (xdrs, &objp->attempt))
+			 return FALSE;
+		 if (!xdr_sw_result (xdrs, &objp->result))
+			 return FALSE;
+		 if (!xdr_sw_reason (xdrs, &objp->reason))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->route_fit))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+		IXDR_PUT_U_LONG(buf, objp->target_us);
+		IXDR_PUT_U_LONG(buf, objp->route_fit);
+		}
+		 if (!xdr_sw_answer (xdrs, &objp->answer))
+			 return FALSE;
+		 if (!xdr_sw_stamp (xdrs, &objp->stamp))
+			 return FALSE;
+		 if (!xdr_sw_target_state (xdrs, &objp->state))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_sw_attempt (xdrs, &objp->attempt))
+			 return FALSE;
+		 if (!xdr_sw_result (xdrs, &objp->result))
+			 return FALSE;
+		 if (!xdr_sw_reason (xdrs, &objp->reason))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->route_fit))
+				 return FALSE;
+
+		} else {
+		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+		objp->target_us = IXDR_GET_U_LONG(buf);
+		objp->route_fit = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_sw_answer (xdrs, &objp->answer))
+			 return FALSE;
+		 if (!xdr_sw_stamp (xdrs, &objp->stamp))
+			 return FALSE;
+		 if (!xdr_sw_target_state (xdrs, &objp->state))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_sw_attempt (xdrs, &objp->attempt))
 		 return FALSE;
 	 if (!xdr_sw_result (xdrs, &objp->result))
@@ -638,6 +705,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->target_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->route_fit))
+		 return FALSE;
 	 if (!xdr_sw_answer (xdrs, &objp->answer))
 		 return FALSE;
 	 if (!xdr_sw_stamp (xdrs, &objp->stamp))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -137,13 +137,14 @@
   unsigned int remaining_ms;
   unsigned int priority;       /* 0 first */
   bool repeatable;
-  bool repeat;                 /* a target has seen it before, or it is called for by such */
+  unsigned int retry;          /* what it is to the retry budget, as retry.h numbers it */
   bool even_sick;              /* the ingress knows that the target is held sick */
-  bool may_break_off;          /* if it hangs: the ingress has another try in hand */
   bool may_queue;              /* else it is refused where it could not start at once */
+  unsigned int wait_ms;        /* it had better be refused than wait longer; 0 for no such bound */
   bool trial;                  /* and sends this only to learn whether it still is */
-  unsigned int sibling_latency_us;   /* medians over the service, as the ingress sees them; */
-  unsigned int sibling_failures_ppm; /* 0 for not known */
+  unsigned int route;          /* a hash of the route's class */
+  unsigned int sibling_fit;    /* of its answers at the service's targets, as latency.h packs */
+  unsigned int sibling_failures_ppm; /* their median; 0 for not known */
   string method<32>;
   string path<SW_TEXT_MAX>;
   sw_header headers<SW_HEADERS_MAX>;
@@ -176,7 +177,8 @@
   SW_REASON_TARGET_REFUSED = 14,
   SW_REASON_TARGET_FAILED = 15,
   SW_REASON_CANCELLED = 16,
-  SW_REASON_SICK = 17
+  SW_REASON_SICK = 17,
+  SW_REASON_BUDGET = 18
 };
 
 struct sw_answer {
@@ -191,6 +193,7 @@
   sw_reason reason;
   unsigned int retry_after_ms;
   unsigned int target_us;      /* time the target took */
+  unsigned int route_fit;      /* of the route's answers there, as latency.h packs; 0 for none */
   sw_answer answer;
   sw_stamp stamp;
   sw_target_state state;
