--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -37,6 +37,10 @@
   gint64 start_by_us; /* it had better be refused than start later; 0 for no such bound */
 } AdmissionOrder;
 
+/* Takes a slot for a request that is still to come; FALSE when none is free. It is given
+   back by admission_release, by the request or in its place. */
+gboolean admission_hold (Admission *admission);
+
 /* Asks for a slot. */
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, const AdmissionOrder *order);
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -130,6 +130,15 @@
   return admission->in_use < admission->limit && admission->queue->len == 0;
 }
 
+gboolean
+admission_hold (Admission *admission)
+{
+  if (!admission_is_free (admission))
+    return FALSE;
+  admission->in_use++;
+  return TRUE;
+}
+
 /* Whether what is expected to wait so long might as well not wait at all. */
 static gboolean
 would_be_late (const Admission *admission, const AdmissionOrder *order, gint64 wait_us)
--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -10,6 +10,8 @@
 /* A connection to a node that is there is made in a round trip; 400 ms cover a lost
    packet's first repetition (200 ms) with room to spare. */
 #define OPEN_TIMEOUT_US (400 * MS_US)
+/* A slot is answered for in a round trip; one lost packet is repeated within 200 ms. */
+#define SLOT_TIMEOUT_US (300 * MS_US)
 /* Nothing waits for the answer to a cancellation. */
 #define CANCEL_TIMEOUT_US SECOND_US
 
@@ -394,13 +396,13 @@
 }
 
 static void
-submit_now (Attempt *attempt)
+submit_now (Attempt *attempt, sw_phase phase)
 {
   const Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
   const GByteArray *body = http_request_body (exchange->request);
   g_autoptr (GArray) headers = forwarded_headers (exchange);
-  sw_submit_args args = { 0 };
+  sw_submit_args args = { .phase = phase };
 
   fill_terms (attempt, &args);
   args.method = (char *)http_request_method (exchange->request);
@@ -409,7 +411,6 @@
   args.body.body_len = body->len;
   fill_headers (headers, &args);
   attempt->submitted = TRUE;
-  request_log_attempt (attempt);
   metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
   attempt->pending = g_new0 (Pending, 1);
   attempt->pending->attempt = attempt;
@@ -420,6 +421,45 @@
   g_free (args.headers.headers_val);
 }
 
+/* Another hall's sidecar holds a slot, or does not. Nothing has been sent that could run. */
+static void
+on_slot_answer (RpcOutcome outcome, void *result, gpointer data)
+{
+  Pending *pending = data;
+  Attempt *attempt = pending->attempt;
+  sw_submit_res *res = result;
+
+  g_free (pending);
+  if (!attempt)
+    return;
+  attempt->pending = NULL;
+  if (outcome == RPC_OK && res->result == SW_HELD && is_own_attempt (attempt, &res->attempt))
+    {
+      note_answer (attempt, res);
+      submit_now (attempt, SW_HELD_SUBMIT);
+      return;
+    }
+  if (outcome == RPC_OK && res->result == SW_REFUSED)
+    attempt_ended (attempt, outcome, res);
+  else
+    attempt_ended (attempt, RPC_UNSENT, NULL);
+}
+
+/* Asks for a slot before the request travels. */
+static void
+ask_for_slot (Attempt *attempt)
+{
+  Node *node = attempt->exchange->owner->node;
+  sw_submit_args args = { .phase = SW_ASK, .method = "", .path = "" };
+
+  fill_terms (attempt, &args);
+  attempt->pending = g_new0 (Pending, 1);
+  attempt->pending->attempt = attempt;
+  attempt->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
+  peers_call (node->peers, attempt->target->vm, &submit, &args,
+              MIN (attempt->wait_us, SLOT_TIMEOUT_US), on_slot_answer, attempt->pending);
+}
+
 static void
 on_session (const PeerStamp *stamp, gpointer data)
 {
@@ -441,7 +481,13 @@
       exchange_carry_out (exchange, &step);
       return;
     }
-  submit_now (attempt);
+  request_log_attempt (attempt);
+  /* Three in four that another hall is asked to take are refused there when it is loaded:
+     the question is a fifth of the request. */
+  if (attempt->local || attempt->may_queue || exchange->ticket)
+    submit_now (attempt, SW_WHOLE);
+  else
+    ask_for_slot (attempt);
 }
 
 void
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -101,47 +101,74 @@
   return FALSE;
 }
 
+/* Why the attempt is not taken, or SW_REASON_NONE; `held` when a slot is held for it. */
+static sw_reason
+refusal_of (Sidecar *sidecar,
+            SidecarTarget *target,
+            const sw_submit_args *args,
+            gboolean held)
+{
+  if (!target)
+    return SW_REASON_NO_TARGET;
+  if (sidecar_target_is_leaving (target, sidecar->draining))
+    return SW_REASON_DRAINING;
+  /* What follows was looked at when the slot was asked for. */
+  if (held)
+    return SW_REASON_NONE;
+  if (is_too_sick_for (target, args, clock_now (sidecar->node->clock)))
+    return SW_REASON_SICK;
+  if ((!args->may_queue || sidecar->queues_closed) &&
+      !admission_is_free (target->admission))
+    return SW_REASON_OVERLOAD;
+  if (!sidecar_budgets_allow (sidecar->budgets, target->service, args->retry))
+    return SW_REASON_BUDGET;
+  return SW_REASON_NONE;
+}
+
+/* Holds a slot for a request that is still to come, or says why not. */
+static void
+answer_ask (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args)
+{
+  SidecarTarget *target = g_hash_table_lookup (sidecar->targets, args->target);
+  sw_reason reason = refusal_of (sidecar, target, args, FALSE);
+  AttemptId id;
+
+  fill_attempt (&args->attempt, &id);
+  if (reason == SW_REASON_NONE && !sidecar_holds_add (sidecar->holds, target, &id))
+    reason = SW_REASON_OVERLOAD;
+  sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt,
+                       reason == SW_REASON_NONE ? SW_HELD : SW_REFUSED, reason);
+}
+
 void
 sidecar_submit (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args)
 {
   SidecarTarget *target = g_hash_table_lookup (sidecar->targets, args->target);
   FenceEntry *entry = NULL;
   Submission *submission;
+  gboolean held;
+  sw_reason reason;
+  AttemptId id;
 
-  if (!args->repeatable && !pass_fence (sidecar, conn, xid, target, args, &entry))
-    return;
-  if (!target || sidecar_target_is_leaving (target, sidecar->draining))
+  if (args->phase == SW_ASK)
     {
-      if (entry)
-        fence_refuse (entry);
-      sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
-                           target ? SW_REASON_DRAINING : SW_REASON_NO_TARGET);
+      answer_ask (sidecar, conn, xid, args);
       return;
     }
-  if (is_too_sick_for (target, args, clock_now (sidecar->node->clock)))
-    {
-      if (entry)
-        fence_refuse (entry);
-      sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
-                           SW_REASON_SICK);
-      return;
-    }
-  if ((!args->may_queue || sidecar->queues_closed) &&
-      !admission_is_free (target->admission))
-    {
-      if (entry)
-        fence_refuse (entry);
-      sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
-                           SW_REASON_OVERLOAD);
-      return;
-    }
-  if (!sidecar_budgets_allow (sidecar->budgets, target->service, args->retry))
+  if (!args->repeatable && !pass_fence (sidecar, conn, xid, target, args, &entry))
+    return;
+  fill_attempt (&args->attempt, &id);
+  held = args->phase == SW_HELD_SUBMIT && target &&
+         sidecar_holds_take (sidecar->holds, target, &id);
+  reason = refusal_of (sidecar, target, args, held);
+  if (reason != SW_REASON_NONE)
     {
+      if (held)
+        admission_release (target->admission, -1);
       if (entry)
         fence_refuse (entry);
-      metrics_add (sidecar->node->metrics, METRIC_BUDGET_REFUSED, 1);
       sidecar_reply_plain (sidecar, conn, xid, target, &args->attempt, SW_REFUSED,
-                           SW_REASON_BUDGET);
+                           reason);
       return;
     }
   submission = submission_create (sidecar, target, args);
@@ -149,7 +176,10 @@
   if (entry)
     fence_entry_set_data (entry, submission);
   submission_add_waiter (submission, conn, xid, -1);
-  submission_offer (submission);
+  if (held)
+    submission_start (submission);
+  else
+    submission_offer (submission);
 }
 
 void
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -10,6 +10,7 @@
 #include <io/http-client.h>
 
 #include "sidecar-budget.h"
+#include "sidecar-holds.h"
 #include "sidecar-target.h"
 #include "sidecar.h"
 
@@ -50,6 +51,7 @@
   GHashTable *submissions; /* set of Submission */
   LatencyBook *latencies;
   SidecarBudgets *budgets;
+  SidecarHolds *holds;
   LoopTimer *sweep;
   gboolean queues_closed;
   gboolean draining;
@@ -73,6 +75,9 @@
                             guint32 xid,
                             gint64 until_us);
 
+/* Starts one whose slot has been taken; it may be over afterwards. */
+void submission_start (Submission *submission);
+
 /* Starts it, lets it wait, or refuses it; it may be over afterwards. */
 void submission_offer (Submission *submission);
 
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -88,6 +88,7 @@
       submission_answer_late_waiters (item->data, now);
       submission_check_overdue (item->data, now);
     }
+  sidecar_holds_expire (sidecar->holds);
   check_silence (sidecar, now);
   g_hash_table_iter_init (&iter, sidecar->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -113,6 +114,7 @@
   sidecar->submissions = g_hash_table_new (NULL, NULL);
   sidecar->latencies = latency_book_create ();
   sidecar->budgets = sidecar_budgets_create (node);
+  sidecar->holds = sidecar_holds_create (node->clock);
   sidecar->sweep = loop_timer_create (node->loop, on_sweep, sidecar);
   loop_timer_start (sidecar->sweep, SWEEP_US);
   return sidecar;
@@ -135,6 +137,7 @@
       submission_free (key);
     }
   g_hash_table_unref (sidecar->submissions);
+  sidecar_holds_destroy (sidecar->holds);
   g_hash_table_unref (sidecar->targets);
   latency_book_destroy (sidecar->latencies);
   sidecar_budgets_destroy (sidecar->budgets);
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -10,8 +10,6 @@
 #include "peers.h"
 #include "request-log.h"
 
-static void start (Submission *submission);
-
 /* Completes an answer with the sidecar's stamp and the target's state, and sends it. */
 static void
 sidecar_reply (Sidecar *sidecar,
@@ -44,6 +42,8 @@
     res.retry_after_ms = (u_int)(admission_retry_after_us (target->admission) / MS_US);
   if (result == SW_REFUSED)
     metrics_add (sidecar->node->metrics, METRIC_SIDECAR_REFUSED, 1);
+  if (reason == SW_REASON_BUDGET)
+    metrics_add (sidecar->node->metrics, METRIC_BUDGET_REFUSED, 1);
   sidecar_reply (sidecar, conn, xid, target, &res);
 }
 
@@ -113,7 +113,7 @@
   while ((next = admission_expired (target->admission)))
     submission_refuse (next, SW_REASON_DEADLINE);
   while ((next = admission_next (target->admission)))
-    start (next);
+    submission_start (next);
 }
 
 LatencyFit
@@ -266,9 +266,8 @@
   return headers;
 }
 
-/* Starts an attempt whose slot has been taken. */
-static void
-start (Submission *submission)
+void
+submission_start (Submission *submission)
 {
   Sidecar *sidecar = submission->sidecar;
   SidecarTarget *target = submission->target;
@@ -342,7 +341,7 @@
   switch (admission_offer (target->admission, submission, &order))
     {
     case ADMISSION_START:
-      start (submission);
+      submission_start (submission);
       break;
     case ADMISSION_QUEUED:
       displaced = admission_displaced (target->admission);
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -151,12 +151,20 @@
 };
 typedef struct sw_hello_res sw_hello_res;
 
+enum sw_phase {
+	SW_WHOLE = 0,
+	SW_ASK = 1,
+	SW_HELD_SUBMIT = 2,
+};
+typedef enum sw_phase sw_phase;
+
 struct sw_submit_args {
 	sw_attempt attempt;
 	u_quad_t sidecar;
 	u_quad_t clock_us;
 	char *target;
 	char *tenant;
+	sw_phase phase;
 	u_int remaining_ms;
 	u_int priority;
 	bool_t repeatable;
@@ -187,6 +195,7 @@
 	SW_FAILED = 2,
 	SW_STARTED = 3,
 	SW_UNKNOWN = 4,
+	SW_HELD = 5,
 };
 typedef enum sw_result sw_result;
 
@@ -411,6 +420,7 @@
 extern  bool_t xdr_sw_brief (XDR *, sw_brief*);
 extern  bool_t xdr_sw_hello_args (XDR *, sw_hello_args*);
 extern  bool_t xdr_sw_hello_res (XDR *, sw_hello_res*);
+extern  bool_t xdr_sw_phase (XDR *, sw_phase*);
 extern  bool_t xdr_sw_submit_args (XDR *, sw_submit_args*);
 extern  bool_t xdr_sw_result (XDR *, sw_result*);
 extern  bool_t xdr_sw_reason (XDR *, sw_reason*);
@@ -439,6 +449,7 @@
 extern bool_t xdr_sw_brief ();
 extern bool_t xdr_sw_hello_args ();
 extern bool_t xdr_sw_hello_res ();
+extern bool_t xdr_sw_phase ();
 extern bool_t xdr_sw_submit_args ();
 extern bool_t xdr_sw_result ();
 extern bool_t xdr_sw_reason ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -426,6 +426,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_phase (XDR *xdrs, sw_phase *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_submit_args (XDR *xdrs, sw_submit_args *objp)
 {
@@ -443,6 +453,8 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_sw_phase (xdrs, &objp->phase))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
@@ -502,6 +514,8 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_sw_phase (xdrs, &objp->phase))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
@@ -562,6 +576,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->tenant, SW_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_sw_phase (xdrs, &objp->phase))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->priority))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -128,12 +128,20 @@
   sw_target_state states<SW_STATES_MAX>;
 };
 
+/* A request may be sent whole, or only once a slot is held for it. */
+enum sw_phase {
+  SW_WHOLE = 0,       /* the request */
+  SW_ASK = 1,         /* whether a slot can be held: without headers and body */
+  SW_HELD_SUBMIT = 2  /* the request that a slot is held for */
+};
+
 struct sw_submit_args {
   sw_attempt attempt;
   unsigned hyper sidecar;      /* the incarnation addressed */
   unsigned hyper clock_us;     /* the sidecar's clock as the sender last saw it */
   string target<SW_NAME_MAX>;
   string tenant<SW_NAME_MAX>;
+  sw_phase phase;
   unsigned int remaining_ms;
   unsigned int priority;       /* 0 first */
   bool repeatable;
@@ -156,7 +164,8 @@
   SW_REFUSED = 1,     /* proof that nothing ran, and that nothing will */
   SW_FAILED = 2,      /* sent to the target, without a whole answer */
   SW_STARTED = 3,     /* fence only: running still */
-  SW_UNKNOWN = 4      /* fence only: too old to tell, or no room to record */
+  SW_UNKNOWN = 4,     /* fence only: too old to tell, or no room to record */
+  SW_HELD = 5         /* to SW_ASK only: a slot is held for a moment */
 };
 
 enum sw_reason {
