What waits in any case waits in its own hall

Change: the last queue is the own hall's shortest, unless another's is shorter by what the work takes.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -51,7 +51,8 @@
   BALANCER_BY_LOAD,      /* its own, while that is not much more loaded */
   BALANCER_OWN_FIRST,    /* its own, if any target there is left */
   BALANCER_OTHERS_FIRST, /* another, if any target there is left */
-  BALANCER_OWN_BEST      /* its own alone, and there the one with the shortest wait */
+  BALANCER_OWN_BEST,     /* its own alone, and there the one with the shortest wait */
+  BALANCER_SHORTEST_WAIT /* its own, while another's wait is not much shorter */
 } BalancerHalls;
 
 /* What becomes of targets that turn work away though they have free slots. */
--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -52,12 +52,18 @@
          slots;
 }
 
+/* What the target's work takes. */
 static double
-score_of (const Candidate *candidate)
+work_of (const Candidate *candidate)
 {
-  guint latency = MAX (candidate->view->report.latency_us, LATENCY_UNKNOWN_US);
+  return MAX (candidate->view->report.latency_us, LATENCY_UNKNOWN_US);
+}
 
-  return load_of (candidate) * latency;
+/* About how long until the target has done what it has. */
+static double
+score_of (const Candidate *candidate)
+{
+  return load_of (candidate) * work_of (candidate);
 }
 
 /* The better of two taken at random, among those that are (not) of this hall. */
@@ -91,7 +97,7 @@
   return best;
 }
 
-/* The own hall's with the best score. */
+/* The own hall's with the shortest wait. */
 static const Candidate *
 pick_best (const GArray *candidates)
 {
@@ -107,6 +113,19 @@
   return best;
 }
 
+/* The own hall's with the shortest wait, unless another's is shorter by more than the work
+   itself takes: what waits there loses less than it costs to move. */
+static const Candidate *
+pick_wait (Balancer *balancer, const GArray *candidates)
+{
+  const Candidate *local = pick_best (candidates);
+  const Candidate *other = pick_two (balancer, candidates, FALSE);
+
+  if (!local || !other)
+    return local ? local : other;
+  return score_of (other) + work_of (local) < score_of (local) ? other : local;
+}
+
 static const Candidate *
 pick (Balancer *balancer, const GArray *candidates, BalancerHalls halls)
 {
@@ -115,6 +134,8 @@
 
   if (halls == BALANCER_OWN_BEST)
     return pick_best (candidates);
+  if (halls == BALANCER_SHORTEST_WAIT)
+    return pick_wait (balancer, candidates);
   local = pick_two (balancer, candidates, TRUE);
   other = pick_two (balancer, candidates, FALSE);
   if (!local && !other)
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -139,7 +139,7 @@
     return choice;
   exchange->may_queue = TRUE;
   attempt->may_queue = TRUE;
-  return choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_BY_LOAD,
+  return choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_SHORTEST_WAIT,
                       BALANCER_SHEDDING_LAST);
 }
 
