A node that starts joins a few others and compares views at once

Cause: half of the news that crossed halls was of starts: each node probed each that the store listed, and told each of all that it learned, 0.4 MB for 30 nodes, growing with the square of the fleet. Change: the store's objects name the hall; six nodes of the own hall and two of others are told. For 8 s after its start a node compares views at the first difference, with other halls only the first two of a hall by a hash of names; what it learns then it does not spread. When views are compared is the core's. Tried: fewer whole members in each spread; a restart was then not known to all within 9 s.

--- a/bench/src/member-net.c
+++ b/bench/src/member-net.c
@@ -8,7 +8,6 @@
 /* RPC header, seal, generation, digest, sender and counts of a gossip message, and IP and
    UDP. */
 #define MESSAGE_BYTES (40u + 8u + 48u + 28u)
-#define MISMATCHES_TO_REPAIR 3u
 #define NONE G_MAXUINT
 
 static char *
@@ -144,14 +143,11 @@
   guint64 buckets[MEMBERS_BUCKETS];
   GPtrArray *differing;
 
-  if (members_digest (node->members) == members_digest (other))
-    {
-      node->mismatches = 0;
-      return;
-    }
-  if (++node->mismatches < MISMATCHES_TO_REPAIR || !admits (net, with, i))
+  g_autofree char *name = g_strdup_printf ("node-%u", with);
+
+  if (!members_compare_due (node->members, name, members_digest (other)) ||
+      !admits (net, with, i))
     return;
-  node->mismatches = 0;
   members_buckets (node->members, buckets);
   differing = members_differing (other, buckets);
   count_sent (net, i, with, sizeof buckets);
--- a/bench/src/member-net.h
+++ b/bench/src/member-net.h
@@ -16,7 +16,6 @@
   guint64 sent_bytes; /* by the weight of news and a fixed share for each message */
   guint64 far_bytes;  /* of these, to other halls */
   guint64 messages;
-  guint mismatches;
 } NetNode;
 
 typedef struct
--- a/core/include/core/members.h
+++ b/core/include/core/members.h
@@ -128,6 +128,9 @@
 /* About how many bytes a piece of news takes on the wire. */
 gsize members_weight (const MemberNews *news);
 
+/* A member's digest has come: whether the views are to be compared now. */
+gboolean members_compare_due (Members *members, const char *with, guint64 digest);
+
 /* Digests of the view: of all of it, and by bucket. Equal views have equal digests. */
 guint64 members_digest (const Members *members);
 void members_buckets (const Members *members, guint64 buckets[MEMBERS_BUCKETS]);
@@ -144,6 +147,10 @@
 /* Whether any member that is not known dead was heard of besides self. */
 gboolean members_is_alive (const Member *member);
 
+/* How many live members of the own hall come before self in an order by a hash of their
+   names, which all that see them agree on without a word. */
+guint members_rank_in_hall (const Members *members);
+
 /* Whether a member is of the same data hall as self. */
 gboolean members_in_own_hall (const Members *members, const Member *member);
 
--- a/core/src/member/members-private.h
+++ b/core/src/member/members-private.h
@@ -1,6 +1,7 @@
 /*
  * What the files of the membership share: members.c its life and what it takes in,
- * members-probe.c probing and suspicion, members-news.c what it tells and compares.
+ * members-probe.c probing and suspicion, members-news.c what it tells,
+ * members-compare.c when views are compared.
  */
 #ifndef CORE_MEMBERS_PRIVATE_H
 #define CORE_MEMBERS_PRIVATE_H
@@ -17,6 +18,13 @@
   gboolean helped;
 } Probe;
 
+/* Comparisons of views with nodes of one kind. */
+typedef struct
+{
+  guint mismatches; /* digests in a row that differed */
+  gint64 at_us;     /* the last comparison; 0 for none */
+} Comparison;
+
 struct Members
 {
   MembersTable *table;
@@ -31,8 +39,10 @@
   guint sequence;
   gint64 next_probe_us;
   guint periods;
-  GPtrArray *borrowed; /* what the last query handed out */
-  GArray *news;        /* what members_news handed out */
+  gint64 began_us;
+  Comparison comparisons[2]; /* with other halls' nodes, and with this hall's */
+  GPtrArray *borrowed;       /* what the last query handed out */
+  GArray *news;              /* what members_news handed out */
   MembersChanged changed;
   gpointer changed_data;
 };
@@ -43,6 +53,9 @@
 /* Changes what is held of a member, and tells it. */
 void members_set_status (Members *members, MemberRecord *record, MemberStatus status);
 
+/* Whether self has only just started. */
+gboolean members_is_young (const Members *members);
+
 /* About the logarithm of the fleet: how far news has to go. */
 double members_fleet_log (const Members *members);
 
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -52,6 +52,7 @@
   g_array_set_clear_func (members->probes, clear_probe);
   members->borrowed = g_ptr_array_new ();
   members->next_probe_us = clock_now (clock);
+  members->began_us = clock_now (clock);
   return members;
 }
 
@@ -175,7 +176,9 @@
     return FALSE;
   record = members_table_put (members->table, rumour);
   note_status_time (members, record);
-  members_spread (members, record, TRUE);
+  /* What a young node learns the others know, or compare their views as it does. */
+  if (!members_is_young (members))
+    members_spread (members, record, TRUE);
   tell_changed (members, record);
   return TRUE;
 }
@@ -269,6 +272,25 @@
   return member->status == MEMBER_ALIVE || member->status == MEMBER_SUSPECT;
 }
 
+guint
+members_rank_in_hall (const Members *members)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  guint own = members_table_id (members->self->member.node);
+  guint rank = 0;
+
+  members_table_names (members->table, names);
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      const MemberRecord *record = members_table_find (members->table, name);
+
+      rank += members_in_own_hall (members, &record->member) &&
+              members_is_alive (&record->member) && members_table_id (name) < own;
+    }
+  return rank;
+}
+
 gboolean
 members_in_own_hall (const Members *members, const Member *member)
 {
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -126,23 +126,7 @@
 gboolean
 config_sync_is_watcher (const ConfigSync *sync)
 {
-  Node *node = sync->node;
-  const Member *self = members_self (node->members);
-  GPtrArray *all = members_all (node->members);
-  guint own = g_str_hash (self->node);
-  guint before = 0;
-
-  for (guint i = 0; i < all->len; i++)
-    {
-      const Member *member = g_ptr_array_index (all, i);
-
-      if (member == self || !members_is_alive (member) ||
-          strcmp (member->hall, self->hall) != 0)
-        continue;
-      if (g_str_hash (member->node) < own)
-        before++;
-    }
-  return before < sync->kind->watchers_per_hall;
+  return members_rank_in_hall (sync->node->members) < sync->kind->watchers_per_hall;
 }
 
 /* A watch that was cut is made anew soon, for changes may have been missed; a store that
--- a/daemon/src/member/gossip-private.h
+++ b/daemon/src/member/gossip-private.h
@@ -17,9 +17,6 @@
   LoopTimer *retell;  /* news from another hall is told on in this one */
   GHashTable *relays; /* xid → Relay */
   guint32 relay_sequence;
-  guint mismatches;     /* digests of this hall's nodes in a row that differed */
-  guint mismatches_far; /* and of other halls' */
-  gint64 repaired_us;
 };
 
 /* Puts this node's news for `to` (NULL for nobody known) on a message. */
--- a/daemon/src/member/gossip-repair.c
+++ b/daemon/src/member/gossip-repair.c
@@ -2,14 +2,7 @@
 
 #include "peers.h"
 
-/* Views are compared in full no more often than this: with nodes of the own hall, and
-   with others, whose bytes are dear and whom a hall of its own hears through others. */
-#define REPAIR_EVERY_US (10 * SECOND_US)
-#define REPAIR_FAR_EVERY_US (30 * SECOND_US)
 #define REPAIR_TIMEOUT_US (5 * SECOND_US)
-/* A digest that differs once may only be news on its way. */
-#define MISMATCHES_TO_REPAIR 3u
-
 /* A comparison of views that waits for its session. */
 typedef struct
 {
@@ -57,21 +50,10 @@
 gossip_repair (Gossip *gossip, const char *from, guint64 digest)
 {
   Node *node = gossip->node;
-  gint64 now = clock_now (node->clock);
-  gboolean near = peers_in_own_hall (node, from);
-  guint *mismatches = near ? &gossip->mismatches : &gossip->mismatches_far;
   Repair *repair;
 
-  if (digest == members_digest (node->members))
-    {
-      *mismatches = 0;
-      return;
-    }
-  if (++*mismatches < MISMATCHES_TO_REPAIR ||
-      now - gossip->repaired_us < (near ? REPAIR_EVERY_US : REPAIR_FAR_EVERY_US))
+  if (!members_compare_due (node->members, from, digest))
     return;
-  *mismatches = 0;
-  gossip->repaired_us = now;
   repair = g_new0 (Repair, 1);
   repair->gossip = gossip;
   repair->vm = g_strdup (from);
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -9,6 +9,11 @@
    halls, where it is told on to as many. */
 #define NEAR_FANOUT 3u
 #define FAR_FANOUT 3u
+/* A node that has found others makes itself known to so many of its hall, and of other
+   halls: they tell of it, and views are compared. To all, it would be each to each when a
+   fleet starts. */
+#define JOIN_NEAR 6u
+#define JOIN_FAR 2u
 /* News of several changes that comes from other halls at once is told on once. */
 #define RETELL_US (10 * MS_US)
 /* Numbers of probes made for others; the membership's own are below. */
@@ -309,10 +314,32 @@
   g_free (gossip);
 }
 
+/* Takes up to `count` of the addresses in one hall, or out of it, at random. */
+static void
+join_some (Gossip *gossip, const GArray *found, gboolean own_hall, guint count)
+{
+  const char *hall = gossip->node->settings->hall;
+  g_autoptr (GPtrArray) some = g_ptr_array_new ();
+
+  for (guint i = 0; i < found->len; i++)
+    {
+      const GossipAddress *item = &g_array_index (found, GossipAddress, i);
+
+      if ((strcmp (item->hall, hall) == 0) == own_hall)
+        g_ptr_array_add (some, item->address);
+    }
+  for (; count > 0 && some->len > 0; count--)
+    {
+      guint i = (guint)g_rand_int_range (gossip->node->rand, 0, (gint32)some->len);
+
+      send_call (gossip, g_ptr_array_steal_index_fast (some, i), NULL, SW_PROBE, NULL,
+                 RELAY_SEQUENCES | ++gossip->relay_sequence);
+    }
+}
+
 void
-gossip_join (Gossip *gossip, const char *const *addresses)
+gossip_join (Gossip *gossip, const GArray *found)
 {
-  for (guint i = 0; addresses[i]; i++)
-    send_call (gossip, addresses[i], NULL, SW_PROBE, NULL,
-               RELAY_SEQUENCES | ++gossip->relay_sequence);
+  join_some (gossip, found, TRUE, JOIN_NEAR);
+  join_some (gossip, found, FALSE, JOIN_FAR);
 }
--- a/daemon/src/member/gossip.h
+++ b/daemon/src/member/gossip.h
@@ -22,8 +22,15 @@
 /* Tells a few members of each hall at once, rather than with the next probe. */
 void gossip_push (Gossip *gossip);
 
-/* Makes itself known at each of the addresses (NULL-terminated). */
-void gossip_join (Gossip *gossip, const char *const *addresses);
+/* Where a node is said to be. */
+typedef struct
+{
+  char *address;
+  char *hall; /* "" where it is not known */
+} GossipAddress;
+
+/* Makes this node known to a few of those found (of GossipAddress). */
+void gossip_join (Gossip *gossip, const GArray *found);
 
 /* The members in the buckets that differ; `rumours` is to be freed, its texts not. */
 void gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res);
