--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -8,6 +8,7 @@
 #include <core/settings.h>
 #include <core/http-status.h>
 
+#include "account.h"
 #include "explain.h"
 #include "print.h"
 
@@ -304,9 +305,24 @@
   return code;
 }
 
+/* Takes a line of a log. */
+typedef void (*TakeLine) (gpointer data, const char *line, gssize len);
+
+static void
+take_explained (gpointer data, const char *line, gssize len)
+{
+  explanation_add (data, line, len);
+}
+
+static void
+take_counted (gpointer data, const char *line, gssize len)
+{
+  request_account_add (data, line, len);
+}
+
 /* Reads a file, "-" for standard input; FALSE with a message when it cannot be read. */
 static gboolean
-add_file (Explanation *explanation, const char *path)
+read_log (const char *path, TakeLine take, gpointer data)
 {
   gboolean is_input = strcmp (path, "-") == 0;
   FILE *file = is_input ? stdin : fopen (path, "r");
@@ -320,31 +336,45 @@
       return FALSE;
     }
   while ((len = getline (&line, &size, file)) >= 0)
-    explanation_add (explanation, line, len);
+    take (data, line, len);
   free (line);
   if (!is_input)
     fclose (file);
   return TRUE;
 }
 
+/* Reads the files named from the word at `first` on, standard input where there is none.
+ */
 static ExitCode
-run_explain (const Options *options)
+read_logs (const Options *options, int first, TakeLine take, gpointer data)
 {
-  Explanation *explanation = explanation_create (options->words[0]);
-  g_autoptr (GPtrArray) lines = NULL;
   ExitCode code = CODE_OK;
 
-  if (options->word_count == 1 && !add_file (explanation, "-"))
+  if (options->word_count <= first && !read_log ("-", take, data))
     code = CODE_FAULT;
-  for (int i = 1; i < options->word_count; i++)
-    if (!add_file (explanation, options->words[i]))
+  for (int i = first; i < options->word_count; i++)
+    if (!read_log (options->words[i], take, data))
       code = CODE_FAULT;
-  lines = explanation_lines (explanation);
+  return code;
+}
+
+static void
+tell_bad_lines (guint count)
+{
+  if (count > 0)
+    fprintf (stderr, "switchmill: %u lines were not JSON and were passed over\n", count);
+}
+
+static ExitCode
+run_explain (const Options *options)
+{
+  Explanation *explanation = explanation_create (options->words[0]);
+  ExitCode code = read_logs (options, 1, take_explained, explanation);
+  g_autoptr (GPtrArray) lines = explanation_lines (explanation);
+
   for (guint i = 0; i < lines->len; i++)
     printf ("%s\n", (char *)g_ptr_array_index (lines, i));
-  if (explanation_bad_lines (explanation) > 0)
-    fprintf (stderr, "switchmill: %u lines were not JSON and were passed over\n",
-             explanation_bad_lines (explanation));
+  tell_bad_lines (explanation_bad_lines (explanation));
   if (lines->len == 0)
     {
       fprintf (stderr, "switchmill: no line names \"%s\"\n", options->words[0]);
@@ -354,6 +384,45 @@
   return code;
 }
 
+static void
+print_account (RequestAccount *account, gboolean json)
+{
+  g_autoptr (JsonNode) node = NULL;
+  g_autofree char *text = NULL;
+
+  if (json)
+    {
+      node = request_account_json (account);
+      text = json_to_string (node, TRUE);
+      printf ("%s\n", text);
+      return;
+    }
+  text = request_account_text (account);
+  fputs (text, stdout);
+}
+
+static ExitCode
+run_account (const Options *options)
+{
+  RequestAccount *account = request_account_create (options->span_s);
+  ExitCode code = read_logs (options, 0, take_counted, account);
+
+  print_account (account, options->json);
+  tell_bad_lines (request_account_bad_lines (account));
+  if (request_account_omitted_lines (account) > 0)
+    fprintf (stderr,
+             "switchmill: nodes left %" G_GUINT64_FORMAT
+             " lines out: attempts are counted too low\n",
+             request_account_omitted_lines (account));
+  if (request_account_requests (account) == 0)
+    {
+      fprintf (stderr, "switchmill: no line tells of a request\n");
+      code = CODE_FAULT;
+    }
+  request_account_destroy (account);
+  return code;
+}
+
 const Command commands[] = {
   { "status", "", "show a node's whole view", 0, 0, run_status },
   { "service", "[NAME]", "show the services, or one", 0, 1, run_service },
@@ -370,5 +439,7 @@
   { "config", "check SETTINGS", "check a node's settings file", 2, 2, run_config },
   { "explain", "ID [LOG...]", "show one request's way out of nodes' logs", 1, G_MAXINT,
     run_explain },
+  { "account", "[LOG...]", "count what became of the requests in nodes' logs, and why", 0,
+    G_MAXINT, run_account },
   { NULL, NULL, NULL, 0, 0, NULL },
 };
--- a/client/src/commands.h
+++ b/client/src/commands.h
@@ -26,6 +26,7 @@
   gboolean json;
   gboolean force;
   gboolean yes;
+  guint span_s;       /* of an account, in seconds; 0 for one span */
   const char **words; /* the command's own arguments */
   int word_count;
 } Options;
--- a/client/src/explain.c
+++ b/client/src/explain.c
@@ -1,8 +1,9 @@
 #include "explain.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "log-line.h"
+
 typedef struct
 {
   JsonNode *node;
@@ -50,14 +51,6 @@
   g_free (explanation);
 }
 
-static const char *
-member (const JsonNode *node, const char *name)
-{
-  JsonObject *object = json_node_get_object ((JsonNode *)node);
-
-  return json_object_get_string_member_with_default (object, name, "");
-}
-
 /* An id, or that of a request which it called from inside: "ID.REST". */
 static gboolean
 is_of (const char *id, const char *wanted)
@@ -70,29 +63,31 @@
 void
 explanation_add (Explanation *explanation, const char *line, gssize len)
 {
-  g_autofree char *text = g_strndup (line, len < 0 ? strlen (line) : (gsize)len);
-  const char *brace = strchr (text, '{');
-  JsonNode *node = brace ? json_from_string (brace, NULL) : NULL;
+  JsonNode *node = NULL;
   Entry *entry;
 
-  if (!brace)
-    return;
-  if (!node || !JSON_NODE_HOLDS_OBJECT (node))
+  switch (log_line_parse (line, len, &node))
     {
+    case LOG_LINE_OTHER:
+      return;
+    case LOG_LINE_BAD:
       explanation->bad++;
-      g_clear_pointer (&node, json_node_unref);
       return;
+    default:
+      break;
     }
-  if (!*member (node, "id") && !*member (node, "attempt"))
+  if (!*log_line_member (node, "id") && !*log_line_member (node, "attempt"))
     {
       json_node_unref (node);
       return;
     }
-  if (is_of (member (node, "id"), explanation->id) && *member (node, "attempt"))
-    g_hash_table_add (explanation->attempts, g_strdup (member (node, "attempt")));
+  if (is_of (log_line_member (node, "id"), explanation->id) &&
+      *log_line_member (node, "attempt"))
+    g_hash_table_add (explanation->attempts,
+                      g_strdup (log_line_member (node, "attempt")));
   entry = g_new0 (Entry, 1);
   entry->node = node;
-  entry->time = g_strdup (member (node, "time"));
+  entry->time = g_strdup (log_line_member (node, "time"));
   entry->order = explanation->entries->len;
   g_ptr_array_add (explanation->entries, entry);
 }
@@ -110,9 +105,9 @@
 static gboolean
 is_about (const Explanation *explanation, const Entry *entry)
 {
-  const char *attempt = member (entry->node, "attempt");
+  const char *attempt = log_line_member (entry->node, "attempt");
 
-  return is_of (member (entry->node, "id"), explanation->id) ||
+  return is_of (log_line_member (entry->node, "id"), explanation->id) ||
          strcmp (attempt, explanation->id) == 0 ||
          g_hash_table_contains (explanation->attempts, attempt);
 }
@@ -126,8 +121,9 @@
   const char *name;
   JsonNode *value;
 
-  g_string_append_printf (text, "%s %s %s", entry->time, member (entry->node, "node"),
-                          member (entry->node, "event"));
+  g_string_append_printf (text, "%s %s %s", entry->time,
+                          log_line_member (entry->node, "node"),
+                          log_line_member (entry->node, "event"));
   json_object_iter_init_ordered (&iter, json_node_get_object (entry->node));
   while (json_object_iter_next_ordered (&iter, &name, &value))
     {
--- a/client/src/main.c
+++ b/client/src/main.c
@@ -71,13 +71,15 @@
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_lit *yes = arg_lit0 ("y", "yes", "confirm the plan at once");
   struct arg_lit *force = arg_lit0 (NULL, "force", "confirm although a floor breaks");
+  struct arg_int *span =
+      arg_int0 (NULL, "span", "SECONDS", "count by spans of so many seconds (account)");
   struct arg_str *node = arg_str0 ("n", "node", "ADDRESS:PORT",
                                    "a node's operator listener (or SWITCHMILL_NODE)");
   struct arg_str *token =
       arg_str0 (NULL, "token", "TOKEN", "an operator's token (or SWITCHMILL_TOKEN)");
   struct arg_str *words = arg_strn (NULL, NULL, "COMMAND", 0, WORDS_MAX, NULL);
   struct arg_end *end = arg_end (5);
-  void *table[] = { help, version, json, yes, force, node, token, words, end };
+  void *table[] = { help, version, json, yes, force, span, node, token, words, end };
   int faults = arg_parse (argc, argv, table);
   ExitCode code = CODE_OK;
   Options options = { 0 };
@@ -86,6 +88,11 @@
     print_help (table);
   else if (version->count > 0)
     printf ("switchmill %s\n", SWITCHMILL_VERSION);
+  else if (span->count > 0 && span->ival[0] <= 0)
+    {
+      fprintf (stderr, "switchmill: --span must be a whole number above 0\n");
+      code = CODE_USAGE;
+    }
   else if (faults > 0 || words->count == 0)
     {
       arg_print_errors (stderr, end, "switchmill");
@@ -101,6 +108,7 @@
       options.json = json->count > 0;
       options.yes = yes->count > 0;
       options.force = force->count > 0;
+      options.span_s = span->count > 0 ? (guint)span->ival[0] : 0;
       options.words = words->sval + 1;
       options.word_count = words->count - 1;
       code = run_command (&options, words->sval[0]);
--- /dev/null
+++ b/client/tests/test-account.c
@@ -0,0 +1,161 @@
+/* What became of requests, out of logs of many nodes with gaps and bad lines. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+
+#include <json-glib/json-glib.h>
+
+#include "../src/account.h"
+
+#define AT(second) "{\"time\":\"2026-01-01T00:00:" second ".500000Z\",\"node\":\"a\","
+
+static const char *const log_lines[] = {
+  /* Served in its own hall, and late from another. */
+  AT ("01") "\"event\":\"attempt\",\"id\":\"x\",\"attempt\":\"a-1-1\",\"own_hall\":"
+            "\"yes\"}",
+  AT ("01") "\"event\":\"request\",\"id\":\"x\",\"class\":\"pay\",\"outcome\":\"done\","
+            "\"status\":\"200\",\"arrivals\":\"1\",\"took_us\":\"1000\",\"late\":\"no\"}",
+  "  1.2 vm-a " AT ("02") "\"event\":\"attempt\",\"id\":\"y\",\"own_hall\":\"no\"}",
+  AT ("02") "\"event\":\"hedge\",\"id\":\"y\",\"target\":\"i-2\"}",
+  AT ("12") "\"event\":\"request\",\"id\":\"y\",\"class\":\"pay\",\"outcome\":\"done\","
+            "\"status\":\"200\",\"arrivals\":\"2\",\"took_us\":\"9000000\",\"late\":"
+            "\"yes\"}",
+  /* Failed, for a call of its target hung; the call's line comes later. */
+  AT ("03") "\"event\":\"request-failed\",\"id\":\"z\",\"class\":\"pay\",\"outcome\":"
+            "\"done\","
+            "\"status\":\"500\",\"arrivals\":\"1\",\"took_us\":\"2000000\"}",
+  AT ("02") "\"event\":\"request-failed\",\"id\":\"z.1\",\"class\":\"read\","
+            "\"outcome\":\"unknown\",\"reason\":\"timeout\",\"arrivals\":\"1\","
+            "\"took_us\":\"1500000\"}",
+  AT ("02") "\"event\":\"attempt-end\",\"id\":\"z.1\",\"result\":\"refused\","
+            "\"reason\":\"budget\"}",
+  /* Refused; and one whose end is missing. */
+  AT ("04") "\"event\":\"request-failed\",\"id\":\"w\",\"class\":\"pay\","
+            "\"outcome\":\"not-run\",\"reason\":\"overload\",\"took_us\":\"4000\"}",
+  AT ("04") "\"event\":\"attempt\",\"id\":\"v\",\"own_hall\":\"yes\"}",
+  /* A node that sent bytes, started anew, and sent more. */
+  AT ("05") "\"event\":\"bytes-sent\",\"own_hall\":\"probes=10 answers=5\","
+            "\"other_halls\":\"probes=7 answers=100\"}",
+  AT ("06") "\"event\":\"bytes-sent\",\"own_hall\":\"probes=12 answers=6\","
+            "\"other_halls\":\"probes=9 answers=150\"}",
+  AT ("09") "\"event\":\"bytes-sent\",\"own_hall\":\"probes=1 answers=0\","
+            "\"other_halls\":\"probes=2 answers=40\"}",
+  AT ("09") "\"event\":\"log-omitted\",\"subject\":\"attempt\",\"count\":\"17\"}",
+  AT ("09") "\"event\":",
+  "no brace at all",
+};
+
+static RequestAccount *
+filled (guint span_s)
+{
+  RequestAccount *account = request_account_create (span_s);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (log_lines); i++)
+    request_account_add (account, log_lines[i], -1);
+  return account;
+}
+
+static JsonObject *
+row_of (JsonObject *root, const char *class, gint64 from_s)
+{
+  JsonArray *rows = json_object_get_array_member (root, "classes");
+
+  for (guint i = 0; i < json_array_get_length (rows); i++)
+    {
+      JsonObject *row = json_array_get_object_element (rows, i);
+
+      if (strcmp (json_object_get_string_member (row, "class"), class) == 0 &&
+          (from_s < 0 || json_object_get_int_member (row, "from_s") == from_s))
+        return row;
+    }
+  fail_msg ("no row for %s", class);
+  return NULL;
+}
+
+static gint64
+cause (JsonObject *row, const char *table, const char *name)
+{
+  JsonObject *causes = json_object_get_object_member (row, table);
+
+  return json_object_get_int_member_with_default (causes, name, 0);
+}
+
+static void
+test_fates_and_causes_are_told (void **state)
+{
+  RequestAccount *account = filled (0);
+  g_autoptr (JsonNode) node = request_account_json (account);
+  JsonObject *root = json_node_get_object (node);
+  JsonObject *pay = row_of (root, "pay", -1);
+  JsonObject *call = row_of (root, "call read", -1);
+
+  assert_int_equal (json_object_get_int_member (root, "requests"), 5);
+  assert_int_equal (json_object_get_int_member (pay, "served"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "late"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "refused"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "failed"), 1);
+  assert_int_equal (cause (pay, "causes", "no-slot"), 1);
+  assert_int_equal (cause (pay, "causes", "target-failed"), 0);
+  assert_int_equal (cause (pay, "call_causes", "hung"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "unserved_held_ms"), 1002);
+  assert_int_equal (json_object_get_int_member (pay, "attempts_own_hall"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "attempts_other_halls"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "retries"), 1);
+  assert_int_equal (json_object_get_int_member (pay, "hedges"), 1);
+  assert_int_equal (cause (call, "causes", "hung"), 1);
+  assert_int_equal (json_object_get_int_member (call, "retries_denied"), 1);
+  request_account_destroy (account);
+}
+
+static void
+test_gaps_and_bad_lines_are_counted (void **state)
+{
+  RequestAccount *account = filled (0);
+
+  assert_int_equal (request_account_requests (account), 5);
+  assert_int_equal (request_account_bad_lines (account), 1);
+  assert_int_equal (request_account_omitted_lines (account), 17);
+  request_account_destroy (account);
+}
+
+static void
+test_bytes_of_all_lives_of_a_node_are_summed (void **state)
+{
+  RequestAccount *account = filled (0);
+  g_autofree char *text = request_account_text (account);
+
+  assert_non_null (strstr (text, "bytes sent to the own hall: answers=6 probes=13\n"));
+  assert_non_null (strstr (text, "bytes sent to other halls: answers=190 probes=11\n"));
+  request_account_destroy (account);
+}
+
+static void
+test_spans_part_requests_by_when_they_began (void **state)
+{
+  RequestAccount *account = filled (2);
+  g_autoptr (JsonNode) node = request_account_json (account);
+  JsonObject *root = json_node_get_object (node);
+  gint64 zero = 1767225600; /* 2026-01-01T00:00:00Z */
+
+  assert_int_equal (json_object_get_int_member (row_of (root, "pay", zero), "served"), 1);
+  assert_int_equal (json_object_get_int_member (row_of (root, "pay", zero + 2), "late"),
+                    1);
+  assert_int_equal (
+      json_object_get_int_member (row_of (root, "pay", zero + 4), "refused"), 1);
+  request_account_destroy (account);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_fates_and_causes_are_told),
+    cmocka_unit_test (test_gaps_and_bad_lines_are_counted),
+    cmocka_unit_test (test_bytes_of_all_lives_of_a_node_are_summed),
+    cmocka_unit_test (test_spans_part_requests_by_when_they_began),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -103,6 +103,9 @@
       g_strdup_printf ("%u", dispatch_arrivals (exchange->dispatch) + answered);
   g_autofree char *status = done ? g_strdup_printf ("%u", exchange->answer.status) : NULL;
 
+  gboolean late =
+      exchange->route->objective_us > 0 && took_us > exchange->route->objective_us;
+
   log_event (G_LOG_LEVEL_INFO, done ? "request" : "request-failed", "ID", exchange->id,
              "ATTEMPT", attempt, "SERVICE", exchange->service, "CLASS",
              exchange->route->class, "OUTCOME", outcome_name (step->outcome), "REASON",
@@ -110,5 +113,6 @@
              exchange->attempt && exchange->attempt->target
                  ? exchange->attempt->target->name
                  : NULL,
-             "REFUSALS", refusals, "ARRIVALS", arrivals, "TOOK_US", took, NULL);
+             "REFUSALS", refusals, "ARRIVALS", arrivals, "TOOK_US", took, "LATE",
+             done ? yes_no (late) : NULL, NULL);
 }
