--- /dev/null
+++ b/daemon/tests/test-holds.c
@@ -0,0 +1,106 @@
+/* Slots held for requests of other halls: exact, for the attempt that asked, and not for
+ * long. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "sidecar-holds.h"
+
+#define SLOTS 2u
+
+typedef struct
+{
+  Clock *clock;
+  SidecarTarget *target;
+  SidecarHolds *holds;
+} Fixture;
+
+static Fixture
+setup (void)
+{
+  static const Service service = { .name = "pay", .detection = DETECTION_STRICT };
+  static const Target config = { .name = "t", .address = "127.0.0.1:1", .slots = SLOTS };
+  Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
+
+  fixture.target = sidecar_target_create (&service, &config, fixture.clock);
+  fixture.holds = sidecar_holds_create (fixture.clock);
+  return fixture;
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  sidecar_holds_destroy (fixture->holds);
+  sidecar_target_destroy (fixture->target);
+  clock_destroy (fixture->clock);
+}
+
+static AttemptId
+attempt (guint64 counter)
+{
+  return (AttemptId){ "node", 1, counter };
+}
+
+static void
+test_no_more_is_held_than_there_are_slots (void **state)
+{
+  Fixture fixture = setup ();
+  AttemptId first = attempt (1);
+  AttemptId second = attempt (2);
+  AttemptId third = attempt (3);
+
+  assert_true (sidecar_holds_add (fixture.holds, fixture.target, &first));
+  assert_true (sidecar_holds_add (fixture.holds, fixture.target, &second));
+  assert_false (sidecar_holds_add (fixture.holds, fixture.target, &third));
+  assert_int_equal (admission_in_use (fixture.target->admission), SLOTS);
+  teardown (&fixture);
+}
+
+static void
+test_a_hold_is_for_the_attempt_that_asked_and_once (void **state)
+{
+  Fixture fixture = setup ();
+  AttemptId asked = attempt (1);
+  AttemptId other = attempt (2);
+
+  assert_true (sidecar_holds_add (fixture.holds, fixture.target, &asked));
+  assert_false (sidecar_holds_take (fixture.holds, fixture.target, &other));
+  assert_true (sidecar_holds_take (fixture.holds, fixture.target, &asked));
+  assert_false (sidecar_holds_take (fixture.holds, fixture.target, &asked));
+  /* The slot is the caller's, and time takes nothing back that was taken. */
+  clock_advance (fixture.clock, SECOND_US);
+  sidecar_holds_expire (fixture.holds);
+  assert_int_equal (admission_in_use (fixture.target->admission), 1);
+  admission_release (fixture.target->admission, -1);
+  teardown (&fixture);
+}
+
+static void
+test_what_does_not_come_in_time_gives_its_slot_back (void **state)
+{
+  Fixture fixture = setup ();
+  AttemptId asked = attempt (1);
+
+  assert_true (sidecar_holds_add (fixture.holds, fixture.target, &asked));
+  clock_advance (fixture.clock, 50 * MS_US);
+  sidecar_holds_expire (fixture.holds);
+  assert_int_equal (admission_in_use (fixture.target->admission), 1);
+  clock_advance (fixture.clock, 20 * MS_US);
+  sidecar_holds_expire (fixture.holds);
+  assert_int_equal (admission_in_use (fixture.target->admission), 0);
+  assert_false (sidecar_holds_take (fixture.holds, fixture.target, &asked));
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_no_more_is_held_than_there_are_slots),
+    cmocka_unit_test (test_a_hold_is_for_the_attempt_that_asked_and_once),
+    cmocka_unit_test (test_what_does_not_come_in_time_gives_its_slot_back),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
