Account and exchange in files by job

account.c reads, account-report.c counts and prints; attempt.c holds one attempt's life and end, attempt-send.c its way to the sidecar, exchange-call.c the steps that need one. Nothing else changes.

--- /dev/null
+++ b/client/src/account-report.c
@@ -0,0 +1,305 @@
+#include "account-private.h"
+
+#include <core/json-write.h>
+#include <string.h>
+
+/* Classes times spans; what is beyond is left out. */
+#define CLASSES_MAX 10000u
+
+static const char *const cause_names[CAUSE_COUNT] = {
+  "none",   "target-failed", "hung",        "broken",  "node-lost",   "no-slot", "queue",
+  "budget", "sick",          "nobody-left", "leaving", "caller-left", "other"
+};
+
+static const char *const fate_names[FATE_COUNT] = { "served", "late", "refused",
+                                                    "failed" };
+
+/* What is counted of a class in one span. */
+typedef struct
+{
+  char *class;
+  gint64 span;
+  guint fates[FATE_COUNT];
+  guint causes[CAUSE_COUNT];
+  guint call_causes[CAUSE_COUNT]; /* of those that failed by a call of their target */
+  gint64 unserved_us;             /* how long those that were not served were held */
+  guint own_hall;
+  guint other_halls;
+  guint retries;
+  guint hedges;
+  guint budget_denied;
+} Row;
+
+static void
+row_free (gpointer data)
+{
+  Row *row = data;
+
+  g_free (row->class);
+  g_free (row);
+}
+
+/* Calls are named after the request they are made for: "ID.REST". NULL for no call. */
+static char *
+parent_of (const char *id)
+{
+  const char *stop = strrchr (id, '.');
+
+  return stop ? g_strndup (id, (gsize)(stop - id)) : NULL;
+}
+
+/* The cause of a call that failed, by the id of the request that it was made for. */
+static GHashTable *
+causes_of_calls (const RequestAccount *account)
+{
+  GHashTable *causes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, account->requests);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      const Request *request = value;
+      char *parent =
+          request->over && request->fate >= FATE_REFUSED ? parent_of (id) : NULL;
+
+      if (parent)
+        g_hash_table_replace (causes, parent, GUINT_TO_POINTER (request->cause));
+    }
+  return causes;
+}
+
+static Row *
+row_of (const RequestAccount *account,
+        GHashTable *rows,
+        const char *id,
+        const Request *request)
+{
+  const char *class = *request->class ? request->class : "unknown";
+  g_autofree char *name = g_strconcat (strchr (id, '.') ? "call " : "", class, NULL);
+  gint64 span = account->span_s ? request->began_s / account->span_s : 0;
+  g_autofree char *key = g_strdup_printf ("%020" G_GINT64_FORMAT " %s", span, name);
+  Row *row = g_hash_table_lookup (rows, key);
+
+  if (row || g_hash_table_size (rows) >= CLASSES_MAX)
+    return row;
+  row = g_new0 (Row, 1);
+  row->class = g_steal_pointer (&name);
+  row->span = span * account->span_s;
+  g_hash_table_insert (rows, g_steal_pointer (&key), row);
+  return row;
+}
+
+static void
+count (Row *row, const char *id, const Request *request, GHashTable *calls)
+{
+  gpointer cause;
+
+  row->fates[request->fate]++;
+  row->own_hall += request->own_hall;
+  row->other_halls += request->other_halls;
+  row->retries += request->retries;
+  row->hedges += request->hedges;
+  row->budget_denied += request->budget_denied;
+  if (request->fate < FATE_REFUSED)
+    return;
+  row->unserved_us += request->took_us;
+  if (request->by_target && g_hash_table_lookup_extended (calls, id, NULL, &cause))
+    row->call_causes[GPOINTER_TO_UINT (cause)]++;
+  else
+    row->causes[request->cause]++;
+}
+
+/* The rows of all requests, by "span class". */
+static GHashTable *
+tabulate (const RequestAccount *account)
+{
+  GHashTable *rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
+  g_autoptr (GHashTable) calls = causes_of_calls (account);
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, account->requests);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      const Request *request = value;
+      Row *row = request->over ? row_of (account, rows, id, request) : NULL;
+
+      if (row)
+        count (row, id, request, calls);
+    }
+  return rows;
+}
+
+static GList *
+sorted_keys (GHashTable *table)
+{
+  return g_list_sort (g_hash_table_get_keys (table), (GCompareFunc)strcmp);
+}
+
+static guint
+asked (const Row *row)
+{
+  guint sum = 0;
+
+  for (guint i = 0; i < FATE_COUNT; i++)
+    sum += row->fates[i];
+  return sum;
+}
+
+static guint
+unserved (const Row *row)
+{
+  return row->fates[FATE_REFUSED] + row->fates[FATE_FAILED];
+}
+
+/* The mean time that a request was held which was not served, in milliseconds. */
+static gint64
+held_ms (const Row *row)
+{
+  return unserved (row) ? row->unserved_us / unserved (row) / 1000 : 0;
+}
+
+static void
+append_causes (GString *text, const char *prefix, const guint *causes)
+{
+  for (guint i = 1; i < CAUSE_COUNT; i++)
+    if (causes[i])
+      g_string_append_printf (text, " %s%s=%u", prefix, cause_names[i], causes[i]);
+}
+
+/* All bytes of a kind: of lives that are over and of those that go on. */
+static GHashTable *
+sum_bytes (const RequestAccount *account, guint hall)
+{
+  GHashTable *sum = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, account->bytes[hall]);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    request_account_add_bytes (sum, key, *(guint64 *)value);
+  g_hash_table_iter_init (&iter, account->last[hall]);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    request_account_add_bytes (sum, strrchr (key, ' ') + 1, *(guint64 *)value);
+  return sum;
+}
+
+static void
+append_bytes (GString *text, const RequestAccount *account, guint hall, const char *name)
+{
+  g_autoptr (GHashTable) sum = sum_bytes (account, hall);
+  g_autoptr (GList) kinds = sorted_keys (sum);
+
+  g_string_append_printf (text, "bytes sent to %s:", name);
+  for (GList *kind = kinds; kind; kind = kind->next)
+    g_string_append_printf (text, " %s=%" G_GUINT64_FORMAT, (char *)kind->data,
+                            *(guint64 *)g_hash_table_lookup (sum, kind->data));
+  g_string_append_c (text, '\n');
+}
+
+char *
+request_account_text (RequestAccount *account)
+{
+  g_autoptr (GHashTable) rows = tabulate (account);
+  g_autoptr (GList) keys = sorted_keys (rows);
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (
+      text, "%-12s %-22s %6s %6s %6s %7s %6s %7s %6s %6s %6s %6s %6s  %s\n", "from",
+      "class", "asked", "served", "late", "refused", "failed", "held-ms", "own", "other",
+      "again", "hedged", "denied", "causes");
+  for (GList *key = keys; key; key = key->next)
+    {
+      const Row *row = g_hash_table_lookup (rows, key->data);
+
+      g_string_append_printf (
+          text,
+          "%-12" G_GINT64_FORMAT " %-22s %6u %6u %6u %7u %6u %7" G_GINT64_FORMAT
+          " %6u %6u %6u %6u %6u ",
+          row->span, row->class, asked (row), row->fates[FATE_SERVED],
+          row->fates[FATE_LATE], row->fates[FATE_REFUSED], row->fates[FATE_FAILED],
+          held_ms (row), row->own_hall, row->other_halls, row->retries, row->hedges,
+          row->budget_denied);
+      append_causes (text, "", row->causes);
+      append_causes (text, "call:", row->call_causes);
+      g_string_append_c (text, '\n');
+    }
+  append_bytes (text, account, 0, "the own hall");
+  append_bytes (text, account, 1, "other halls");
+  return g_string_free (text, FALSE);
+}
+
+static void
+write_causes (JsonBuilder *builder, const char *name, const guint *causes)
+{
+  json_builder_set_member_name (builder, name);
+  json_builder_begin_object (builder);
+  for (guint i = 1; i < CAUSE_COUNT; i++)
+    if (causes[i])
+      json_write_int (builder, cause_names[i], causes[i]);
+  json_builder_end_object (builder);
+}
+
+static void
+write_row (JsonBuilder *builder, const Row *row)
+{
+  json_builder_begin_object (builder);
+  json_write_int (builder, "from_s", row->span);
+  json_write_string (builder, "class", row->class);
+  for (guint i = 0; i < FATE_COUNT; i++)
+    json_write_int (builder, fate_names[i], row->fates[i]);
+  write_causes (builder, "causes", row->causes);
+  write_causes (builder, "call_causes", row->call_causes);
+  json_write_int (builder, "unserved_held_ms", held_ms (row));
+  json_write_int (builder, "attempts_own_hall", row->own_hall);
+  json_write_int (builder, "attempts_other_halls", row->other_halls);
+  json_write_int (builder, "retries", row->retries);
+  json_write_int (builder, "hedges", row->hedges);
+  json_write_int (builder, "retries_denied", row->budget_denied);
+  json_builder_end_object (builder);
+}
+
+static void
+write_bytes (JsonBuilder *builder,
+             const RequestAccount *account,
+             guint hall,
+             const char *name)
+{
+  g_autoptr (GHashTable) sum = sum_bytes (account, hall);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  json_builder_set_member_name (builder, name);
+  json_builder_begin_object (builder);
+  g_hash_table_iter_init (&iter, sum);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_write_int (builder, key, (gint64) * (guint64 *)value);
+  json_builder_end_object (builder);
+}
+
+JsonNode *
+request_account_json (RequestAccount *account)
+{
+  g_autoptr (GHashTable) rows = tabulate (account);
+  g_autoptr (GList) keys = sorted_keys (rows);
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_write_int (builder, "requests", request_account_requests (account));
+  json_write_int (builder, "bad_lines", account->bad);
+  json_write_int (builder, "omitted_lines", (gint64)account->omitted);
+  json_builder_set_member_name (builder, "classes");
+  json_builder_begin_array (builder);
+  for (GList *key = keys; key; key = key->next)
+    write_row (builder, g_hash_table_lookup (rows, key->data));
+  json_builder_end_array (builder);
+  write_bytes (builder, account, 0, "bytes_own_hall");
+  write_bytes (builder, account, 1, "bytes_other_halls");
+  json_builder_end_object (builder);
+  return json_builder_get_root (builder);
+}
--- /dev/null
+++ b/daemon/src/request/attempt-send.c
@@ -0,0 +1,235 @@
+#include "exchange-private.h"
+
+#include "path-probe.h"
+#include "request-log.h"
+
+/* A connection to a node that is there is made in a round trip; 400 ms cover a lost
+   packet's first repetition (200 ms) with room to spare. */
+#define OPEN_TIMEOUT_US (400 * MS_US)
+/* A slot is answered for in a round trip; one lost packet is repeated within 200 ms. */
+#define SLOT_TIMEOUT_US (300 * MS_US)
+static const RpcProcedure submit = { SW_SUBMIT, (xdrproc_t)xdr_sw_submit_args,
+                                     (xdrproc_t)xdr_sw_submit_res,
+                                     sizeof (sw_submit_res) };
+static void
+on_submitted (RpcOutcome outcome, void *result, gpointer data)
+{
+  Pending *pending = data;
+  Attempt *attempt = pending->attempt;
+
+  if (attempt)
+    attempt->pending = NULL;
+  g_free (pending);
+  if (attempt)
+    attempt_ended (attempt, outcome, result);
+}
+
+/* The node does not even answer a ping: its answer is not to be expected. */
+static void
+on_node_lost (gpointer data)
+{
+  Attempt *attempt = data;
+
+  path_probes_begin (attempt->exchange->owner->node->paths, attempt->target->vm);
+  attempt_ended (attempt, RPC_LOST, NULL);
+}
+
+/* The headers for the target: the caller's that go on, and what the dialect adds. */
+static GArray *
+forwarded_headers (const Exchange *exchange)
+{
+  const Node *node = exchange->owner->node;
+  const Dialect *dialect = node->adapter->dialect;
+  const GArray *headers = http_request_headers (exchange->request);
+  GArray *forwarded = http_headers_new ();
+
+  dialect->add_origin (node->settings, forwarded);
+  for (guint i = 0; i < headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      if (!http_header_is_hop (header->name) && dialect->forwards (header->name))
+        http_headers_add (forwarded, header->name, header->value);
+    }
+  return forwarded;
+}
+
+/* `headers` lends its texts to the arguments. */
+static void
+fill_headers (const GArray *headers, sw_submit_args *args)
+{
+  guint count = MIN (headers->len, SW_HEADERS_MAX);
+
+  args->headers.headers_val = g_new0 (sw_header, count + 1);
+  args->headers.headers_len = count;
+  for (guint i = 0; i < count; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      args->headers.headers_val[i].name = header->name;
+      args->headers.headers_val[i].value = header->value;
+    }
+}
+
+/*
+ * Gives the attempt its name and the stamp that it is sent with. A ticket has both
+ * already, and is good for one incarnation of its sidecar only: FALSE when that has gone.
+ */
+gboolean
+attempt_name (Attempt *attempt, const PeerStamp *stamp)
+{
+  Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+
+  if (exchange->ticket)
+    return stamp->incarnation == attempt->stamp.incarnation;
+  attempt->id.node = node->settings->node;
+  attempt->id.incarnation = node->incarnation;
+  attempt->id.counter = ++exchange->owner->counter;
+  attempt->stamp = *stamp;
+  return TRUE;
+}
+
+LatencyFit
+exchange_fit (const Exchange *exchange)
+{
+  return latency_views_fit (exchange->owner->latencies,
+                            latency_route (exchange->route->class));
+}
+
+/* What the sidecar needs to know of the attempt, but for the request itself. */
+static void
+fill_terms (const Attempt *attempt, sw_submit_args *args)
+{
+  const Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+  LatencyFit fit = exchange_fit (exchange);
+
+  attempt_fill (attempt, &args->attempt);
+  args->sidecar = attempt->stamp.incarnation;
+  args->clock_us = (guint64)attempt->stamp.reading_us;
+  args->target = attempt->target->name;
+  args->tenant = attempt->service->tenant;
+  args->remaining_ms = (u_int)MAX (1, attempt->remaining_us / MS_US);
+  args->priority = exchange->route->priority;
+  args->repeatable = exchange->route->repeatable;
+  args->retry = attempt->retry;
+  args->even_sick = attempt->even_sick;
+  args->trial = attempt->trial;
+  args->may_queue = attempt->may_queue;
+  args->wait_ms = (u_int)(attempt->max_wait_us / MS_US);
+  args->route = latency_route (exchange->route->class);
+  args->sibling_fit = latency_fit_pack (&fit);
+  args->sibling_failures_ppm = balancer_failures_ppm (node->balancer, attempt->service);
+}
+
+static void
+submit_now (Attempt *attempt, sw_phase phase)
+{
+  const Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+  const GByteArray *body = http_request_body (exchange->request);
+  g_autoptr (GArray) headers = forwarded_headers (exchange);
+  sw_submit_args args = { .phase = phase };
+
+  fill_terms (attempt, &args);
+  args.method = (char *)http_request_method (exchange->request);
+  args.path = (char *)http_request_target (exchange->request);
+  args.body.body_val = (char *)body->data;
+  args.body.body_len = body->len;
+  fill_headers (headers, &args);
+  attempt->submitted = TRUE;
+  metrics_add (node->metrics, METRIC_ATTEMPTS, 1);
+  attempt->pending = g_new0 (Pending, 1);
+  attempt->pending->attempt = attempt;
+  attempt->watch = peer_watch_create (node, attempt->target->vm, on_node_lost, attempt);
+  attempt->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
+  peers_call (node->peers, attempt->target->vm, &submit, &args, attempt->wait_us,
+              on_submitted, attempt->pending);
+  g_free (args.headers.headers_val);
+}
+
+/* Another hall's sidecar holds a slot, or does not. Nothing has been sent that could run.
+ */
+static void
+on_slot_answer (RpcOutcome outcome, void *result, gpointer data)
+{
+  Pending *pending = data;
+  Attempt *attempt = pending->attempt;
+  sw_submit_res *res = result;
+
+  g_free (pending);
+  if (!attempt)
+    return;
+  attempt->pending = NULL;
+  if (outcome == RPC_OK && res->result == SW_HELD &&
+      attempt_is_own (attempt, &res->attempt))
+    {
+      attempt_note_answer (attempt, res);
+      submit_now (attempt, SW_HELD_SUBMIT);
+      return;
+    }
+  if (outcome == RPC_OK && res->result == SW_REFUSED)
+    attempt_ended (attempt, outcome, res);
+  else
+    attempt_ended (attempt, RPC_UNSENT, NULL);
+}
+
+/* Asks for a slot before the request travels. */
+static void
+ask_for_slot (Attempt *attempt)
+{
+  Node *node = attempt->exchange->owner->node;
+  sw_submit_args args = { .phase = SW_ASK, .method = "", .path = "" };
+
+  fill_terms (attempt, &args);
+  attempt->pending = g_new0 (Pending, 1);
+  attempt->pending->attempt = attempt;
+  attempt->sent_bytes = xdr_sizeof ((xdrproc_t)xdr_sw_submit_args, &args);
+  peers_call (node->peers, attempt->target->vm, &submit, &args,
+              MIN (attempt->wait_us, SLOT_TIMEOUT_US), on_slot_answer, attempt->pending);
+}
+
+static void
+on_session (const PeerStamp *stamp, gpointer data)
+{
+  Attempt *attempt = data;
+  Exchange *exchange = attempt->exchange;
+  DispatchStep step;
+
+  if (!attempt_opened (attempt))
+    return;
+  if (!stamp)
+    {
+      attempt_ended (attempt, RPC_UNSENT, NULL);
+      return;
+    }
+  if (!attempt_name (attempt, stamp))
+    {
+      attempt_over (attempt);
+      step = dispatch_sent (exchange->dispatch, DISPATCH_UNSURE, REASON_INCARNATION, 0);
+      exchange_carry_out (exchange, &step);
+      return;
+    }
+  request_log_attempt (attempt);
+  /* Three in four that another hall is asked to take are refused there when it is loaded:
+     the question is a fifth of the request. */
+  if (attempt->local || attempt->may_queue || exchange->ticket)
+    submit_now (attempt, SW_WHOLE);
+  else
+    ask_for_slot (attempt);
+}
+
+void
+attempt_send (Attempt *attempt, gint64 wait_us, gint64 remaining_us)
+{
+  Node *node = attempt->exchange->owner->node;
+
+  attempt->wait_us = wait_us;
+  attempt->remaining_us = remaining_us;
+  attempt->out = TRUE;
+  attempt->opening = TRUE;
+  balancer_begin (node->balancer, attempt->target->name);
+  peers_open (node->peers, attempt->target->vm, MIN (wait_us, OPEN_TIMEOUT_US),
+              on_session, attempt);
+}
--- /dev/null
+++ b/daemon/src/request/attempt.c
@@ -0,0 +1,252 @@
+#include "exchange-private.h"
+
+#include <string.h>
+
+#include <core/http-status.h>
+
+#include "request-log.h"
+
+/* Nothing waits for the answer to a cancellation. */
+#define CANCEL_TIMEOUT_US SECOND_US
+
+static const RpcProcedure cancel = { SW_CANCEL, (xdrproc_t)xdr_sw_cancel_args, wire_void,
+                                     0 };
+
+Attempt *
+attempt_create (Exchange *exchange)
+{
+  Attempt *attempt = g_new0 (Attempt, 1);
+
+  attempt->exchange = exchange;
+  return attempt;
+}
+
+/* What still comes of the submission is not waited for any more. */
+static void
+drop_pending (Attempt *attempt)
+{
+  if (attempt->pending)
+    attempt->pending->attempt = NULL;
+  attempt->pending = NULL;
+  g_clear_pointer (&attempt->watch, peer_watch_destroy);
+}
+
+void
+attempt_over (Attempt *attempt)
+{
+  drop_pending (attempt);
+  if (attempt->out)
+    balancer_end (attempt->exchange->owner->node->balancer, attempt->target->name);
+  attempt->out = FALSE;
+}
+
+static void
+attempt_free (Attempt *attempt)
+{
+  g_clear_pointer (&attempt->targets, snapshot_unref);
+  g_free (attempt);
+}
+
+void
+attempt_destroy (Attempt *attempt)
+{
+  if (!attempt)
+    return;
+  attempt_over (attempt);
+  attempt->exchange = NULL;
+  /* The session that is being opened still calls back. */
+  if (!attempt->opening)
+    attempt_free (attempt);
+}
+
+/* A session has been opened for it, or not. FALSE when nobody waits any more. */
+gboolean
+attempt_opened (Attempt *attempt)
+{
+  attempt->opening = FALSE;
+  if (attempt->exchange)
+    return TRUE;
+  attempt_free (attempt);
+  return FALSE;
+}
+
+void
+attempt_fill (const Attempt *attempt, sw_attempt *words)
+{
+  words->node = attempt->id.node;
+  words->incarnation = attempt->id.incarnation;
+  words->counter = attempt->id.counter;
+}
+
+static void
+on_cancelled (RpcOutcome outcome, void *result, gpointer data)
+{
+  /* A cancellation that is lost only leaves work to run to its deadline. */
+}
+
+void
+attempt_cancel (Attempt *attempt)
+{
+  Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+  sw_cancel_args args = { 0 };
+
+  if (!attempt->submitted || exchange->ticket)
+    return;
+  attempt->submitted = FALSE;
+  attempt_fill (attempt, &args.attempt);
+  args.sidecar = attempt->stamp.incarnation;
+  args.clock_us = (guint64)attempt->stamp.reading_us;
+  args.target = attempt->target->name;
+  args.repeatable = exchange->route->repeatable;
+  metrics_add (node->metrics, METRIC_CANCELS, 1);
+  peers_call (node->peers, attempt->target->vm, &cancel, &args, CANCEL_TIMEOUT_US,
+              on_cancelled, NULL);
+}
+
+gboolean
+attempt_is_own (const Attempt *attempt, const sw_attempt *words)
+{
+  return words->counter == attempt->id.counter &&
+         words->incarnation == attempt->id.incarnation &&
+         strcmp (words->node, attempt->id.node) == 0;
+}
+
+DispatchReport
+attempt_report (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res)
+{
+  Exchange *exchange = attempt->exchange;
+
+  /* What is denied has been turned away before it was looked at. */
+  if (outcome == RPC_UNSENT || outcome == RPC_DENIED)
+    return DISPATCH_UNSENT;
+  if (outcome != RPC_OK || !attempt_is_own (attempt, &res->attempt))
+    return DISPATCH_LOST;
+  switch (res->result)
+    {
+    case SW_DONE:
+      xdr_free ((xdrproc_t)xdr_sw_answer, (char *)&exchange->answer);
+      exchange->answer = res->answer;
+      memset (&res->answer, 0, sizeof res->answer);
+      return exchange->answer.status >= HTTP_SERVER_ERROR ? DISPATCH_FAULT
+                                                          : DISPATCH_DONE;
+    case SW_REFUSED:
+      return DISPATCH_REFUSED;
+    case SW_FAILED:
+      return DISPATCH_FAILED;
+    case SW_STARTED:
+      return DISPATCH_STARTED;
+    default:
+      return DISPATCH_UNSURE;
+    }
+}
+
+void
+attempt_note_path (const Attempt *attempt, RpcOutcome outcome)
+{
+  Node *node = attempt->exchange->owner->node;
+  const char *vm = attempt->target->vm;
+
+  /* Silence may be a slow target's: whether the node itself answers has to be asked. */
+  if (outcome == RPC_TIMEOUT)
+    peers_check (node->peers, vm);
+  else
+    balancer_note_path (node->balancer, vm, outcome == RPC_OK);
+}
+
+void
+attempt_note_answer (const Attempt *attempt, const sw_submit_res *res)
+{
+  const Exchange *exchange = attempt->exchange;
+  Node *node = exchange->owner->node;
+  LatencyFit fit = latency_fit_unpack (res->route_fit);
+
+  latency_views_note (exchange->owner->latencies, latency_route (exchange->route->class),
+                      attempt->target->name, &fit);
+  peers_note_stamp (node->peers, &res->stamp);
+  peers_note_state (node->peers, &res->stamp, &res->state);
+}
+
+static void
+note_busy (const Attempt *attempt, char *name)
+{
+  Exchange *exchange = attempt->exchange;
+
+  g_ptr_array_add (exchange->busy, name);
+  if (attempt->local)
+    exchange->busy_own++;
+  else
+    exchange->busy_other++;
+}
+
+static char *
+take_tried (Exchange *exchange, const char *name)
+{
+  for (guint i = exchange->tried->len; i-- > 0;)
+    if (strcmp (g_ptr_array_index (exchange->tried, i), name) == 0)
+      return g_ptr_array_steal_index (exchange->tried, i);
+  return NULL;
+}
+
+/* A target that only refused may be chosen again, if in other circumstances. */
+static void
+note_refusal (const Attempt *attempt, Reason reason)
+{
+  Exchange *exchange = attempt->exchange;
+  char *name;
+
+  if (reason != REASON_SICK && reason != REASON_OVERLOAD && reason != REASON_BUDGET)
+    return;
+  name = take_tried (exchange, attempt->target->name);
+  if (!name)
+    return;
+  if (reason == REASON_SICK)
+    g_free (name);
+  else if (!attempt->may_queue)
+    note_busy (attempt, name);
+  else
+    g_ptr_array_add (exchange->tried, name);
+}
+
+/* The bytes that the refused attempt has cost. */
+static void
+count_refused (Attempt *attempt)
+{
+  const Node *node = attempt->exchange->owner->node;
+
+  traffic_recount (node->traffic, TRAFFIC_REQUESTS, TRAFFIC_REFUSED,
+                   peers_in_own_hall (node, attempt->target->vm), attempt->sent_bytes);
+  attempt->sent_bytes = 0;
+}
+
+void
+attempt_ended (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res)
+{
+  Exchange *exchange = attempt->exchange;
+  Reason reason = outcome == RPC_OK ? (Reason)res->reason : REASON_LOST;
+  DispatchReport report;
+  DispatchStep step;
+
+  request_log_attempt_end (attempt, outcome, res);
+  attempt_over (attempt);
+  attempt_note_path (attempt, outcome);
+  attempt->submitted &= outcome == RPC_TIMEOUT || outcome == RPC_LOST;
+  if (outcome == RPC_OK)
+    attempt_note_answer (attempt, res);
+  report = attempt_report (attempt, outcome, res);
+  if (outcome == RPC_OK)
+    note_refusal (attempt, reason);
+  if (report == DISPATCH_REFUSED)
+    count_refused (attempt);
+  if (attempt == exchange->hedge)
+    {
+      exchange_hedge_ended (exchange, report, reason);
+      return;
+    }
+  if (exchange_promote_hedge (exchange, report, reason))
+    return;
+  exchange_drop_hedge (exchange);
+  step = dispatch_sent (exchange->dispatch, report, reason,
+                        outcome == RPC_OK ? (gint64)res->retry_after_ms * MS_US : 0);
+  exchange_carry_out (exchange, &step);
+}
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -1,7 +1,8 @@
 /*
  * What the files of an exchange share: exchange.c its life, exchange-choice.c the choice
- * of a target, exchange-call.c the calls to sidecars, exchange-hedge.c a second attempt
- * beside one that takes too long.
+ * of a target, exchange-call.c the steps that need a sidecar, exchange-hedge.c a second
+ * attempt beside one that takes too long; attempt.c one attempt and its end,
+ * attempt-send.c its way to the sidecar.
  */
 #ifndef DAEMON_EXCHANGE_PRIVATE_H
 #define DAEMON_EXCHANGE_PRIVATE_H
@@ -104,6 +105,25 @@
 /* Nobody waits for it any more: its sidecar is told. */
 void attempt_cancel (Attempt *attempt);
 
+/* It is neither on its way nor waited for any more. */
+void attempt_over (Attempt *attempt);
+
+/* A session has been opened for it, or not. FALSE when nobody waits any more. */
+gboolean attempt_opened (Attempt *attempt);
+
+/* Its name on the wire, lent; and whether an answer is to it. */
+void attempt_fill (const Attempt *attempt, sw_attempt *words);
+gboolean attempt_is_own (const Attempt *attempt, const sw_attempt *words);
+
+/* What a call to its sidecar says of the way there, and what an answer says of the
+ * target. */
+void attempt_note_path (const Attempt *attempt, RpcOutcome outcome);
+void attempt_note_answer (const Attempt *attempt, const sw_submit_res *res);
+
+/* The sidecar has answered, or nothing is to be expected of it: the exchange goes on.
+   `res` is NULL without an answer. */
+void attempt_ended (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res);
+
 /* Sends it to its target. */
 void attempt_send (Attempt *attempt, gint64 wait_us, gint64 remaining_us);
 
