--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -84,10 +84,10 @@
 }
 
 /*
- * A place in a queue of the own hall, for as long as the objective allows, at a target that
- * has not said yet that it is full. Waiting at those as well moves a third fewer bytes
- * between halls, and serves callers less: 0.76 of their worth for 0.78, over nine loaded
- * runs of a simulated fleet of 30.
+ * A place in a queue of the own hall, for as long as the objective allows, at a target
+ * that has not said yet that it is full. Waiting at those as well moves a third fewer
+ * bytes between halls, and serves callers less: 0.76 of their worth for 0.78, over nine
+ * loaded runs of a simulated fleet of 30.
  */
 static BalancerChoice
 choose_own_queue (Attempt *attempt)
