A sick target whose slots are all held by hanging work is tried all the same

In the logs they fell sick at 4.4 to 5.2 s with all slots held by requests that hung; trials were refused for want of a slot until time alone brought them back 3 s later. Change: a trial, which comes one at a time, is started beyond the slots. Test: test_a_trial_goes_beyond_the_slots; between processes there is none.

--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -41,6 +41,12 @@
    back by admission_release, by the request or in its place. */
 gboolean admission_hold (Admission *admission);
 
+/*
+ * Takes a slot whether one is free or not, for a trial: a target whose slots are all held
+ * by work that hangs shows in no other way that it is well again.
+ */
+void admission_force (Admission *admission);
+
 /* Asks for a slot. */
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, const AdmissionOrder *order);
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -139,6 +139,12 @@
   return TRUE;
 }
 
+void
+admission_force (Admission *admission)
+{
+  admission->in_use++;
+}
+
 /* Whether what is expected to wait so long might as well not wait at all. */
 static gboolean
 would_be_late (const Admission *admission, const AdmissionOrder *order, gint64 wait_us)
--- a/core/tests/test-admission.c
+++ b/core/tests/test-admission.c
@@ -64,6 +64,24 @@
   teardown (&fixture);
 }
 
+/* All slots are held by work that hangs: a trial goes beyond them, and nothing else does.
+ */
+static void
+test_a_trial_goes_beyond_the_slots (void **state)
+{
+  Fixture fixture = setup ();
+
+  fill (&fixture);
+  admission_force (fixture.admission);
+  assert_int_equal (admission_in_use (fixture.admission), SLOTS + 1);
+  assert_int_equal (offer (&fixture, 4, 1, SECOND_US), ADMISSION_QUEUED);
+  admission_release (fixture.admission, -1);
+  assert_null (admission_next (fixture.admission));
+  admission_release (fixture.admission, -1);
+  assert_ptr_equal (admission_next (fixture.admission), &fixture.items[4]);
+  teardown (&fixture);
+}
+
 static void
 test_queue_is_bounded_and_by_priority (void **state)
 {
@@ -192,6 +210,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_slots_are_exact),
+    cmocka_unit_test (test_a_trial_goes_beyond_the_slots),
     cmocka_unit_test (test_queue_is_bounded_and_by_priority),
     cmocka_unit_test (test_nothing_waits_that_could_not_start_in_time),
     cmocka_unit_test (test_nothing_waits_longer_than_it_is_worth),
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -101,6 +101,14 @@
   return FALSE;
 }
 
+/* Trials, which come one at a time, are not kept waiting for work that hangs. */
+static gboolean
+is_forced (SidecarTarget *target, const sw_submit_args *args)
+{
+  return args->trial && detector_severity (target->detector) > 0 &&
+         !admission_is_free (target->admission);
+}
+
 /* Why the attempt is not taken, or SW_REASON_NONE; `held` when a slot is held for it. */
 static sw_reason
 refusal_of (Sidecar *sidecar,
@@ -117,7 +125,7 @@
     return SW_REASON_NONE;
   if (is_too_sick_for (target, args, clock_now (sidecar->node->clock)))
     return SW_REASON_SICK;
-  if ((!args->may_queue || sidecar->queues_closed) &&
+  if ((!args->may_queue || sidecar->queues_closed) && !is_forced (target, args) &&
       !admission_is_free (target->admission))
     return SW_REASON_OVERLOAD;
   if (!sidecar_budgets_allow (sidecar->budgets, target->service, args->retry))
@@ -161,6 +169,11 @@
   held = args->phase == SW_HELD_SUBMIT && target &&
          sidecar_holds_take (sidecar->holds, target, &id);
   reason = refusal_of (sidecar, target, args, held);
+  if (reason == SW_REASON_NONE && !held && is_forced (target, args))
+    {
+      admission_force (target->admission);
+      held = TRUE;
+    }
   if (reason != SW_REASON_NONE)
     {
       if (held)
