All members in one pass; two fields that nobody read go

Cause: members_all walked the whole table once for each of 64 buckets, on each push of news and each start round, and the rank in the hall copied every name for each message of a young node. Change: the table appends its members in one pass, which both use. The exchange's call and repeat were only ever passed to its policy. No behaviour changes: test-members, test-account and test-balancer pass; not measured.

--- a/client/tests/test-account.c
+++ b/client/tests/test-account.c
@@ -137,7 +137,7 @@
   RequestAccount *account = filled (2);
   g_autoptr (JsonNode) node = request_account_json (account);
   JsonObject *root = json_node_get_object (node);
-  gint64 zero = 1767225600; /* 2026-01-01T00:00:00Z */
+  gint64 zero = 1767225600; /* the lines' second 0, since the epoch */
 
   assert_int_equal (json_object_get_int_member (row_of (root, "pay", zero), "served"), 1);
   assert_int_equal (json_object_get_int_member (row_of (root, "pay", zero + 2), "late"),
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -255,8 +255,7 @@
 members_all (Members *members)
 {
   g_ptr_array_set_size (members->borrowed, 0);
-  for (guint i = 0; i < MEMBERS_BUCKETS; i++)
-    members_table_bucket (members->table, i, members->borrowed);
+  members_table_all (members->table, members->borrowed);
   return members->borrowed;
 }
 
@@ -275,18 +274,17 @@
 guint
 members_rank_in_hall (const Members *members)
 {
-  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
   guint own = members_table_id (members->self->member.node);
   guint rank = 0;
 
-  members_table_names (members->table, names);
-  for (guint i = 0; i < names->len; i++)
+  members_table_all (members->table, all);
+  for (guint i = 0; i < all->len; i++)
     {
-      const char *name = g_ptr_array_index (names, i);
-      const MemberRecord *record = members_table_find (members->table, name);
+      const Member *member = g_ptr_array_index (all, i);
 
-      rank += members_in_own_hall (members, &record->member) &&
-              members_is_alive (&record->member) && members_table_id (name) < own;
+      rank += members_in_own_hall (members, member) && members_is_alive (member) &&
+              members_table_id (member->node) < own;
     }
   return rank;
 }
--- a/core/src/member/table.c
+++ b/core/src/member/table.c
@@ -223,6 +223,17 @@
   memcpy (buckets, table->buckets, sizeof table->buckets);
 }
 
+void
+members_table_all (const MembersTable *table, GPtrArray *members)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (members, &((MemberRecord *)value)->member);
+}
+
 void
 members_table_bucket (const MembersTable *table, guint bucket, GPtrArray *members)
 {
--- a/core/src/member/table.h
+++ b/core/src/member/table.h
@@ -44,6 +44,8 @@
 /* Appends records with news to send, the least sent first. */
 void members_table_fresh (const MembersTable *table, GPtrArray *records);
 void members_table_buckets (const MembersTable *table, guint64 *buckets);
+/* Appends all Members; borrowed. */
+void members_table_all (const MembersTable *table, GPtrArray *members);
 /* Appends the Members of one bucket. */
 void members_table_bucket (const MembersTable *table, guint bucket, GPtrArray *members);
 guint members_table_alive (const MembersTable *table);
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -89,7 +89,7 @@
 static void
 note_severity (Balancer *balancer, View *view, guint severity)
 {
-  gint64 every = BALANCER_TRIAL_EVERY_US * balancer->ingresses; /* wherever it is */
+  gint64 every = BALANCER_TRIAL_EVERY_US * balancer->ingresses;
 
   if (severity == 0 || view->report.severity > 0)
     return;
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -70,8 +70,6 @@
   Dispatch *dispatch;
   LoopTimer *timer;
   gint64 began_us;
-  gboolean call;    /* made by a target */
-  gboolean repeat;  /* and for a request that is not at its first attempt */
   GPtrArray *tried; /* names of targets */
   GPtrArray *busy;  /* names of targets that had no free slot */
   guint busy_own;   /* how many of them are in this hall */
