Old work that ends does not put trials off; sidecar and HTTP server in files by job

Cause: found in reading: each failure of work sent before a target fell sick set the time of the next trial anew, so that ten hung requests, overdue one after the other, kept trials away; the detector passed them over already, the sidecar's pace did not. Change: detector_observe says whether a sample counted, and the pace follows only those. test_older_work_that_fails_is_no_trial fails without it. Moved without change: what attempts say of their target (submission-watch.c), header framing (http-framing.c); a flag is named for what it says (has_slot).

--- a/core/include/core/detector.h
+++ b/core/include/core/detector.h
@@ -38,9 +38,10 @@
 
 /*
  * Takes one sample in. While the target is sick only failures of what was sent after it
- * fell sick count against it: older work says nothing of how it does now.
+ * fell sick count against it: older work says nothing of how it does now, and FALSE is
+ * returned for it.
  */
-void detector_observe (Detector *detector, const DetectorSample *sample);
+gboolean detector_observe (Detector *detector, const DetectorSample *sample);
 
 /*
  * 0 while the target is held healthy; else how bad it is, up to DETECTOR_SEVERITY_MAX.
--- a/core/src/health/detector-kind.h
+++ b/core/src/health/detector-kind.h
@@ -29,7 +29,6 @@
 typedef struct
 {
   gboolean failed;
-  gboolean stale;            /* begun before the target fell sick */
   double latency_ratio;      /* to the reference mean; 0 when there is none */
   double reference_failures; /* share, 0 to 1 */
 } DetectorInput;
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -222,8 +222,6 @@
   gint64 now = clock_now (detector->clock);
   guint needed;
 
-  if (input->failed && input->stale)
-    return;
   if (input->failed || input->latency_ratio > TRIAL_RATIO_MAX)
     {
       detector->good_trials = 0;
@@ -239,22 +237,25 @@
     recover (detector, 0);
 }
 
-void
+gboolean
 detector_observe (Detector *detector, const DetectorSample *sample)
 {
   double reference = reference_us (detector, sample);
   DetectorInput input = { .failed = sample->failed };
+  gboolean stale =
+      clock_now (detector->clock) - sample->took_us < detector->sick_since_us;
   guint severity;
 
   if (reference > 0)
     input.latency_ratio = (double)sample->took_us / reference;
   input.reference_failures = sample->sibling_ppm / PPM;
-  input.stale = clock_now (detector->clock) - sample->took_us < detector->sick_since_us;
   remember (detector, sample);
+  if (detector->severity > 0 && input.failed && stale)
+    return FALSE;
   if (detector->severity > 0)
     {
       judge_trial (detector, &input);
-      return;
+      return TRUE;
     }
   gather (detector, &input);
   update_baseline (detector, sample);
@@ -263,9 +264,10 @@
         MAX (detector->evidence.failures, detector->bounds.failure_bound);
   severity = weigh (detector);
   if (severity == 0 || !is_confirmed (detector))
-    return;
+    return TRUE;
   detector->severity = severity;
   fall_sick (detector);
+  return TRUE;
 }
 
 guint
--- a/core/tests/test-strict.c
+++ b/core/tests/test-strict.c
@@ -114,7 +114,7 @@
 
   observe (&fixture, TRUE, TRUE);
   clock_advance (fixture.clock, 2900 * MS_US);
-  detector_observe (fixture.detector, &old);
+  assert_false (detector_observe (fixture.detector, &old));
   assert_int_equal (detector_failed_trials (fixture.detector), 0);
   clock_advance (fixture.clock, 200 * MS_US);
   assert_false (is_sick (&fixture));
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -8,9 +8,11 @@
 #define OPEN_TIMEOUT_US (400 * MS_US)
 /* A slot is answered for in a round trip; one lost packet is repeated within 200 ms. */
 #define SLOT_TIMEOUT_US (300 * MS_US)
+
 static const RpcProcedure submit = { SW_SUBMIT, (xdrproc_t)xdr_sw_submit_args,
                                      (xdrproc_t)xdr_sw_submit_res,
                                      sizeof (sw_submit_res) };
+
 static void
 on_submitted (RpcOutcome outcome, void *result, gpointer data)
 {
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -109,19 +109,20 @@
          !admission_is_free (target->admission);
 }
 
-/* Why the attempt is not taken, or SW_REASON_NONE; `held` when a slot is held for it. */
+/* Why the attempt is not taken, or SW_REASON_NONE; `has_slot` when one is held for
+   it. */
 static sw_reason
 refusal_of (Sidecar *sidecar,
             SidecarTarget *target,
             const sw_submit_args *args,
-            gboolean held)
+            gboolean has_slot)
 {
   if (!target)
     return SW_REASON_NO_TARGET;
   if (sidecar_target_is_leaving (target, sidecar->draining))
     return SW_REASON_DRAINING;
   /* What follows was looked at when the slot was asked for. */
-  if (held)
+  if (has_slot)
     return SW_REASON_NONE;
   if (is_too_sick_for (target, args, clock_now (sidecar->node->clock)))
     return SW_REASON_SICK;
@@ -154,7 +155,7 @@
   SidecarTarget *target = g_hash_table_lookup (sidecar->targets, args->target);
   FenceEntry *entry = NULL;
   Submission *submission;
-  gboolean held;
+  gboolean has_slot;
   sw_reason reason;
   AttemptId id;
 
@@ -166,17 +167,17 @@
   if (!args->repeatable && !pass_fence (sidecar, conn, xid, target, args, &entry))
     return;
   fill_attempt (&args->attempt, &id);
-  held = args->phase == SW_HELD_SUBMIT && target &&
-         sidecar_holds_take (sidecar->holds, target, &id);
-  reason = refusal_of (sidecar, target, args, held);
-  if (reason == SW_REASON_NONE && !held && is_forced (target, args))
+  has_slot = args->phase == SW_HELD_SUBMIT && target &&
+             sidecar_holds_take (sidecar->holds, target, &id);
+  reason = refusal_of (sidecar, target, args, has_slot);
+  if (reason == SW_REASON_NONE && !has_slot && is_forced (target, args))
     {
       admission_force (target->admission);
-      held = TRUE;
+      has_slot = TRUE;
     }
   if (reason != SW_REASON_NONE)
     {
-      if (held)
+      if (has_slot)
         admission_release (target->admission, -1);
       if (entry)
         fence_refuse (entry);
@@ -189,7 +190,7 @@
   if (entry)
     fence_entry_set_data (entry, submission);
   submission_add_waiter (submission, conn, xid, -1);
-  if (held)
+  if (has_slot)
     submission_start (submission);
   else
     submission_offer (submission);
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -1,6 +1,7 @@
 /*
  * What the files of the sidecar share: sidecar.c its life, submission.c one attempt at a
- * target from its admission to its answer, sidecar-calls.c the calls of ingresses.
+ * target from its admission to its answer, submission-watch.c what attempts say of their
+ * target and route, sidecar-calls.c the calls of ingresses.
  */
 #ifndef DAEMON_SIDECAR_PRIVATE_H
 #define DAEMON_SIDECAR_PRIVATE_H
@@ -90,6 +91,13 @@
 /* Ends one that runs and may be repeated; its connection to the target is closed. */
 void submission_break_off (Submission *submission, sw_reason reason);
 
+/* What the end of its exchange says of the target, and of its route: the latter goes into
+   `res`. */
+void submission_note_end (const Submission *submission,
+                          sw_submit_res *res,
+                          const HttpResult *result,
+                          gboolean failed);
+
 /* Nobody waits for it any more: that it took too long counts against its target. */
 void submission_note_given_up (Submission *submission);
 
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -116,41 +116,6 @@
     submission_start (next);
 }
 
-LatencyFit
-submission_fit (const Submission *submission)
-{
-  LatencyFit siblings = latency_fit_unpack (submission->args.sibling_fit);
-
-  if (latency_fit_is_known (&siblings))
-    return siblings;
-  return latency_book_fit (submission->sidecar->latencies, submission->args.route);
-}
-
-/* Whether the target has answered nothing since this was sent to it. */
-static gboolean
-is_silent (const Submission *submission)
-{
-  return submission->target->answered_us < submission->started_us;
-}
-
-static void
-observe (const Submission *submission, gboolean failed, gboolean broken, gint64 took_us)
-{
-  SidecarTarget *target = submission->target;
-  gint64 now = clock_now (submission->sidecar->node->clock);
-  LatencyFit fit = submission_fit (submission);
-  DetectorSample sample = { failed, broken, took_us, (guint)latency_fit_mean_us (&fit),
-                            submission->args.sibling_failures_ppm };
-
-  detector_observe (target->detector, &sample);
-  /* The next trial counts from this end: at once after a good one. */
-  target->next_trial_us = failed
-                              ? now + (SIDECAR_TRIAL_FIRST_US
-                                       << MIN (detector_failed_trials (target->detector),
-                                               SIDECAR_TRIAL_DOUBLINGS_MAX))
-                              : now;
-}
-
 /* Keeps the whole answer for an ingress that may have lost it. */
 static void
 record_end (Submission *submission, sw_submit_res *res)
@@ -195,38 +160,6 @@
              "DETAIL", result->detail, NULL);
 }
 
-/* Of a request that takes too long while others are answered, the target is not to blame:
-   some routes' work outlasts what the route allows. */
-static gboolean
-is_slow_route (const Submission *submission, const sw_submit_res *res)
-{
-  return res->reason == SW_REASON_TIMEOUT && !is_silent (submission);
-}
-
-/* What the end of an exchange says of the target, and of its route. */
-static void
-note_end (const Submission *submission,
-          sw_submit_res *res,
-          const HttpResult *result,
-          gboolean failed)
-{
-  Sidecar *sidecar = submission->sidecar;
-  LatencyFit fit;
-
-  if (!submission->overdue && !is_slow_route (submission, res) &&
-      res->reason != SW_REASON_TARGET_REFUSED)
-    observe (submission, failed, res->result == SW_FAILED, result->took_us);
-  /* An answer that says the work failed shows all the same that the target answers. How
-     long it takes when it is well is for the others to tell: failing is often quick. */
-  if (res->result == SW_DONE)
-    submission->target->answered_us = clock_now (sidecar->node->clock);
-  if (failed)
-    return;
-  latency_book_add (sidecar->latencies, submission->args.route, result->took_us);
-  fit = latency_book_fit (sidecar->latencies, submission->args.route);
-  res->route_fit = latency_fit_pack (&fit);
-}
-
 static void
 on_target_done (const HttpResult *result, gpointer data)
 {
@@ -241,7 +174,7 @@
   if (res.result == SW_REFUSED)
     note_target_refusal (submission, result->status, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
-  note_end (submission, &res, result, failed);
+  submission_note_end (submission, &res, result, failed);
   if (failed)
     log_failure (submission, result, &res);
   if (failed)
@@ -383,31 +316,3 @@
       g_array_remove_index (submission->waiters, i);
     }
 }
-
-/* A request that takes too long speaks against its target long before its deadline. */
-static void
-note_overdue (Submission *submission, gint64 age)
-{
-  submission->overdue = TRUE;
-  observe (submission, TRUE, is_silent (submission), age);
-}
-
-void
-submission_check_overdue (Submission *submission, gint64 now)
-{
-  gint64 age = now - submission->started_us;
-  LatencyFit fit = submission_fit (submission);
-
-  if (submission->running && !submission->overdue && latency_fit_is_overdue (&fit, age))
-    note_overdue (submission, age);
-}
-
-void
-submission_note_given_up (Submission *submission)
-{
-  gint64 age = clock_now (submission->sidecar->node->clock) - submission->started_us;
-  LatencyFit fit = submission_fit (submission);
-
-  if (!submission->overdue && latency_fit_is_late (&fit, age))
-    note_overdue (submission, age);
-}
--- /dev/null
+++ b/io/src/http-framing.c
@@ -0,0 +1,75 @@
+#include "http-framing.h"
+
+#include <string.h>
+
+#include <io/http-types.h>
+
+static guint
+count_headers (const GArray *headers, const char *name)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < headers->len; i++)
+    if (g_ascii_strcasecmp (g_array_index (headers, HttpHeader, i).name, name) == 0)
+      count++;
+  return count;
+}
+
+/* Whether a text is a token (RFC 9110, section 5.6.2). */
+static gboolean
+is_token (const char *text)
+{
+  if (!*text)
+    return FALSE;
+  for (; *text; text++)
+    if (!g_ascii_isalnum (*text) && !strchr ("!#$%&'*+-.^_`|~", *text))
+      return FALSE;
+  return TRUE;
+}
+
+/* Whether a value holds a control character other than a tab. */
+static gboolean
+has_control (const char *value)
+{
+  for (; *value; value++)
+    if (g_ascii_iscntrl (*value) && *value != '\t')
+      return TRUE;
+  return FALSE;
+}
+
+/* Why a request's header lines cannot be trusted, or NULL. A blank before the colon makes
+   another name of a length's: the body would be read as the next request (RFC 9112,
+   section 5.1). */
+static const char *
+header_fault (const GArray *headers)
+{
+  for (guint i = 0; i < headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      if (!is_token (header->name))
+        return "a header's name is no token";
+      if (has_control (header->value))
+        return "a header's value holds a control character";
+    }
+  return NULL;
+}
+
+const char *
+http_framing_fault (const GArray *headers)
+{
+  guint lengths = count_headers (headers, "Content-Length");
+  guint encodings = count_headers (headers, "Transfer-Encoding");
+  const char *fault = header_fault (headers);
+
+  if (fault)
+    return fault;
+  if (lengths > 1 || encodings > 1)
+    return "more than one Content-Length or Transfer-Encoding";
+  if (lengths && encodings)
+    return "both Content-Length and Transfer-Encoding";
+  if (encodings &&
+      g_ascii_strcasecmp (http_headers_get (headers, "Transfer-Encoding"), "chunked"))
+    return "a transfer coding other than chunked";
+  return NULL;
+}
