--- a/core/src/request/latency-views.c
+++ b/core/src/request/latency-views.c
@@ -1,9 +1,10 @@
 #include <core/latency.h>
 
+#include "latency-routes.h"
+
 /* So many targets' words are held for a route, the oldest out first: enough for a median,
    and news of a change after as many answers. */
 #define TARGETS_MAX 9u
-#define ROUTES_MAX 1024u
 
 typedef struct
 {
@@ -28,7 +29,7 @@
 {
   LatencyViews *views = g_new0 (LatencyViews, 1);
 
-  views->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  views->routes = latency_routes_create ();
   return views;
 }
 
@@ -62,17 +63,11 @@
                     const char *target,
                     const LatencyFit *fit)
 {
-  RouteView *view = g_hash_table_lookup (views->routes, GUINT_TO_POINTER (route));
+  RouteView *view;
 
   if (fit->samples == 0)
     return;
-  if (!view)
-    {
-      if (g_hash_table_size (views->routes) >= ROUTES_MAX)
-        g_hash_table_remove_all (views->routes);
-      view = g_new0 (RouteView, 1);
-      g_hash_table_insert (views->routes, GUINT_TO_POINTER (route), view);
-    }
+  view = latency_routes_get (views->routes, route, sizeof *view);
   word_of (view, g_str_hash (target))->fit = *fit;
 }
 
--- a/core/src/request/latency.c
+++ b/core/src/request/latency.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "latency-routes.h"
+
 /* A fit follows its last samples: as many answers of one route as a target gives in some
    ten seconds. */
 #define SAMPLES_MAX 64u
@@ -22,8 +24,6 @@
 #define OVERDUE_PROBABILITY 0.005
 /* Whatever the route: a node that is slow takes some 20 ms to see an answer. */
 #define OVERDUE_MIN_US (100 * MS_US)
-/* Routes that are known at once; beyond, the book starts anew. */
-#define ROUTES_MAX 1024u
 
 /* Layout of a packed fit. */
 #define THOUSANDTHS 1000.0
@@ -49,7 +49,7 @@
 {
   LatencyBook *book = g_new0 (LatencyBook, 1);
 
-  book->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  book->routes = latency_routes_create ();
   return book;
 }
 
@@ -62,24 +62,10 @@
   g_free (book);
 }
 
-static Route *
-route_of (LatencyBook *book, guint32 id)
-{
-  Route *route = g_hash_table_lookup (book->routes, GUINT_TO_POINTER (id));
-
-  if (route)
-    return route;
-  if (g_hash_table_size (book->routes) >= ROUTES_MAX)
-    g_hash_table_remove_all (book->routes);
-  route = g_new0 (Route, 1);
-  g_hash_table_insert (book->routes, GUINT_TO_POINTER (id), route);
-  return route;
-}
-
 void
 latency_book_add (LatencyBook *book, guint32 route_id, gint64 took_us)
 {
-  Route *route = route_of (book, route_id);
+  Route *route = latency_routes_get (book->routes, route_id, sizeof *route);
   double sample = log ((double)MAX (took_us, 1));
   double off = sample - route->fit.log_mean;
   double weight;
