What can be on time goes before what is late already

Load: for some seconds more comes than the slots can do. Change: the queue is a module of its own (core/src/request/admission-queue); requests carry how long they may wait and be on time; what is on time starts first, by priority, and what is late makes room for it in a full queue. Nothing is dropped for being late.

--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -1,7 +1,7 @@
 /*
  * Admission at a sidecar, where the count is exact: slots, a limit that shrinks below
- * them while the target is slower than it was, and a short queue by priority in which
- * nothing waits that could not start in time.
+ * them while the target is slower than it was, and a short queue in which nothing waits
+ * that could not start in time; what is on time still goes before what is late.
  */
 #ifndef CORE_ADMISSION_H
 #define CORE_ADMISSION_H
@@ -35,6 +35,7 @@
   guint priority; /* 0 first */
   gint64 deadline_us;
   gint64 start_by_us; /* it had better be refused than start later; 0 for no such bound */
+  gint64 on_time_by_us; /* started later, its answer is late; 0 for no objective */
 } AdmissionOrder;
 
 /* Takes a slot for a request that is still to come; FALSE when none is free. It is given
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -1,4 +1,4 @@
-#include <core/admission.h>
+#include "admission-queue.h"
 
 /* Weights of the running means: recent work, and what is normal for the target. */
 #define RECENT_SHARE 8
@@ -13,12 +13,6 @@
 #define TOOK_DEFAULT_US (10 * MS_US)
 #define RETRY_AFTER_MIN_US (100 * MS_US)
 
-typedef struct
-{
-  gpointer item;
-  AdmissionOrder order;
-} Waiting;
-
 struct Admission
 {
   Clock *clock;
@@ -26,7 +20,7 @@
   guint limit;
   guint queue_max;
   guint in_use;
-  GArray *queue; /* of Waiting: by priority, then by arrival */
+  AdmissionQueue *queue;
   gpointer displaced;
   gint64 recent_us;
   gint64 normal_us;
@@ -44,7 +38,7 @@
   admission->limit = slots;
   admission->queue_max = queue_max;
   admission->adaptive = TRUE;
-  admission->queue = g_array_new (FALSE, FALSE, sizeof (Waiting));
+  admission->queue = admission_queue_create ();
   return admission;
 }
 
@@ -53,7 +47,7 @@
 {
   if (!admission)
     return;
-  g_array_unref (admission->queue);
+  admission_queue_destroy (admission->queue);
   g_free (admission);
 }
 
@@ -96,38 +90,20 @@
   return (gint64)(ahead + 1) * took_us (admission) / MAX (admission->limit, 1);
 }
 
-static guint
-place_for (const Admission *admission, guint priority)
-{
-  guint place = admission->queue->len;
-
-  while (place > 0 &&
-         g_array_index (admission->queue, Waiting, place - 1).order.priority > priority)
-    place--;
-  return place;
-}
-
-/* Makes room in a full queue, when its last item matters less than the new one. */
+/* Makes room in a full queue, when something there matters less than the new one. */
 static gboolean
-displace (Admission *admission, guint priority)
+displace (Admission *admission, const AdmissionOrder *order)
 {
-  guint last = admission->queue->len - 1;
-  Waiting *waiting;
-
-  if (admission->queue->len == 0)
-    return FALSE;
-  waiting = &g_array_index (admission->queue, Waiting, last);
-  if (waiting->order.priority <= priority)
-    return FALSE;
-  admission->displaced = waiting->item;
-  g_array_remove_index (admission->queue, last);
-  return TRUE;
+  admission->displaced =
+      admission_queue_displace (admission->queue, order, clock_now (admission->clock));
+  return admission->displaced != NULL;
 }
 
 gboolean
 admission_is_free (const Admission *admission)
 {
-  return admission->in_use < admission->limit && admission->queue->len == 0;
+  return admission->in_use < admission->limit &&
+         admission_queue_length (admission->queue) == 0;
 }
 
 gboolean
@@ -160,8 +136,7 @@
 AdmissionAnswer
 admission_offer (Admission *admission, gpointer item, const AdmissionOrder *order)
 {
-  Waiting waiting = { item, *order };
-  guint place = place_for (admission, order->priority);
+  guint ahead;
 
   if (order->deadline_us <= clock_now (admission->clock))
     return ADMISSION_REFUSED;
@@ -170,12 +145,13 @@
       admission->in_use++;
       return ADMISSION_START;
     }
-  if (would_be_late (admission, order, expected_wait_us (admission, place)))
+  ahead = admission_queue_ahead (admission->queue, order, clock_now (admission->clock));
+  if (would_be_late (admission, order, expected_wait_us (admission, ahead)))
     return ADMISSION_REFUSED;
-  if (admission->queue->len >= admission->queue_max &&
-      !displace (admission, order->priority))
+  if (admission_queue_length (admission->queue) >= admission->queue_max &&
+      !displace (admission, order))
     return ADMISSION_REFUSED;
-  g_array_insert_val (admission->queue, place, waiting);
+  admission_queue_add (admission->queue, item, order);
   return ADMISSION_QUEUED;
 }
 
@@ -226,52 +202,25 @@
 {
   gpointer item;
 
-  if (admission->queue->len == 0 || admission->in_use >= admission->limit)
+  if (admission->in_use >= admission->limit)
     return NULL;
-  item = g_array_index (admission->queue, Waiting, 0).item;
-  g_array_remove_index (admission->queue, 0);
-  admission->in_use++;
+  item = admission_queue_take (admission->queue, clock_now (admission->clock));
+  if (item)
+    admission->in_use++;
   return item;
 }
 
-/* When a waiting item's time is over: what cannot be done in the time left would only
-   keep others from a slot. */
-static gint64
-expiry_us (const Admission *admission, const AdmissionOrder *order)
-{
-  gint64 expiry = order->deadline_us - least_us (admission);
-
-  return order->start_by_us > 0 ? MIN (expiry, order->start_by_us) : expiry;
-}
-
 gpointer
 admission_expired (Admission *admission)
 {
-  gint64 now = clock_now (admission->clock);
-
-  for (guint i = 0; i < admission->queue->len; i++)
-    {
-      Waiting *waiting = &g_array_index (admission->queue, Waiting, i);
-      gpointer item = waiting->item;
-
-      if (expiry_us (admission, &waiting->order) > now)
-        continue;
-      g_array_remove_index (admission->queue, i);
-      return item;
-    }
-  return NULL;
+  return admission_queue_take_expired (admission->queue, clock_now (admission->clock),
+                                       least_us (admission));
 }
 
 gboolean
 admission_withdraw (Admission *admission, gpointer item)
 {
-  for (guint i = 0; i < admission->queue->len; i++)
-    if (g_array_index (admission->queue, Waiting, i).item == item)
-      {
-        g_array_remove_index (admission->queue, i);
-        return TRUE;
-      }
-  return FALSE;
+  return admission_queue_withdraw (admission->queue, item);
 }
 
 guint
@@ -283,7 +232,7 @@
 guint
 admission_queued (const Admission *admission)
 {
-  return admission->queue->len;
+  return admission_queue_length (admission->queue);
 }
 
 guint
@@ -295,20 +244,12 @@
 gint64
 admission_retry_after_us (const Admission *admission)
 {
-  return MAX (expected_wait_us (admission, admission->queue->len), RETRY_AFTER_MIN_US);
+  return MAX (expected_wait_us (admission, admission_queue_length (admission->queue)),
+              RETRY_AFTER_MIN_US);
 }
 
 gint64
 admission_next_expiry_us (const Admission *admission)
 {
-  gint64 first = -1;
-
-  for (guint i = 0; i < admission->queue->len; i++)
-    {
-      gint64 due = g_array_index (admission->queue, Waiting, i).order.deadline_us;
-
-      if (first < 0 || due < first)
-        first = due;
-    }
-  return first;
+  return admission_queue_first_deadline_us (admission->queue);
 }
--- /dev/null
+++ b/core/tests/test-admission-load.c
@@ -0,0 +1,230 @@
+/* Load patterns replayed at one target's queue, on the paused clock. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/admission.h>
+
+#define SLOTS 4u
+#define QUEUE 16u
+#define STEP_US (5 * MS_US)
+/* Four slots do ten of these a second; it may wait 0.8 s and be on time. */
+#define WORK_US (400 * MS_US)
+#define OBJECTIVE_US (1200 * MS_US)
+#define DEADLINE_US (8 * SECOND_US)
+#define ITEMS_MAX 400u
+
+typedef struct
+{
+  guint priority;
+  gint64 came_us;
+  gint64 ends_us; /* 0 before it has started */
+  gboolean refused;
+} Item;
+
+typedef struct
+{
+  Clock *clock;
+  Admission *admission;
+  Item items[ITEMS_MAX];
+  guint count;
+} Replay;
+
+static Replay *
+replay_create (void)
+{
+  Replay *replay = g_new0 (Replay, 1);
+
+  replay->clock = clock_create_manual (SECOND_US);
+  replay->admission = admission_create (SLOTS, QUEUE, replay->clock);
+  admission_set_adaptive (replay->admission, FALSE);
+  return replay;
+}
+
+static void
+replay_destroy (Replay *replay)
+{
+  admission_destroy (replay->admission);
+  clock_destroy (replay->clock);
+  g_free (replay);
+}
+
+static void
+start (Replay *replay, Item *item)
+{
+  item->ends_us = clock_now (replay->clock) + WORK_US;
+}
+
+static void
+come (Replay *replay, guint priority)
+{
+  Item *item = &replay->items[replay->count++];
+  gint64 now = clock_now (replay->clock);
+  AdmissionOrder order = { .priority = priority,
+                           .deadline_us = now + DEADLINE_US,
+                           .on_time_by_us = now + OBJECTIVE_US - WORK_US };
+  Item *displaced;
+
+  item->priority = priority;
+  item->came_us = now;
+  switch (admission_offer (replay->admission, item, &order))
+    {
+    case ADMISSION_START:
+      start (replay, item);
+      break;
+    case ADMISSION_REFUSED:
+      item->refused = TRUE;
+      break;
+    default:
+      displaced = admission_displaced (replay->admission);
+      if (displaced)
+        displaced->refused = TRUE;
+      break;
+    }
+}
+
+/* Lets time pass: work ends, what waits starts or is given up. */
+static void
+step (Replay *replay)
+{
+  Item *next;
+  gint64 now;
+
+  clock_advance (replay->clock, STEP_US);
+  now = clock_now (replay->clock);
+  for (guint i = 0; i < replay->count; i++)
+    if (replay->items[i].ends_us > now - STEP_US && replay->items[i].ends_us <= now)
+      admission_release (replay->admission, WORK_US);
+  while ((next = admission_expired (replay->admission)))
+    next->refused = TRUE;
+  while ((next = admission_next (replay->admission)))
+    start (replay, next);
+}
+
+/* One comes every `every_us`; each fourth is of the higher priority. */
+static void
+load (Replay *replay, gint64 every_us, gint64 for_us)
+{
+  gint64 end = clock_now (replay->clock) + for_us;
+  gint64 next = clock_now (replay->clock);
+
+  while (clock_now (replay->clock) < end)
+    {
+      if (clock_now (replay->clock) >= next)
+        {
+          come (replay, replay->count % 4 == 0 ? 0 : 1);
+          next += every_us;
+        }
+      step (replay);
+    }
+}
+
+static gboolean
+is_on_time (const Item *item)
+{
+  return item->ends_us > 0 && item->ends_us <= item->came_us + OBJECTIVE_US + STEP_US;
+}
+
+/* The share on time of those that came in a span, in percent. */
+static guint
+on_time_percent (const Replay *replay, gint64 from_us, gint64 to_us)
+{
+  guint came = 0;
+  guint good = 0;
+
+  for (guint i = 0; i < replay->count; i++)
+    if (replay->items[i].came_us >= from_us && replay->items[i].came_us < to_us)
+      {
+        came++;
+        good += is_on_time (&replay->items[i]);
+      }
+  assert_true (came > 0);
+  return 100 * good / came;
+}
+
+/* Twice what the slots do for 3 s, then eight tenths of it: in the order of arrival the
+   queue that is left makes the next seconds late as well (25 % on time instead of 100).
+ */
+static void
+test_a_burst_makes_nothing_late_that_comes_after_it (void **state)
+{
+  Replay *replay = replay_create ();
+  gint64 began;
+
+  load (replay, 125 * MS_US, 2 * SECOND_US);
+  load (replay, 50 * MS_US, 3 * SECOND_US);
+  began = clock_now (replay->clock);
+  load (replay, 125 * MS_US, 3 * SECOND_US);
+  assert_true (on_time_percent (replay, began, clock_now (replay->clock)) >= 90);
+  replay_destroy (replay);
+}
+
+/* While it lasts the slots do what is on time, not what is late already. */
+static void
+test_in_a_burst_half_is_on_time_and_first_what_matters_more (void **state)
+{
+  Replay *replay = replay_create ();
+  guint high = 0;
+  guint high_good = 0;
+
+  load (replay, 50 * MS_US, 6 * SECOND_US);
+  load (replay, 500 * MS_US, 4 * SECOND_US);
+  for (guint i = 0; i < replay->count; i++)
+    if (replay->items[i].priority == 0)
+      {
+        high++;
+        high_good += is_on_time (&replay->items[i]);
+      }
+  assert_true (on_time_percent (replay, SECOND_US, 7 * SECOND_US) >= 45);
+  assert_int_equal (high_good, high);
+  replay_destroy (replay);
+}
+
+/* What was late is served once there is room, rather than given up. */
+static void
+test_what_is_late_is_served_when_the_load_is_over (void **state)
+{
+  Replay *replay = replay_create ();
+  guint lost = 0;
+
+  load (replay, 50 * MS_US, 1500 * MS_US);
+  load (replay, 400 * MS_US, 6 * SECOND_US);
+  for (guint i = 0; i < replay->count; i++)
+    lost += replay->items[i].refused;
+  assert_int_equal (lost, 0);
+  replay_destroy (replay);
+}
+
+/* In a full queue something that is late makes room for what can be on time. */
+static void
+test_what_is_late_makes_room (void **state)
+{
+  Replay *replay = replay_create ();
+  guint refused = 0;
+
+  for (guint i = 0; i < SLOTS + QUEUE / 2; i++)
+    come (replay, 1);
+  clock_advance (replay->clock, OBJECTIVE_US);
+  for (guint i = 0; i < QUEUE / 2; i++)
+    come (replay, 1);
+  come (replay, 1);
+  assert_false (replay->items[SLOTS + QUEUE].refused);
+  for (guint i = 0; i < SLOTS + QUEUE; i++)
+    refused += replay->items[i].refused;
+  assert_int_equal (refused, 1);
+  replay_destroy (replay);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_burst_makes_nothing_late_that_comes_after_it),
+    cmocka_unit_test (test_in_a_burst_half_is_on_time_and_first_what_matters_more),
+    cmocka_unit_test (test_what_is_late_is_served_when_the_load_is_over),
+    cmocka_unit_test (test_what_is_late_makes_room),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -127,6 +127,7 @@
   args->trial = attempt->trial;
   args->may_queue = attempt->may_queue;
   args->wait_ms = (u_int)(attempt->max_wait_us / MS_US);
+  args->slack_ms = (u_int)(MAX (exchange_slack_us (exchange), 0) / MS_US);
   args->route = latency_route (exchange->route->class);
   args->sibling_fit = latency_fit_pack (&fit);
   args->sibling_failures_ppm = balancer_failures_ppm (node->balancer, attempt->service);
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -73,14 +73,17 @@
          exchange->asked_shedding < SHEDDING_TRIES;
 }
 
-/* How long the request may wait and still be answered within its objective. */
-static gint64
-slack_us (const Exchange *exchange)
+gint64
+exchange_slack_us (const Exchange *exchange)
 {
   LatencyFit fit = exchange_fit (exchange);
   gint64 elapsed = clock_now (exchange->owner->node->clock) - exchange->began_us;
+  /* Without an objective what comes within the deadline is on time. */
+  gint64 left = exchange->route->objective_us > 0
+                    ? exchange->route->objective_us - elapsed
+                    : dispatch_remaining_us (exchange->dispatch);
 
-  return exchange->route->objective_us - elapsed - latency_fit_mean_us (&fit);
+  return left - latency_fit_mean_us (&fit);
 }
 
 /*
@@ -93,7 +96,7 @@
 choose_own_queue (Attempt *attempt)
 {
   Exchange *exchange = attempt->exchange;
-  gint64 slack = slack_us (exchange);
+  gint64 slack = exchange_slack_us (exchange);
   BalancerChoice choice = { 0 };
 
   if (exchange->own_queues >= OWN_QUEUE_TRIES || slack < OWN_QUEUE_MIN_US)
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -136,6 +136,10 @@
    whole answer is taken over by the exchange. */
 DispatchReport attempt_report (Attempt *attempt, RpcOutcome outcome, sw_submit_res *res);
 
+/* How long the request may wait and still be answered within its objective; under 0 when
+   it will be late. */
+gint64 exchange_slack_us (const Exchange *exchange);
+
 /* What is known of how long answers on the exchange's route take. */
 LatencyFit exchange_fit (const Exchange *exchange);
 
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -269,6 +269,7 @@
                            .deadline_us = submission->deadline_us };
   Submission *displaced;
 
+  order.on_time_by_us = now + (gint64)submission->args.slack_ms * MS_US;
   if (submission->args.wait_ms > 0)
     order.start_by_us = now + (gint64)submission->args.wait_ms * MS_US;
   switch (admission_offer (target->admission, submission, &order))
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -172,6 +172,7 @@
 	bool_t even_sick;
 	bool_t may_queue;
 	u_int wait_ms;
+	u_int slack_ms;
 	bool_t trial;
 	u_int route;
 	u_int sibling_fit;
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -455,7 +455,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -471,6 +471,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slack_ms))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->route))
@@ -488,6 +490,7 @@
 		IXDR_PUT_BOOL(buf, objp->even_sick);
 		IXDR_PUT_BOOL(buf, objp->may_queue);
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
+		IXDR_PUT_U_LONG(buf, objp->slack_ms);
 		IXDR_PUT_BOOL(buf, objp->trial);
 		IXDR_PUT_U_LONG(buf, objp->route);
 		IXDR_PUT_U_LONG(buf, objp->sibling_fit);
@@ -516,7 +519,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -532,6 +535,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slack_ms))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->route))
@@ -549,6 +554,7 @@
 		objp->even_sick = IXDR_GET_BOOL(buf);
 		objp->may_queue = IXDR_GET_BOOL(buf);
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
+		objp->slack_ms = IXDR_GET_U_LONG(buf);
 		objp->trial = IXDR_GET_BOOL(buf);
 		objp->route = IXDR_GET_U_LONG(buf);
 		objp->sibling_fit = IXDR_GET_U_LONG(buf);
@@ -592,6 +598,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slack_ms))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->trial))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->route))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -149,6 +149,7 @@
   bool even_sick;              /* the ingress knows that the target is held sick */
   bool may_queue;              /* else it is refused where it could not start at once */
   unsigned int wait_ms;        /* it had better be refused than wait longer; 0 for no such bound */
+  unsigned int slack_ms;       /* it may wait so long and be answered within its objective */
   bool trial;                  /* and sends this only to learn whether it still is */
   unsigned int route;          /* a hash of the route's class */
   unsigned int sibling_fit;    /* of its answers at the service's targets, as latency.h packs */
