Unrepeatable work goes to targets that have kept a request a moment ago

Change: core/proof: a sidecar knows when its target last kept a request for 10 ms; an unrepeatable request is refused by targets without such a proof in the last 150 ms, five times at the most, while most of the sick targets of the service are known to have broken off at once (a flag of the verdicts). Where targets hang instead, running work proves nothing and nothing changes. Weighed: the health path (good during spells), a memory of targets (spells come to all), waiting between connect and request (the break comes with the request). Tests: test-proof.c, one each in test-balancer.c and test-strict.c.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -26,6 +26,7 @@
   gboolean slow; /* sick by slowness alone */
   gboolean draining;
   gboolean shedding; /* it has lately turned work away though it had free slots */
+  gboolean abrupt;   /* sick, and it breaks off at once what it is sent */
 } TargetReport;
 
 /* The part of a report that gossip carries. */
@@ -36,6 +37,7 @@
   guint severity;
   gboolean draining;
   gboolean shedding;
+  gboolean abrupt;
 } TargetVerdict;
 
 /* Whether a request may be spent on learning whether a sick target is well again. */
@@ -78,6 +80,7 @@
   gboolean trial;        /* an ejected target, given a chance to show that it is well */
   gboolean local;        /* it is of this ingress's hall */
   gboolean sick;         /* it is held sick, and was chosen all the same */
+  gboolean abrupt;       /* the service's sick targets break off at once what they get */
   gint64 retry_after_us; /* for none */
 } BalancerChoice;
 
--- a/core/include/core/detector.h
+++ b/core/include/core/detector.h
@@ -60,6 +60,9 @@
 /* Trials that have failed since it fell sick. */
 guint detector_failed_trials (const Detector *detector);
 
+/* Whether it fell sick by breaking off at once what it was sent. */
+gboolean detector_is_abrupt (const Detector *detector);
+
 /* Whether it is held sick for slowness alone. */
 gboolean detector_is_slow (const Detector *detector);
 
--- a/core/include/core/outcome.h
+++ b/core/include/core/outcome.h
@@ -38,6 +38,7 @@
   REASON_CANCELLED,      /* the caller has gone */
   REASON_SICK,           /* the target has just been found sick; others may be well */
   REASON_BUDGET,         /* a retry that the service's budget has no room for */
+  REASON_UNPROVED,       /* the target has kept nothing lately that it was sent */
   REASON_LOST,           /* no answer from the sidecar */
   REASON_UNREACHABLE,    /* no connection to the sidecar: nothing was sent */
   REASON_COUNT
--- a/core/src/health/detector.c
+++ b/core/src/health/detector.c
@@ -12,6 +12,9 @@
 /* Slower than this beside the reference, a trial has not gone well. Of answers with the
    users' spread (0.8) one in twenty-five is slower by chance. */
 #define TRIAL_RATIO_MAX 3.0
+/* A target that refuses what it is sent by breaking the connection off does so within a
+   round trip; no work is that quick. */
+#define ABRUPT_US (20 * MS_US)
 /* Sick again sooner than this after a return is flapping. */
 #define FLAP_US (60 * SECOND_US)
 /* After a return on time alone, this share of the bound is held against the target. */
@@ -64,6 +67,7 @@
   guint flaps;
   guint good_trials;
   guint failed_trials;
+  gboolean abrupt; /* it fell sick by breaking an exchange off at once */
   gboolean confirming;
   gint64 confirm_from_us;
   char why[WHY_MAX];
@@ -266,6 +270,7 @@
   if (severity == 0 || !is_confirmed (detector))
     return TRUE;
   detector->severity = severity;
+  detector->abrupt = sample->broken && sample->took_us <= ABRUPT_US;
   fall_sick (detector);
   return TRUE;
 }
@@ -315,6 +320,12 @@
   return detector->severity > 0 ? detector->failed_trials : 0;
 }
 
+gboolean
+detector_is_abrupt (const Detector *detector)
+{
+  return detector->severity > 0 && detector->abrupt;
+}
+
 gboolean
 detector_is_slow (const Detector *detector)
 {
--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -8,6 +8,8 @@
 /* Slow targets that stay for the floor help out when the others are loaded so far. */
 #define FULL_LOAD 1.5
 #define RETRY_AFTER_US SECOND_US
+/* With fewer sick targets nothing is said of how the service's targets fail. */
+#define ABRUPT_MIN 3u
 
 /* One target of the service being chosen from. */
 typedef struct
@@ -254,6 +256,29 @@
   add_candidate (balancer, pool, target);
 }
 
+/*
+ * Whether what makes a service's targets sick now is that they break off at once what
+ * they are sent. One that has kept a request for a moment is then well, which cannot be
+ * said where they hang.
+ */
+static gboolean
+breaks_off_at_once (Balancer *balancer, const Service *service, const EjectItem *items)
+{
+  guint sick = 0;
+  guint abrupt = 0;
+
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const Target *target = g_ptr_array_index (service->targets, i);
+
+      if (!items[i].available || items[i].severity == 0)
+        continue;
+      sick++;
+      abrupt += balancer_view (balancer, target->name)->report.abrupt;
+    }
+  return abrupt >= ABRUPT_MIN && 2 * abrupt > sick;
+}
+
 /* The pool of healthy targets that a wish is for; sick ones may stand in for the steady.
  */
 static const GArray *
@@ -288,6 +313,7 @@
 
   pools_init (&pools);
   balancer_weigh (balancer, service, items);
+  choice.abrupt = breaks_off_at_once (balancer, service, items);
   for (guint i = 0; i < count; i++)
     {
       const Target *target = g_ptr_array_index (service->targets, i);
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -129,6 +129,7 @@
   view->report.severity = verdict->severity;
   view->report.draining = verdict->draining;
   view->report.shedding = verdict->shedding;
+  view->report.abrupt = verdict->abrupt;
 }
 
 void
--- a/core/src/request/placement.c
+++ b/core/src/request/placement.c
@@ -71,7 +71,8 @@
 void
 placement_refused (Placement *placement, Reason reason)
 {
-  if (placement->step >= PLACEMENT_NOWHERE)
+  /* Who asks for a proof bounds by itself how often. */
+  if (placement->step >= PLACEMENT_NOWHERE || reason == REASON_UNPROVED)
     return;
   if (is_for_load (reason))
     placement->tried[placement->step]++;
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -320,6 +320,40 @@
   clock_destroy (clock);
 }
 
+/* How the service's sick targets fail decides what a proof of health is (core/proof.h).
+ */
+static void
+test_breaking_off_at_once_is_told_from_hanging (void **state)
+{
+  static const struct
+  {
+    guint abrupt;
+    guint hanging;
+    gboolean expected;
+  } cases[] = { { 0, 0, FALSE }, { 2, 0, FALSE }, { 3, 0, TRUE },
+                { 3, 1, TRUE },  { 1, 3, FALSE }, { 0, 4, FALSE } };
+  const BalancerWish wish = { BALANCER_NO_TRIAL, BALANCER_OWN_FIRST,
+                              BALANCER_SHEDDING_LAST, NULL };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Fixture fixture = setup ();
+
+      for (guint j = 0; j < cases[i].abrupt + cases[i].hanging; j++)
+        {
+          g_autofree char *name = g_strdup_printf ("t%u", j);
+          TargetVerdict verdict = {
+            .incarnation = 1, .serial = 1, .severity = 100, .abrupt = j < cases[i].abrupt
+          };
+
+          balancer_note_verdict (fixture.balancer, name, &verdict);
+        }
+      assert_int_equal (balancer_choose (fixture.balancer, fixture.service, &wish).abrupt,
+                        cases[i].expected);
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -336,6 +370,7 @@
     cmocka_unit_test (test_targets_that_shed_come_after_the_steady_ones),
     cmocka_unit_test (test_a_doubtful_node_gets_only_what_nobody_else_can_take),
     cmocka_unit_test (test_a_target_sheds_for_a_while_after_a_refusal),
+    cmocka_unit_test (test_breaking_off_at_once_is_told_from_hanging),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/core/tests/test-proof.c
@@ -0,0 +1,145 @@
+/* When a target has lately kept what it was sent, and what that saves in spells. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <core/proof.h>
+
+static void
+test_a_request_that_is_kept_is_a_proof_for_a_moment (void **state)
+{
+  Proof proof = { 0 };
+
+  assert_false (proof_is_fresh (&proof, SECOND_US));
+  proof_note_start (&proof, SECOND_US);
+  assert_false (proof_is_fresh (&proof, SECOND_US + 2 * MS_US));
+  assert_true (proof_is_fresh (&proof, SECOND_US + 10 * MS_US));
+  assert_true (proof_is_fresh (&proof, SECOND_US + 150 * MS_US));
+  assert_false (proof_is_fresh (&proof, SECOND_US + 151 * MS_US));
+}
+
+static void
+test_a_request_that_has_just_been_sent_hides_no_older_proof (void **state)
+{
+  Proof proof = { 0 };
+
+  proof_note_start (&proof, SECOND_US);
+  proof_note_start (&proof, SECOND_US + 30 * MS_US);
+  assert_true (proof_is_fresh (&proof, SECOND_US + 31 * MS_US));
+}
+
+static void
+test_a_failure_ends_it (void **state)
+{
+  Proof proof = { 0 };
+
+  proof_note_start (&proof, SECOND_US);
+  proof_note_failure (&proof);
+  assert_false (proof_is_fresh (&proof, SECOND_US + 20 * MS_US));
+}
+
+/*
+ * The load: 40 targets of which three in ten are in a spell at any time, each for 9 s,
+ * that breaks off what comes. 250 requests a second, six in ten of them unrepeatable; a
+ * target that has broken one off is left out until its spell is over.
+ */
+#define TARGETS 40u
+#define SPELL_US (9 * SECOND_US)
+#define SICK_PERCENT 30
+#define EVERY_US (4 * MS_US)
+#define REQUESTS 75000u
+#define UNREPEATABLE_PERCENT 60
+#define PASSED_OVER 5u
+
+typedef struct
+{
+  Proof proof;
+  gint64 epoch_ends_us;
+  gboolean in_spell;
+  gboolean left_out;
+} Spelled;
+
+static void
+move_on (Spelled *target, GRand *rand, gint64 now_us)
+{
+  if (now_us < target->epoch_ends_us)
+    return;
+  target->epoch_ends_us += SPELL_US;
+  target->in_spell = g_rand_int_range (rand, 0, 100) < SICK_PERCENT;
+  target->left_out = FALSE;
+}
+
+static Spelled *
+pick (Spelled *targets, GRand *rand, gboolean proved_only, gint64 now_us)
+{
+  Spelled *target = NULL;
+  guint passed = 0;
+
+  for (;;)
+    {
+      target = &targets[g_rand_int_range (rand, 0, TARGETS)];
+      if (target->left_out)
+        continue;
+      if (!proved_only || passed >= PASSED_OVER ||
+          proof_is_fresh (&target->proof, now_us))
+        return target;
+      passed++;
+    }
+}
+
+/* How many unrepeatable requests are broken off. */
+static guint
+lost (gboolean with_proof)
+{
+  Spelled targets[TARGETS] = { 0 };
+  GRand *rand = g_rand_new_with_seed (7);
+  gint64 now = SECOND_US;
+  guint count = 0;
+
+  for (guint i = 0; i < TARGETS; i++)
+    targets[i].epoch_ends_us = g_rand_int_range (rand, 0, SPELL_US);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      gboolean repeatable = g_rand_int_range (rand, 0, 100) >= UNREPEATABLE_PERCENT;
+      Spelled *target;
+
+      now += EVERY_US;
+      for (guint j = 0; j < TARGETS; j++)
+        move_on (&targets[j], rand, now);
+      target = pick (targets, rand, with_proof && !repeatable, now);
+      proof_note_start (&target->proof, now);
+      if (!target->in_spell)
+        continue;
+      proof_note_failure (&target->proof);
+      target->left_out = TRUE;
+      count += !repeatable;
+    }
+  g_rand_free (rand);
+  return count;
+}
+
+static void
+test_spells_cost_half_as_many_unrepeatable_requests (void **state)
+{
+  guint without = lost (FALSE);
+  guint with = lost (TRUE);
+
+  print_message ("%u without, %u with\n", without, with);
+  assert_true (without > 200);
+  assert_true (with * 2 <= without);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_request_that_is_kept_is_a_proof_for_a_moment),
+    cmocka_unit_test (test_a_request_that_has_just_been_sent_hides_no_older_proof),
+    cmocka_unit_test (test_a_failure_ends_it),
+    cmocka_unit_test (test_spells_cost_half_as_many_unrepeatable_requests),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/core/tests/test-strict.c
+++ b/core/tests/test-strict.c
@@ -152,6 +152,24 @@
   teardown (&fixture);
 }
 
+static void
+test_a_break_at_once_is_told_from_a_late_one (void **state)
+{
+  static const gint64 took_us[] = { 2 * MS_US, 2 * SECOND_US };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (took_us); i++)
+    {
+      Fixture fixture = setup (DETECTION_STRICT);
+      DetectorSample sample = { TRUE, TRUE, took_us[i], TOOK_US, 0 };
+
+      clock_advance (fixture.clock, 5 * SECOND_US);
+      detector_observe (fixture.detector, &sample);
+      assert_true (is_sick (&fixture));
+      assert_int_equal (detector_is_abrupt (fixture.detector), i == 0);
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -164,6 +182,7 @@
     cmocka_unit_test (test_older_work_that_fails_is_no_trial),
     cmocka_unit_test (test_without_any_work_it_gets_another_chance),
     cmocka_unit_test (test_quick_failures_do_not_pass_for_speed),
+    cmocka_unit_test (test_a_break_at_once_is_told_from_a_late_one),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -146,6 +146,7 @@
     .slow = state->slow,
     .draining = state->draining,
     .shedding = state->shedding,
+    .abrupt = state->abrupt,
   };
 
   if (*state->target)
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -123,6 +123,7 @@
   args->priority = exchange->route->priority;
   args->repeatable = exchange->route->repeatable;
   args->retry = attempt->retry;
+  args->proved_only = attempt->proved_only;
   args->even_sick = attempt->even_sick;
   args->trial = attempt->trial;
   args->may_queue = attempt->may_queue;
--- a/daemon/src/request/attempt.c
+++ b/daemon/src/request/attempt.c
@@ -185,12 +185,14 @@
 
   if (attempt != exchange->hedge)
     placement_refused (&exchange->placement, reason);
-  if (reason != REASON_SICK && reason != REASON_OVERLOAD && reason != REASON_BUDGET)
+  exchange->unproved += reason == REASON_UNPROVED;
+  if (reason != REASON_SICK && reason != REASON_OVERLOAD && reason != REASON_BUDGET &&
+      reason != REASON_UNPROVED)
     return;
   name = take_tried (exchange, attempt->target->name);
   if (!name)
     return;
-  if (reason == REASON_SICK)
+  if (reason == REASON_SICK || reason == REASON_UNPROVED)
     g_free (name);
   else if (!attempt->may_queue)
     g_ptr_array_add (exchange->busy, name);
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -4,6 +4,9 @@
 
 #include "config-sync.h"
 
+/* So many targets without a fresh proof are passed over (core/proof.h). */
+#define UNPROVED_MAX 5u
+
 /* Takes up what has become of the service by now. */
 static void
 take_service (Attempt *attempt)
@@ -142,6 +145,8 @@
   attempt->target = choice->target;
   attempt->even_sick = choice->sick;
   attempt->trial = choice->trial;
+  attempt->proved_only = choice->abrupt && !exchange->route->repeatable &&
+                         !attempt->may_queue && exchange->unproved < UNPROVED_MAX;
   attempt->local = choice->local;
   if (choice->trial)
     metrics_add (exchange->owner->node->metrics, METRIC_TRIALS, 1);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -47,15 +47,16 @@
   gint64 remaining_us;
   gint64 hold_us;
   gsize sent_bytes;
-  gboolean trial;     /* the target is sick, and this is to show whether it still is */
-  gboolean local;     /* the target is in this hall */
-  gboolean may_queue; /* free slots have been looked for in vain */
-  gboolean even_sick; /* the target is known to be sick, and was chosen all the same */
-  gboolean opening;   /* a session is being opened for it */
-  gboolean out;       /* it is counted at the balancer */
-  gboolean submitted; /* a sidecar may hold it */
-  Pending *pending;   /* the submission that is waited for; NULL for none */
-  PeerWatch *watch;   /* over the node that it went to */
+  gboolean trial;       /* the target is sick, and this is to show whether it still is */
+  gboolean local;       /* the target is in this hall */
+  gboolean may_queue;   /* free slots have been looked for in vain */
+  gboolean proved_only; /* the target is to refuse unless it has kept a request lately */
+  gboolean even_sick;   /* the target is known to be sick, and was chosen all the same */
+  gboolean opening;     /* a session is being opened for it */
+  gboolean out;         /* it is counted at the balancer */
+  gboolean submitted;   /* a sidecar may hold it */
+  Pending *pending;     /* the submission that is waited for; NULL for none */
+  PeerWatch *watch;     /* over the node that it went to */
 };
 
 struct Exchange
@@ -74,8 +75,9 @@
   GPtrArray *tried; /* names of targets */
   GPtrArray *busy;  /* names of targets that had no free slot */
   Placement placement;
-  Attempt *attempt;     /* the dispatch's last; NULL before the first */
-  Attempt *hedge;       /* beside it; NULL for none */
+  guint unproved;   /* refusals of targets that have kept nothing lately */
+  Attempt *attempt; /* the dispatch's last; NULL before the first */
+  Attempt *hedge;   /* beside it; NULL for none */
   LoopTimer *hedge_timer;
   guint hedges;       /* that were asked for */
   gboolean abandoned; /* the caller has hung up */
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -129,6 +129,9 @@
   if ((!args->may_queue || sidecar->queues_closed) && !is_forced (target, args) &&
       !admission_is_free (target->admission))
     return SW_REASON_OVERLOAD;
+  if (args->proved_only &&
+      !proof_is_fresh (&target->proof, clock_now (sidecar->node->clock)))
+    return SW_REASON_UNPROVED;
   if (!sidecar_budgets_allow (sidecar->budgets, target->service, args->retry))
     return SW_REASON_BUDGET;
   return SW_REASON_NONE;
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -67,5 +67,6 @@
   state->severity = detector_severity (target->detector);
   state->slow = detector_is_slow (target->detector);
   state->shedding = shedding_is_on (target->shedding);
+  state->abrupt = detector_is_abrupt (target->detector);
   state->draining = sidecar_target_is_leaving (target, draining);
 }
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -7,6 +7,7 @@
 #include <core/admission.h>
 #include <core/config.h>
 #include <core/detector.h>
+#include <core/proof.h>
 #include <core/shedding.h>
 #include <wire/message.h>
 
@@ -21,6 +22,7 @@
   Admission *admission;
   Detector *detector;
   Shedding *shedding;
+  Proof proof;
   gint64 answered_us;   /* when the last whole answer came; 0 for never */
   gint64 next_trial_us; /* while it is sick */
   guint32 serial;
--- a/daemon/src/target/submission-watch.c
+++ b/daemon/src/target/submission-watch.c
@@ -26,6 +26,8 @@
   DetectorSample sample = { failed, broken, took_us, (guint)latency_fit_mean_us (&fit),
                             submission->args.sibling_failures_ppm };
 
+  if (failed)
+    proof_note_failure (&target->proof);
   /* Old work that hung ends one piece after the other: it must not put trials off. */
   if (!detector_observe (target->detector, &sample))
     return;
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -226,6 +226,7 @@
     }
   submission->running = TRUE;
   submission->started_us = now;
+  proof_note_start (&target->proof, now);
   sidecar_budgets_note (sidecar->budgets, target->service, args->retry);
   headers = request_headers (submission, submission->deadline_us - now);
   url = g_strdup_printf ("http://%s%s", target->address, args->path);
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -60,6 +60,8 @@
     verdict.flags |= SW_VERDICT_DRAINING;
   if (target->told_shedding)
     verdict.flags |= SW_VERDICT_SHEDDING;
+  if (detector_is_abrupt (target->detector))
+    verdict.flags |= SW_VERDICT_ABRUPT;
   return verdict;
 }
 
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -52,6 +52,7 @@
 	bool_t slow;
 	bool_t draining;
 	bool_t shedding;
+	bool_t abrupt;
 };
 typedef struct sw_target_state sw_target_state;
 
@@ -70,6 +71,7 @@
 typedef struct sw_verdict sw_verdict;
 #define SW_VERDICT_DRAINING 1
 #define SW_VERDICT_SHEDDING 2
+#define SW_VERDICT_ABRUPT 4
 
 typedef char *sw_target_name;
 
@@ -174,6 +176,7 @@
 	u_int wait_ms;
 	u_int slack_ms;
 	bool_t trial;
+	bool_t proved_only;
 	u_int route;
 	u_int sibling_fit;
 	u_int sibling_failures_ppm;
@@ -220,6 +223,7 @@
 	SW_REASON_CANCELLED = 16,
 	SW_REASON_SICK = 17,
 	SW_REASON_BUDGET = 18,
+	SW_REASON_UNPROVED = 19,
 };
 typedef enum sw_reason sw_reason;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -40,7 +40,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -64,6 +64,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->shedding))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->abrupt))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->serial);
 			IXDR_PUT_U_LONG(buf, objp->in_use);
@@ -76,12 +78,13 @@
 			IXDR_PUT_BOOL(buf, objp->slow);
 			IXDR_PUT_BOOL(buf, objp->draining);
 			IXDR_PUT_BOOL(buf, objp->shedding);
+			IXDR_PUT_BOOL(buf, objp->abrupt);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -105,6 +108,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->shedding))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->abrupt))
+				 return FALSE;
 		} else {
 			objp->serial = IXDR_GET_U_LONG(buf);
 			objp->in_use = IXDR_GET_U_LONG(buf);
@@ -117,6 +122,7 @@
 			objp->slow = IXDR_GET_BOOL(buf);
 			objp->draining = IXDR_GET_BOOL(buf);
 			objp->shedding = IXDR_GET_BOOL(buf);
+			objp->abrupt = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -145,6 +151,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->shedding))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->abrupt))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -455,7 +463,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -475,6 +483,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proved_only))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->route))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
@@ -492,6 +502,7 @@
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		IXDR_PUT_U_LONG(buf, objp->slack_ms);
 		IXDR_PUT_BOOL(buf, objp->trial);
+		IXDR_PUT_BOOL(buf, objp->proved_only);
 		IXDR_PUT_U_LONG(buf, objp->route);
 		IXDR_PUT_U_LONG(buf, objp->sibling_fit);
 		IXDR_PUT_U_LONG(buf, objp->sibling_failures_ppm);
@@ -519,7 +530,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -539,6 +550,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->trial))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->proved_only))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->route))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
@@ -556,6 +569,7 @@
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		objp->slack_ms = IXDR_GET_U_LONG(buf);
 		objp->trial = IXDR_GET_BOOL(buf);
+		objp->proved_only = IXDR_GET_BOOL(buf);
 		objp->route = IXDR_GET_U_LONG(buf);
 		objp->sibling_fit = IXDR_GET_U_LONG(buf);
 		objp->sibling_failures_ppm = IXDR_GET_U_LONG(buf);
@@ -602,6 +616,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->trial))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->proved_only))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->route))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_fit))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -44,6 +44,7 @@
   bool slow;                  /* sick by slowness alone: what it answers is good */
   bool draining;
   bool shedding;              /* it has turned work away though it had free slots */
+  bool abrupt;                /* sick, and it breaks off at once what it is sent */
 };
 
 /* The sidecar's clock and incarnation at the moment of the answer. */
@@ -62,6 +63,7 @@
 
 const SW_VERDICT_DRAINING = 1;
 const SW_VERDICT_SHEDDING = 2;
+const SW_VERDICT_ABRUPT = 4;
 
 typedef string sw_target_name<SW_NAME_MAX>;
 
@@ -151,6 +153,7 @@
   unsigned int wait_ms;        /* it had better be refused than wait longer; 0 for no such bound */
   unsigned int slack_ms;       /* it may wait so long and be answered within its objective */
   bool trial;                  /* and sends this only to learn whether it still is */
+  bool proved_only;            /* it is refused unless the target has lately kept what it was sent */
   unsigned int route;          /* a hash of the route's class */
   unsigned int sibling_fit;    /* of its answers at the service's targets, as latency.h packs */
   unsigned int sibling_failures_ppm; /* their median; 0 for not known */
@@ -188,7 +191,8 @@
   SW_REASON_TARGET_FAILED = 15,
   SW_REASON_CANCELLED = 16,
   SW_REASON_SICK = 17,
-  SW_REASON_BUDGET = 18
+  SW_REASON_BUDGET = 18,
+  SW_REASON_UNPROVED = 19
 };
 
 struct sw_answer {
