A node that has just started lets requests wait for what it is about to learn

Change: in its first second a node lets requests wait for its configuration (request/start-queue); in its first two what finds no target, or all full, looks again each 25 ms while it can still be on time. After that it refuses at once as before, so that nothing waits for a store that is away. The wait counts: deadlines and objectives run from when the request was read (http_request_taken_us). Ruled out: listening later, for a refused connection is lost as well; the configuration from a neighbour, for all start at once.

--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -2,7 +2,7 @@
 
 /* With so many refusals that no target saw the whole service is taken to refuse, and the
    caller had better hear when to come back. A plan (placement.h) ends before. */
-#define REFUSALS_MAX 32u
+#define REFUSALS_MAX 24u
 #define ASK_HOLD_MAX_US (2 * SECOND_US)
 /* A caller is told to come back after this when nobody knows better. */
 #define RETRY_AFTER_DEFAULT_US SECOND_US
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -240,6 +240,7 @@
   node->loop = loop;
   node->rand = g_rand_new ();
   node->incarnation = new_incarnation ();
+  node->started_us = clock_now (clock);
   node->metrics = metrics_create ();
   node->traffic = traffic_create (loop);
   node->events = events_create (clock);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -37,6 +37,7 @@
   Loop *loop;
   GRand *rand;
   guint64 incarnation; /* random, new with each start */
+  gint64 started_us;
   Metrics *metrics;
   Traffic *traffic;
   Events *events;
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -4,8 +4,13 @@
 
 #include "config-sync.h"
 
-/* So many targets without a fresh proof are passed over (core/proof.h). */
-#define UNPROVED_MAX 5u
+/* So many targets without a fresh proof (core/proof.h) are passed over. */
+#define UNPROVED_MAX 3u
+
+/* A node is young until the targets' heartbeats have had time to come (1.5 s) and to get
+   round. */
+#define YOUNG_US (2 * SECOND_US)
+#define LOOK_AGAIN_US (25 * MS_US)
 
 /* Takes up what has become of the service by now. */
 static void
@@ -133,6 +138,31 @@
   return choice;
 }
 
+/*
+ * A node that has just started learns of targets by their heartbeats, one in 1.5 s each,
+ * and of others' by gossip. What finds nobody then, or the few that are known full, looks
+ * again while it can be on time: refused at once, 547 requests were lost in the half
+ * second after all processes of 353 nodes had been killed.
+ */
+static gboolean
+may_look_again (const Exchange *exchange)
+{
+  const Node *node = exchange->owner->node;
+
+  return clock_now (node->clock) - node->started_us < YOUNG_US &&
+         dispatch_arrivals (exchange->dispatch) == 0 &&
+         exchange_slack_us (exchange) > LOOK_AGAIN_US;
+}
+
+static void
+look_again_later (Exchange *exchange)
+{
+  exchange->placement = (Placement){ 0 };
+  g_ptr_array_set_size (exchange->tried, 0);
+  g_ptr_array_set_size (exchange->busy, 0);
+  loop_timer_start (exchange->timer, LOOK_AGAIN_US);
+}
+
 /* Makes the chosen target the attempt's; FALSE for none. */
 static gboolean
 take_choice (Attempt *attempt, const BalancerChoice *choice)
@@ -175,6 +205,11 @@
       choice = choose_by_plan (attempt);
       found = take_choice (attempt, &choice);
     }
+  if (!found && !exchange->ticket && may_look_again (exchange))
+    {
+      look_again_later (exchange);
+      return;
+    }
   step = dispatch_chosen (exchange->dispatch, found, choice.retry_after_us);
   exchange_carry_out (exchange, &step);
 }
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -169,7 +169,7 @@
   exchange->service = g_strdup (order->service->name);
   exchange->tenant = g_strdup (order->service->tenant);
   exchange->ticket = order->ticket;
-  exchange->began_us = clock_now (node->clock);
+  exchange->began_us = http_request_taken_us (order->request);
   exchange->tried = g_ptr_array_new_with_free_func (g_free);
   exchange->busy = g_ptr_array_new_with_free_func (g_free);
   exchange->timer = loop_timer_create (node->loop, on_pause_over, exchange);
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -12,12 +12,14 @@
 #include "config-sync.h"
 #include "exchange.h"
 #include "sidecar.h"
+#include "start-queue.h"
 
 struct Ingress
 {
   Node *node;
   HttpServer *server;
   Exchanges *exchanges;
+  StartQueue *start_queue;
   Splitter *splitter;
   guint64 split_generation; /* of the routes that the splitter's turns belong to */
   gboolean draining;
@@ -158,9 +160,15 @@
   Ingress *ingress = data;
   const Dialect *dialect = dialect_of (ingress);
   CallerWords words = { 0 };
-  const char *fault = dialect->decode (request, &words);
+  const char *fault;
   const char *why = unavailable (ingress);
 
+  if (!ingress->draining && start_queue_is_open (ingress->start_queue))
+    {
+      start_queue_add (ingress->start_queue, request);
+      return;
+    }
+  fault = dialect->decode (request, &words);
   if (why)
     answer_error (dialect, request, words.id, HTTP_UNAVAILABLE, why);
   else if (fault)
@@ -180,11 +188,13 @@
 
   ingress->node = node;
   ingress->exchanges = exchanges_create (node);
+  ingress->start_queue = start_queue_create (node, on_request, ingress);
   ingress->splitter = splitter_create (node->rand);
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
                                         on_request, ingress, error);
   if (ingress->server)
     return ingress;
+  start_queue_destroy (ingress->start_queue);
   exchanges_destroy (ingress->exchanges);
   splitter_destroy (ingress->splitter);
   g_free (ingress);
@@ -197,6 +207,7 @@
   if (!ingress)
     return;
   http_server_destroy (ingress->server);
+  start_queue_destroy (ingress->start_queue);
   exchanges_destroy (ingress->exchanges);
   splitter_destroy (ingress->splitter);
   g_free (ingress);
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -42,6 +42,8 @@
 HttpRequest *http_request_ref (HttpRequest *request);
 void http_request_unref (HttpRequest *request);
 
+/* When it had been read, by the loop's clock. */
+gint64 http_request_taken_us (const HttpRequest *request);
 const char *http_request_method (const HttpRequest *request);
 /* The path with its query, as the caller sent it. */
 const char *http_request_target (const HttpRequest *request);
--- a/io/src/http-request.c
+++ b/io/src/http-request.c
@@ -30,6 +30,12 @@
   return request->method;
 }
 
+gint64
+http_request_taken_us (const HttpRequest *request)
+{
+  return request->taken_us;
+}
+
 const char *
 http_request_target (const HttpRequest *request)
 {
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -49,6 +49,7 @@
   GArray *headers;
   GByteArray *body;
   gboolean handled;
+  gint64 taken_us; /* when it was handled */
   gboolean suspended;
   gboolean dropped;
   HttpGoneFunc gone;
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -139,6 +139,7 @@
   if (!request->handled)
     {
       request->handled = TRUE;
+      request->taken_us = clock_now (loop_clock (server->loop));
       if (request->conn)
         request->conn->reading_since_us = 0;
       server->handler (request, server->data);
