Whoever has no try left asks for a proof; all requests ask a quiet node first

Change: the last arrival that a request may have goes to a proved target, repeatable or not (dispatch_is_last_arrival); repeatable requests too ask for a slot when the node has not been heard of in 50 ms.

--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -92,6 +92,9 @@
 void dispatch_beside_sent (Dispatch *dispatch);
 void dispatch_beside_ended (Dispatch *dispatch, DispatchReport report, Reason reason);
 
+/* Whether no other target may see the request after the next. */
+gboolean dispatch_is_last_arrival (const Dispatch *dispatch);
+
 /* What the next attempt is to the retry budget of its service, which the sidecars hold.
  */
 RetryKind dispatch_retry_kind (const Dispatch *dispatch);
--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -2,7 +2,7 @@
 
 /* With so many refusals that no target saw the whole service is taken to refuse, and the
    caller had better hear when to come back. A plan (placement.h) ends before. */
-#define REFUSALS_MAX 24u
+#define REFUSALS_MAX 32u
 #define ASK_HOLD_MAX_US (2 * SECOND_US)
 /* A caller is told to come back after this when nobody knows better. */
 #define RETRY_AFTER_DEFAULT_US SECOND_US
@@ -83,6 +83,13 @@
   return dispatch->policy.repeat ? RETRY_INHERITED : RETRY_CALL;
 }
 
+gboolean
+dispatch_is_last_arrival (const Dispatch *dispatch)
+{
+  return !dispatch->policy.repeatable ||
+         dispatch->arrivals + 1 >= dispatch->policy.attempts_max;
+}
+
 gboolean
 dispatch_may_hedge (const Dispatch *dispatch)
 {
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -269,7 +269,7 @@
     return STEP_SUBMIT;
   if (!attempt->local && !attempt->may_queue)
     return STEP_ASK_FOR_SLOT;
-  if (exchange->route->repeatable || is_proved (attempt))
+  if (is_proved (attempt))
     return STEP_SUBMIT;
   return attempt->may_queue ? STEP_PROVE_PATH : STEP_ASK_FOR_SLOT;
 }
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -4,8 +4,8 @@
 
 #include "config-sync.h"
 
-/* So many targets without a fresh proof (core/proof.h) are passed over. */
-#define UNPROVED_MAX 3u
+/* So many targets without a fresh proof are passed over (core/proof.h). */
+#define UNPROVED_MAX 5u
 
 /* A node is young until the targets' heartbeats have had time to come (1.5 s) and to get
    round. */
@@ -175,7 +175,8 @@
   attempt->target = choice->target;
   attempt->even_sick = choice->sick;
   attempt->trial = choice->trial;
-  attempt->proved_only = choice->abrupt && !exchange->route->repeatable &&
+  attempt->proved_only = choice->abrupt && !choice->trial &&
+                         dispatch_is_last_arrival (exchange->dispatch) &&
                          !attempt->may_queue && exchange->unproved < UNPROVED_MAX;
   attempt->local = choice->local;
   if (choice->trial)
