--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -9,6 +9,9 @@
 /* News of a change comes from many at once; so many are asked for it, for one may be
    gone. */
 #define NEWS_ASKED_MAX 4u
+/* News that comes from another hall first has come round the own hall by then, for each
+   hall has nodes that watch: bytes between halls are the dear ones. */
+#define FAR_PATIENCE_US (200 * MS_US)
 
 /* Another node's head has come, or has not. */
 typedef struct
@@ -94,17 +97,52 @@
   peers_open (sync->node->peers, vm, CONFIG_PEER_TIMEOUT_US, on_peer_open, call);
 }
 
-void
-config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation)
+static gboolean
+is_news (const ConfigSync *sync, guint64 generation)
+{
+  return generation > snapshot_generation (sync->snapshot) &&
+         !(sync->wanted && generation <= sync->wanted->generation);
+}
+
+static void
+ask_for_news (ConfigSync *sync, const char *vm)
 {
-  if (generation <= snapshot_generation (sync->snapshot) ||
-      (sync->wanted && generation <= sync->wanted->generation) ||
-      sync->news_asked >= NEWS_ASKED_MAX)
+  if (sync->news_asked >= NEWS_ASKED_MAX)
     return;
   sync->news_asked++;
   ask_peer (sync, vm, 0);
 }
 
+void
+config_far_news (gpointer data)
+{
+  ConfigSync *sync = data;
+  g_autofree char *vm = g_steal_pointer (&sync->far_source);
+
+  if (vm && is_news (sync, sync->far_generation))
+    ask_for_news (sync, vm);
+}
+
+void
+config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation)
+{
+  if (!is_news (sync, generation))
+    return;
+  if (peers_in_own_hall (sync->node, vm))
+    {
+      ask_for_news (sync, vm);
+      return;
+    }
+  if (sync->far_source && generation <= sync->far_generation)
+    return;
+  /* The first that is heard of sets the time; the newest is asked. */
+  if (!sync->far_source)
+    loop_timer_start (sync->far, FAR_PATIENCE_US);
+  g_free (sync->far_source);
+  sync->far_source = g_strdup (vm);
+  sync->far_generation = generation;
+}
+
 void
 config_start_round (gpointer data)
 {
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -40,6 +40,10 @@
   guint asked;
   guint answered;
   guint news_asked; /* nodes that are being asked for a newer head */
+  /* News of another hall, which waits for the own hall's. */
+  LoopTimer *far;
+  char *far_source; /* NULL for none */
+  guint64 far_generation;
   gint64 created_us;
 };
 
@@ -54,6 +58,9 @@
 /* A timer's function: fetches what is still missing, a few parts at a time. */
 void config_fetch_batch (gpointer data);
 
+/* A timer's function: asks another hall's node for what has not come from the own. */
+void config_far_news (gpointer data);
+
 /* A timer's function: until this node may serve, the platform and a few nodes are asked.
  */
 void config_start_round (gpointer data);
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -209,6 +209,7 @@
                                        (GDestroyNotify)config_part_unref);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
   sync->watch = loop_timer_create (node->loop, on_watch_timer, sync);
+  sync->far = loop_timer_create (node->loop, config_far_news, sync);
   sync->start = loop_timer_create (node->loop, config_start_round, sync);
   sync->fetch = loop_timer_create (node->loop, config_fetch_batch, sync);
   loop_timer_start (sync->start, 0);
@@ -225,6 +226,8 @@
   loop_timer_destroy (sync->poll);
   loop_timer_destroy (sync->watch);
   loop_timer_destroy (sync->start);
+  loop_timer_destroy (sync->far);
+  g_free (sync->far_source);
   loop_timer_destroy (sync->fetch);
   config_fetch_drop (sync);
   g_hash_table_unref (sync->parts);
