--- a/core/include/core/json-view.h
+++ b/core/include/core/json-view.h
@@ -51,11 +51,11 @@
 gint64
 json_view_int (JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback);
 /*
- * A figure that others choose: a fraction is rounded down, and what lies outside the range
- * is taken as its nearest end. Only what is no number is a fault.
+ * A figure that others choose: a fraction is rounded down, and what lies outside the
+ * range is taken as its nearest end. Only what is no number is a fault.
  */
-gint64
-json_view_floor (JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback);
+gint64 json_view_floor (
+    JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback);
 /* A number with or without a fraction. */
 double json_view_double (
     JsonView *view, const char *key, double min, double max, double fallback);
--- a/core/include/core/proof.h
+++ b/core/include/core/proof.h
@@ -10,9 +10,9 @@
  *
  * Limits: a break comes within a round trip (1.3 ms at the users' targets), so that what
  * has been kept for 10 ms is kept. With six requests a second at a target six in ten have
- * had one in the last 150 ms, and five are asked at the most: in a simulation of 40 targets,
- * three in ten of them in spells of 9 s, 90 of 250 first requests are lost then (151 with
- * three questions and 100 ms), for 0.7 more questions a request.
+ * had one in the last 150 ms, and five are asked at the most: in a simulation of 40
+ * targets, three in ten of them in spells of 9 s, 90 of 250 first requests are lost then
+ * (151 with three questions and 100 ms), for 0.7 more questions a request.
  */
 #ifndef CORE_PROOF_H
 #define CORE_PROOF_H
--- a/core/src/request/outcome.c
+++ b/core/src/request/outcome.c
@@ -15,7 +15,7 @@
     "none",      "overload",  "draining",       "incarnation",   "stale",     "deadline",
     "no-target", "duplicate", "fenced",         "connect",       "broken",    "timeout",
     "crossed",   "too-large", "target-refused", "target-failed", "cancelled", "sick",
-    "budget",    "unproved",  "lost",      "unreachable"
+    "budget",    "unproved",  "lost",           "unreachable"
   };
 
   return reason < REASON_COUNT ? names[reason] : "none";
--- a/core/tests/test-admission-load.c
+++ b/core/tests/test-admission-load.c
@@ -140,7 +140,7 @@
         good += is_on_time (&replay->items[i]);
       }
   assert_true (came > 0);
-  return 100 * good / came;
+  return came > 0 ? 100 * good / came : 0;
 }
 
 /* Twice what the slots do for 3 s, then eight tenths of it: in the order of arrival the
--- a/core/tests/test-members.c
+++ b/core/tests/test-members.c
@@ -95,6 +95,7 @@
 
   clock_advance (fixture.clock, members_timing_default.answer_us);
   actions = members_tick (fixture.members);
+  assert_non_null (actions);
   members_answered (fixture.members, sequence, "c");
   clock_advance (fixture.clock, members_timing_default.period_us);
   probe (&fixture);
--- a/daemon/src/member/gossip-news.c
+++ b/daemon/src/member/gossip-news.c
@@ -176,7 +176,9 @@
        i++)
     {
       const sw_verdict *said = &state.verdicts.verdicts_val[i];
-      TargetVerdict verdict = { member->incarnation, said->serial, said->severity,
+      TargetVerdict verdict = { member->incarnation,
+                                said->serial,
+                                said->severity,
                                 (said->flags & SW_VERDICT_DRAINING) != 0,
                                 (said->flags & SW_VERDICT_SHEDDING) != 0,
                                 (said->flags & SW_VERDICT_ABRUPT) != 0 };
