Which start of a target is the present one is decided apart, and survives late heartbeats

Cause: a name that another had replaced was ignored for ever. A node that has itself started anew does not know who has crashed: a late heartbeat of a crashed start took the place of the one that lives, which was then shut out until the next restart. Change: core/succession, tested on the paused clock: another name takes over at once, one that was replaced comes back if it goes on while the other is silent, one that has said it ends never does. Tests: test-succession.c; test_a_late_heartbeat_that_is_taken_for_a_start_does_not_last fails on the old rule.

--- /dev/null
+++ b/core/tests/test-succession.c
@@ -0,0 +1,123 @@
+/* Heartbeats that come late, of starts that have crashed. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/succession.h>
+
+#define INTERVAL_US (1500 * MS_US)
+
+typedef struct
+{
+  Clock *clock;
+  Succession *succession;
+} Fixture;
+
+static Fixture
+setup (void)
+{
+  Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
+
+  fixture.succession = succession_create (fixture.clock);
+  return fixture;
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  succession_destroy (fixture->succession);
+  clock_destroy (fixture->clock);
+}
+
+/* One heartbeat, an interval after the last. */
+static SuccessionAnswer
+beat (Fixture *fixture, const char *name, gint64 sequence)
+{
+  clock_advance (fixture->clock, INTERVAL_US);
+  return succession_beat (fixture->succession, name, sequence);
+}
+
+static void
+test_a_new_start_takes_over_at_once (void **state)
+{
+  Fixture fixture = setup ();
+
+  assert_int_equal (beat (&fixture, "old", 1), SUCCESSION_NEXT);
+  assert_int_equal (beat (&fixture, "old", 2), SUCCESSION_SAME);
+  assert_int_equal (beat (&fixture, "old", 2), SUCCESSION_LATE);
+  assert_int_equal (beat (&fixture, "new", 1), SUCCESSION_NEXT);
+  assert_string_equal (succession_present (fixture.succession), "new");
+  teardown (&fixture);
+}
+
+/* The sender has crashed, and its next start has registered. */
+static void
+test_a_late_heartbeat_of_a_crashed_start_changes_nothing (void **state)
+{
+  Fixture fixture = setup ();
+
+  beat (&fixture, "old", 1);
+  beat (&fixture, "new", 1);
+  assert_int_equal (beat (&fixture, "old", 2), SUCCESSION_LATE);
+  assert_int_equal (beat (&fixture, "new", 2), SUCCESSION_SAME);
+  assert_int_equal (beat (&fixture, "old", 3), SUCCESSION_LATE);
+  assert_int_equal (beat (&fixture, "new", 3), SUCCESSION_SAME);
+  assert_string_equal (succession_present (fixture.succession), "new");
+  teardown (&fixture);
+}
+
+/* The node has started anew and knows nothing of the crash: the late heartbeat takes
+   over, and the one that lives comes back by going on. */
+static void
+test_a_late_heartbeat_that_is_taken_for_a_start_does_not_last (void **state)
+{
+  Fixture fixture = setup ();
+
+  beat (&fixture, "alive", 7);
+  assert_int_equal (beat (&fixture, "crashed", 3), SUCCESSION_NEXT);
+  assert_int_equal (beat (&fixture, "alive", 8), SUCCESSION_LATE);
+  assert_int_equal (beat (&fixture, "alive", 9), SUCCESSION_NEXT);
+  assert_int_equal (beat (&fixture, "alive", 10), SUCCESSION_SAME);
+  assert_int_equal (beat (&fixture, "crashed", 4), SUCCESSION_LATE);
+  teardown (&fixture);
+}
+
+static void
+test_one_that_has_said_that_it_ends_never_comes_back (void **state)
+{
+  Fixture fixture = setup ();
+
+  beat (&fixture, "old", 1);
+  succession_end (fixture.succession, "old");
+  assert_int_equal (beat (&fixture, "new", 1), SUCCESSION_NEXT);
+  for (gint64 sequence = 2; sequence < 10; sequence++)
+    assert_int_equal (beat (&fixture, "old", sequence), SUCCESSION_LATE);
+  teardown (&fixture);
+}
+
+/* Its word that it ends may come before any heartbeat is heard here. */
+static void
+test_an_end_that_comes_first_is_remembered (void **state)
+{
+  Fixture fixture = setup ();
+
+  succession_end (fixture.succession, "old");
+  assert_int_equal (beat (&fixture, "old", 5), SUCCESSION_LATE);
+  assert_null (succession_present (fixture.succession));
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_new_start_takes_over_at_once),
+    cmocka_unit_test (test_a_late_heartbeat_of_a_crashed_start_changes_nothing),
+    cmocka_unit_test (test_a_late_heartbeat_that_is_taken_for_a_start_does_not_last),
+    cmocka_unit_test (test_one_that_has_said_that_it_ends_never_comes_back),
+    cmocka_unit_test (test_an_end_that_comes_first_is_remembered),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <core/names.h>
+#include <core/succession.h>
 #include <io/http-server.h>
 #include <core/http-status.h>
 
@@ -15,9 +16,6 @@
 /* A heartbeat is a few hundred bytes; its answer must stay under 4 KB. */
 #define BODY_MAX (16u * 1024)
 #define CONNECTIONS_MAX 64u
-/* Names of ended targets that are remembered, for a late heartbeat must not bring one
-   back. A target ends every few seconds at most, and a heartbeat is seconds late. */
-#define ENDED_MAX 64u
 #define SLOTS_MAX 100000
 
 static const char *const state_names[] = { "serving", "leaving", NULL };
@@ -26,12 +24,10 @@
 {
   Node *node;
   HttpServer *server;
-  char *target; /* the name of its present start; NULL before the first call */
-  char *service;
+  Succession *starts;
+  char *service; /* of the present start; NULL before the first heartbeat */
   guint slots;
   gboolean leaving;
-  gint64 sequence; /* of the last heartbeat that was taken */
-  GQueue ended;    /* of char *, oldest first */
   gboolean news;
 };
 
@@ -65,56 +61,35 @@
   return json_faults_count (faults) == 0;
 }
 
-static gboolean
-has_ended (const Registry *registry, const char *name)
-{
-  return g_queue_find_custom ((GQueue *)&registry->ended, name, (GCompareFunc)strcmp) !=
-         NULL;
-}
-
-static void
-note_ended (Registry *registry, const char *name)
-{
-  if (has_ended (registry, name))
-    return;
-  g_queue_push_tail (&registry->ended, g_strdup (name));
-  if (g_queue_get_length (&registry->ended) > ENDED_MAX)
-    g_free (g_queue_pop_head (&registry->ended));
-}
-
 /* Puts the registration in force here, and on its way to the others. */
 static void
 publish (Registry *registry)
 {
   Node *node = registry->node;
-  Registration registration = { registry->target, registry->service,
-                                node->settings->target_address, registry->slots,
-                                registry->leaving };
+  const char *target = succession_present (registry->starts);
+  Registration registration = { target, registry->service, node->settings->target_address,
+                                registry->slots, registry->leaving };
 
   registry->news = TRUE;
   config_sync_set_registration (node->config, node->settings->node, node->settings->hall,
                                 &registration);
   events_add (node->events, registry->leaving ? "target-leaves" : "target-registered",
-              registry->target, registry->service);
+              target, registry->service);
 }
 
 static void
 take_heartbeat (Registry *registry, const char *name, const Heartbeat *heartbeat)
 {
-  gboolean same = g_strcmp0 (registry->target, name) == 0;
+  SuccessionAnswer answer = succession_beat (registry->starts, name, heartbeat->sequence);
 
-  if (has_ended (registry, name) || (same && heartbeat->sequence <= registry->sequence))
+  if (answer == SUCCESSION_LATE)
     return;
-  if (!same && registry->target)
-    note_ended (registry, registry->target);
-  registry->sequence = heartbeat->sequence;
   /* A target that has said it leaves does not come back under the same name. */
-  if (same && (registry->leaving || registry->leaving == heartbeat->leaving) &&
+  if (answer == SUCCESSION_SAME &&
+      (registry->leaving || registry->leaving == heartbeat->leaving) &&
       strcmp (registry->service, heartbeat->service) == 0 &&
       registry->slots == heartbeat->slots)
     return;
-  g_free (registry->target);
-  registry->target = g_strdup (name);
   g_free (registry->service);
   registry->service = g_strdup (heartbeat->service);
   registry->slots = heartbeat->slots;
@@ -125,8 +100,8 @@
 static void
 take_leave (Registry *registry, const char *name)
 {
-  note_ended (registry, name);
-  if (g_strcmp0 (registry->target, name) != 0 || registry->leaving)
+  succession_end (registry->starts, name);
+  if (g_strcmp0 (succession_present (registry->starts), name) != 0 || registry->leaving)
     return;
   registry->leaving = TRUE;
   publish (registry);
@@ -198,11 +173,12 @@
   Registry *registry = g_new0 (Registry, 1);
 
   registry->node = node;
-  g_queue_init (&registry->ended);
+  registry->starts = succession_create (node->clock);
   registry->server = http_server_create (node->loop, settings->registration_address,
                                          &limits, on_request, registry, error);
   if (registry->server)
     return registry;
+  succession_destroy (registry->starts);
   g_free (registry);
   return NULL;
 }
@@ -213,8 +189,7 @@
   if (!registry)
     return;
   http_server_destroy (registry->server);
-  g_queue_clear_full (&registry->ended, g_free);
-  g_free (registry->target);
+  succession_destroy (registry->starts);
   g_free (registry->service);
   g_free (registry);
 }
@@ -232,9 +207,9 @@
 guint
 registry_fill (const Registry *registry, sw_registration *registration)
 {
-  if (!registry || !registry->target)
+  if (!registry || !registry->service)
     return 0;
-  registration->target = registry->target;
+  registration->target = (char *)succession_present (registry->starts);
   registration->service = registry->service;
   registration->slots = registry->slots;
   registration->leaving = registry->leaving;
