--- a/client/src/account.c
+++ b/client/src/account.c
@@ -11,15 +11,25 @@
   const char *reason;
   Cause cause;
 } reasons[] = {
-  { "timeout", CAUSE_HUNG },           { "broken", CAUSE_BROKEN },
-  { "crossed", CAUSE_BROKEN },         { "too-large", CAUSE_BROKEN },
-  { "lost", CAUSE_NODE_LOST },         { "unreachable", CAUSE_NODE_LOST },
-  { "incarnation", CAUSE_NODE_LOST },  { "connect", CAUSE_TARGET_FAILED },
-  { "target-refused", CAUSE_NO_SLOT }, { "target-failed", CAUSE_TARGET_FAILED },
-  { "overload", CAUSE_NO_SLOT },       { "deadline", CAUSE_QUEUE },
-  { "budget", CAUSE_BUDGET },          { "sick", CAUSE_SICK },
-  { "no-target", CAUSE_NOBODY_LEFT },  { "draining", CAUSE_LEAVING },
-  { "cancelled", CAUSE_CALLER_LEFT },  { NULL, CAUSE_OTHER },
+  { "timeout", CAUSE_HUNG },
+  { "broken", CAUSE_BROKEN },
+  { "crossed", CAUSE_BROKEN },
+  { "too-large", CAUSE_BROKEN },
+  { "lost", CAUSE_NODE_LOST },
+  { "unreachable", CAUSE_NODE_LOST },
+  { "incarnation", CAUSE_NODE_LOST },
+  { "connect", CAUSE_TARGET_FAILED },
+  { "target-refused", CAUSE_NO_SLOT },
+  { "target-failed", CAUSE_TARGET_FAILED },
+  { "overload", CAUSE_NO_SLOT },
+  { "deadline", CAUSE_QUEUE },
+  { "budget", CAUSE_BUDGET },
+  { "sick", CAUSE_SICK },
+  { "unproved", CAUSE_SICK },
+  { "no-target", CAUSE_NOBODY_LEFT },
+  { "draining", CAUSE_LEAVING },
+  { "cancelled", CAUSE_CALLER_LEFT },
+  { NULL, CAUSE_OTHER },
 };
 
 static void
--- a/daemon/src/member/peer-watch.c
+++ b/daemon/src/member/peer-watch.c
@@ -1,7 +1,5 @@
 #include "peer-watch.h"
 
-#include "log.h"
-
 /* A node that has said nothing for so long is pinged; at first sooner, for many that die
    have done so before the request, and others must not be sent after it. */
 #define QUIET_FIRST_US (60 * MS_US)
@@ -54,16 +52,6 @@
   return clock_now (watch->node->clock) - peers_heard_us (watch->node->peers, watch->vm);
 }
 
-static void
-doubt (PeerWatch *watch, gint64 quiet)
-{
-  g_autofree char *age = g_strdup_printf ("%" G_GINT64_FORMAT, quiet);
-
-  log_event (G_LOG_LEVEL_INFO, "path-doubted", "SUBJECT", watch->vm, "QUIET_US", age,
-             NULL);
-  balancer_doubt_path (watch->node->balancer, watch->vm);
-}
-
 static void
 on_timer (gpointer data)
 {
@@ -73,7 +61,7 @@
   if (watch->ping)
     {
       if (quiet >= DOUBT_US)
-        doubt (watch, quiet);
+        peers_doubt (watch->node->peers, watch->vm);
       return;
     }
   if (quiet < QUIET_FIRST_US)
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -301,6 +301,16 @@
   peers_call (peers, vm, &ping, NULL, timeout_us, done, data);
 }
 
+void
+peers_doubt (Peers *peers, const char *vm)
+{
+  gint64 quiet = clock_now (peers->node->clock) - peers_heard_us (peers, vm);
+  g_autofree char *age = g_strdup_printf ("%" G_GINT64_FORMAT, quiet);
+
+  log_event (G_LOG_LEVEL_INFO, "path-doubted", "SUBJECT", vm, "QUIET_US", age, NULL);
+  balancer_doubt_path (peers->node->balancer, vm);
+}
+
 gsize
 peers_call (Peers *peers,
             const char *vm,
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -33,6 +33,10 @@
 /* When a node was last heard over RPC; 0 for never. */
 gint64 peers_heard_us (const Peers *peers, const char *vm);
 
+/* A node has not answered at once: for a second, or until it answers, it gets only what
+   nobody else can take. */
+void peers_doubt (Peers *peers, const char *vm);
+
 /* Calls a node for nothing but its answer. */
 void peers_ping (
     Peers *peers, const char *vm, gint64 timeout_us, RpcDoneFunc done, gpointer data);
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -168,7 +168,7 @@
 static void
 path_unproved (Attempt *attempt)
 {
-  balancer_doubt_path (attempt->exchange->owner->node->balancer, attempt->target->vm);
+  peers_doubt (attempt->exchange->owner->node->peers, attempt->target->vm);
   attempt_ended (attempt, RPC_UNSENT, NULL);
 }
 
