--- a/client/src/explain.c
+++ b/client/src/explain.c
@@ -60,13 +60,52 @@
   return g_str_has_prefix (id, wanted) && (id[len] == '\0' || id[len] == '.');
 }
 
+static void
+keep (Explanation *explanation, JsonNode *node)
+{
+  Entry *entry = g_new0 (Entry, 1);
+
+  entry->node = node;
+  entry->time = g_strdup (log_line_member (node, "time"));
+  entry->order = explanation->entries->len;
+  g_ptr_array_add (explanation->entries, entry);
+}
+
+/* A line that is whole ends with a brace; only those that matter are read as JSON. */
+static gboolean
+looks_torn (const char *text)
+{
+  gsize len = strlen (text);
+
+  while (len > 0 && g_ascii_isspace (text[len - 1]))
+    len--;
+  return strchr (text, '{') && (len == 0 || text[len - 1] != '}');
+}
+
+/* Whether a line may be about the request: it names it, or an attempt of nobody knows
+   which request, which the sidecars' lines do. */
+static gboolean
+may_be_about (const Explanation *explanation, const char *text)
+{
+  if (strstr (text, explanation->id))
+    return TRUE;
+  return !strstr (text, "\"id\":\"") && strstr (text, "\"attempt\":\"");
+}
+
 void
 explanation_add (Explanation *explanation, const char *line, gssize len)
 {
+  g_autofree char *text = g_strndup (line, len < 0 ? strlen (line) : (gsize)len);
   JsonNode *node = NULL;
-  Entry *entry;
 
-  switch (log_line_parse (line, len, &node))
+  if (looks_torn (text))
+    {
+      explanation->bad++;
+      return;
+    }
+  if (!may_be_about (explanation, text))
+    return;
+  switch (log_line_parse (text, -1, &node))
     {
     case LOG_LINE_OTHER:
       return;
@@ -76,20 +115,11 @@
     default:
       break;
     }
-  if (!*log_line_member (node, "id") && !*log_line_member (node, "attempt"))
-    {
-      json_node_unref (node);
-      return;
-    }
   if (is_of (log_line_member (node, "id"), explanation->id) &&
       *log_line_member (node, "attempt"))
     g_hash_table_add (explanation->attempts,
                       g_strdup (log_line_member (node, "attempt")));
-  entry = g_new0 (Entry, 1);
-  entry->node = node;
-  entry->time = g_strdup (log_line_member (node, "time"));
-  entry->order = explanation->entries->len;
-  g_ptr_array_add (explanation->entries, entry);
+  keep (explanation, node);
 }
 
 static gint
