--- a/daemon/src/member/path-probe.c
+++ b/daemon/src/member/path-probe.c
@@ -62,6 +62,7 @@
     }
   if (outcome != RPC_OK && outcome != RPC_DENIED)
     {
+      peers_renew (probes->node->peers, probe->vm);
       loop_timer_start (probe->timer, PROBE_EVERY_US);
       return;
     }
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -301,6 +301,15 @@
   peers_call (peers, vm, &ping, NULL, timeout_us, done, data);
 }
 
+void
+peers_renew (Peers *peers, const char *vm)
+{
+  Peer *peer = find_peer (peers, vm);
+
+  if (peer)
+    rpc_peer_renew (peer->rpc);
+}
+
 void
 peers_doubt (Peers *peers, const char *vm)
 {
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -33,6 +33,10 @@
 /* When a node was last heard over RPC; 0 for never. */
 gint64 peers_heard_us (const Peers *peers, const char *vm);
 
+/* The connection to a node is silent: the next call opens a new one, for one may go
+   silent for good while others work. What is on its way is lost. */
+void peers_renew (Peers *peers, const char *vm);
+
 /* A node has not answered at once: for a second, or until it answers, it gets only what
    nobody else can take. */
 void peers_doubt (Peers *peers, const char *vm);
--- a/io/src/rpc-peer.c
+++ b/io/src/rpc-peer.c
@@ -83,6 +83,13 @@
     call_fail_soon (value, outcome);
 }
 
+void
+rpc_peer_renew (RpcPeer *peer)
+{
+  if (peer->stream)
+    on_closed (peer);
+}
+
 static void
 on_opened (gpointer data)
 {
--- a/standins/src/relay.c
+++ b/standins/src/relay.c
@@ -3,7 +3,8 @@
  * UDP datagrams to one address, and holds back (TCP) or drops (UDP) what goes one way.
  *
  * GET /_control?forth=0|1&back=0|1 on the control address opens and closes the ways;
- * reset=1 breaks all connections off, in a way that loses what is under way.
+ * reset=1 breaks all connections off, in a way that loses what is under way; hush=1 lets
+ * them go silent for good, without an end, while new ones work.
  */
 #include <io/http-server.h>
 #include <io/loop.h>
@@ -32,6 +33,7 @@
 {
   Side near; /* who connected */
   Side far;
+  gboolean silent; /* for good */
 } Pair;
 
 typedef struct
@@ -80,6 +82,8 @@
 static void
 settle (Pair *pair)
 {
+  if (pair->silent)
+    return;
   flush (&pair->far, forth);
   flush (&pair->near, back);
   if (pair->near.ended && forth && pair->far.out->len == 0)
@@ -205,6 +209,19 @@
     }
 }
 
+static void
+hush_all (void)
+{
+  for (guint i = 0; i < pairs->len; i++)
+    {
+      Pair *pair = g_ptr_array_index (pairs, i);
+
+      pair->silent = TRUE;
+      loop_fd_set (pair->near.watch, 0);
+      loop_fd_set (pair->far.watch, 0);
+    }
+}
+
 static void
 on_control (HttpRequest *request, gpointer data)
 {
@@ -217,6 +234,8 @@
     back = *b == '1';
   if (http_request_argument (request, "reset"))
     reset_all ();
+  if (http_request_argument (request, "hush"))
+    hush_all ();
   for (guint i = pairs->len; i-- > 0;)
     settle (g_ptr_array_index (pairs, i));
   http_request_answer_json (request, 200, "{}\n");
--- a/tests/proc/test-requests.c
+++ b/tests/proc/test-requests.c
@@ -22,6 +22,9 @@
 #define READ_MAX 4096
 /* After so long without a word a node counts as quiet (50 ms, attempt-send.c). */
 #define QUIET_US 200000
+/* A wait that never ends is a failure; how long it takes is not measured here. */
+#define SILENT_TRIES 1000u
+#define SILENT_PAUSE_US 20000
 
 static Fleet *
 start_fleet (guint nodes, guint latency_ms)
@@ -488,6 +491,48 @@
   fleet_destroy (fleet);
 }
 
+static guint
+runs_of (Fleet *fleet, guint target)
+{
+  g_autofree char *ids = fleet_ids (fleet, target);
+
+  return (guint)strlen (ids);
+}
+
+/* The connections to a node go silent without an end, and new ones would work. */
+static void
+test_a_connection_that_goes_silent_is_replaced (void **state)
+{
+  Fleet *fleet = fleet_create (4);
+  g_autofree char *intent = fleet_intent (fleet, SLOTS, 0, NULL);
+  guint before;
+
+  fleet_start_relay (fleet, 3);
+  fleet_start (fleet, SLOTS, 2);
+  assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
+  for (guint i = 0; i < 4; i++)
+    fleet_await (fleet, i, "$.generation", 1);
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("before-%u", i);
+
+      expect (fleet, "POST", "/pay", id, "done", NULL);
+    }
+  fleet_control_relay (fleet, 3, "hush=1");
+  before = runs_of (fleet, 3);
+  assert_true (before > 0);
+  for (guint i = 0; i < SILENT_TRIES && runs_of (fleet, 3) == before; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("after-%u", i);
+      g_autoptr (Answer) answer = fleet_call (fleet, 0, "POST", "/pay", id, "fee=12");
+
+      assert_string_not_equal (answer->outcome, "unknown");
+      g_usleep (SILENT_PAUSE_US);
+    }
+  assert_true (runs_of (fleet, 3) > before);
+  fleet_destroy (fleet);
+}
+
 int
 main (void)
 {
@@ -499,6 +544,8 @@
     cmocka_unit_test_teardown (test_sidecar_killed_with_work_in_flight, fleet_teardown),
     cmocka_unit_test_teardown (test_nothing_unrepeatable_is_sent_to_a_node_that_has_gone,
                                fleet_teardown),
+    cmocka_unit_test_teardown (test_a_connection_that_goes_silent_is_replaced,
+                               fleet_teardown),
     cmocka_unit_test_teardown (test_kills_freezes_and_broken_links_under_load,
                                fleet_teardown),
     cmocka_unit_test_teardown (test_two_thousand_overlapping_requests_get_their_own,
