A node that leaves a question unanswered has its path checked

No probe of the path began, so that a silent connection was kept, and a path that was cut came back by the breaker's pauses and not when it healed. Where a request had been sent whole within 50 ms of the last word, its own watch began the probes, and the test passed.

--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -17,7 +17,8 @@
   char *address;
   RpcPeer *rpc;
   gboolean open;
-  guint connection; /* on which the session was opened */
+  gboolean checking; /* peers_check waits for its answer */
+  guint connection;  /* on which the session was opened */
   PeerStamp stamp;
   gint64 stamped_us; /* on this node's clock */
 } Peer;
@@ -175,6 +176,8 @@
   const PeerStamp *stamp = NULL;
   gboolean other = outcome == RPC_OK && strcmp (res->stamp.node, opening->vm) != 0;
 
+  if (peer && !opening->opened)
+    peer->checking = FALSE;
   balancer_note_path (peers->node->balancer, opening->vm, outcome == RPC_OK && !other);
   if (other && !peers->closing)
     note_other (peers->node, opening->vm, res->stamp.node);
@@ -282,8 +285,10 @@
 {
   Peer *peer = peer_of (peers, vm);
 
-  if (peer)
-    say_hello (peers, peer, CHECK_TIMEOUT_US, NULL, NULL);
+  if (!peer || peer->checking)
+    return;
+  peer->checking = TRUE;
+  say_hello (peers, peer, CHECK_TIMEOUT_US, NULL, NULL);
 }
 
 gint64
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -169,6 +169,7 @@
 path_unproved (Attempt *attempt)
 {
   peers_doubt (attempt->exchange->owner->node->peers, attempt->target->vm);
+  attempt->unanswered = TRUE;
   attempt_ended (attempt, RPC_UNSENT, NULL);
 }
 
--- a/daemon/src/request/attempt.c
+++ b/daemon/src/request/attempt.c
@@ -150,8 +150,9 @@
   Node *node = attempt->exchange->owner->node;
   const char *vm = attempt->target->vm;
 
-  /* Silence may be a slow target's: whether the node itself answers has to be asked. */
-  if (outcome == RPC_TIMEOUT)
+  /* Silence may be a slow target's, or a slow node's: whether the node itself answers has
+     to be asked. If it does not, its path is probed until it does. */
+  if (outcome == RPC_TIMEOUT || attempt->unanswered)
     peers_check (node->peers, vm);
   else
     balancer_note_path (node->balancer, vm, outcome == RPC_OK);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -51,6 +51,7 @@
   gboolean local;       /* the target is in this hall */
   gboolean may_queue;   /* free slots have been looked for in vain */
   gboolean proved_only; /* the target is to refuse unless it has kept a request lately */
+  gboolean unanswered;  /* its node has not answered a question in time */
   gboolean even_sick;   /* the target is known to be sick, and was chosen all the same */
   gboolean opening;     /* a session is being opened for it */
   gboolean out;         /* it is counted at the balancer */
--- a/tests/proc/test-requests.c
+++ b/tests/proc/test-requests.c
@@ -499,9 +499,10 @@
   return (guint)strlen (ids);
 }
 
-/* The connections to a node go silent without an end, and new ones would work. */
+/* The connections to a node go silent without an end, and new ones would work; the first
+   request after that comes so much later. */
 static void
-test_a_connection_that_goes_silent_is_replaced (void **state)
+expect_replaced (gulong pause_us)
 {
   Fleet *fleet = fleet_create (4);
   g_autofree char *intent = fleet_intent (fleet, SLOTS, 0, NULL);
@@ -519,6 +520,7 @@
       expect (fleet, "POST", "/pay", id, "done", NULL);
     }
   fleet_control_relay (fleet, 3, "hush=1");
+  g_usleep (pause_us);
   before = runs_of (fleet, 3);
   assert_true (before > 0);
   for (guint i = 0; i < SILENT_TRIES && runs_of (fleet, 3) == before; i++)
@@ -533,6 +535,19 @@
   fleet_destroy (fleet);
 }
 
+static void
+test_a_connection_that_goes_silent_is_replaced (void **state)
+{
+  expect_replaced (0);
+}
+
+/* A quiet node is asked before a request goes there: the question is what is lost. */
+static void
+test_a_silent_connection_that_only_questions_meet_is_replaced (void **state)
+{
+  expect_replaced (QUIET_US);
+}
+
 int
 main (void)
 {
@@ -546,6 +561,8 @@
                                fleet_teardown),
     cmocka_unit_test_teardown (test_a_connection_that_goes_silent_is_replaced,
                                fleet_teardown),
+    cmocka_unit_test_teardown (
+        test_a_silent_connection_that_only_questions_meet_is_replaced, fleet_teardown),
     cmocka_unit_test_teardown (test_kills_freezes_and_broken_links_under_load,
                                fleet_teardown),
     cmocka_unit_test_teardown (test_two_thousand_overlapping_requests_get_their_own,
