--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -23,6 +23,9 @@
 /* Microseconds since an arbitrary origin; never goes back. */
 gint64 clock_now (Clock *clock);
 
+/* Processor time that the calling thread has used, in microseconds. */
+gint64 clock_thread_cpu (void);
+
 /* Moves a manual clock forward; a monotonic clock ignores it. */
 void clock_advance (Clock *clock, gint64 by_us);
 
--- a/core/src/base/clock.c
+++ b/core/src/base/clock.c
@@ -1,5 +1,7 @@
 #include <core/clock.h>
 
+#include <time.h>
+
 typedef struct
 {
   gint64 (*now) (Clock *clock);
@@ -76,3 +78,12 @@
 {
   clock->step_us = step_us;
 }
+
+gint64
+clock_thread_cpu (void)
+{
+  struct timespec now = { 0 };
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &now);
+  return now.tv_sec * SECOND_US + now.tv_nsec / 1000;
+}
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -222,6 +222,19 @@
     node->discovery = node->adapter->discovery_create (node);
 }
 
+/* Nobody got an answer meanwhile. */
+static void
+on_long_turn (const LoopTurn *turn, gpointer data)
+{
+  Node *node = data;
+  g_autofree char *cpu = g_strdup_printf ("%" G_GINT64_FORMAT, turn->cpu_us);
+  g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, turn->took_us);
+
+  metrics_add (node->metrics, METRIC_LONG_TURNS, 1);
+  metrics_raise (node->metrics, METRIC_LONGEST_TURN_US, (guint64)turn->cpu_us);
+  log_event (G_LOG_LEVEL_INFO, "turn-long", "CPU_US", cpu, "TOOK_US", took, NULL);
+}
+
 NodeRun *
 node_run_create (const Settings *settings,
                  const Adapter *adapter,
@@ -258,6 +271,7 @@
   if (create_listeners (run, error) && create_optional_listeners (node, error))
     {
       start_platform (node);
+      loop_set_turn_func (loop, on_long_turn, node);
       return run;
     }
   node_run_destroy (run);
@@ -269,6 +283,7 @@
 {
   Node *node = &run->node;
 
+  loop_set_turn_func (node->loop, NULL, NULL);
   /* What calls back goes first, then what would be called. */
   http_client_destroy (node->http);
   if (node->adapter->discovery_destroy)
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -35,6 +35,8 @@
   "switchmill_platform_calls_total",
   "switchmill_gossip_sent_bytes_total",
   "switchmill_gossip_received_bytes_total",
+  "switchmill_loop_long_turns_total",
+  "switchmill_loop_longest_turn_cpu_microseconds",
 };
 
 /* Upper bounds of the exposed buckets, in microseconds. */
@@ -83,6 +85,12 @@
   metrics->counters[metric] = value;
 }
 
+void
+metrics_raise (Metrics *metrics, Metric metric, guint64 value)
+{
+  metrics->counters[metric] = MAX (metrics->counters[metric], value);
+}
+
 guint64
 metrics_get (const Metrics *metrics, Metric metric)
 {
@@ -143,6 +151,14 @@
                           labels, histogram_count (stats->latency));
 }
 
+static const char *
+kind_name (Metric metric)
+{
+  return metric == METRIC_CONFIG_GENERATION || metric == METRIC_LONGEST_TURN_US
+             ? "gauge"
+             : "counter";
+}
+
 char *
 metrics_text (const Metrics *metrics, const Traffic *traffic)
 {
@@ -152,9 +168,8 @@
 
   for (guint i = 0; i < METRIC_COUNT; i++)
     g_string_append_printf (text, "# TYPE %s %s\n%s %" G_GUINT64_FORMAT "\n",
-                            counter_names[i],
-                            i == METRIC_CONFIG_GENERATION ? "gauge" : "counter",
-                            counter_names[i], metrics->counters[i]);
+                            counter_names[i], kind_name (i), counter_names[i],
+                            metrics->counters[i]);
   g_string_append (text, "# TYPE switchmill_requests_total counter\n"
                          "# TYPE switchmill_request_seconds histogram\n");
   g_hash_table_iter_init (&iter, metrics->classes);
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -31,6 +31,8 @@
   METRIC_PLATFORM_CALLS,
   METRIC_GOSSIP_SENT_BYTES,
   METRIC_GOSSIP_RECEIVED_BYTES,
+  METRIC_LONG_TURNS,
+  METRIC_LONGEST_TURN_US, /* of processor time, among the long ones */
   METRIC_COUNT
 } Metric;
 
@@ -39,6 +41,8 @@
 
 void metrics_add (Metrics *metrics, Metric metric, guint64 by);
 void metrics_set (Metrics *metrics, Metric metric, guint64 value);
+/* Sets it where the value is higher than what stands there. */
+void metrics_raise (Metrics *metrics, Metric metric, guint64 value);
 guint64 metrics_get (const Metrics *metrics, Metric metric);
 
 /* Notes a caller's request: how it came out, and how long it took. */
--- a/io/include/io/loop.h
+++ b/io/include/io/loop.h
@@ -23,6 +23,20 @@
 /* Runs before each wait; returns the longest wait it allows in microseconds, or -1. */
 typedef gint64 (*LoopPrepareFunc) (gpointer data);
 
+/* What a turn of the loop cost: all that ran between two waits. */
+typedef struct
+{
+  gint64 cpu_us;  /* of the loop's thread */
+  gint64 took_us; /* by the clock */
+} LoopTurn;
+
+typedef void (*LoopTurnFunc) (const LoopTurn *turn, gpointer data);
+
+/* A turn is long from here on: at a tenth of a core 20 ms of processor time are 200 ms in
+   which nobody else gets an answer. */
+#define LOOP_TURN_LONG_CPU_US (20 * MS_US)
+#define LOOP_TURN_LONG_US (100 * MS_US)
+
 /* The clock is borrowed. NULL when the machine gives no pollset. */
 Loop *loop_create (Clock *clock);
 void loop_destroy (Loop *loop);
@@ -35,6 +49,9 @@
 void loop_add_prepare (Loop *loop, LoopPrepareFunc func, gpointer data);
 void loop_remove_prepare (Loop *loop, gpointer data);
 
+/* Is told of each long turn at its end; NULL for nobody. */
+void loop_set_turn_func (Loop *loop, LoopTurnFunc func, gpointer data);
+
 /* Watches a descriptor, which stays the caller's to close, after loop_fd_destroy. */
 LoopFd *
 loop_fd_create (Loop *loop, int fd, LoopEvents events, LoopFdFunc func, gpointer data);
--- a/io/src/loop.c
+++ b/io/src/loop.c
@@ -43,6 +43,10 @@
   GArray *prepares;
   GPtrArray *dead; /* watches destroyed while events are handed out */
   gboolean quit;
+  LoopTurnFunc turn_func; /* NULL for nobody */
+  gpointer turn_data;
+  gint64 turn_began_us;
+  gint64 turn_began_cpu_us;
 };
 
 Loop *
@@ -168,6 +172,39 @@
     }
 }
 
+static void
+begin_turn (Loop *loop)
+{
+  if (loop->turn_func)
+    loop->turn_began_us = clock_now (loop->clock);
+}
+
+/* Waiting uses no processor time, so one reading ends this turn and begins the next. */
+static void
+end_turn (Loop *loop)
+{
+  gint64 cpu_us;
+  LoopTurn turn;
+
+  if (!loop->turn_func)
+    return;
+  cpu_us = clock_thread_cpu ();
+  turn.cpu_us = cpu_us - loop->turn_began_cpu_us;
+  turn.took_us = clock_now (loop->clock) - loop->turn_began_us;
+  loop->turn_began_cpu_us = cpu_us;
+  if (turn.cpu_us >= LOOP_TURN_LONG_CPU_US || turn.took_us >= LOOP_TURN_LONG_US)
+    loop->turn_func (&turn, loop->turn_data);
+}
+
+void
+loop_set_turn_func (Loop *loop, LoopTurnFunc func, gpointer data)
+{
+  loop->turn_func = func;
+  loop->turn_data = data;
+  loop->turn_began_cpu_us = clock_thread_cpu ();
+  begin_turn (loop);
+}
+
 void
 loop_run (Loop *loop)
 {
@@ -176,13 +213,17 @@
     {
       const apr_pollfd_t *ready = NULL;
       apr_int32_t count = 0;
+      apr_status_t status;
       gint64 wait;
 
       run_due_timers (loop);
       if (loop->quit)
         break;
       wait = longest_wait (loop);
-      if (apr_pollset_poll (loop->pollset, wait, &count, &ready) == APR_SUCCESS)
+      end_turn (loop);
+      status = apr_pollset_poll (loop->pollset, wait, &count, &ready);
+      begin_turn (loop);
+      if (status == APR_SUCCESS)
         hand_out (loop, ready, count);
       free_dead (loop);
     }
--- a/io/tests/test-loop.c
+++ b/io/tests/test-loop.c
@@ -92,12 +92,83 @@
   clock_destroy (clock);
 }
 
+/* What one turn does, and what is told of it. */
+typedef struct
+{
+  Fixture base;
+  gint64 cpu_us;
+  gint64 took_us;
+  guint told;
+  LoopTurn turn;
+} Turns;
+
+static void
+on_turn (const LoopTurn *turn, gpointer data)
+{
+  Turns *turns = data;
+
+  turns->told++;
+  turns->turn = *turn;
+}
+
+static void
+on_work (gpointer data)
+{
+  Turns *turns = data;
+  gint64 end_us = clock_thread_cpu () + turns->cpu_us;
+
+  while (clock_thread_cpu () < end_us)
+    ;
+  clock_advance (turns->base.clock, turns->took_us);
+  turns->cpu_us = turns->took_us = 0;
+  if (turns->base.fired++ > 0)
+    loop_quit (turns->base.loop);
+  else
+    loop_timer_start (turns->base.timer, 0);
+}
+
+/* One turn that costs so much, and one that costs nothing. */
+static Turns
+run_turns (gint64 cpu_us, gint64 took_us)
+{
+  Turns turns = { .cpu_us = cpu_us, .took_us = took_us };
+
+  turns.base.clock = clock_create_manual (0);
+  clock_set_step (turns.base.clock, 1); /* the second is due after the first turn */
+  turns.base.loop = loop_create (turns.base.clock);
+  turns.base.timer = loop_timer_create (turns.base.loop, on_work, &turns);
+  loop_set_turn_func (turns.base.loop, on_turn, &turns);
+  loop_timer_start (turns.base.timer, 0);
+  loop_run (turns.base.loop);
+  loop_timer_destroy (turns.base.timer);
+  loop_destroy (turns.base.loop);
+  clock_destroy (turns.base.clock);
+  return turns;
+}
+
+static void
+test_a_long_turn_is_told_and_no_other (void **state)
+{
+  Turns calm = run_turns (0, LOOP_TURN_LONG_US / 2);
+  Turns busy = run_turns (LOOP_TURN_LONG_CPU_US, 0);
+  Turns held = run_turns (0, LOOP_TURN_LONG_US);
+
+  assert_int_equal (calm.told, 0);
+  assert_int_equal (busy.told, 1);
+  assert_true (busy.turn.cpu_us >= LOOP_TURN_LONG_CPU_US);
+  assert_true (busy.turn.took_us < LOOP_TURN_LONG_US);
+  assert_int_equal (held.told, 1);
+  assert_true (held.turn.cpu_us < LOOP_TURN_LONG_CPU_US);
+  assert_true (held.turn.took_us >= LOOP_TURN_LONG_US);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_timer_due_between_two_readings_is_not_lost),
     cmocka_unit_test (test_timers_fire_by_time_and_can_be_moved_and_stopped),
+    cmocka_unit_test (test_a_long_turn_is_told_and_no_other),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
