--- /dev/null
+++ b/daemon/tests/test-config-sync.c
@@ -0,0 +1,175 @@
+/* When nodes read their configuration, on a clock of the test's. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "adapter.h"
+#include "config-sync.h"
+
+#define NODES 100u
+#define SPAN_S 120u
+#define STEP_US (100 * MS_US)
+/* What may read in one second, of those that started together. */
+#define TENTH (NODES / 10)
+#define POLLED_WITHIN_US (90 * SECOND_US)
+
+typedef struct
+{
+  Node node;
+  ConfigSync *sync;
+  guint reads;
+} Reader;
+
+typedef struct
+{
+  Clock *clock;
+  Loop *loop;
+  Reader readers[NODES];
+  guint reads[SPAN_S]; /* of all, in each second */
+  gint64 began_us;
+  guint polled_in_time; /* nodes with a second reading by then */
+} Fixture;
+
+/* The store of a fleet in which nothing is configured, and its count of readings. */
+static Fixture *fixture;
+
+static gpointer
+source_create (Node *node)
+{
+  return node;
+}
+
+static void
+source_destroy (gpointer source)
+{
+}
+
+static Reader *
+reader_of (const Node *node)
+{
+  for (guint i = 0; i < NODES; i++)
+    if (&fixture->readers[i].node == node)
+      return &fixture->readers[i];
+  return NULL;
+}
+
+static void
+source_read (gpointer source, ConfigReadDone done, gpointer data)
+{
+  static const ConfigReading nothing = { .outcome = CONFIG_READ_NONE };
+  Reader *reader = reader_of (source);
+  gint64 age_us = clock_now (fixture->clock) - fixture->began_us;
+
+  fixture->reads[MIN (age_us / SECOND_US, SPAN_S - 1)]++;
+  if (++reader->reads == 2 && age_us <= POLLED_WITHIN_US)
+    fixture->polled_in_time++;
+  done (&nothing, data);
+}
+
+/* Nothing ever changes, so it is never answered. */
+static void
+source_watch (gpointer source, ConfigReadDone done, gpointer data)
+{
+}
+
+static void
+source_part (gpointer source, const char *digest, ConfigPartDone done, gpointer data)
+{
+  done (NULL, data);
+}
+
+static const ConfigSource source = { source_create, source_destroy, source_read,
+                                     source_watch,  source_part,    TRUE };
+static const Adapter adapter = { .config = &source };
+
+/* Passes the time instead of waiting. */
+static gint64
+pass_time (gpointer data)
+{
+  clock_advance (fixture->clock, STEP_US);
+  if (clock_now (fixture->clock) - fixture->began_us >= SPAN_S * SECOND_US)
+    loop_quit (fixture->loop);
+  return 0;
+}
+
+static void
+reader_create (Reader *reader, guint32 seed)
+{
+  static const char *const nobody[] = { NULL };
+  static const Member self = { .node = "vm", .hall = "hall", .address = "127.0.0.1:1" };
+  Node *node = &reader->node;
+
+  node->adapter = &adapter;
+  node->clock = fixture->clock;
+  node->loop = fixture->loop;
+  node->rand = g_rand_new_with_seed (seed);
+  node->members =
+      members_create (&self, nobody, &members_timing_default, node->rand, node->clock);
+  reader->sync = node->config = config_sync_create (node);
+}
+
+static void
+reader_destroy (Reader *reader)
+{
+  config_sync_destroy (reader->sync);
+  members_destroy (reader->node.members);
+  g_rand_free (reader->node.rand);
+}
+
+static int
+setup (void **state)
+{
+  fixture = g_new0 (Fixture, 1);
+  fixture->began_us = SECOND_US;
+  fixture->clock = clock_create_manual (fixture->began_us);
+  fixture->loop = loop_create (fixture->clock);
+  loop_add_prepare (fixture->loop, pass_time, fixture);
+  for (guint i = 0; i < NODES; i++)
+    reader_create (&fixture->readers[i], i + 1);
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  for (guint i = 0; i < NODES; i++)
+    reader_destroy (&fixture->readers[i]);
+  loop_destroy (fixture->loop);
+  clock_destroy (fixture->clock);
+  g_free (fixture);
+  return 0;
+}
+
+/*
+ * 79 nodes that had started together all read their configuration of 4,200 routes from
+ * the store in the same second a minute later, although it was unchanged: the first wait
+ * before the poll was the same for all. 31.7 MB left the store in that second, and 111 of
+ * 189 requests were late, for each node was busy with what it had read: 145 ms of
+ * processor time, 1.5 s at a tenth of a core.
+ */
+static void
+test_nodes_that_start_together_poll_apart (void **state)
+{
+  guint most = 0;
+
+  loop_run (fixture->loop);
+  /* Each has to read once when it starts. */
+  assert_int_equal (fixture->reads[0], NODES);
+  for (guint second = 1; second < SPAN_S; second++)
+    most = MAX (most, fixture->reads[second]);
+  print_message ("%u of %u nodes read in one second\n", most, NODES);
+  assert_int_equal (fixture->polled_in_time, NODES);
+  assert_in_range (most, 1, TENTH);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
+                                     teardown),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
