Nodes that start together read the store apart

Cause: the first wait before the poll of the configuration was a minute at every node, only later ones were spread.

Change: the first wait is spread as the others are, from half a minute to one and a half. test_nodes_that_start_together_poll_apart: 100 of 100 nodes in one second before, 5 now; taken off KNOWN-RED.

--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -128,13 +128,22 @@
   sync->kind->read (sync->source_data, on_polled, sync);
 }
 
+/* The first wait too is spread: 79 nodes that had started together read 400 KB each in
+   the same second, and 111 of 189 requests of that second were late. */
 static void
-on_poll_timer (gpointer data)
+start_poll_timer (ConfigSync *sync)
 {
-  ConfigSync *sync = data;
   double jitter = g_rand_double_range (sync->node->rand, 0.5, 1.5);
 
   loop_timer_start (sync->poll, (gint64)(POLL_EVERY_US * jitter));
+}
+
+static void
+on_poll_timer (gpointer data)
+{
+  ConfigSync *sync = data;
+
+  start_poll_timer (sync);
   config_sync_poll (sync);
 }
 
@@ -214,7 +223,7 @@
   sync->fetch = loop_timer_create (node->loop, config_fetch_batch, sync);
   loop_timer_start (sync->start, 0);
   loop_timer_start (sync->watch, WATCH_SETTLE_US);
-  loop_timer_start (sync->poll, POLL_EVERY_US);
+  start_poll_timer (sync);
   return sync;
 }
 
