Rumours and attempt names stand apart; peers and path probes no circle

Cause: peers.c included gossip.h for one conversion of a member and path-probe.h for one call, while gossip and path-probe include peers.h; request-log.h served the sidecar's submission.c for one name, and with it brought the whole exchange; exchange-private.h included the exchange's own interface, so that request-log and exchange included each other.

Ruled out: a header that all parts share (it would only hide who needs whom).

Change: member/rumour.[ch] has members as words on the wire and back, and takes the membership alone; peers tell of unanswered nodes by a callback that the path probes set; request/attempt-name.[ch] has the name that both ends write; exchange-private.h includes what it needs in place of exchange.h. No change of behaviour.

--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -4,6 +4,7 @@
 #include "gossip.h"
 #include "log.h"
 #include "peers.h"
+#include "rumour.h"
 #include "sidecar.h"
 
 /* Whether a caller's own words name a member that is there, or one that is new. */
@@ -12,7 +13,7 @@
 {
   const Member *member;
 
-  gossip_merge_rumour (node, from);
+  rumour_merge (node->members, from);
   member = members_find (node->members, from->node);
   return member && member->incarnation == from->incarnation && members_is_alive (member);
 }
--- a/daemon/src/member/gossip-repair.c
+++ b/daemon/src/member/gossip-repair.c
@@ -1,6 +1,7 @@
 #include "gossip-private.h"
 
 #include "peers.h"
+#include "rumour.h"
 
 #define REPAIR_TIMEOUT_US (5 * SECOND_US)
 /* A comparison of views that waits for its session. */
@@ -22,7 +23,7 @@
   if (outcome != RPC_OK)
     return;
   for (guint i = 0; i < res->rumours.rumours_len; i++)
-    gossip_merge_rumour (gossip->node, &res->rumours.rumours_val[i]);
+    rumour_merge (gossip->node->members, &res->rumours.rumours_val[i]);
 }
 
 /* Compares the views with a node that a session has been opened with. */
@@ -74,5 +75,5 @@
   res->rumours.rumours_val = g_new0 (sw_rumour, count + 1);
   res->rumours.rumours_len = count;
   for (guint i = 0; i < count; i++)
-    gossip_fill_rumour (g_ptr_array_index (members, i), &res->rumours.rumours_val[i]);
+    rumour_fill (g_ptr_array_index (members, i), &res->rumours.rumours_val[i]);
 }
--- a/daemon/src/member/gossip.h
+++ b/daemon/src/member/gossip.h
@@ -13,12 +13,6 @@
 Gossip *gossip_create (Node *node, GError **error);
 void gossip_destroy (Gossip *gossip);
 
-/* A member as a rumour whose texts are borrowed from it. */
-void gossip_fill_rumour (const Member *member, sw_rumour *rumour);
-
-/* Takes a rumour in; TRUE when it was news. */
-gboolean gossip_merge_rumour (Node *node, const sw_rumour *rumour);
-
 /* Tells a few members of each hall at once, rather than with the next probe. */
 void gossip_push (Gossip *gossip);
 
--- a/daemon/src/member/path-probe.c
+++ b/daemon/src/member/path-probe.c
@@ -107,6 +107,12 @@
   loop_timer_start (probe->timer, PROBE_EVERY_US);
 }
 
+static void
+on_unanswered (const char *vm, gpointer data)
+{
+  path_probes_begin (data, vm);
+}
+
 PathProbes *
 path_probes_create (Node *node)
 {
@@ -114,6 +120,7 @@
 
   probes->node = node;
   probes->by_vm = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, probe_free);
+  peers_set_unanswered (node->peers, on_unanswered, probes);
   return probes;
 }
 
--- a/daemon/src/member/path-probe.h
+++ b/daemon/src/member/path-probe.h
@@ -7,6 +7,7 @@
 
 #include "node.h"
 
+/* The node's peers tell it of nodes that do not answer: it outlives them. */
 PathProbes *path_probes_create (Node *node);
 void path_probes_destroy (PathProbes *probes);
 
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -2,9 +2,8 @@
 
 #include <string.h>
 
-#include "gossip.h"
 #include "log.h"
-#include "path-probe.h"
+#include "rumour.h"
 
 /* A reading older than this is renewed, long before the fence's window is over. */
 #define READING_MAX_AGE_US (30 * SECOND_US)
@@ -36,6 +35,8 @@
   Node *node;
   GHashTable *table; /* vm → Peer */
   gboolean closing;  /* calls that are dropped must not lead to new ones */
+  PeersUnanswered unanswered;
+  gpointer unanswered_data;
 };
 
 static const RpcProcedure ping = { SW_NULL, wire_void, wire_void, 0 };
@@ -73,6 +74,13 @@
   g_free (peers);
 }
 
+void
+peers_set_unanswered (Peers *peers, PeersUnanswered unanswered, gpointer data)
+{
+  peers->unanswered = unanswered;
+  peers->unanswered_data = data;
+}
+
 static Peer *
 find_peer (const Peers *peers, const char *vm)
 {
@@ -181,8 +189,8 @@
   balancer_note_path (peers->node->balancer, opening->vm, outcome == RPC_OK && !other);
   if (other && !peers->closing)
     note_other (peers->node, opening->vm, res->stamp.node);
-  if (outcome != RPC_OK && outcome != RPC_DENIED && !peers->closing)
-    path_probes_begin (peers->node->paths, opening->vm);
+  if (outcome != RPC_OK && outcome != RPC_DENIED && !peers->closing && peers->unanswered)
+    peers->unanswered (opening->vm, peers->unanswered_data);
   if (peer && outcome == RPC_OK && res->welcome && !other)
     {
       peer->open = TRUE;
@@ -248,7 +256,7 @@
   opening->vm = g_strdup (peer->vm);
   opening->opened = opened;
   opening->data = data;
-  gossip_fill_rumour (members_self (peers->node->members), &args.from);
+  rumour_fill (members_self (peers->node->members), &args.from);
   count_sent (peers->node, peer->vm, &hello,
               rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening));
 }
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -19,6 +19,10 @@
 Peers *peers_create (Node *node);
 void peers_destroy (Peers *peers);
 
+/* What is told of each node that could not be asked for a session. */
+typedef void (*PeersUnanswered) (const char *vm, gpointer data);
+void peers_set_unanswered (Peers *peers, PeersUnanswered unanswered, gpointer data);
+
 /* Runs once, perhaps inside peers_open; `stamp` is NULL when the node cannot be reached.
  */
 typedef void (*PeersOpened) (const PeerStamp *stamp, gpointer data);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -7,13 +7,15 @@
 #ifndef DAEMON_EXCHANGE_PRIVATE_H
 #define DAEMON_EXCHANGE_PRIVATE_H
 
+#include <core/config.h>
 #include <core/dispatch.h>
 #include <core/latency.h>
 #include <core/placement.h>
+#include <io/http-server.h>
 
 #include "adapter.h"
-#include "exchange.h"
 #include "peer-watch.h"
+#include "ticket.h"
 
 typedef struct Exchange Exchange;
 typedef struct Attempt Attempt;
@@ -63,7 +65,7 @@
 
 struct Exchange
 {
-  Exchanges *owner;
+  struct Exchanges *owner;
   HttpRequest *request;
   char *id;           /* the caller's own, NULL for none */
   Snapshot *snapshot; /* holds the route alive */
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -1,8 +1,9 @@
-#include "exchange-private.h"
+#include "exchange.h"
 
 #include <core/http-status.h>
 
 #include "answer.h"
+#include "exchange-private.h"
 #include "peers.h"
 #include "request-log.h"
 
--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -2,16 +2,9 @@
 
 #include <core/http-status.h>
 
+#include "attempt-name.h"
 #include "log.h"
 
-char *
-request_log_attempt_name (const sw_attempt *attempt)
-{
-  return g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x",
-                          attempt->node ? attempt->node : "",
-                          (guint64)attempt->incarnation, (guint64)attempt->counter);
-}
-
 /* NULL before the first attempt has its name, which it gets from the node it goes to. */
 static char *
 own_attempt_name (const Attempt *attempt)
@@ -23,7 +16,7 @@
   words.node = attempt->id.node;
   words.incarnation = attempt->id.incarnation;
   words.counter = attempt->id.counter;
-  return request_log_attempt_name (&words);
+  return attempt_name_text (&words);
 }
 
 static const char *
--- a/daemon/src/request/request-log.h
+++ b/daemon/src/request/request-log.h
@@ -8,9 +8,6 @@
 
 #include "exchange-private.h"
 
-/* An attempt's name, as it stands in all lines about it; the caller frees it. */
-char *request_log_attempt_name (const sw_attempt *attempt);
-
 /* An attempt goes out. */
 void request_log_attempt (const Attempt *attempt);
 /* It has ended, or nobody waits for it any more. `res` is NULL without an answer. */
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -6,9 +6,9 @@
 #include <wire/convert.h>
 
 #include "adapter.h"
+#include "attempt-name.h"
 #include "log.h"
 #include "peers.h"
-#include "request-log.h"
 
 /* Completes an answer with the sidecar's stamp and the target's state, and sends it. */
 static void
@@ -151,7 +151,7 @@
 {
   g_autofree char *status = g_strdup_printf ("%u", result->status);
   g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, result->took_us);
-  g_autofree char *attempt = request_log_attempt_name (&submission->args.attempt);
+  g_autofree char *attempt = attempt_name_text (&submission->args.attempt);
 
   log_event (G_LOG_LEVEL_INFO, "target-failed", "ATTEMPT", attempt, "TARGET",
              submission->target->name, "EVEN_SICK",
