The process tests of requests are a file a subject

Cause: tests/proc/test-requests.c had grown to 580 lines with four subjects.

Change: test-requests.c keeps whole and own answers, at most once and faults under load (the tests that docs/PROOFS.md names there); test-hostile.c callers that send what is no request, test-tickets.c tickets, test-paths.c silent nodes and connections; requests-fleet.[ch] has the fleet and the expectation that all of them use. The line of scripts/teeth.txt whose test has moved names its new program.

--- /dev/null
+++ b/tests/proc/test-paths.c
@@ -0,0 +1,127 @@
+/*
+ * Nodes that stand still and connections that go silent: what may not be repeated is not
+ * sent there, and a connection that has gone silent is replaced.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <signal.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "requests-fleet.h"
+
+#define SLOTS REQUESTS_SLOTS
+/* After so long without a word a node counts as quiet (50 ms, attempt-send.c). */
+#define QUIET_US 200000
+/* A wait that never ends is a failure; how long it takes is not measured here. */
+#define SILENT_TRIES 1000u
+#define SILENT_PAUSE_US 20000
+
+/* A node that has just gone takes nothing with it that may not be repeated: it is asked
+   before the request travels. */
+static void
+test_nothing_unrepeatable_is_sent_to_a_node_that_has_gone (void **state)
+{
+  /* The first and the last are of one data hall. */
+  Fleet *fleet = requests_start (4, 2);
+
+  for (guint round = 0; round < 3; round++)
+    {
+      for (guint i = 0; i < 10; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("before-%u-%u", round, i);
+
+          requests_expect (fleet, "POST", "/pay", id, "done", NULL);
+        }
+      fleet_signal_node (fleet, 3, SIGSTOP);
+      g_usleep (QUIET_US);
+      for (guint i = 0; i < 10; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("gone-%u-%u", round, i);
+          g_autoptr (Answer) answer = fleet_call (fleet, 0, "POST", "/pay", id, "fee=12");
+
+          if (strcmp (answer->outcome, "unknown") == 0)
+            fail_msg ("%s: %ld %s", id, answer->status, answer->body);
+        }
+      fleet_signal_node (fleet, 3, SIGCONT);
+      fleet_await (fleet, 0, "$.services[0].slots_in_service", 4 * SLOTS);
+    }
+  fleet_destroy (fleet);
+}
+
+static guint
+runs_of (Fleet *fleet, guint target)
+{
+  g_autofree char *ids = fleet_ids (fleet, target);
+
+  return (guint)strlen (ids);
+}
+
+/* The connections to a node go silent without an end, and new ones would work; the first
+   request after that comes so much later. */
+static void
+expect_replaced (gulong pause_us)
+{
+  Fleet *fleet = fleet_create (4);
+  g_autofree char *intent = fleet_intent (fleet, SLOTS, 0, NULL);
+  guint before;
+
+  fleet_start_relay (fleet, 3);
+  fleet_start (fleet, SLOTS, 2);
+  assert_int_equal (fleet_apply (fleet, 0, intent, FALSE), 200);
+  for (guint i = 0; i < 4; i++)
+    fleet_await (fleet, i, "$.generation", 1);
+  for (guint i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("before-%u", i);
+
+      requests_expect (fleet, "POST", "/pay", id, "done", NULL);
+    }
+  fleet_control_relay (fleet, 3, "hush=1");
+  g_usleep (pause_us);
+  before = runs_of (fleet, 3);
+  assert_true (before > 0);
+  for (guint i = 0; i < SILENT_TRIES && runs_of (fleet, 3) == before; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("after-%u", i);
+      g_autoptr (Answer) answer = fleet_call (fleet, 0, "POST", "/pay", id, "fee=12");
+
+      assert_string_not_equal (answer->outcome, "unknown");
+      g_usleep (SILENT_PAUSE_US);
+    }
+  assert_true (runs_of (fleet, 3) > before);
+  fleet_destroy (fleet);
+}
+
+static void
+test_a_connection_that_goes_silent_is_replaced (void **state)
+{
+  expect_replaced (0);
+}
+
+/* A quiet node is asked before a request goes there: the question is what is lost. */
+static void
+test_a_silent_connection_that_only_questions_meet_is_replaced (void **state)
+{
+  expect_replaced (QUIET_US);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (test_nothing_unrepeatable_is_sent_to_a_node_that_has_gone,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (test_a_connection_that_goes_silent_is_replaced,
+                               fleet_teardown),
+    cmocka_unit_test_teardown (
+        test_a_silent_connection_that_only_questions_meet_is_replaced, fleet_teardown),
+  };
+
+  signal (SIGPIPE, SIG_IGN);
+  cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
