The process tests' harness is a file a subject

Cause: tests/proc/fleet.c had grown to 544 lines: processes, settings, stand-ins' controls, configuration and status in one file.

Change: fleet.c keeps the fleet's life and where its parts listen; fleet-process.c has processes and signals, fleet-start.c the start of each part, fleet-settings.c the nodes' settings, fleet-standins.c what stand-ins are told and tell, fleet-operator.c plans and status; fleet-private.h what they share.

--- /dev/null
+++ b/tests/proc/fleet-process.c
@@ -0,0 +1,113 @@
+#include "fleet-private.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+char *
+fleet_program (const char *name)
+{
+  const char *build = g_getenv ("SWITCHMILL_BUILD");
+
+  return g_build_filename (build ? build : "build", name, NULL);
+}
+
+/* A test that ends in any way, by a signal too, takes its processes with it. */
+static void
+end_with_the_test (gpointer data)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+GPid
+fleet_spawn (Fleet *fleet, const char *log_name, char **words)
+{
+  g_autofree char *log = fleet_path (fleet, log_name);
+  g_autoptr (GError) error = NULL;
+  int fd = g_open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  GPid pid = 0;
+
+  if (!g_spawn_async_with_fds (NULL, words, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                               end_with_the_test, NULL, &pid, -1, fd, fd, &error))
+    fail_msg ("%s", error->message);
+  close (fd);
+  return pid;
+}
+
+void
+fleet_end (GPid *pid)
+{
+  if (!*pid)
+    return;
+  kill (*pid, SIGKILL);
+  waitpid (*pid, NULL, 0);
+  *pid = 0;
+}
+
+void
+fleet_await_port (const char *address, const char *path)
+{
+  for (guint i = 0; i < FLEET_WAIT_TRIES; i++)
+    {
+      g_autoptr (Answer) answer = fleet_http (address, "GET", path, NULL, NULL);
+
+      if (answer->status)
+        return;
+      g_usleep (FLEET_POLL_US);
+    }
+  fail_msg ("nothing listens on %s", address);
+}
+
+void
+fleet_signal_node (Fleet *fleet, guint i, int signal)
+{
+  /* Process 0 would be this process's whole group. */
+  if (!fleet->node_pids[i])
+    return;
+  kill (fleet->node_pids[i], signal);
+  if (signal == SIGKILL)
+    fleet_end (&fleet->node_pids[i]);
+}
+
+void
+fleet_kill_target (Fleet *fleet, guint i)
+{
+  fleet_end (&fleet->targets[i]);
+}
+
+void
+fleet_signal_target (Fleet *fleet, guint i, int signal)
+{
+  if (fleet->targets[i])
+    kill (fleet->targets[i], signal);
+}
+
+gboolean
+fleet_node_ended (Fleet *fleet, guint i, int *code)
+{
+  int status = 0;
+
+  if (!fleet->node_pids[i] || waitpid (fleet->node_pids[i], &status, WNOHANG) <= 0)
+    return FALSE;
+  fleet->node_pids[i] = 0;
+  *code = WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+  return TRUE;
+}
+
+int
+fleet_wait_node (Fleet *fleet, guint i)
+{
+  int status = 0;
+
+  waitpid (fleet->node_pids[i], &status, 0);
+  fleet->node_pids[i] = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
