--- /dev/null
+++ b/standins/src/target-faults.c
@@ -0,0 +1,42 @@
+#include "target-faults.h"
+
+#include <core/clock.h>
+
+#include <string.h>
+
+#include "target-query.h"
+
+static const char *const answer_names[] = { "whole",  "truncated", "long", "crossed",
+                                            "silent", "hangup",    "half", "refused",
+                                            "busy",   NULL };
+
+gboolean
+target_faults_on (const TargetFaults *faults, gint64 now_us)
+{
+  if (faults->flap_us == 0)
+    return TRUE;
+  return (now_us / faults->flap_us) % 2 == 0;
+}
+
+static gint64
+milliseconds (const char *path, const char *key, gint64 fallback_us)
+{
+  return target_query_number (path, key, fallback_us / MS_US) * MS_US;
+}
+
+void
+target_faults_set (TargetFaults *faults, const char *path)
+{
+  g_autofree char *kind = target_query_text (path, "answer");
+
+  faults->latency_us = milliseconds (path, "latency_ms", faults->latency_us);
+  faults->error_percent =
+      (guint)target_query_number (path, "error_percent", faults->error_percent);
+  faults->slow_percent =
+      (guint)target_query_number (path, "slow_percent", faults->slow_percent);
+  faults->slow_us = milliseconds (path, "slow_ms", faults->slow_us);
+  faults->flap_us = milliseconds (path, "flap_ms", faults->flap_us);
+  for (guint i = 0; kind && answer_names[i]; i++)
+    if (strcmp (answer_names[i], kind) == 0)
+      faults->answer = i;
+}
