What a dispatch makes of an end stands once

Cause: dispatch_sent and dispatch_asked (core/src/request/dispatch.c) each had the same five cases (whole answer, fault, refusal, failure, no certainty).

Change: settled has them; the two keep what they answer differently, with each report named in place of a default. No change of behaviour: all eight reports lead where they led.

--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -242,11 +242,9 @@
   dispatch->may_have_run |= report != DISPATCH_REFUSED;
 }
 
-DispatchStep
-dispatch_sent (Dispatch *dispatch,
-               DispatchReport report,
-               Reason reason,
-               gint64 retry_after_us)
+/* What an attempt came to, by its own answer or by the fence's. */
+static DispatchStep
+settled (Dispatch *dispatch, DispatchReport report, Reason reason, gint64 retry_after_us)
 {
   switch (report)
     {
@@ -256,17 +254,30 @@
       return faulted (dispatch, reason);
     case DISPATCH_REFUSED:
       return refused (dispatch, reason, retry_after_us);
+    default:
+      return failed (dispatch, reason);
+    }
+}
+
+DispatchStep
+dispatch_sent (Dispatch *dispatch,
+               DispatchReport report,
+               Reason reason,
+               gint64 retry_after_us)
+{
+  switch (report)
+    {
     case DISPATCH_UNSENT:
       /* That this request never left says nothing of an earlier one of its ticket. */
       return dispatch->policy.pinned ? ask (dispatch)
                                      : refused (dispatch, REASON_UNREACHABLE, 0);
-    case DISPATCH_FAILED:
-    case DISPATCH_UNSURE:
-      return failed (dispatch, reason);
-    default:
+    case DISPATCH_STARTED:
+    case DISPATCH_LOST:
       if (dispatch->policy.repeatable)
         return failed (dispatch, REASON_LOST);
       return ask (dispatch);
+    default:
+      return settled (dispatch, report, reason, retry_after_us);
     }
 }
 
@@ -289,21 +300,15 @@
 {
   switch (report)
     {
-    case DISPATCH_DONE:
-      return answer (dispatch, OUTCOME_DONE, REASON_NONE);
-    case DISPATCH_FAULT:
-      return faulted (dispatch, reason);
-    case DISPATCH_REFUSED:
-      return refused (dispatch, reason, retry_after_us);
     case DISPATCH_STARTED:
       if (remaining (dispatch) <= 0)
         return answer (dispatch, OUTCOME_UNKNOWN, REASON_TIMEOUT);
       return ask (dispatch);
-    case DISPATCH_FAILED:
-    case DISPATCH_UNSURE:
-      return failed (dispatch, reason);
-    default:
+    case DISPATCH_UNSENT:
+    case DISPATCH_LOST:
       return pause_before_ask (dispatch);
+    default:
+      return settled (dispatch, report, reason, retry_after_us);
     }
 }
 
