Numbers and checked texts of JSON members are asked for in one way

Cause: json_view_floor and json_view_double had the same refusal of what is no number; names_required and names_required_address the same fault but for its words.

Change: ask_number and required have them. No change of behaviour or of any message.

--- a/core/src/base/json-view.c
+++ b/core/src/base/json-view.c
@@ -281,19 +281,26 @@
           json_node_get_value_type (node) == G_TYPE_DOUBLE);
 }
 
+/* A member that is a number; NULL where it is missing, or a fault. */
+static JsonNode *
+ask_number (JsonView *view, const char *key)
+{
+  JsonNode *node = ask (view, key);
+
+  if (!node || holds_number (node))
+    return node;
+  fault_at (view, key, "must be a number");
+  return NULL;
+}
+
 gint64
 json_view_floor (JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback)
 {
-  JsonNode *node = ask (view, key);
+  JsonNode *node = ask_number (view, key);
   double value;
 
   if (!node)
     return fallback;
-  if (!holds_number (node))
-    {
-      fault_at (view, key, "must be a number");
-      return fallback;
-    }
   if (json_node_get_value_type (node) == G_TYPE_INT64)
     return CLAMP (json_node_get_int (node), min, max);
   value = json_node_get_double (node);
@@ -307,17 +314,12 @@
 json_view_double (
     JsonView *view, const char *key, double min, double max, double fallback)
 {
-  JsonNode *node = ask (view, key);
+  JsonNode *node = ask_number (view, key);
   g_autofree char *what = NULL;
   double value;
 
   if (!node)
     return fallback;
-  if (!holds_number (node))
-    {
-      fault_at (view, key, "must be a number");
-      return fallback;
-    }
   value = json_node_get_double (node);
   if (value >= min && value <= max)
     return value;
--- a/core/src/base/names.c
+++ b/core/src/base/names.c
@@ -16,20 +16,31 @@
   return TRUE;
 }
 
-const char *
-names_required (JsonView *view, const char *key)
+/* A text that is there and passes `is_valid`; "" where it is not, with a fault. */
+static const char *
+required (JsonView *view,
+          const char *key,
+          gsize max,
+          gboolean (*is_valid) (const char *text),
+          const char *fault)
 {
-  const char *text = json_view_required (view, key, NAME_MAX_LEN);
+  const char *text = json_view_required (view, key, max);
   g_autofree char *path = NULL;
 
-  if (!*text || names_valid (text))
+  if (!*text || is_valid (text))
     return text;
   path = g_strdup_printf ("%s.%s", json_view_path (view), key);
-  json_faults_add (json_view_faults (view), path,
-                   "may hold letters, digits, '.', '_' and '-' only");
+  json_faults_add (json_view_faults (view), path, "%s", fault);
   return "";
 }
 
+const char *
+names_required (JsonView *view, const char *key)
+{
+  return required (view, key, NAME_MAX_LEN, names_valid,
+                   "may hold letters, digits, '.', '_' and '-' only");
+}
+
 gboolean
 names_address_valid (const char *text)
 {
@@ -48,12 +59,6 @@
 const char *
 names_required_address (JsonView *view, const char *key)
 {
-  const char *text = json_view_required (view, key, ADDRESS_MAX_LEN);
-  g_autofree char *path = NULL;
-
-  if (!*text || names_address_valid (text))
-    return text;
-  path = g_strdup_printf ("%s.%s", json_view_path (view), key);
-  json_faults_add (json_view_faults (view), path, "must be an IP number and a port");
-  return "";
+  return required (view, key, ADDRESS_MAX_LEN, names_address_valid,
+                   "must be an IP number and a port");
 }
