--- a/tests/proc/test-operations.c
+++ b/tests/proc/test-operations.c
@@ -104,6 +104,28 @@
   fleet_destroy (fleet);
 }
 
+/* The targets answer all the while, also while the last answers of the stop go out. */
+static void
+test_what_a_stop_cuts_is_over (void **state)
+{
+  Fleet *fleet = start_fleet (1, 0, 500);
+  GPid load = fleet_load (fleet, 1, "-c pay:POST:/pay:1:100 -r 18 -t 2");
+  g_autofree char *path = fleet_path (fleet, "log");
+  g_autofree char *log = NULL;
+
+  g_usleep (900000);
+  fleet_signal_node (fleet, 0, SIGINT);
+  fleet_signal_node (fleet, 0, SIGINT);
+  g_usleep (50000);
+  fleet_signal_node (fleet, 0, SIGINT);
+  assert_int_equal (fleet_wait_node (fleet, 0), 3);
+  fleet_join (fleet, load);
+  assert_true (g_file_get_contents (path, &log, NULL, NULL));
+  assert_null (strstr (log, "assertion"));
+  assert_non_null (strstr (log, "\"reason\":\"draining\""));
+  fleet_destroy (fleet);
+}
+
 /* A supervisor may stop a node for two reasons at once. */
 static void
 test_a_second_term_cuts_nothing (void **state)
@@ -402,6 +424,7 @@
                                fleet_teardown),
     cmocka_unit_test_teardown (test_planned_stop_cuts_nothing, fleet_teardown),
     cmocka_unit_test_teardown (test_hurried_stop_says_what_it_cut, fleet_teardown),
+    cmocka_unit_test_teardown (test_what_a_stop_cuts_is_over, fleet_teardown),
     cmocka_unit_test_teardown (test_a_second_term_cuts_nothing, fleet_teardown),
     cmocka_unit_test_teardown (test_drained_target_gets_no_new_work, fleet_teardown),
     cmocka_unit_test_teardown (test_departure_by_the_lagging_list, fleet_teardown),
