A request that a stop has cut is over

Cause: exchanges_cut answered what was left and let it live on while the last answers go out (0.2 s). It left no line in the log, either. Ruled out: freeing each at once; a question to a fence or for a ticket calls back with the exchange, which is then kept until it does. Change: a cut request is answered as any other that is given up (log line, metrics, cancellation at the sidecars) and ends; nothing is begun for it.

--- a/daemon/src/request/exchange-call.c
+++ b/daemon/src/request/exchange-call.c
@@ -12,6 +12,7 @@
   DispatchReport report;
   DispatchStep step;
 
+  exchange->asking = FALSE;
   attempt_note_path (attempt, outcome);
   if (outcome == RPC_OK)
     attempt_note_answer (attempt, res);
@@ -51,6 +52,7 @@
     }
   if (stamp->incarnation != attempt->stamp.incarnation)
     {
+      exchange->asking = FALSE;
       step = dispatch_asked (exchange->dispatch, DISPATCH_UNSURE, REASON_INCARNATION, 0);
       exchange_carry_out (exchange, &step);
       return;
@@ -72,6 +74,7 @@
 
   attempt->wait_us = step->wait_us;
   attempt->hold_us = step->hold_us;
+  exchange->asking = TRUE;
   metrics_add (node->metrics, METRIC_FENCE_QUESTIONS, 1);
   peers_open (node->peers, attempt->target->vm, step->wait_us, on_session_to_ask,
               exchange);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -83,6 +83,8 @@
   LoopTimer *hedge_timer;
   guint hedges;       /* that were asked for */
   gboolean abandoned; /* the caller has hung up */
+  gboolean asking;    /* a question is on its way that calls back with the exchange */
+  gboolean cut;       /* a stop has answered it; it ends when the question does */
   sw_answer answer;   /* owned once the outcome is "done" */
 };
 
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -39,8 +39,9 @@
     attempt_cancel (exchange->attempt);
 }
 
+/* Answers the caller, for the last time. */
 static void
-finish (Exchange *exchange, const DispatchStep *step)
+answer (Exchange *exchange, const DispatchStep *step)
 {
   Node *node = exchange->owner->node;
   const Dialect *dialect = node->adapter->dialect;
@@ -56,6 +57,12 @@
     answer_pass (dialect, exchange->request, &exchange->answer);
   else
     answer_give_up (dialect, exchange->request, exchange->id, &verdict);
+}
+
+static void
+finish (Exchange *exchange, const DispatchStep *step)
+{
+  answer (exchange, step);
   exchange_free (exchange);
 }
 
@@ -92,6 +99,11 @@
 void
 exchange_carry_out (Exchange *exchange, const DispatchStep *step)
 {
+  if (exchange->cut)
+    {
+      exchange_free (exchange);
+      return;
+    }
   if (exchange->abandoned && step->kind != DISPATCH_ANSWER)
     {
       abandon (exchange);
@@ -201,6 +213,11 @@
   g_autoptr (GArray) headers = NULL;
   g_autofree char *text = NULL;
 
+  if (exchange->cut)
+    {
+      exchange_free (exchange);
+      return;
+    }
   if (!stamp)
     {
       answer_error (node->adapter->dialect, exchange->request, exchange->id,
@@ -235,6 +252,7 @@
   attempt->targets = snapshot_ref (order->snapshot);
   attempt->service = order->service;
   attempt->target = choice.target;
+  exchange->asking = choice.target != NULL;
   if (choice.target)
     peers_open (exchanges->node->peers, choice.target->vm, TICKET_TIMEOUT_US,
                 on_ticket_session, exchange);
@@ -242,22 +260,41 @@
     on_ticket_session (NULL, exchange);
 }
 
+/*
+ * Nothing more is begun for a request that has been answered, which may have been told
+ * that nothing ran. What is asked about it calls back, and ends it then.
+ */
+static void
+cut (Exchange *exchange)
+{
+  gboolean sent = exchange->ticket || dispatch_attempts (exchange->dispatch) > 0;
+  DispatchStep step = { .kind = DISPATCH_ANSWER,
+                        .outcome = sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+                        .reason = REASON_DRAINING,
+                        .retry_after_us = SECOND_US };
+
+  answer (exchange, &step);
+  loop_timer_stop (exchange->timer);
+  exchange->cut = TRUE;
+  if (!exchange->asking)
+    exchange_free (exchange);
+}
+
 guint
 exchanges_cut (Exchanges *exchanges)
 {
-  GHashTableIter iter;
-  gpointer key;
+  g_autoptr (GList) all = g_hash_table_get_keys (exchanges->set);
+  guint count = 0;
 
-  g_hash_table_iter_init (&iter, exchanges->set);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
+  for (GList *item = all; item; item = item->next)
     {
-      const Exchange *exchange = key;
-      gboolean sent = exchange->ticket || dispatch_attempts (exchange->dispatch) > 0;
-      Verdict verdict = { sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, REASON_DRAINING,
-                          SECOND_US };
+      Exchange *exchange = item->data;
 
-      answer_give_up (exchanges->node->adapter->dialect, exchange->request, exchange->id,
-                      &verdict);
+      /* A cancellation may find a path closed, which ends others. */
+      if (!g_hash_table_contains (exchanges->set, exchange) || exchange->cut)
+        continue;
+      count++;
+      cut (exchange);
     }
-  return g_hash_table_size (exchanges->set);
+  return count;
 }
