A stop gives up callers' requests sooner when its target begins to leave

Cause (LOST, 0.47 s after a SIGTERM that the process never got): a node is told to stop by a plan that stops nodes in turn; while it stops, its target is told to leave by another plan, ends, and the node is told to stop again, 5.0 s after the target's notice. Ruled out: two rolling stops (the second passes over what stops already: no rule broken at offsets of 0.7 to 5.5 s); a later cut (killed at 13.0 s); a cut at five sixths in every stop (the pair 26.3 and 27.0 s needs a late one, and all other callers would lose 0.7 s). Change: when the node's own target begins to leave during the stop, the callers' requests are given up at the start of the last sixth by the first order, before the second can come; the target's own work runs on to the end. In all other stops nothing changes.

--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -65,6 +65,7 @@
   gint64 read_us;
   gint64 idle_us;   /* a caller's connection that rests longer is closed */
   gint64 stop_us;   /* a planned stop takes no longer */
+  gint64 yield_us;  /* from here on it may give up what is left; at most stop_us */
   gint64 linger_us; /* after SIGTERM, callers are served on for so long */
   gint64 fence_window_us;
   guint fence_entries_max;
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -18,6 +18,8 @@
 #define STOP_MARGIN_DIVISOR 20
 #define STOP_MARGIN_MIN_US 300000
 #define STOP_MARGIN_MAX_US 700000
+/* Work that still runs may be cut in the last sixth of the grace, and not before. */
+#define STOP_YIELD_PARTS 6
 #define GRACE_MAX_S 3600.0
 /* The users' span over which retries are counted, and the longest that is taken. */
 #define RETRY_WINDOW_DEFAULT_S 10.0
@@ -119,6 +121,9 @@
 
   settings->linger_us = 1000 * json_view_int (limits, "linger_ms", 0, 3600000, 0);
   settings->stop_us = grace_us > 0 ? grace_us - stop_margin_us (grace_us) : stop_us;
+  settings->yield_us =
+      grace_us > 0 ? MIN (settings->stop_us, grace_us - grace_us / STOP_YIELD_PARTS)
+                   : stop_us;
   /* Requests taken at the end of the lingering need time to be answered. */
   settings->linger_us = MIN (settings->linger_us, settings->stop_us / 2);
 }
--- a/core/tests/test-settings.c
+++ b/core/tests/test-settings.c
@@ -92,6 +92,26 @@
   json_faults_destroy (faults);
 }
 
+static void
+test_a_stop_may_yield_from_the_last_sixth_on (void **state)
+{
+  static const double graces_s[] = { 1, 1.5, 6, 8, 10, 30 };
+  JsonFaults *faults = json_faults_create ();
+
+  for (gsize i = 0; i < G_N_ELEMENTS (graces_s); i++)
+    {
+      g_autofree char *limits = g_strdup_printf ("\"grace_s\":%g", graces_s[i]);
+      Settings *settings = parse ("", limits, faults);
+      gint64 sixth_us = (gint64)(graces_s[i] * 1e6 * 5 / 6);
+
+      assert_true (settings->yield_us <= settings->stop_us);
+      assert_true (settings->yield_us >= MIN (sixth_us, settings->stop_us));
+      assert_true (settings->yield_us <= sixth_us + 1);
+      settings_destroy (settings);
+    }
+  json_faults_destroy (faults);
+}
+
 /* Figures that a deployment gives its fleet: whole, fractional, none, tiny, huge. */
 static void
 test_a_start_takes_any_figure_of_a_deployment (void **state)
@@ -156,6 +176,7 @@
     cmocka_unit_test (test_settings_report_every_fault),
     cmocka_unit_test (test_a_short_grace_leaves_time_for_the_last_answers),
     cmocka_unit_test (test_a_stop_cuts_in_the_last_sixth_of_a_grace_that_is_counted_late),
+    cmocka_unit_test (test_a_stop_may_yield_from_the_last_sixth_on),
     cmocka_unit_test (test_a_start_takes_any_figure_of_a_deployment),
     cmocka_unit_test (test_a_figure_that_is_refused_is_said_with_its_bounds),
   };
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -36,6 +36,8 @@
   LoopTimer *stop;
   gint64 stop_began_us;
   guint cut;
+  gboolean left_before; /* the target had said that it leaves before the stop began */
+  gboolean yielded;     /* callers' requests have been given up */
   gboolean drained; /* the sidecar takes nothing new */
   gboolean hurried;
   gboolean ending;
@@ -59,7 +61,7 @@
 {
   members_leave (run->node.members);
   gossip_push (run->node.gossip);
-  run->cut = ingress_cut (run->node.ingress) + sidecar_active (run->node.sidecar);
+  run->cut += ingress_cut (run->node.ingress) + sidecar_active (run->node.sidecar);
   run->ending = TRUE;
   loop_timer_start (run->stop, run->cut ? STOP_FLUSH_US : 0);
 }
@@ -82,6 +84,36 @@
   sidecar_drain (run->node.sidecar);
 }
 
+/*
+ * A supervisor that takes a VM away stops its node once the target there has ended, also
+ * when another order stops the node already. It kills the node by the first order, and
+ * counts the grace from the last: what is cut after that one is cut without need. So a
+ * node whose target begins to leave during the stop gives up its callers' requests as
+ * soon as it may; its own target's work, which is not its callers', runs on.
+ */
+static gboolean
+may_yield (const NodeRun *run)
+{
+  return !run->yielded && !run->left_before && registry_is_leaving (run->node.registry) &&
+         stop_age (run) >= run->node.settings->yield_us;
+}
+
+static void
+yield_requests (NodeRun *run)
+{
+  run->yielded = TRUE;
+  run->cut += ingress_cut (run->node.ingress);
+}
+
+/* No moment of a stop is missed by as much as the checks are apart. */
+static gint64
+next_check_us (const NodeRun *run)
+{
+  gint64 until_yield = run->node.settings->yield_us - stop_age (run);
+
+  return until_yield > 0 ? MIN (until_yield, STOP_CHECK_US) : STOP_CHECK_US;
+}
+
 static void
 on_stop_check (gpointer data)
 {
@@ -94,12 +126,14 @@
     drain_sidecar (run);
   if (stop_age (run) >= settings->linger_us)
     ingress_drain (run->node.ingress);
+  if (may_yield (run))
+    yield_requests (run);
   if (run->ending)
     end (run);
   else if (quiet || run->hurried || stop_age (run) >= run->node.settings->stop_us)
     cut_off (run);
   else
-    loop_timer_start (run->stop, STOP_CHECK_US);
+    loop_timer_start (run->stop, next_check_us (run));
 }
 
 void
@@ -114,6 +148,7 @@
     }
   node->stopping = TRUE;
   run->stop_began_us = clock_now (node->clock);
+  run->left_before = registry_is_leaving (node->registry);
   log_event (G_LOG_LEVEL_INFO, "stopping", NULL);
   sidecar_close_queues (node->sidecar);
   if (node->settings->linger_us <= STOP_DRAIN_LEAD_US)
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -204,6 +204,12 @@
   return news;
 }
 
+gboolean
+registry_is_leaving (const Registry *registry)
+{
+  return registry && registry->leaving;
+}
+
 guint
 registry_fill (const Registry *registry, sw_registration *registration)
 {
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -23,6 +23,9 @@
 /* Whether the registration changed since this was last asked. FALSE for NULL. */
 gboolean registry_take_news (Registry *registry);
 
+/* Whether the target has said that it leaves. FALSE for NULL. */
+gboolean registry_is_leaving (const Registry *registry);
+
 /* The registration for other nodes, borrowed; returns how many there are (0 or 1). */
 guint registry_fill (const Registry *registry, sw_registration *registration);
 
