A node whose target leaves is unready

What can be had is that less work hangs there: it was sent after the notice. Change: the node answers 503 on its readiness from its target's notice on, 5 s before the SIGTERM. Whoever comes all the same is served as before. A next target there makes it ready again.

--- a/daemon/src/operator/readiness.c
+++ b/daemon/src/operator/readiness.c
@@ -6,6 +6,7 @@
 #include <core/http-status.h>
 
 #include "config-sync.h"
+#include "registry.h"
 
 #define READY_PATH "/ready"
 #define CONNECTIONS_MAX 64u
@@ -16,17 +17,25 @@
   HttpServer *server;
 };
 
+/*
+ * A node whose target leaves is stopped soon after. Callers that go elsewhere by then have
+ * no work there that hangs until the stop cuts it.
+ */
+static gboolean
+is_ready (const Node *node)
+{
+  return !node->stopping && !registry_is_leaving (node->registry) &&
+         config_sync_ready (node->config);
+}
+
 static void
 on_request (HttpRequest *request, gpointer data)
 {
   const Readiness *readiness = data;
-  const Node *node = readiness->node;
 
   if (strcmp (http_request_path (request), READY_PATH) != 0)
     http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
-  else if (node->stopping)
-    http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"ready\":false}");
-  else if (!config_sync_ready (node->config))
+  else if (!is_ready (readiness->node))
     http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"ready\":false}");
   else
     http_request_answer_json (request, HTTP_OK, "{\"ready\":true}");
