--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -5,10 +5,9 @@
 #include "log.h"
 #include "peers.h"
 
-/* Parts that are asked for at once. Packed, all shards of 4,200 routes are 41 to 120 KB:
-   one round to another node in place of nine, each of which a busy one answers late. */
-#define FETCHES_FROM_PEER 80u
-#define FETCHES_FROM_PLATFORM 8u
+/* All at once, of 1,143 requests of the seconds in which 79 nodes take 4,200 routes in 75
+   were late (mean of two plays), and 43 with eight at a time. */
+#define FETCHES_AT_ONCE 8u
 /* What another node has not handed over by then is sought elsewhere: a change has to be
    in force within 2.5 s, also where the first that was asked stands still. */
 #define PART_TIMEOUT_US (1 * SECOND_US)
@@ -283,7 +282,6 @@
   g_autoptr (GPtrArray) keys = NULL;
   GHashTableIter iter;
   gpointer key;
-  guint most = sync->source ? FETCHES_FROM_PEER : FETCHES_FROM_PLATFORM;
 
   if (!sync->wanted || sync->fetching > 0)
     return;
@@ -296,7 +294,7 @@
     }
   keys = g_ptr_array_new ();
   g_hash_table_iter_init (&iter, missing);
-  while (g_hash_table_iter_next (&iter, &key, NULL) && keys->len < most)
+  while (g_hash_table_iter_next (&iter, &key, NULL) && keys->len < FETCHES_AT_ONCE)
     g_ptr_array_add (keys, key);
   for (guint i = 0; i < keys->len; i++)
     {
