--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -38,7 +38,7 @@
   guint cut;
   gboolean left_before; /* the target had said that it leaves before the stop began */
   gboolean yielded;     /* callers' requests have been given up */
-  gboolean drained; /* the sidecar takes nothing new */
+  gboolean drained;     /* the sidecar takes nothing new */
   gboolean hurried;
   gboolean ending;
 };
--- a/daemon/src/operator/readiness.c
+++ b/daemon/src/operator/readiness.c
@@ -18,8 +18,8 @@
 };
 
 /*
- * A node whose target leaves is stopped soon after. Callers that go elsewhere by then have
- * no work there that hangs until the stop cuts it.
+ * A node whose target leaves is stopped soon after. Callers that go elsewhere by then
+ * have no work there that hangs until the stop cuts it.
  */
 static gboolean
 is_ready (const Node *node)
