--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -7,7 +7,7 @@
 
 /* Parts that are asked for at once. Packed, all shards of 4,200 routes are 41 to 120 KB:
    one round to another node in place of nine, each of which a busy one answers late. */
-#define FETCHES_FROM_PEER 80u
+#define FETCHES_FROM_PEER 8u
 #define FETCHES_FROM_PLATFORM 8u
 /* What another node has not handed over by then is sought elsewhere: a change has to be
    in force within 2.5 s, also where the first that was asked stands still. */
