Requests are their account's by the access key alone

The deployment's client accounts were not known: the caller's key was passed on to targets, no account was named to them, and keys that no configuration ever held were served.

Accounts now have any number of keys. A part 'keys/xx', sharded by the digest itself, holds the digests alone, so that a look-up is one search in one shard, a change of one key touches one part, and no text of a key gets into a part, a message, a log line or a target. The ingress looks at the key under the configuration in force when the request has been read, which decides to the end; 401 without a good one, also on open routes when one is sent; 403 for another tenant's. An account's priority goes before the route's, and calls of targets take over that of the request that they are made for.

--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -1,10 +1,11 @@
 /*
  * The configuration: immutable parts, and snapshots that are made of them.
  *
- * A part is the JSON of one service, or of one shard of the routes or accounts. Its
- * name is a key ("service/taliad", "routes/2a", "accounts/07"), its identity the
- * SHA-256 of its text. A head names a generation and the digest of each part. Parts
- * and snapshots are reference-counted; a change shares all parts that it leaves alone.
+ * A part is the JSON of one service, or of one shard of the routes, accounts or access
+ * keys. Its name is a key ("service/taliad", "routes/2a", "accounts/07", "keys/3f"), its
+ * identity the SHA-256 of its text. Of access keys it holds digests alone. A head names a
+ * generation and the digest of each part. Parts and snapshots are reference-counted; a
+ * change shares all parts that it leaves alone.
  */
 #ifndef CORE_CONFIG_H
 #define CORE_CONFIG_H
@@ -13,6 +14,10 @@
 
 #define CONFIG_SHARDS 64u
 #define CONFIG_PRIORITIES 4u
+/* Of client accounts, each of which goes before all of a route's. */
+#define CONFIG_ACCOUNT_PRIORITIES 16u
+/* Bytes of an access key's digest, SHA-256. */
+#define CONFIG_KEY_DIGEST 32u
 /* Bytes of a part's text at most, of those that come packed: as much as is taken from the
    platform, which a service of 12,000 targets (1.4 MB) stays within. */
 #define CONFIG_PART_MAX (2u * 1024 * 1024)
@@ -84,13 +89,23 @@
   gint64 objective_us; /* an answer after it is late; 0 for none */
 } Route;
 
+/* A client account: whose requests they are. */
 typedef struct
 {
   char *id;
   char *tenant;
-  char *key_sha256;
+  double per_s;   /* requests a second over the whole fleet; 0 for no limit */
+  double burst;   /* and so many at once beyond them */
+  guint priority; /* 0 first; goes before the route's */
 } Account;
 
+/* An access key, by its digest, and the account whose requests carry it. */
+typedef struct
+{
+  guint8 digest[CONFIG_KEY_DIGEST];
+  char *account;
+} AccessKey;
+
 typedef struct ConfigPart ConfigPart;
 typedef struct Snapshot Snapshot;
 
@@ -108,13 +123,15 @@
 ConfigPart *config_part_open (const char *key, GBytes *packed, JsonFaults *faults);
 /* The part's service, or NULL for a shard. */
 const Service *config_part_service (const ConfigPart *part);
-/* The part's routes or accounts, or NULL. */
+/* The part's routes, accounts or access keys, or NULL. */
 const GPtrArray *config_part_routes (const ConfigPart *part);
 const GPtrArray *config_part_accounts (const ConfigPart *part);
+const GPtrArray *config_part_keys (const ConfigPart *part);
 
-/* The key of the shard that holds a route or an account. */
+/* The key of the shard that holds a route, an account or an access key. */
 char *config_route_shard (const char *host, const char *prefix);
 char *config_account_shard (const char *id);
+char *config_key_shard (const guint8 *digest);
 
 /* A head as text: generation, plans accepted lately, and parts by key. */
 typedef struct
@@ -156,6 +173,8 @@
 ConfigPart *snapshot_part_by_digest (const Snapshot *snapshot, const char *digest);
 guint snapshot_route_count (const Snapshot *snapshot);
 guint snapshot_account_count (const Snapshot *snapshot);
+/* Whether any account was ever configured; in constant time. */
+gboolean snapshot_has_accounts (const Snapshot *snapshot);
 
 /* The route with the longest prefix of `path` under `host`, before any-host ones. */
 const Route *snapshot_route (const Snapshot *snapshot,
@@ -164,6 +183,8 @@
                              const char *method);
 /* The account with this id, or NULL. */
 const Account *snapshot_account (const Snapshot *snapshot, const char *id);
+/* The account that a key's digest belongs to, or NULL. */
+const Account *snapshot_key_account (const Snapshot *snapshot, const guint8 *digest);
 
 void target_free (Target *target);
 
--- a/core/src/config/intent.c
+++ b/core/src/config/intent.c
@@ -13,6 +13,9 @@
   GHashTable *services; /* name → Service, changed or added; NULL value: removed */
   GHashTable *routes;   /* shard key → GPtrArray of Route, copied from the base */
   GHashTable *accounts; /* shard key → GPtrArray of Account */
+  GHashTable *keys;     /* shard key → GPtrArray of AccessKey */
+  GHashTable *holdings; /* account → GArray of the digests that it holds; NULL before the
+                           first question */
 } Intent;
 
 static Service *
@@ -114,9 +117,27 @@
     }
 }
 
-/* A thing of a shard written and read back, so that shards can be changed freely. */
+static GDestroyNotify
+free_func_of (const char *key)
+{
+  if (g_str_has_prefix (key, "routes/"))
+    return (GDestroyNotify)route_free;
+  if (g_str_has_prefix (key, "keys/"))
+    return (GDestroyNotify)access_key_free;
+  return (GDestroyNotify)account_free;
+}
+
+static const GPtrArray *
+things_of (const ConfigPart *part)
+{
+  if (config_part_routes (part))
+    return config_part_routes (part);
+  return config_part_keys (part) ? config_part_keys (part) : config_part_accounts (part);
+}
+
+/* A shard written and read back, so that it can be changed freely. */
 static GPtrArray *
-shard_of (Intent *intent, GHashTable *shards, const char *key, gboolean routes)
+shard_of (Intent *intent, GHashTable *shards, const char *key)
 {
   GPtrArray *shard = g_hash_table_lookup (shards, key);
   ConfigPart *part;
@@ -125,8 +146,7 @@
 
   if (shard)
     return shard;
-  shard = g_ptr_array_new_with_free_func (routes ? (GDestroyNotify)route_free
-                                                 : (GDestroyNotify)account_free);
+  shard = g_ptr_array_new_with_free_func (free_func_of (key));
   g_hash_table_insert (shards, g_strdup (key), shard);
   part = snapshot_part (intent->base, key);
   if (!part)
@@ -135,7 +155,7 @@
   copy = config_part_parse (key, config_part_text (part), intent->faults);
   if (!copy)
     return shard;
-  from = routes ? config_part_routes (copy) : config_part_accounts (copy);
+  from = things_of (copy);
   for (guint i = 0; i < from->len; i++)
     g_ptr_array_add (shard, g_ptr_array_index (from, i));
   g_ptr_array_set_free_func ((GPtrArray *)from, NULL);
@@ -190,7 +210,7 @@
       route = route_read (item);
       check_route_service (intent, route, json_view_path (item));
       key = config_route_shard (route->host, route->prefix);
-      shard = shard_of (intent, intent->routes, key, TRUE);
+      shard = shard_of (intent, intent->routes, key);
       remove_routes_at (shard, route->host, route->prefix, route->methods);
       g_ptr_array_add (shard, route);
       json_view_close (item);
@@ -214,7 +234,7 @@
       host = json_view_string (item, "host", G_MAXINT, "");
       prefix = json_view_required (item, "prefix", G_MAXINT);
       key = config_route_shard (host, prefix);
-      if (!remove_routes_at (shard_of (intent, intent->routes, key, TRUE), host, prefix,
+      if (!remove_routes_at (shard_of (intent, intent->routes, key), host, prefix,
                              G_MAXUINT))
         json_faults_add (intent->faults, json_view_path (item), "no route \"%s%s\"", host,
                          prefix);
@@ -234,36 +254,144 @@
   return FALSE;
 }
 
+/* The digests that each account of the base holds: looked for in all shards once, for a
+   shard is found by the digest and not by the account. */
+static GArray *
+held_by (Intent *intent, const char *account)
+{
+  if (!intent->holdings)
+    {
+      intent->holdings = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                                (GDestroyNotify)g_array_unref);
+      for (guint i = 0; i < CONFIG_SHARDS; i++)
+        {
+          g_autofree char *name = g_strdup_printf ("keys/%02x", i);
+          const ConfigPart *part = snapshot_part (intent->base, name);
+
+          for (guint j = 0; part && j < config_part_keys (part)->len; j++)
+            {
+              const AccessKey *key = g_ptr_array_index (config_part_keys (part), j);
+              GArray *digests = g_hash_table_lookup (intent->holdings, key->account);
+
+              if (!digests)
+                {
+                  digests = g_array_new (FALSE, FALSE, CONFIG_KEY_DIGEST);
+                  g_hash_table_insert (intent->holdings, key->account, digests);
+                }
+              g_array_append_val (digests, key->digest);
+            }
+        }
+    }
+  return g_hash_table_lookup (intent->holdings, account);
+}
+
 static void
-apply_accounts (Intent *intent)
+remove_keys_of (Intent *intent, const char *account)
+{
+  const GArray *digests = held_by (intent, account);
+
+  for (guint i = 0; digests && i < digests->len; i++)
+    {
+      const guint8 *digest = (const guint8 *)digests->data + (gsize)i * CONFIG_KEY_DIGEST;
+      g_autofree char *name = config_key_shard (digest);
+      GPtrArray *shard = shard_of (intent, intent->keys, name);
+
+      for (guint j = shard->len; j-- > 0;)
+        {
+          const AccessKey *key = g_ptr_array_index (shard, j);
+
+          if (memcmp (key->digest, digest, CONFIG_KEY_DIGEST) == 0 &&
+              strcmp (key->account, account) == 0)
+            g_ptr_array_remove_index (shard, j);
+        }
+    }
+}
+
+static void
+add_key (Intent *intent, const char *hex, const char *account, const char *path)
 {
-  guint count = json_view_array_length (intent->view, "accounts");
+  AccessKey *key = access_key_create (hex, account);
+  g_autofree char *name = NULL;
 
+  if (!key)
+    {
+      json_faults_add (intent->faults, path,
+                       "a key's digest must be 64 lower-case hexadecimal digits");
+      return;
+    }
+  name = config_key_shard (key->digest);
+  g_ptr_array_add (shard_of (intent, intent->keys, name), key);
+}
+
+/* An account's keys are given by their digests, all of them: those left out go. */
+static void
+apply_keys (Intent *intent, JsonView *item, const char *account)
+{
+  guint count = json_view_array_length (item, "keys_sha256");
+
+  if (snapshot_account (intent->base, account))
+    remove_keys_of (intent, account);
   for (guint i = 0; i < count; i++)
     {
-      JsonView *item = json_view_array_object (intent->view, "accounts", i);
-      g_autofree char *key = NULL;
-      GPtrArray *shard;
-      Account *account;
+      const char *hex =
+          json_view_array_string (item, "keys_sha256", i, 2 * CONFIG_KEY_DIGEST);
 
-      if (!item)
-        continue;
-      account = account_read (item);
-      key = config_account_shard (account->id);
-      shard = shard_of (intent, intent->accounts, key, FALSE);
-      remove_account (shard, account->id);
-      g_ptr_array_add (shard, account);
-      json_view_close (item);
+      if (hex)
+        add_key (intent, hex, account, json_view_path (item));
     }
-  count = json_view_array_length (intent->view, "remove_accounts");
+}
+
+/*
+ * Two accounts of an intent with a key in common, or two of the same name, are faults of
+ * the parts that come of it.
+ */
+static void
+apply_account (Intent *intent, JsonView *item)
+{
+  Account *account = account_read (item);
+  g_autofree char *key = config_account_shard (account->id);
+  GPtrArray *shard = shard_of (intent, intent->accounts, key);
+
+  if (snapshot_account (intent->base, account->id))
+    remove_account (shard, account->id);
+  apply_keys (intent, item, account->id);
+  g_ptr_array_add (shard, account);
+}
+
+static void
+apply_removed_account (Intent *intent, const char *id)
+{
+  g_autofree char *key = config_account_shard (id);
+
+  if (remove_account (shard_of (intent, intent->accounts, key), id))
+    remove_keys_of (intent, id);
+  else
+    json_faults_add (intent->faults, "$.remove_accounts", "no account \"%s\"", id);
+}
+
+/* What is removed goes first, so that its keys can be passed on to another account. */
+static void
+apply_accounts (Intent *intent)
+{
+  guint count = json_view_array_length (intent->view, "remove_accounts");
+
   for (guint i = 0; i < count; i++)
     {
       const char *id =
           json_view_array_string (intent->view, "remove_accounts", i, NAME_MAX_LEN);
-      g_autofree char *key = id ? config_account_shard (id) : NULL;
 
-      if (id && !remove_account (shard_of (intent, intent->accounts, key, FALSE), id))
-        json_faults_add (intent->faults, "$.remove_accounts", "no account \"%s\"", id);
+      if (id)
+        apply_removed_account (intent, id);
+    }
+  count = json_view_array_length (intent->view, "accounts");
+  for (guint i = 0; i < count; i++)
+    {
+      JsonView *item = json_view_array_object (intent->view, "accounts", i);
+
+      if (!item)
+        continue;
+      apply_account (intent, item);
+      json_view_close (item);
     }
 }
 
@@ -323,35 +451,62 @@
     }
 }
 
+/* How the things of a shard are written. */
+typedef struct
+{
+  const char *area;
+  void (*sort) (GPtrArray *shard);
+  void (*write) (gconstpointer thing, JsonBuilder *builder);
+} ShardKind;
+
 static void
-write_shards (GHashTable *shards, gboolean routes, GHashTable *texts)
+write_route (gconstpointer thing, JsonBuilder *builder)
+{
+  route_write (thing, builder);
+}
+
+static void
+write_account (gconstpointer thing, JsonBuilder *builder)
+{
+  account_write (thing, builder);
+}
+
+static void
+write_key (gconstpointer thing, JsonBuilder *builder)
+{
+  access_key_write (thing, builder);
+}
+
+static const ShardKind route_shards = { "routes", routes_sort, write_route };
+static const ShardKind account_shards = { "accounts", accounts_sort, write_account };
+static const ShardKind key_shards = { "keys", access_keys_sort, write_key };
+
+static char *
+shard_text (const ShardKind *kind, GPtrArray *shard)
+{
+  JsonBuilder *builder = json_builder_new ();
+
+  kind->sort (shard);
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, kind->area);
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < shard->len; i++)
+    kind->write (g_ptr_array_index (shard, i), builder);
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  return json_text (builder);
+}
+
+static void
+write_shards (const ShardKind *kind, GHashTable *shards, GHashTable *texts)
 {
   GHashTableIter iter;
   gpointer key;
-  gpointer value;
+  gpointer shard;
 
   g_hash_table_iter_init (&iter, shards);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      JsonBuilder *builder = json_builder_new ();
-      GPtrArray *shard = value;
-
-      if (routes)
-        routes_sort (shard);
-      else
-        accounts_sort (shard);
-      json_builder_begin_object (builder);
-      json_builder_set_member_name (builder, routes ? "routes" : "accounts");
-      json_builder_begin_array (builder);
-      for (guint i = 0; i < shard->len; i++)
-        if (routes)
-          route_write (g_ptr_array_index (shard, i), builder);
-        else
-          account_write (g_ptr_array_index (shard, i), builder);
-      json_builder_end_array (builder);
-      json_builder_end_object (builder);
-      g_hash_table_insert (texts, g_strdup (key), json_text (builder));
-    }
+  while (g_hash_table_iter_next (&iter, &key, &shard))
+    g_hash_table_insert (texts, g_strdup (key), shard_text (kind, shard));
 }
 
 static GHashTable *
@@ -372,8 +527,9 @@
       g_hash_table_insert (texts, g_strconcat ("service/", key, NULL),
                            value ? json_text (builder) : g_strdup (""));
     }
-  write_shards (intent->routes, TRUE, texts);
-  write_shards (intent->accounts, FALSE, texts);
+  write_shards (&route_shards, intent->routes, texts);
+  write_shards (&account_shards, intent->accounts, texts);
+  write_shards (&key_shards, intent->keys, texts);
   return texts;
 }
 
@@ -393,6 +549,8 @@
                                          (GDestroyNotify)g_ptr_array_unref);
   intent.accounts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                            (GDestroyNotify)g_ptr_array_unref);
+  intent.keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       (GDestroyNotify)g_ptr_array_unref);
   apply_services (&intent);
   apply_state (&intent, "drain", TARGET_LEAVING);
   apply_state (&intent, "restore", TARGET_SERVING);
@@ -407,5 +565,7 @@
   g_hash_table_unref (intent.services);
   g_hash_table_unref (intent.routes);
   g_hash_table_unref (intent.accounts);
+  g_hash_table_unref (intent.keys);
+  g_clear_pointer (&intent.holdings, g_hash_table_unref);
   return texts;
 }
--- a/core/src/config/model.h
+++ b/core/src/config/model.h
@@ -5,26 +5,40 @@
 #define CORE_CONFIG_MODEL_H
 
 #include <core/config.h>
+#include <core/names.h>
+
+/* Bytes of an access key in a part: its digest in hexadecimal, a space, its account. */
+#define ACCESS_KEY_TEXT_MAX (2 * CONFIG_KEY_DIGEST + 1 + NAME_MAX_LEN)
 
 /* Each returns NULL or a partly filled thing, with faults noted, for a bad view. */
 Service *service_read (JsonView *view);
 Route *route_read (JsonView *view);
 Account *account_read (JsonView *view);
+/* A part's key, as access_key_write writes it: "DIGEST ACCOUNT"; NULL with a fault noted
+   for a text that is none. */
+AccessKey *access_key_read (const char *text, const char *path, JsonFaults *faults);
+/* An access key of an account; NULL unless `hex` is 64 lower-case hexadecimal digits. */
+AccessKey *access_key_create (const char *hex, const char *account);
 
 void service_free (Service *service);
 /* The service with copies of `targets` in place of its own; NULL for none. */
 Service *service_with_targets (const Service *service, const GPtrArray *targets);
 void route_free (Route *route);
 void account_free (Account *account);
+void access_key_free (AccessKey *key);
 
 /* Puts a shard into the order that lookups and digests rest on. */
 void routes_sort (GPtrArray *routes);
 void accounts_sort (GPtrArray *accounts);
+void access_keys_sort (GPtrArray *keys);
+/* The place of a digest among sorted keys, or -1. */
+gint access_keys_find (const GPtrArray *keys, const guint8 *digest);
 
 /* Appends the thing to a JSON being built. */
 void service_write (const Service *service, JsonBuilder *builder);
 void route_write (const Route *route, JsonBuilder *builder);
 void account_write (const Account *account, JsonBuilder *builder);
+void access_key_write (const AccessKey *key, JsonBuilder *builder);
 
 /* The order of routes in a shard: by host, then by prefix. */
 int route_compare (const Route *route, const char *host, const char *prefix);
--- a/core/src/config/part.c
+++ b/core/src/config/part.c
@@ -14,6 +14,7 @@
   Service *service;
   GPtrArray *routes;
   GPtrArray *accounts;
+  GPtrArray *keys;
 };
 
 static char *
@@ -36,6 +37,12 @@
   return shard_key ("accounts", id);
 }
 
+char *
+config_key_shard (const guint8 *digest)
+{
+  return g_strdup_printf ("keys/%02x", digest[0] % CONFIG_SHARDS);
+}
+
 static void
 check_routes (const GPtrArray *routes, JsonFaults *faults)
 {
@@ -65,6 +72,39 @@
     }
 }
 
+static void
+check_keys (const GPtrArray *keys, JsonFaults *faults)
+{
+  for (guint i = 1; i < keys->len; i++)
+    {
+      const AccessKey *before = g_ptr_array_index (keys, i - 1);
+      const AccessKey *key = g_ptr_array_index (keys, i);
+
+      if (memcmp (before->digest, key->digest, CONFIG_KEY_DIGEST) == 0)
+        json_faults_add (faults, "$.keys", "\"%s\" and \"%s\" hold the same key",
+                         before->account, key->account);
+    }
+}
+
+static void
+read_keys (ConfigPart *part, JsonView *view)
+{
+  guint count = json_view_array_length (view, "keys");
+
+  for (guint i = 0; i < count; i++)
+    {
+      const char *text = json_view_array_string (view, "keys", i, ACCESS_KEY_TEXT_MAX);
+      AccessKey *key = NULL;
+
+      if (text)
+        key = access_key_read (text, "$.keys", json_view_faults (view));
+      if (key)
+        g_ptr_array_add (part->keys, key);
+    }
+  access_keys_sort (part->keys);
+  check_keys (part->keys, json_view_faults (view));
+}
+
 static void
 read_shard (ConfigPart *part, JsonView *view)
 {
@@ -96,6 +136,12 @@
         json_faults_add (faults, "$.name", "differs from the part's key %s", part->key);
       return;
     }
+  if (g_str_has_prefix (part->key, "keys/"))
+    {
+      part->keys = g_ptr_array_new_with_free_func ((GDestroyNotify)access_key_free);
+      read_keys (part, view);
+      return;
+    }
   if (g_str_has_prefix (part->key, "routes/"))
     part->routes = g_ptr_array_new_with_free_func ((GDestroyNotify)route_free);
   else if (g_str_has_prefix (part->key, "accounts/"))
@@ -159,6 +205,7 @@
   service_free (part->service);
   g_clear_pointer (&part->routes, g_ptr_array_unref);
   g_clear_pointer (&part->accounts, g_ptr_array_unref);
+  g_clear_pointer (&part->keys, g_ptr_array_unref);
   g_free (part);
 }
 
@@ -223,6 +270,12 @@
   return part->accounts;
 }
 
+const GPtrArray *
+config_part_keys (const ConfigPart *part)
+{
+  return part->keys;
+}
+
 char *
 json_text (JsonBuilder *builder)
 {
--- a/core/src/config/plan.c
+++ b/core/src/config/plan.c
@@ -132,20 +132,66 @@
   describe_targets (plan, before, after);
 }
 
+static guint
+count_of (const ConfigPart *part)
+{
+  if (config_part_routes (part))
+    return config_part_routes (part)->len;
+  return config_part_keys (part) ? config_part_keys (part)->len
+                                 : config_part_accounts (part)->len;
+}
+
+static const Account *
+account_in (const ConfigPart *part, const char *id)
+{
+  const GPtrArray *accounts = part ? config_part_accounts (part) : NULL;
+
+  for (guint i = 0; accounts && i < accounts->len; i++)
+    {
+      const Account *account = g_ptr_array_index (accounts, i);
+
+      if (strcmp (account->id, id) == 0)
+        return account;
+    }
+  return NULL;
+}
+
+/* New accounts are told by their number; what changes for one that is there, by name. */
+static void
+describe_accounts (Plan *plan, const ConfigPart *before, const ConfigPart *after)
+{
+  const GPtrArray *accounts = config_part_accounts (after);
+
+  for (guint i = 0; before && i < accounts->len; i++)
+    {
+      const Account *account = g_ptr_array_index (accounts, i);
+      const Account *old = account_in (before, account->id);
+
+      if (!old)
+        continue;
+      if (old->per_s != account->per_s || old->burst != account->burst)
+        note_change (
+            plan,
+            "account %s: allowance goes from %g a second and %g at once to %g and %g",
+            account->id, old->per_s, old->burst, account->per_s, account->burst);
+      if (old->priority != account->priority)
+        note_change (plan, "account %s: priority goes from %u to %u", account->id,
+                     old->priority, account->priority);
+    }
+}
+
 static void
 describe_shard (Plan *plan, const Snapshot *base, const ConfigPart *part)
 {
   const ConfigPart *before = snapshot_part (base, config_part_key (part));
-  const GPtrArray *routes = config_part_routes (part);
-  const GPtrArray *now = routes ? routes : config_part_accounts (part);
-  guint old = 0;
-
-  if (before && routes)
-    old = config_part_routes (before)->len;
-  else if (before)
-    old = config_part_accounts (before)->len;
-  note_change (plan, "%s: from %u to %u %s", config_part_key (part), old, now->len,
-               routes ? "routes" : "accounts");
+  const char *area = config_part_routes (part) ? "routes"
+                     : config_part_keys (part) ? "keys"
+                                               : "accounts";
+
+  note_change (plan, "%s: from %u to %u %s", config_part_key (part),
+               before ? count_of (before) : 0, count_of (part), area);
+  if (config_part_accounts (part))
+    describe_accounts (plan, before, part);
 }
 
 static char *
--- a/core/src/config/route.c
+++ b/core/src/config/route.c
@@ -7,7 +7,6 @@
 
 #define HOST_MAX 253
 #define PREFIX_MAX 1024
-#define DIGEST_LEN 64
 #define DEADLINE_DEFAULT_MS 5000
 #define DEADLINE_MIN_MS 10
 #define ATTEMPTS_DEFAULT 3
@@ -236,51 +235,3 @@
     json_write_int (builder, "objective_ms", route->objective_us / 1000);
   json_builder_end_object (builder);
 }
-
-Account *
-account_read (JsonView *view)
-{
-  Account *account = g_new0 (Account, 1);
-
-  account->id = g_strdup (names_required (view, "id"));
-  account->tenant = g_strdup (names_required (view, "tenant"));
-  account->key_sha256 = g_strdup (json_view_required (view, "key_sha256", DIGEST_LEN));
-  if (strlen (account->key_sha256) != DIGEST_LEN ||
-      strspn (account->key_sha256, "0123456789abcdef") != DIGEST_LEN)
-    json_faults_add (json_view_faults (view), json_view_path (view),
-                     "\"key_sha256\" must be 64 lower-case hexadecimal digits");
-  return account;
-}
-
-void
-account_free (Account *account)
-{
-  if (!account)
-    return;
-  g_free (account->id);
-  g_free (account->tenant);
-  g_free (account->key_sha256);
-  g_free (account);
-}
-
-void
-account_write (const Account *account, JsonBuilder *builder)
-{
-  json_builder_begin_object (builder);
-  json_write_string (builder, "id", account->id);
-  json_write_string (builder, "tenant", account->tenant);
-  json_write_string (builder, "key_sha256", account->key_sha256);
-  json_builder_end_object (builder);
-}
-
-static gint
-compare_accounts (gconstpointer a, gconstpointer b)
-{
-  return strcmp ((*(Account *const *)a)->id, (*(Account *const *)b)->id);
-}
-
-void
-accounts_sort (GPtrArray *accounts)
-{
-  g_ptr_array_sort (accounts, compare_accounts);
-}
--- a/core/src/config/snapshot.c
+++ b/core/src/config/snapshot.c
@@ -12,6 +12,7 @@
   GHashTable *composed;  /* name → Service, which it owns: those with targets put in */
   ConfigPart *route_parts[CONFIG_SHARDS];
   ConfigPart *account_parts[CONFIG_SHARDS];
+  ConfigPart *key_parts[CONFIG_SHARDS];
 };
 
 static gint
@@ -53,6 +54,8 @@
     g_ptr_array_add (snapshot->services, (Service *)config_part_service (part));
   else if (config_part_routes (part))
     snapshot->route_parts[shard_of_key (key)] = part;
+  else if (config_part_keys (part))
+    snapshot->key_parts[shard_of_key (key)] = part;
   else
     snapshot->account_parts[shard_of_key (key)] = part;
 }
@@ -215,6 +218,15 @@
   return count;
 }
 
+gboolean
+snapshot_has_accounts (const Snapshot *snapshot)
+{
+  for (guint i = 0; i < CONFIG_SHARDS; i++)
+    if (snapshot->account_parts[i])
+      return TRUE;
+  return FALSE;
+}
+
 /* The places of the first route at or after (host, prefix) in a sorted shard. */
 static guint
 lower_bound (const GPtrArray *routes, const char *host, const char *prefix)
@@ -291,8 +303,7 @@
 const Account *
 snapshot_account (const Snapshot *snapshot, const char *id)
 {
-  g_autofree char *key = config_account_shard (id);
-  const ConfigPart *part = snapshot->account_parts[shard_of_key (key)];
+  const ConfigPart *part = snapshot->account_parts[g_str_hash (id) % CONFIG_SHARDS];
   const GPtrArray *accounts;
   guint low = 0;
   guint high;
@@ -316,3 +327,16 @@
     }
   return NULL;
 }
+
+const Account *
+snapshot_key_account (const Snapshot *snapshot, const guint8 *digest)
+{
+  const ConfigPart *part = snapshot->key_parts[digest[0] % CONFIG_SHARDS];
+  const GPtrArray *keys = part ? config_part_keys (part) : NULL;
+  gint place = keys ? access_keys_find (keys, digest) : -1;
+
+  if (place < 0)
+    return NULL;
+  return snapshot_account (
+      snapshot, ((AccessKey *)g_ptr_array_index (keys, (guint)place))->account);
+}
--- a/core/tests/test-config.c
+++ b/core/tests/test-config.c
@@ -122,8 +122,9 @@
       "{\"services\":[{\"name\":\"x\",\"tenant\":\"t\",\"targets\":[{\"name\":\"a\","
       "\"vm\":\"v\",\"hall\":\"h\",\"address\":\"127.0.0.1:1\",\"slots\":1}]}]}",
       "$.services", "stands in");
-  expect_fault ("{\"accounts\":[{\"id\":\"g\",\"tenant\":\"t\",\"key_sha256\":\"12\"}]}",
-                "$.accounts[0]", "64 lower-case");
+  expect_fault (
+      "{\"accounts\":[{\"id\":\"g\",\"tenant\":\"t\",\"keys_sha256\":[\"12\"]}]}",
+      "$.accounts[0]", "64 lower-case");
 }
 
 static void
@@ -209,7 +210,7 @@
 
   for (guint i = 0; i < ACCOUNTS; i++)
     g_string_append_printf (
-        intent, "%s{\"id\":\"g%u\",\"tenant\":\"w\",\"key_sha256\":\"%064x\"}",
+        intent, "%s{\"id\":\"g%u\",\"tenant\":\"w\",\"keys_sha256\":[\"%064x\"]}",
         i ? "," : "", i, i);
   g_string_append (intent, "],\"routes\":[");
   for (guint i = 0; i < ROUTES; i++)
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -46,6 +46,7 @@
   char *far_source; /* NULL for none */
   guint64 far_generation;
   gint64 created_us;
+  gint64 applied_us; /* what is in force since */
 };
 
 /* Puts the wanted head in force, when all of its parts have come. */
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -27,6 +27,12 @@
   return sync->snapshot;
 }
 
+gint64
+config_sync_age_us (const ConfigSync *sync)
+{
+  return clock_now (sync->node->clock) - sync->applied_us;
+}
+
 gboolean
 config_sync_ready (const ConfigSync *sync)
 {
@@ -85,6 +91,7 @@
   g_hash_table_remove_all (sync->parts);
   config_fetch_drop (sync);
   sync->ready = TRUE;
+  sync->applied_us = clock_now (node->clock);
   compose (sync);
   metrics_add (node->metrics, METRIC_CONFIG_APPLIED, 1);
   metrics_set (node->metrics, METRIC_CONFIG_GENERATION, snapshot_generation (base));
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -22,6 +22,8 @@
 
 /* Whether this node may serve: it has asked, and has the highest that it could find. */
 gboolean config_sync_ready (const ConfigSync *sync);
+/* How long the configuration has been in force here. */
+gint64 config_sync_age_us (const ConfigSync *sync);
 
 /*
  * What a node says of the target beside it that registered itself; NULL for none. Where
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -56,12 +56,14 @@
   const GArray *headers = http_request_headers (exchange->request);
   GArray *forwarded = http_headers_new ();
 
-  dialect->add_origin (node->settings, forwarded);
+  dialect->add_origin (node->settings, exchange->account ? exchange->account->id : NULL,
+                       forwarded);
   for (guint i = 0; i < headers->len; i++)
     {
       const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
 
-      if (!http_header_is_hop (header->name) && dialect->forwards (header->name))
+      if (!http_header_is_hop (header->name) &&
+          dialect->forwards (header->name, exchange->identified))
         http_headers_add (forwarded, header->name, header->value);
     }
   return forwarded;
@@ -124,7 +126,7 @@
   args->target = attempt->target->name;
   args->tenant = attempt->service->tenant;
   args->remaining_ms = (u_int)MAX (1, attempt->remaining_us / MS_US);
-  args->priority = exchange->route->priority;
+  args->priority = exchange->priority;
   args->repeatable = exchange->route->repeatable;
   args->retry = attempt->retry;
   args->proved_only = attempt->proved_only;
--- /dev/null
+++ b/daemon/src/request/credentials.c
@@ -0,0 +1,64 @@
+#include "credentials.h"
+
+#include <string.h>
+
+#include <io/http-types.h>
+
+#define SCHEME "Bearer"
+/* Operators' keys have some twenty bytes. Whatever is longer is nobody's, and takes no
+   time to be digested. */
+#define KEY_MAX 1024u
+
+/* The key behind the scheme, or NULL. Blanks round it are not part of it (RFC 9110,
+   section 11.4). */
+static const char *
+key_of (const char *value, gsize *len)
+{
+  gsize scheme = strlen (SCHEME);
+  const char *key = value + scheme;
+
+  if (g_ascii_strncasecmp (value, SCHEME, scheme) != 0 || *key != ' ')
+    return NULL;
+  key += strspn (key, " ");
+  *len = strlen (key);
+  while (*len > 0 && key[*len - 1] == ' ')
+    (*len)--;
+  return *len > 0 && *len <= KEY_MAX ? key : NULL;
+}
+
+static void
+digest_key (const char *key, gsize len, guint8 digest[CONFIG_KEY_DIGEST])
+{
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  gsize size = CONFIG_KEY_DIGEST;
+
+  g_checksum_update (sum, (const guchar *)key, (gssize)len);
+  g_checksum_get_digest (sum, digest, &size);
+  g_checksum_free (sum);
+}
+
+Credentials
+credentials_read (const GArray *headers, guint8 digest[CONFIG_KEY_DIGEST])
+{
+  const char *value = NULL;
+  const char *key;
+  gsize len;
+
+  for (guint i = 0; i < headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
+
+      if (g_ascii_strcasecmp (header->name, CREDENTIALS_HEADER) != 0)
+        continue;
+      if (value)
+        return CREDENTIALS_BAD;
+      value = header->value;
+    }
+  if (!value)
+    return CREDENTIALS_NONE;
+  key = key_of (value, &len);
+  if (!key)
+    return CREDENTIALS_BAD;
+  digest_key (key, len, digest);
+  return CREDENTIALS_KEY;
+}
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -4,11 +4,14 @@
 
 #include <core/http-status.h>
 
+#include "credentials.h"
+
 #define PREFIX "Switchmill-"
 #define OUTCOME_HEADER PREFIX "Outcome"
 #define REASON_HEADER PREFIX "Reason"
 #define ATTEMPT_HEADER PREFIX "Attempt"
 #define DEADLINE_HEADER PREFIX "Deadline-Ms"
+#define ACCOUNT_HEADER PREFIX "Account"
 /* How long after the deadline the fence is still asked before "unknown" is said. */
 #define SLACK_US (500 * MS_US)
 
@@ -41,14 +44,17 @@
 }
 
 static gboolean
-forwards (const char *name)
+forwards (const char *name, gboolean identified)
 {
-  return !is_own (name);
+  return !is_own (name) &&
+         !(identified && g_ascii_strcasecmp (name, CREDENTIALS_HEADER) == 0);
 }
 
 static void
-add_origin (const Settings *settings, GArray *headers)
+add_origin (const Settings *settings, const char *account, GArray *headers)
 {
+  if (account)
+    http_headers_add (headers, ACCOUNT_HEADER, account);
 }
 
 static char *
--- a/daemon/src/request/dialect.h
+++ b/daemon/src/request/dialect.h
@@ -36,10 +36,12 @@
 {
   /* Decodes; returns NULL, or what is wrong with the request in a caller's terms. */
   const char *(*decode) (const HttpRequest *request, CallerWords *words);
-  /* Whether a caller's header goes on to the target. */
-  gboolean (*forwards) (const char *name);
-  /* Headers that the ingress adds for the target, into `headers`. */
-  void (*add_origin) (const Settings *settings, GArray *headers);
+  /* Whether a caller's header goes on to the target; `identified` when the request was
+     taken by its access key, which is the fleet's own matter. */
+  gboolean (*forwards) (const char *name, gboolean identified);
+  /* Headers that the ingress adds for the target, into `headers`; `account` is whose
+     request it is, NULL for nobody's. */
+  void (*add_origin) (const Settings *settings, const char *account, GArray *headers);
   /* Headers that the sidecar adds to one attempt, with `left_us` until its deadline. */
   void (*add_attempt) (const sw_submit_args *args, gint64 left_us, GArray *headers);
   /* Whether an attempt carries the request that has this id. */
@@ -53,8 +55,10 @@
   /* The status of an answer of our own, and its headers. */
   guint (*status) (const Verdict *verdict);
   void (*add_verdict) (const Verdict *verdict, const char *id, GArray *headers);
-  gint64 slack_us;  /* past the deadline, until a caller is told at the latest */
-  gboolean tickets; /* callers may ask for tickets (ticket.h) */
+  gint64 slack_us;          /* past the deadline, until a caller is told at the latest */
+  gboolean tickets;         /* callers may ask for tickets (ticket.h) */
+  gboolean keys_everywhere; /* where there are accounts, a key is looked at on any route,
+                               and not only on those that want one */
 } Dialect;
 
 /* The headers `Switchmill-*`, see docs/OPERATIONS.md. */
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -72,6 +72,9 @@
   const Route *route;
   char *service; /* the name of the route's service, or of its share */
   char *tenant;
+  const Account *account; /* the snapshot's, which decides until the end; NULL for none */
+  gboolean identified;    /* its key goes no further */
+  guint priority;
   Ticket *ticket; /* NULL for none */
   Dispatch *dispatch;
   LoopTimer *timer;
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -181,6 +181,9 @@
   exchange->route = order->route;
   exchange->service = g_strdup (order->service->name);
   exchange->tenant = g_strdup (order->service->tenant);
+  exchange->account = order->account;
+  exchange->identified = order->identified;
+  exchange->priority = order->priority;
   exchange->ticket = order->ticket;
   exchange->began_us = http_request_taken_us (order->request);
   exchange->tried = g_ptr_array_new_with_free_func (g_free);
--- a/daemon/src/request/exchange.h
+++ b/daemon/src/request/exchange.h
@@ -20,10 +20,13 @@
   Snapshot *snapshot; /* holds route and service alive */
   const Route *route;
   const Service *service;
-  gint64 span_us;  /* until its deadline */
-  gboolean call;   /* a target makes it for a request that it runs */
-  gboolean repeat; /* and that request is not at its first attempt */
-  Ticket *ticket;  /* taken over; NULL for none */
+  gint64 span_us;         /* until its deadline */
+  const Account *account; /* whose request it is, of the snapshot; NULL for nobody's */
+  gboolean identified;    /* its key has been looked at, and goes no further */
+  guint priority;         /* 0 first: the account's, then the route's */
+  gboolean call;          /* a target makes it for a request that it runs */
+  gboolean repeat;        /* and that request is not at its first attempt */
+  Ticket *ticket;         /* taken over; NULL for none */
 } ExchangeOrder;
 
 Exchanges *exchanges_create (Node *node);
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -11,6 +11,7 @@
 #include "answer.h"
 #include "config-sync.h"
 #include "exchange.h"
+#include "identity.h"
 #include "sidecar.h"
 #include "start-queue.h"
 
@@ -81,29 +82,6 @@
   return snapshot_service (snapshot, splitter_pick (ingress->splitter, route));
 }
 
-/* "Authorization: Bearer ID:KEY" of an account of the tenant. */
-static gboolean
-is_allowed (const HttpRequest *request, const Snapshot *snapshot, const char *tenant)
-{
-  const char *header = http_request_header (request, "Authorization");
-  g_autofree char *id = NULL;
-  g_autofree char *digest = NULL;
-  const Account *account;
-  const char *colon;
-
-  if (!header || !g_str_has_prefix (header, "Bearer "))
-    return FALSE;
-  header += strlen ("Bearer ");
-  colon = strchr (header, ':');
-  if (!colon)
-    return FALSE;
-  id = g_strndup (header, (gsize)(colon - header));
-  account = snapshot_account (snapshot, id);
-  digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, colon + 1, -1);
-  return account && strcmp (account->tenant, tenant) == 0 &&
-         settings_secret_equal (account->key_sha256, digest);
-}
-
 /* Finds route and service; answers and returns FALSE when the request has none. */
 static gboolean
 find_route (Ingress *ingress, const CallerWords *words, ExchangeOrder *order)
@@ -113,32 +91,58 @@
   order->route = snapshot_route (order->snapshot, words->host, words->path, method);
   if (order->route)
     order->service = service_of (ingress, order->snapshot, order->route);
-  if (!order->service)
-    {
-      answer_error (dialect_of (ingress), order->request, words->id, HTTP_NOT_FOUND,
-                    "no route for this method and path");
-      return FALSE;
-    }
-  if (!order->route->account ||
-      is_allowed (order->request, order->snapshot, order->service->tenant))
+  if (order->service)
     return TRUE;
-  answer_error (dialect_of (ingress), order->request, words->id, HTTP_UNAUTHORIZED,
-                "an account of this tenant is needed");
+  answer_error (dialect_of (ingress), order->request, words->id, HTTP_NOT_FOUND,
+                "no route for this method and path");
   return FALSE;
 }
 
+/* Finds the account; answers and returns FALSE when the caller may not use the route. */
+static gboolean
+find_account (Ingress *ingress, const CallerWords *words, ExchangeOrder *order)
+{
+  const Dialect *dialect = dialect_of (ingress);
+  Identity identity = identity_find (dialect, order->request, order->snapshot,
+                                     order->route, order->service->tenant);
+
+  order->account = identity.account;
+  order->identified = identity.identified;
+  if (!identity.status)
+    return TRUE;
+  identity_log (&identity, ingress->node, words->id);
+  answer_error (dialect, order->request, words->id, identity.status,
+                identity_fault (&identity));
+  return FALSE;
+}
+
+/* What a target's call takes over from the request that it is made for. */
+static guint
+take_call_terms (Ingress *ingress, const CallerWords *words, ExchangeOrder *order)
+{
+  CallTerms terms = sidecar_call_terms (ingress->node->sidecar, words->parent);
+
+  order->call = TRUE;
+  order->repeat = terms.repeat;
+  return terms.account_priority;
+}
+
 static void
 route_request (Ingress *ingress, HttpRequest *request, const CallerWords *words)
 {
+  /* Nobody's requests come after those of any account. */
+  guint priority = CONFIG_ACCOUNT_PRIORITIES - 1;
   ExchangeOrder order = { .request = request,
                           .snapshot = config_sync_snapshot (ingress->node->config),
                           .id = words->id };
 
-  if (!find_route (ingress, words, &order))
+  if (!find_route (ingress, words, &order) || !find_account (ingress, words, &order))
     return;
-  order.call = words->parent != NULL;
-  order.repeat =
-      order.call && sidecar_runs_repeat (ingress->node->sidecar, words->parent);
+  if (words->parent)
+    priority = take_call_terms (ingress, words, &order);
+  if (order.account)
+    priority = order.account->priority;
+  order.priority = identity_rank (priority, order.route);
   order.span_us = deadline_span (words, order.route);
   begin (ingress, &order);
 }
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -176,10 +176,11 @@
          submission->args.retry == RETRY_INHERITED;
 }
 
-gboolean
-sidecar_runs_repeat (const Sidecar *sidecar, const char *id)
+CallTerms
+sidecar_call_terms (const Sidecar *sidecar, const char *id)
 {
   const Dialect *dialect = sidecar->node->adapter->dialect;
+  CallTerms terms = { FALSE, CONFIG_ACCOUNT_PRIORITIES - 1 };
   GHashTableIter iter;
   gpointer key;
 
@@ -188,11 +189,13 @@
     {
       const Submission *submission = key;
 
-      if (submission->running && is_repeat (submission) &&
-          dialect->carries (&submission->args, id))
-        return TRUE;
+      if (!submission->running || !dialect->carries (&submission->args, id))
+        continue;
+      terms.repeat |= is_repeat (submission);
+      terms.account_priority =
+          MIN (terms.account_priority, submission->args.priority / CONFIG_PRIORITIES);
     }
-  return FALSE;
+  return terms;
 }
 
 void
--- a/daemon/src/target/sidecar.h
+++ b/daemon/src/target/sidecar.h
@@ -28,8 +28,16 @@
 /* This sidecar's incarnation and clock, as of now; texts borrowed from the settings. */
 void sidecar_stamp (const Sidecar *sidecar, sw_stamp *stamp);
 
-/* Whether the request of that id runs here, and is not its first attempt. */
-gboolean sidecar_runs_repeat (const Sidecar *sidecar, const char *id);
+/* What a call that a target makes takes over from the request that it is made for. */
+typedef struct
+{
+  gboolean repeat;        /* the request is not at its first attempt */
+  guint account_priority; /* of the account whose request it is */
+} CallTerms;
+
+/* The terms for a call of the request of that id; those of nobody's first attempt where
+   it does not run here. */
+CallTerms sidecar_call_terms (const Sidecar *sidecar, const char *id);
 
 /* The states of all targets; the array is the caller's to free, its texts not. */
 void sidecar_states (Sidecar *sidecar, sw_hello_res *res);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -78,7 +78,7 @@
 awk 'BEGIN { printf "{\"routes\":["; for (i = 0; i < 17000; i++) printf "%s{\"prefix\":\"/r/%d\",\"service\":\"s\"}", i ? "," : "", i; printf "]}" }' > "$dir/routes.json"
 "$mill" --yes --json plan "$dir/routes.json" >/dev/null; await_generation 2 0 1
 m1=$(rss_of "$(pid_of 1)")
-awk 'BEGIN { printf "{\"accounts\":["; for (i = 0; i < 44000; i++) printf "%s{\"id\":\"g%d\",\"tenant\":\"t\",\"key_sha256\":\"%064x\"}", i ? "," : "", i, i; printf "]}" }' > "$dir/accounts.json"
+awk 'BEGIN { printf "{\"accounts\":["; for (i = 0; i < 44000; i++) printf "%s{\"id\":\"g%d\",\"tenant\":\"t\",\"keys_sha256\":[\"%064x\"]}", i ? "," : "", i, i; printf "]}" }' > "$dir/accounts.json"
 "$mill" --yes --json plan "$dir/accounts.json" >/dev/null; await_generation 3 0 1
 m2=$(rss_of "$(pid_of 1)")
 c0=$(cpu_of "$(pid_of 1)")
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -10,7 +10,8 @@
  *   silent (never), hangup (runs, closes without an answer), half (half, then silence),
  *   refused (503 that says so, and does not run), busy (503 that does not say).
  * A request in the platform's dialect is counted under its id there, and its answer is
- * signed. Caller, time left and expected target of the last one are told by /_seen.
+ * signed. Caller, time left and expected target of the last one are told by /_seen, and
+ * the head of the last request as it came by /_head.
  *   flap_ms: faults are on and off by turns of that length.
  * With RUNS_FILE each run adds a line to it when it begins, "ID EXPECTED MICROSECONDS"
  * (the target that the request was meant for; the monotonic clock), which outlives the
@@ -41,6 +42,7 @@
 static TargetFaults faults = { .latency_us = 2 * MS_US, .slow_percent = 100 };
 static char *name;
 static char *seen; /* what /_seen tells */
+static char *head; /* what /_head tells */
 
 static void next_waiting (void);
 static void take_request (TargetConn *conn);
@@ -192,6 +194,8 @@
     text = target_runs_ids (runs);
   else if (g_str_has_prefix (conn->path, "/_seen"))
     text = g_strdup (seen ? seen : "\n");
+  else if (g_str_has_prefix (conn->path, "/_head"))
+    text = g_strdup (head ? head : "\n");
   else
     text = g_strdup ("ok\n");
   target_conn_put_answer (conn, 200, text, NULL, 0);
@@ -218,6 +222,8 @@
           answer_own (conn);
           continue;
         }
+      g_free (head);
+      head = g_strndup ((const char *)conn->in->data, conn->body_at);
       if (faults_on () && faults.answer == TARGET_REFUSED)
         {
           refuse (conn);
