Allowances of client accounts, lent by a few nodes to whoever is asked

Each account has three lenders, found by hashing over the live members, in as many halls as there are. Each holds a bucket with its share and lends single requests that are good for half a second; a request that finds none at hand has its node ask, one round trip. A bucket begins empty with its lender's life and with the moment at which a node becomes a lender, so that restarts and moves lend nothing twice; shares shrink with the part of the fleet that is seen. Beyond it 429 at once with the time at which a lender has something again; 503 where no lender can be asked. Ruled out so far: an equal part for each node, which is under one request for a small account on 93 nodes.

--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -4,6 +4,7 @@
 #ifndef CORE_SETTINGS_H
 #define CORE_SETTINGS_H
 
+#include <core/allowance.h>
 #include <core/config.h>
 
 /* One who may change the configuration. */
@@ -71,6 +72,7 @@
   guint fence_entries_max;
   gsize fence_answers_max;
   ServiceDefaults defaults;
+  AllowanceRule allowance;
   LogThreshold log;
 } Settings;
 
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -27,6 +27,12 @@
 /* More retries for each request than anybody means to allow. */
 #define RETRY_RATIO_MAX 100.0
 
+/* The users' span over which an account's requests are counted, and what is taken. */
+#define ALLOWANCE_WINDOW_DEFAULT_S 5.0
+#define ALLOWANCE_WINDOW_MIN_S 0.1
+#define ALLOWANCE_WINDOW_MAX_S 3600.0
+#define ALLOWANCE_OVERAGE_MAX 100.0
+
 static const char *const platform_names[] = { "own", "objects", NULL };
 static const char *const detection_names[] = { "off", "careful", "quick", "strict",
                                                NULL };
@@ -105,6 +111,22 @@
   json_view_close (object);
 }
 
+/* How the allowances of client accounts are counted. */
+static void
+read_allowance (Settings *settings, JsonView *view)
+{
+  AllowanceRule *rule = &settings->allowance;
+  JsonView *object = object_or_empty (view, "allowances");
+
+  rule->window_us =
+      (gint64)(1e6 * json_view_double (object, "window_s", ALLOWANCE_WINDOW_MIN_S,
+                                       ALLOWANCE_WINDOW_MAX_S,
+                                       ALLOWANCE_WINDOW_DEFAULT_S));
+  rule->overage = json_view_double (object, "overage", 0, ALLOWANCE_OVERAGE_MAX, 0);
+  rule->slack = json_view_double (object, "slack", 0, G_MAXINT, 0);
+  json_view_close (object);
+}
+
 static gint64
 stop_margin_us (gint64 grace_us)
 {
@@ -249,6 +271,7 @@
   settings->first_start = json_view_bool (view, "first_start", FALSE);
   read_target (settings, view);
   read_defaults (settings, view);
+  read_allowance (settings, view);
   settings->platform_address = g_strdup (names_required_address (view, "platform"));
   settings->fleet_token = read_token (view, "fleet_token");
   settings->fleet_seal = seal_of (settings->fleet_token);
--- /dev/null
+++ b/core/src/request/allowance-book.c
@@ -0,0 +1,113 @@
+#include <core/allowance.h>
+
+#include <math.h>
+
+/* Who asks an empty bucket in vain is told when to come again, so that all of them
+   together ask so many times for each request that comes in, and some more where little
+   does. */
+#define ASKS_PER_REQUEST 2.0
+#define ASKS_PER_S 10.0
+#define RETRY_MIN_US (20 * MS_US)
+#define RETRY_MAX_US (2 * SECOND_US)
+/* Without a question in so long a bucket of any depth that is used is full. */
+#define IDLE_US (60 * SECOND_US)
+
+typedef struct
+{
+  double level;
+  double asks; /* a second, of late */
+  gint64 at_us;
+} Bucket;
+
+struct AllowanceBook
+{
+  AllowanceRule rule;
+  Clock *clock;
+  GHashTable *buckets; /* account → Bucket */
+};
+
+AllowanceBook *
+allowance_book_create (const AllowanceRule *rule, Clock *clock)
+{
+  AllowanceBook *book = g_new0 (AllowanceBook, 1);
+
+  book->rule = *rule;
+  book->clock = clock;
+  book->buckets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return book;
+}
+
+void
+allowance_book_destroy (AllowanceBook *book)
+{
+  if (!book)
+    return;
+  g_hash_table_unref (book->buckets);
+  g_free (book);
+}
+
+static Bucket *
+bucket_of (AllowanceBook *book, const char *account, gint64 since_us)
+{
+  Bucket *bucket = g_hash_table_lookup (book->buckets, account);
+
+  if (bucket)
+    return bucket;
+  bucket = g_new0 (Bucket, 1);
+  bucket->at_us = MIN (since_us, clock_now (book->clock));
+  g_hash_table_insert (book->buckets, g_strdup (account), bucket);
+  return bucket;
+}
+
+static void
+fill (Bucket *bucket, const AllowanceRate *rate, gint64 now_us)
+{
+  double passed = (double)(now_us - bucket->at_us) / SECOND_US;
+
+  bucket->level = MIN (bucket->level + passed * rate->per_s, rate->depth);
+  bucket->asks = bucket->asks * exp (-passed) + 1;
+  bucket->at_us = now_us;
+}
+
+static gint64
+retry_after_us (const Bucket *bucket, const AllowanceRate *rate)
+{
+  double next = rate->per_s > 0 ? (1 - bucket->level) / rate->per_s : G_MAXINT;
+  double turn = bucket->asks / (ASKS_PER_REQUEST * rate->per_s + ASKS_PER_S);
+
+  return (gint64)CLAMP (MAX (next, turn) * SECOND_US, RETRY_MIN_US, RETRY_MAX_US);
+}
+
+AllowanceLoan
+allowance_book_lend (AllowanceBook *book,
+                     const char *account,
+                     const AllowanceTerms *terms,
+                     double share,
+                     gint64 since_us,
+                     guint wanted)
+{
+  AllowanceRate rate = allowance_rate (&book->rule, terms, share);
+  Bucket *bucket = bucket_of (book, account, since_us);
+  AllowanceLoan loan = { 0 };
+
+  fill (bucket, &rate, clock_now (book->clock));
+  loan.lent = (guint)MIN ((double)wanted, floor (MAX (bucket->level, 0)));
+  bucket->level -= loan.lent;
+  if (loan.lent < wanted)
+    loan.retry_after_us = retry_after_us (bucket, &rate);
+  return loan;
+}
+
+void
+allowance_book_prune (AllowanceBook *book, AllowanceIsOwn is_own, gpointer data)
+{
+  gint64 now = clock_now (book->clock);
+  GHashTableIter iter;
+  gpointer account;
+  gpointer bucket;
+
+  g_hash_table_iter_init (&iter, book->buckets);
+  while (g_hash_table_iter_next (&iter, &account, &bucket))
+    if (!is_own (account, data) || now - ((Bucket *)bucket)->at_us > IDLE_US)
+      g_hash_table_iter_remove (&iter);
+}
--- /dev/null
+++ b/core/tests/test-allowance.c
@@ -0,0 +1,315 @@
+/* Allowances over a fleet: what is lent stays within the bound in every window. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <string.h>
+
+#include <core/allowance.h>
+
+#define ACCOUNT "acme"
+#define WINDOW_US (5 * SECOND_US)
+#define STEP_US (10 * MS_US)
+#define STEPS 6000u /* a minute */
+#define MANY 100000u
+
+static const AllowanceRule rule = { WINDOW_US, 0.1, 20 };
+
+static double
+bound_of (const AllowanceTerms *terms)
+{
+  double window = (double)rule.window_us / SECOND_US;
+
+  return (terms->per_s * window + terms->burst) * (1 + rule.overage) + rule.slack;
+}
+
+/* What was let through, by step; the worst window of it. */
+static guint
+worst_window (const guint *passed, guint steps)
+{
+  guint span = WINDOW_US / STEP_US + 1;
+  guint sum = 0;
+  guint worst = 0;
+
+  for (guint i = 0; i < steps; i++)
+    {
+      sum += passed[i];
+      if (i >= span)
+        sum -= passed[i - span];
+      worst = MAX (worst, sum);
+    }
+  return worst;
+}
+
+static void
+test_a_bucket_is_within_the_bound_for_any_terms (void **state)
+{
+  static const AllowanceTerms cases[] = { { 1, 1 },    { 8, 8 },    { 264, 264 },
+                                          { 264, 0 },  { 0.5, 0 },  { 1, 500 },
+                                          { 5000, 1 }, { 1e6, 1e6 } };
+  double span = (double)(rule.window_us + ALLOWANCE_HOLD_US) / SECOND_US;
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      AllowanceRate rate = allowance_rate (&rule, &cases[i], 1);
+
+      assert_true (rate.per_s * span + rate.depth < bound_of (&cases[i]));
+      assert_true (rate.depth >= 1);
+      /* What is the account's own in the long run is nearly all lent. */
+      assert_true (rate.per_s >= 0.95 * cases[i].per_s);
+    }
+}
+
+/* A flood with the latest use of everything that was lent: at the end of its time. */
+static void
+test_a_flood_stays_within_the_bound (void **state)
+{
+  const AllowanceTerms terms = { 40, 40 };
+  Clock *clock = clock_create_manual (WINDOW_US);
+  AllowanceBook *book = allowance_book_create (&rule, clock);
+  guint hold = ALLOWANCE_HOLD_US / STEP_US;
+  g_autofree guint *passed = g_new0 (guint, STEPS + hold + 1);
+  guint all = 0;
+
+  for (guint i = 0; i < STEPS; i++)
+    {
+      guint lent = allowance_book_lend (book, ACCOUNT, &terms, 1, 0, MANY).lent;
+
+      passed[i + (i / 500 % 2 ? hold : 0)] += lent;
+      all += lent;
+      clock_advance (clock, STEP_US);
+    }
+  assert_true (worst_window (passed, STEPS + hold) <= bound_of (&terms));
+  assert_true (all >= 0.95 * terms.per_s * STEPS * STEP_US / SECOND_US);
+  allowance_book_destroy (book);
+  clock_destroy (clock);
+}
+
+/* Every lender starts again, again and again: no life lends what another has lent. */
+static void
+test_restarts_lend_nothing_twice (void **state)
+{
+  const AllowanceTerms terms = { 40, 40 };
+  Clock *clock = clock_create_manual (WINDOW_US);
+  AllowanceBook *book = allowance_book_create (&rule, clock);
+  g_autofree guint *passed = g_new0 (guint, STEPS + 1);
+
+  for (guint i = 0; i < STEPS; i++)
+    {
+      if (i % 90 == 0)
+        {
+          allowance_book_destroy (book);
+          book = allowance_book_create (&rule, clock);
+        }
+      passed[i] =
+          allowance_book_lend (book, ACCOUNT, &terms, 1, clock_now (clock), MANY).lent;
+      clock_advance (clock, STEP_US);
+    }
+  assert_true (worst_window (passed, STEPS) <= bound_of (&terms));
+  allowance_book_destroy (book);
+  clock_destroy (clock);
+}
+
+static void
+test_a_lowered_allowance_is_in_force_at_once (void **state)
+{
+  const AllowanceTerms high = { 400, 400 };
+  const AllowanceTerms low = { 40, 40 };
+  Clock *clock = clock_create_manual (100 * SECOND_US);
+  AllowanceBook *book = allowance_book_create (&rule, clock);
+  g_autofree guint *passed = g_new0 (guint, STEPS + 1);
+
+  allowance_book_lend (book, ACCOUNT, &high, 1, 0, 1);
+  for (guint i = 0; i < STEPS; i++)
+    {
+      passed[i] = allowance_book_lend (book, ACCOUNT, &low, 1, 0, MANY).lent;
+      clock_advance (clock, STEP_US);
+    }
+  assert_true (worst_window (passed, STEPS) <= bound_of (&low));
+  allowance_book_destroy (book);
+  clock_destroy (clock);
+}
+
+/* Within the allowance nothing is refused: its rate, and its burst after a rest. */
+static void
+test_what_is_within_is_lent (void **state)
+{
+  const AllowanceTerms terms = { 8, 8 };
+  Clock *clock = clock_create_manual (100 * SECOND_US);
+  AllowanceBook *book = allowance_book_create (&rule, clock);
+
+  for (guint share = 0; share < 3; share++)
+    assert_int_equal (allowance_book_lend (book, ACCOUNT, &terms, 1, 0, 8).lent,
+                      share < 3 ? 8 : 0);
+  clock_advance (clock, 10 * SECOND_US);
+  for (guint i = 0; i < 800; i++)
+    {
+      assert_int_equal (allowance_book_lend (book, ACCOUNT, &terms, 1, 0, 1).lent, 1);
+      clock_advance (clock, SECOND_US / 8);
+    }
+  allowance_book_destroy (book);
+  clock_destroy (clock);
+}
+
+static void
+test_who_is_refused_is_told_when (void **state)
+{
+  const AllowanceTerms terms = { 4, 0 };
+  Clock *clock = clock_create_manual (100 * SECOND_US);
+  AllowanceBook *book = allowance_book_create (&rule, clock);
+  AllowanceLoan loan = allowance_book_lend (book, ACCOUNT, &terms, 1, 0, MANY);
+
+  assert_true (loan.retry_after_us > 0);
+  clock_advance (clock, loan.retry_after_us + MS_US);
+  assert_int_equal (allowance_book_lend (book, ACCOUNT, &terms, 1, 0, 1).lent, 1);
+  allowance_book_destroy (book);
+  clock_destroy (clock);
+}
+
+static GArray *
+make_nodes (guint halls, guint each)
+{
+  GArray *nodes = g_array_new (FALSE, FALSE, sizeof (AllowanceNode));
+
+  for (guint i = 0; i < halls * each; i++)
+    {
+      AllowanceNode node = { g_strdup_printf ("vm-%u", i),
+                             g_strdup_printf ("hall-%u", i % halls) };
+
+      g_array_append_val (nodes, node);
+    }
+  return nodes;
+}
+
+static void
+free_nodes (GArray *nodes)
+{
+  for (guint i = 0; i < nodes->len; i++)
+    {
+      g_free ((char *)g_array_index (nodes, AllowanceNode, i).node);
+      g_free ((char *)g_array_index (nodes, AllowanceNode, i).hall);
+    }
+  g_array_unref (nodes);
+}
+
+static void
+test_lenders_are_agreed_on_and_in_different_halls (void **state)
+{
+  GArray *nodes = make_nodes (5, 10);
+  const char *first[ALLOWANCE_LENDERS];
+  const char *again[ALLOWANCE_LENDERS];
+  guint moved = 0;
+
+  assert_int_equal (allowance_lenders (nodes, ACCOUNT, first), ALLOWANCE_LENDERS);
+  for (guint i = 0; i < nodes->len / 2; i++)
+    {
+      AllowanceNode node = g_array_index (nodes, AllowanceNode, i);
+      guint other = nodes->len - 1 - i;
+
+      g_array_index (nodes, AllowanceNode, i) =
+          g_array_index (nodes, AllowanceNode, other);
+      g_array_index (nodes, AllowanceNode, other) = node;
+    }
+  allowance_lenders (nodes, ACCOUNT, again);
+  for (guint i = 0; i < ALLOWANCE_LENDERS; i++)
+    assert_string_equal (first[i], again[i]);
+  for (guint i = 0; i < ALLOWANCE_LENDERS; i++)
+    for (guint j = 0; j < i; j++)
+      assert_int_not_equal (atoi (first[i] + 3) % 5, atoi (first[j] + 3) % 5);
+  /* Accounts are spread over the fleet. */
+  for (guint i = 0; i < 200; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("account-%u", i);
+
+      allowance_lenders (nodes, name, again);
+      moved += strcmp (again[0], first[0]) != 0;
+    }
+  assert_true (moved > 180);
+  free_nodes (nodes);
+}
+
+static void
+test_a_small_fleet_has_fewer_lenders (void **state)
+{
+  GArray *nodes = make_nodes (1, 2);
+  const char *lenders[ALLOWANCE_LENDERS];
+
+  assert_int_equal (allowance_lenders (nodes, ACCOUNT, lenders), 2);
+  assert_string_not_equal (lenders[0], lenders[1]);
+  free_nodes (nodes);
+}
+
+static void
+test_what_is_lent_is_good_for_its_time (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  AllowancePurse *purse = allowance_purse_create (clock);
+
+  allowance_purse_note (purse, ACCOUNT);
+  assert_false (allowance_purse_spend (purse, ACCOUNT));
+  allowance_purse_add (purse, ACCOUNT, 2, clock_now (clock));
+  assert_true (allowance_purse_spend (purse, ACCOUNT));
+  clock_advance (clock, ALLOWANCE_HOLD_US);
+  assert_false (allowance_purse_spend (purse, ACCOUNT));
+  allowance_purse_destroy (purse);
+  clock_destroy (clock);
+}
+
+static void
+test_only_busy_nodes_keep_a_reserve (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  AllowancePurse *purse = allowance_purse_create (clock);
+
+  allowance_purse_note (purse, ACCOUNT);
+  assert_int_equal (allowance_purse_reserve (purse, ACCOUNT), 0);
+  for (guint i = 0; i < 200; i++)
+    {
+      clock_advance (clock, 20 * MS_US);
+      allowance_purse_note (purse, ACCOUNT);
+    }
+  assert_in_range (allowance_purse_reserve (purse, ACCOUNT), 9, 13);
+  allowance_purse_destroy (purse);
+  clock_destroy (clock);
+}
+
+static void
+test_an_empty_lender_is_passed_over_for_its_time (void **state)
+{
+  static const char *const lenders[] = { "a", "b" };
+  Clock *clock = clock_create_manual (SECOND_US);
+  AllowancePurse *purse = allowance_purse_create (clock);
+  gint64 wait_us = 0;
+
+  assert_int_equal (allowance_purse_pick (purse, ACCOUNT, lenders, 2, &wait_us), 0);
+  allowance_purse_pass_over (purse, ACCOUNT, "a", 100 * MS_US);
+  assert_int_equal (allowance_purse_pick (purse, ACCOUNT, lenders, 2, &wait_us), 1);
+  allowance_purse_pass_over (purse, ACCOUNT, "b", 300 * MS_US);
+  assert_int_equal (allowance_purse_pick (purse, ACCOUNT, lenders, 2, &wait_us), -1);
+  assert_int_equal (wait_us, 100 * MS_US);
+  clock_advance (clock, 100 * MS_US);
+  assert_int_equal (allowance_purse_pick (purse, ACCOUNT, lenders, 2, &wait_us), 0);
+  allowance_purse_destroy (purse);
+  clock_destroy (clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_bucket_is_within_the_bound_for_any_terms),
+    cmocka_unit_test (test_a_flood_stays_within_the_bound),
+    cmocka_unit_test (test_restarts_lend_nothing_twice),
+    cmocka_unit_test (test_a_lowered_allowance_is_in_force_at_once),
+    cmocka_unit_test (test_what_is_within_is_lent),
+    cmocka_unit_test (test_who_is_refused_is_told_when),
+    cmocka_unit_test (test_lenders_are_agreed_on_and_in_different_halls),
+    cmocka_unit_test (test_a_small_fleet_has_fewer_lenders),
+    cmocka_unit_test (test_what_is_lent_is_good_for_its_time),
+    cmocka_unit_test (test_only_busy_nodes_keep_a_reserve),
+    cmocka_unit_test (test_an_empty_lender_is_passed_over_for_its_time),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/daemon/src/account/allowances.c
@@ -0,0 +1,508 @@
+#include "allowances.h"
+
+#include <string.h>
+
+#include <core/config.h>
+
+#include "allowance-fleet.h"
+#include "config-sync.h"
+#include "log.h"
+#include "peers.h"
+
+/* A lender answers in a round trip, within 20 ms from a node that is slow. */
+#define ASK_TIMEOUT_US (60 * MS_US)
+#define OPEN_TIMEOUT_US (100 * MS_US)
+/* One that does not answer is left alone for a while. */
+#define SILENT_US (500 * MS_US)
+/* One that does not take itself for a lender has another view of the fleet, which meets
+   ours within that of a probe. */
+#define NOT_LENDER_US (50 * MS_US)
+/* While no lender can be asked a request waits for half of its objective: a fleet that
+   has just started knows itself within a second. */
+#define UNKNOWN_PARTS 2
+#define UNKNOWN_DEFAULT_US (250 * MS_US)
+#define LOOK_AGAIN_US (25 * MS_US)
+/* A lender that has answered in so long knows how the account stands. */
+#define ANSWER_FRESH_US (2 * SECOND_US)
+#define SWEEP_US (10 * SECOND_US)
+#define UNKNOWN_RETRY_US (500 * MS_US)
+
+typedef struct Queue Queue;
+
+/* A request that waits for an answer. */
+typedef struct
+{
+  Queue *queue;
+  ExchangeOrder order; /* with references of its own */
+  char *id;
+} Waiter;
+
+/* The requests of one account that wait, and the question that is on its way. */
+struct Queue
+{
+  Allowances *allowances;
+  char *account;
+  AllowanceTerms terms;
+  GQueue waiters;
+  gboolean asking;
+  guint wanted;
+  gint64 asked_us;
+  gint64 answered_us; /* by a lender, last */
+  char *lender;       /* that is asked */
+  LoopTimer *again;
+};
+
+struct Allowances
+{
+  Node *node;
+  AllowanceBook *book;
+  AllowancePurse *purse;
+  AllowanceFleet *fleet;
+  GHashTable *queues; /* account → Queue */
+  gint64 swept_us;
+  AllowanceDone done;
+  gpointer data;
+};
+
+static const RpcProcedure allow = { SW_ALLOW, (xdrproc_t)xdr_sw_allow_args,
+                                    (xdrproc_t)xdr_sw_allow_res, sizeof (sw_allow_res) };
+
+static void carry_on (Queue *queue);
+
+static void
+waiter_free (Waiter *waiter)
+{
+  http_request_unref (waiter->order.request);
+  snapshot_unref (waiter->order.snapshot);
+  g_free (waiter->id);
+  g_free (waiter);
+}
+
+/* Ends a wait with an answer; what the order holds is lent on. */
+static void
+settle (Waiter *waiter, AllowanceOutcome outcome, gint64 retry_after_us)
+{
+  Allowances *allowances = waiter->queue->allowances;
+  AllowanceVerdict verdict = { outcome, retry_after_us };
+
+  http_request_watch_gone (waiter->order.request, NULL, NULL);
+  allowances->done (&waiter->order, &verdict, allowances->data);
+  waiter_free (waiter);
+}
+
+static void
+on_caller_gone (gpointer data)
+{
+  Waiter *waiter = data;
+
+  http_request_drop (waiter->order.request);
+  g_queue_remove (&waiter->queue->waiters, waiter);
+  waiter_free (waiter);
+}
+
+static void
+queue_free (gpointer data)
+{
+  Queue *queue = data;
+  Waiter *waiter;
+
+  while ((waiter = g_queue_pop_head (&queue->waiters)))
+    {
+      http_request_watch_gone (waiter->order.request, NULL, NULL);
+      waiter_free (waiter);
+    }
+  loop_timer_destroy (queue->again);
+  g_free (queue->lender);
+  g_free (queue->account);
+  g_free (queue);
+}
+
+static void
+on_again (gpointer data)
+{
+  carry_on (data);
+}
+
+static Queue *
+queue_of (Allowances *allowances, const Account *account)
+{
+  Queue *queue = g_hash_table_lookup (allowances->queues, account->id);
+
+  if (!queue)
+    {
+      queue = g_new0 (Queue, 1);
+      queue->allowances = allowances;
+      queue->account = g_strdup (account->id);
+      queue->again = loop_timer_create (allowances->node->loop, on_again, queue);
+      g_queue_init (&queue->waiters);
+      g_hash_table_insert (allowances->queues, queue->account, queue);
+    }
+  queue->terms = (AllowanceTerms){ account->per_s, account->burst };
+  return queue;
+}
+
+/* Lets through those for which something is at hand. */
+static void
+serve (Queue *queue)
+{
+  Allowances *allowances = queue->allowances;
+
+  while (queue->waiters.length > 0 &&
+         allowance_purse_spend (allowances->purse, queue->account))
+    settle (g_queue_pop_head (&queue->waiters), ALLOWANCE_GRANTED, 0);
+}
+
+static void
+refuse (Queue *queue, AllowanceOutcome outcome, gint64 retry_after_us)
+{
+  Waiter *waiter;
+
+  while ((waiter = g_queue_pop_head (&queue->waiters)))
+    settle (waiter, outcome, retry_after_us);
+}
+
+static gboolean
+is_exceeded (const Queue *queue)
+{
+  gint64 now = clock_now (queue->allowances->node->clock);
+
+  return queue->answered_us > 0 && now - queue->answered_us < ANSWER_FRESH_US;
+}
+
+static gboolean
+may_wait_on (const Waiter *waiter, gint64 now_us)
+{
+  gint64 objective = waiter->order.route->objective_us;
+  gint64 most = objective > 0 ? objective / UNKNOWN_PARTS : UNKNOWN_DEFAULT_US;
+
+  return now_us - http_request_taken_us (waiter->order.request) < most;
+}
+
+static void
+refuse_overdue (Queue *queue, gint64 now_us)
+{
+  for (GList *item = queue->waiters.head; item;)
+    {
+      GList *next = item->next;
+      Waiter *waiter = item->data;
+
+      if (!may_wait_on (waiter, now_us))
+        {
+          g_queue_delete_link (&queue->waiters, item);
+          settle (waiter, ALLOWANCE_UNKNOWN, UNKNOWN_RETRY_US);
+        }
+      item = next;
+    }
+}
+
+/* Nobody is worth asking now. */
+static void
+give_up (Queue *queue, gint64 wait_us)
+{
+  if (is_exceeded (queue))
+    refuse (queue, ALLOWANCE_EXCEEDED, wait_us);
+  else
+    refuse_overdue (queue, clock_now (queue->allowances->node->clock));
+  if (queue->waiters.length > 0)
+    loop_timer_start (queue->again, LOOK_AGAIN_US);
+}
+
+/* What a lender has said, or that it has said nothing. */
+static void
+take_answer (Queue *queue, const sw_allow_res *res)
+{
+  Allowances *allowances = queue->allowances;
+  gint64 pause_us = 0;
+
+  queue->asking = FALSE;
+  if (!res)
+    pause_us = SILENT_US;
+  else if (!res->lender)
+    pause_us = NOT_LENDER_US;
+  else if (res->lent < queue->wanted)
+    pause_us = (gint64)res->retry_after_ms * MS_US;
+  if (res && res->lender)
+    {
+      queue->answered_us = clock_now (allowances->node->clock);
+      allowance_purse_add (allowances->purse, queue->account, res->lent, queue->asked_us);
+    }
+  if (pause_us > 0)
+    allowance_purse_pass_over (allowances->purse, queue->account, queue->lender,
+                               pause_us);
+  carry_on (queue);
+}
+
+static void
+on_lent (RpcOutcome outcome, void *result, gpointer data)
+{
+  take_answer (data, outcome == RPC_OK ? result : NULL);
+}
+
+static void
+fill_args (const Queue *queue, sw_allow_args *args)
+{
+  const Node *node = queue->allowances->node;
+
+  args->account = queue->account;
+  args->wanted = queue->wanted;
+  args->generation = snapshot_generation (config_sync_snapshot (node->config));
+  args->per_s_milli = (u_int)MIN (queue->terms.per_s * 1000, G_MAXUINT32);
+  args->burst_milli = (u_int)MIN (queue->terms.burst * 1000, G_MAXUINT32);
+}
+
+static void
+on_session (const PeerStamp *stamp, gpointer data)
+{
+  Queue *queue = data;
+  sw_allow_args args = { 0 };
+
+  if (!stamp)
+    {
+      take_answer (queue, NULL);
+      return;
+    }
+  fill_args (queue, &args);
+  metrics_add (queue->allowances->node->metrics, METRIC_ALLOWANCE_QUESTIONS, 1);
+  peers_call (queue->allowances->node->peers, queue->lender, &allow, &args,
+              ASK_TIMEOUT_US, on_lent, queue);
+}
+
+static void
+ask (Queue *queue, const char *lender)
+{
+  Node *node = queue->allowances->node;
+  sw_allow_args args = { 0 };
+  sw_allow_res res = { 0 };
+
+  queue->asking = TRUE;
+  queue->asked_us = clock_now (node->clock);
+  g_free (queue->lender);
+  queue->lender = g_strdup (lender);
+  if (strcmp (lender, node->settings->node) != 0)
+    {
+      peers_open (node->peers, queue->lender, OPEN_TIMEOUT_US, on_session, queue);
+      return;
+    }
+  fill_args (queue, &args);
+  allowances_lend (queue->allowances, &args, &res);
+  take_answer (queue, &res);
+}
+
+static gboolean
+is_own (const char *account, gpointer data)
+{
+  return allowance_fleet_share (data, account) > 0;
+}
+
+/* Looks at the fleet, and forgets what others lend by now. */
+static void
+look (Allowances *allowances)
+{
+  if (allowance_fleet_look (allowances->fleet))
+    allowance_book_prune (allowances->book, is_own, allowances->fleet);
+}
+
+static void
+carry_on (Queue *queue)
+{
+  Allowances *allowances = queue->allowances;
+  const char *lenders[ALLOWANCE_LENDERS];
+  gint64 wait_us = 0;
+  guint count;
+  gint place;
+
+  if (queue->asking)
+    return;
+  serve (queue);
+  queue->wanted =
+      queue->waiters.length + allowance_purse_reserve (allowances->purse, queue->account);
+  if (queue->wanted == 0)
+    return;
+  look (allowances);
+  count = allowance_fleet_lenders (allowances->fleet, queue->account, lenders);
+  place =
+      allowance_purse_pick (allowances->purse, queue->account, lenders, count, &wait_us);
+  if (place >= 0)
+    ask (queue, lenders[place]);
+  else
+    give_up (queue, wait_us);
+}
+
+static void
+wait (Queue *queue, const ExchangeOrder *order)
+{
+  Waiter *waiter = g_new0 (Waiter, 1);
+
+  waiter->queue = queue;
+  waiter->order = *order;
+  waiter->id = g_strdup (order->id);
+  waiter->order.id = waiter->id;
+  http_request_ref (order->request);
+  snapshot_ref (order->snapshot);
+  http_request_watch_gone (order->request, on_caller_gone, waiter);
+  g_queue_push_tail (&queue->waiters, waiter);
+}
+
+/* Accounts of which nothing has come for a while are forgotten. */
+static void
+sweep (Allowances *allowances)
+{
+  gint64 now = clock_now (allowances->node->clock);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now - allowances->swept_us < SWEEP_US)
+    return;
+  allowances->swept_us = now;
+  g_hash_table_iter_init (&iter, allowances->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Queue *queue = value;
+
+      if (!queue->asking && queue->waiters.length == 0 && !is_exceeded (queue))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Those who wait already come first. */
+void
+allowances_offer (Allowances *allowances, const ExchangeOrder *order)
+{
+  static const AllowanceVerdict granted = { ALLOWANCE_GRANTED, 0 };
+  ExchangeOrder lent = *order;
+  Queue *queue;
+
+  if (!order->account || order->account->per_s <= 0)
+    {
+      allowances->done (&lent, &granted, allowances->data);
+      return;
+    }
+  sweep (allowances);
+  allowance_purse_note (allowances->purse, order->account->id);
+  queue = queue_of (allowances, order->account);
+  if (queue->waiters.length == 0 &&
+      allowance_purse_spend (allowances->purse, queue->account))
+    allowances->done (&lent, &granted, allowances->data);
+  else
+    wait (queue, order);
+  carry_on (queue);
+}
+
+guint
+allowances_cut (Allowances *allowances)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+
+  g_hash_table_iter_init (&iter, allowances->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Queue *queue = value;
+
+      count += queue->waiters.length;
+      refuse (queue, ALLOWANCE_UNKNOWN, UNKNOWN_RETRY_US);
+    }
+  return count;
+}
+
+/* Of the two the newer configuration decides. */
+static AllowanceTerms
+terms_of (const Allowances *allowances, const sw_allow_args *args)
+{
+  const Snapshot *snapshot = config_sync_snapshot (allowances->node->config);
+  const Account *account = snapshot_account (snapshot, args->account);
+  AllowanceTerms asked = { args->per_s_milli / 1000.0, args->burst_milli / 1000.0 };
+
+  if (args->generation > snapshot_generation (snapshot))
+    return asked;
+  if (!account)
+    return asked;
+  return (AllowanceTerms){ account->per_s, account->burst };
+}
+
+void
+allowances_lend (Allowances *allowances, const sw_allow_args *args, sw_allow_res *res)
+{
+  AllowanceTerms terms = terms_of (allowances, args);
+  AllowanceLoan loan;
+  double share;
+
+  look (allowances);
+  share = allowance_fleet_share (allowances->fleet, args->account);
+  if (share <= 0)
+    return;
+  res->lender = TRUE;
+  /* Without a limit by now: a newer configuration than the one that was asked under. */
+  if (terms.per_s <= 0)
+    {
+      res->lent = args->wanted;
+      return;
+    }
+  loan = allowance_book_lend (allowances->book, args->account, &terms, share,
+                              allowance_fleet_since_us (allowances->fleet), args->wanted);
+  res->lent = loan.lent;
+  res->retry_after_ms = (u_int)(loan.retry_after_us / MS_US);
+}
+
+void
+allowances_log (const Allowances *allowances,
+                const ExchangeOrder *order,
+                const AllowanceVerdict *verdict)
+{
+  const Node *node = allowances->node;
+  const Account *account = order->account;
+  const Queue *queue = g_hash_table_lookup (allowances->queues, account->id);
+  g_autofree char *per_s = g_strdup_printf ("%g", account->per_s);
+  g_autofree char *burst = g_strdup_printf ("%g", account->burst);
+  g_autofree char *demand =
+      g_strdup_printf ("%.1f", allowance_purse_demand (allowances->purse, account->id));
+  g_autofree char *retry =
+      g_strdup_printf ("%" G_GINT64_FORMAT, verdict->retry_after_us / MS_US);
+  g_autofree char *generation =
+      g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (order->snapshot));
+  g_autofree char *age = NULL;
+
+  if (queue && queue->answered_us > 0)
+    age = g_strdup_printf ("%" G_GINT64_FORMAT,
+                           (clock_now (node->clock) - queue->answered_us) / MS_US);
+  metrics_add (node->metrics, METRIC_ALLOWANCE_REFUSED, 1);
+  log_event (G_LOG_LEVEL_INFO, "allowance-refused", "ID", order->id, "ACCOUNT",
+             account->id, "OUTCOME",
+             verdict->outcome == ALLOWANCE_EXCEEDED ? "exceeded" : "unknown", "PER_S",
+             per_s, "BURST", burst, "DEMAND_HERE", demand, "LENDER",
+             queue ? queue->lender : NULL, "ANSWER_AGE_MS", age, "RETRY_AFTER_MS", retry,
+             "GENERATION", generation, NULL);
+}
+
+Allowances *
+allowances_create (Node *node)
+{
+  Allowances *allowances = g_new0 (Allowances, 1);
+
+  allowances->node = node;
+  allowances->book = allowance_book_create (&node->settings->allowance, node->clock);
+  allowances->purse = allowance_purse_create (node->clock);
+  allowances->fleet = allowance_fleet_create (node);
+  allowances->queues = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, queue_free);
+  return allowances;
+}
+
+void
+allowances_set_done (Allowances *allowances, AllowanceDone done, gpointer data)
+{
+  allowances->done = done;
+  allowances->data = data;
+}
+
+void
+allowances_destroy (Allowances *allowances)
+{
+  if (!allowances)
+    return;
+  g_hash_table_unref (allowances->queues);
+  allowance_fleet_destroy (allowances->fleet);
+  allowance_purse_destroy (allowances->purse);
+  allowance_book_destroy (allowances->book);
+  g_free (allowances);
+}
--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -1,5 +1,6 @@
 #include "calls.h"
 
+#include "allowances.h"
 #include "config-sync.h"
 #include "gossip.h"
 #include "log.h"
@@ -141,6 +142,22 @@
   xdr_free ((xdrproc_t)xdr_sw_view_args, (char *)&args);
 }
 
+static void
+on_allow (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_allow_args args = { 0 };
+  sw_allow_res res = { 0 };
+
+  if (xdr_sw_allow_args (in, &args))
+    {
+      allowances_lend (node->allowances, &args, &res);
+      reply (node, conn, xid, TRAFFIC_ALLOWANCES, (xdrproc_t)xdr_sw_allow_res, &res);
+    }
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_allow_args, (char *)&args);
+}
+
 void
 calls_handle (RpcConn *conn, const WireCall *call, XDR *in, gpointer data)
 {
@@ -182,6 +199,9 @@
       sidecar_drain (node->sidecar);
       reply (node, conn, call->xid, TRAFFIC_CONTROL, wire_void, NULL);
       break;
+    case SW_ALLOW:
+      on_allow (node, conn, call->xid, in);
+      break;
     case SW_VIEW:
       on_view (node, conn, call->xid, in);
       break;
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -225,6 +225,8 @@
       return TRAFFIC_CONFIG;
     case SW_VIEW:
       return TRAFFIC_VIEWS;
+    case SW_ALLOW:
+      return TRAFFIC_ALLOWANCES;
     default:
       return TRAFFIC_SESSIONS;
     }
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "adapter.h"
+#include "allowances.h"
 #include "calls.h"
 #include "config-sync.h"
 #include "gossip.h"
@@ -305,6 +306,7 @@
   node->paths = path_probes_create (node);
   node->sidecar = sidecar_create (node);
   node->config = config_sync_create (node);
+  node->allowances = allowances_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
   if (create_listeners (run, error) && create_optional_listeners (node, error))
     {
@@ -336,6 +338,7 @@
   path_probes_destroy (node->paths);
   gossip_destroy (node->gossip);
   ingress_destroy (node->ingress);
+  allowances_destroy (node->allowances);
   vm_list_destroy (node->vm_list);
   config_sync_destroy (node->config);
   sidecar_destroy (node->sidecar);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -25,6 +25,7 @@
 typedef struct VmList VmList;
 typedef struct Registry Registry;
 typedef struct PathProbes PathProbes;
+typedef struct Allowances Allowances;
 typedef struct Readiness Readiness;
 typedef struct MetricsListener MetricsListener;
 struct Adapter;
@@ -51,6 +52,7 @@
   Gossip *gossip;
   ConfigSync *config;
   Sidecar *sidecar;
+  Allowances *allowances;
   Ingress *ingress;
   Operators *operators;
   VmList *vm_list;                   /* NULL where the platform keeps no such list */
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -30,6 +30,8 @@
   "switchmill_sidecar_failed_total",
   "switchmill_target_refused_total",
   "switchmill_rpc_denied_total",
+  "switchmill_allowance_questions_total",
+  "switchmill_allowance_refused_total",
   "switchmill_callers_refused_total",
   "switchmill_config_applied_total",
   "switchmill_config_generation",
--- a/daemon/src/operator/traffic.c
+++ b/daemon/src/operator/traffic.c
@@ -14,9 +14,10 @@
 
 static const char *const hall_names[HALLS] = { "own", "other" };
 
-static const char *const kind_names[TRAFFIC_COUNT] = { "probes",   "rumours", "views",
-                                                       "sessions", "config",  "requests",
-                                                       "refused",  "answers", "control" };
+static const char *const kind_names[TRAFFIC_COUNT] = { "probes",    "rumours", "views",
+                                                       "sessions",  "config",  "requests",
+                                                       "refused",   "answers", "control",
+                                                       "allowances" };
 
 static void
 on_timer (gpointer data)
--- a/daemon/src/operator/traffic.h
+++ b/daemon/src/operator/traffic.h
@@ -13,15 +13,16 @@
 
 typedef enum
 {
-  TRAFFIC_PROBES,   /* probes of members and their answers, without the news on them */
-  TRAFFIC_RUMOURS,  /* news of members, and what they say of their targets */
-  TRAFFIC_VIEWS,    /* comparisons of whole views */
-  TRAFFIC_SESSIONS, /* openings of connections, and pings on them */
-  TRAFFIC_CONFIG,   /* heads and parts of the configuration */
-  TRAFFIC_REQUESTS, /* requests on their way to a sidecar that took them */
-  TRAFFIC_REFUSED,  /* and to one that did not */
-  TRAFFIC_ANSWERS,  /* a sidecar's answers, refusals included */
-  TRAFFIC_CONTROL,  /* questions about attempts, and cancellations */
+  TRAFFIC_PROBES,     /* probes of members and their answers, without the news on them */
+  TRAFFIC_RUMOURS,    /* news of members, and what they say of their targets */
+  TRAFFIC_VIEWS,      /* comparisons of whole views */
+  TRAFFIC_SESSIONS,   /* openings of connections, and pings on them */
+  TRAFFIC_CONFIG,     /* heads and parts of the configuration */
+  TRAFFIC_REQUESTS,   /* requests on their way to a sidecar that took them */
+  TRAFFIC_REFUSED,    /* and to one that did not */
+  TRAFFIC_ANSWERS,    /* a sidecar's answers, refusals included */
+  TRAFFIC_CONTROL,    /* questions about attempts, and cancellations */
+  TRAFFIC_ALLOWANCES, /* of client accounts: questions and answers */
   TRAFFIC_COUNT
 } TrafficKind;
 
--- a/daemon/src/request/answer.c
+++ b/daemon/src/request/answer.c
@@ -47,14 +47,25 @@
               const char *id,
               guint status,
               const char *what)
+{
+  answer_refusal (dialect, request, id, status, what,
+                  status == HTTP_UNAVAILABLE ? RETRY_AFTER_US : 0);
+}
+
+void
+answer_refusal (const Dialect *dialect,
+                HttpRequest *request,
+                const char *id,
+                guint status,
+                const char *what,
+                gint64 retry_after_us)
 {
   g_autoptr (GArray) headers = http_headers_new ();
   Verdict verdict = { .outcome = OUTCOME_NOT_RUN };
   g_autofree char *text =
       g_strdup_printf ("{\"outcome\":\"not-run\",\"error\":\"%s\"}\n", what);
 
-  if (status == HTTP_UNAVAILABLE)
-    verdict.retry_after_us = RETRY_AFTER_US;
+  verdict.retry_after_us = retry_after_us;
   http_headers_add (headers, "Content-Type", "application/json");
   dialect->add_verdict (&verdict, id, headers);
   http_request_answer (request, status, headers, text, strlen (text));
--- a/daemon/src/request/answer.h
+++ b/daemon/src/request/answer.h
@@ -22,4 +22,12 @@
                    guint status,
                    const char *what);
 
+/* Likewise, and when to come again; 0 for nothing said. */
+void answer_refusal (const Dialect *dialect,
+                     HttpRequest *request,
+                     const char *id,
+                     guint status,
+                     const char *what,
+                     gint64 retry_after_us);
+
 #endif
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -8,6 +8,7 @@
 #include <core/http-status.h>
 
 #include "adapter.h"
+#include "allowances.h"
 #include "answer.h"
 #include "config-sync.h"
 #include "exchange.h"
@@ -144,7 +145,33 @@
     priority = order.account->priority;
   order.priority = identity_rank (priority, order.route);
   order.span_us = deadline_span (words, order.route);
-  begin (ingress, &order);
+  allowances_offer (ingress->node->allowances, &order);
+}
+
+/* The request of an account that has asked for more than it may, or about which nobody
+   can be asked: it has not run. */
+static void
+refuse (Ingress *ingress, const ExchangeOrder *order, const AllowanceVerdict *verdict)
+{
+  gboolean exceeded = verdict->outcome == ALLOWANCE_EXCEEDED;
+
+  allowances_log (ingress->node->allowances, order, verdict);
+  answer_refusal (dialect_of (ingress), order->request, order->id,
+                  exceeded ? HTTP_TOO_MANY : HTTP_UNAVAILABLE,
+                  exceeded ? "this account has asked for more than it may"
+                           : "the account's allowance is not known now",
+                  verdict->retry_after_us);
+}
+
+static void
+on_allowance (ExchangeOrder *order, const AllowanceVerdict *verdict, gpointer data)
+{
+  Ingress *ingress = data;
+
+  if (verdict->outcome == ALLOWANCE_GRANTED)
+    begin (ingress, order);
+  else
+    refuse (ingress, order, verdict);
 }
 
 /* Why this node takes no requests now, or NULL. */
@@ -194,6 +221,7 @@
   ingress->exchanges = exchanges_create (node);
   ingress->start_queue = start_queue_create (node, on_request, ingress);
   ingress->splitter = splitter_create (node->rand);
+  allowances_set_done (node->allowances, on_allowance, ingress);
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
                                         on_request, ingress, error);
   if (ingress->server)
@@ -232,7 +260,7 @@
 guint
 ingress_cut (Ingress *ingress)
 {
-  return exchanges_cut (ingress->exchanges);
+  return allowances_cut (ingress->node->allowances) + exchanges_cut (ingress->exchanges);
 }
 
 guint
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -311,6 +311,22 @@
 };
 typedef struct sw_part_res sw_part_res;
 
+struct sw_allow_args {
+	char *account;
+	u_int wanted;
+	u_quad_t generation;
+	u_int per_s_milli;
+	u_int burst_milli;
+};
+typedef struct sw_allow_args sw_allow_args;
+
+struct sw_allow_res {
+	bool_t lender;
+	u_int lent;
+	u_int retry_after_ms;
+};
+typedef struct sw_allow_res sw_allow_res;
+
 struct sw_view_args {
 	struct {
 		u_int buckets_len;
@@ -364,6 +380,9 @@
 #define SW_NEWS 12
 extern  void * sw_news_1(sw_gossip *, CLIENT *);
 extern  void * sw_news_1_svc(sw_gossip *, struct svc_req *);
+#define SW_ALLOW 13
+extern  sw_allow_res * sw_allow_1(sw_allow_args *, CLIENT *);
+extern  sw_allow_res * sw_allow_1_svc(sw_allow_args *, struct svc_req *);
 #define SW_LEAVE 10
 extern  void * sw_leave_1(void *, CLIENT *);
 extern  void * sw_leave_1_svc(void *, struct svc_req *);
@@ -403,6 +422,9 @@
 #define SW_NEWS 12
 extern  void * sw_news_1();
 extern  void * sw_news_1_svc();
+#define SW_ALLOW 13
+extern  sw_allow_res * sw_allow_1();
+extern  sw_allow_res * sw_allow_1_svc();
 #define SW_LEAVE 10
 extern  void * sw_leave_1();
 extern  void * sw_leave_1_svc();
@@ -437,6 +459,8 @@
 extern  bool_t xdr_sw_head_res (XDR *, sw_head_res*);
 extern  bool_t xdr_sw_part_args (XDR *, sw_part_args*);
 extern  bool_t xdr_sw_part_res (XDR *, sw_part_res*);
+extern  bool_t xdr_sw_allow_args (XDR *, sw_allow_args*);
+extern  bool_t xdr_sw_allow_res (XDR *, sw_allow_res*);
 extern  bool_t xdr_sw_view_args (XDR *, sw_view_args*);
 extern  bool_t xdr_sw_view_res (XDR *, sw_view_res*);
 
@@ -466,6 +490,8 @@
 extern bool_t xdr_sw_head_res ();
 extern bool_t xdr_sw_part_args ();
 extern bool_t xdr_sw_part_res ();
+extern bool_t xdr_sw_allow_args ();
+extern bool_t xdr_sw_allow_res ();
 extern bool_t xdr_sw_view_args ();
 extern bool_t xdr_sw_view_res ();
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -850,6 +850,38 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_allow_args (XDR *xdrs, sw_allow_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, SW_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_s_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->burst_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sw_allow_res (XDR *xdrs, sw_allow_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->lender))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_view_args (XDR *xdrs, sw_view_args *objp)
 {
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -255,6 +255,21 @@
   opaque part<1048576>;        /* packed */
 };
 
+/* How many requests of an account a node wants to let through beyond what it has. */
+struct sw_allow_args {
+  string account<SW_NAME_MAX>;
+  unsigned int wanted;
+  unsigned hyper generation;   /* of the configuration that the terms are from */
+  unsigned int per_s_milli;    /* the account's allowance, in thousandths of a request */
+  unsigned int burst_milli;
+};
+
+struct sw_allow_res {
+  bool lender;                 /* the node lends for this account, as far as it knows */
+  unsigned int lent;
+  unsigned int retry_after_ms; /* when to ask again, if less than wanted was lent */
+};
+
 /* A comparison of views: one digest for each bucket of members. */
 struct sw_view_args {
   unsigned hyper buckets<SW_BUCKETS>;
@@ -278,6 +293,7 @@
     sw_view_res SW_VIEW (sw_view_args) = 9;
     void SW_CANCEL (sw_cancel_args) = 11;
     void SW_NEWS (sw_gossip) = 12;  /* not answered */
+    sw_allow_res SW_ALLOW (sw_allow_args) = 13;
     void SW_LEAVE (void) = 10;  /* the platform says that the callee's VM leaves */
   } = 1;
 } = 0x20057a11;
