--- a/core/include/core/allowance.h
+++ b/core/include/core/allowance.h
@@ -113,13 +113,10 @@
 AllowancePurse *allowance_purse_create (Clock *clock);
 void allowance_purse_destroy (AllowancePurse *purse);
 
-/* Notes that a request of the account has come: demand decides how much is borrowed. */
-void allowance_purse_note (AllowancePurse *purse, const char *account);
-
 /* Uses one of the requests at hand; FALSE for none. */
 gboolean allowance_purse_spend (AllowancePurse *purse, const char *account);
 
-/* How many are worth borrowing beyond those that wait: what will have come before they
+/* How many are worth borrowing beyond those that wait, now: what will be used before they
    are worth nothing any more. */
 guint allowance_purse_reserve (const AllowancePurse *purse, const char *account);
 
@@ -143,7 +140,7 @@
                            guint count,
                            gint64 *wait_us);
 
-/* Requests of the account a second that came here lately. */
-double allowance_purse_demand (const AllowancePurse *purse, const char *account);
+/* Requests of the account a second that were let through here of late. */
+double allowance_purse_rate (const AllowancePurse *purse, const char *account);
 
 #endif
--- a/core/src/request/allowance-purse.c
+++ b/core/src/request/allowance-purse.c
@@ -3,8 +3,8 @@
 #include <math.h>
 #include <string.h>
 
-/* Demand is a mean over about a second. */
-#define DEMAND_SPAN_US SECOND_US
+/* What is used a second is a mean over about one. */
+#define RATE_SPAN_US SECOND_US
 /* Of the holding time so much is borrowed for: what comes later has its own answer. */
 #define RESERVE_SHARE 0.5
 /* Accounts without a request in so long are forgotten. */
@@ -28,8 +28,8 @@
 {
   GArray *lots;   /* of Lot, the oldest first */
   GArray *pauses; /* of Pause */
-  double demand;  /* requests a second */
-  gint64 at_us;   /* of the last request */
+  double rate;    /* requests let through a second */
+  gint64 at_us;   /* when the last was */
 } Holding;
 
 struct AllowancePurse
@@ -109,27 +109,22 @@
 static double
 decay (const Holding *holding, gint64 now_us)
 {
-  return exp (-(double)(now_us - holding->at_us) / DEMAND_SPAN_US);
+  return exp (-(double)(now_us - holding->at_us) / RATE_SPAN_US);
 }
 
-void
-allowance_purse_note (AllowancePurse *purse, const char *account)
+static void
+note_use (Holding *holding, gint64 now_us)
 {
-  gint64 now = clock_now (purse->clock);
-  Holding *holding;
-
-  sweep (purse, now);
-  holding = holding_of (purse, account);
-  holding->demand = holding->demand * decay (holding, now) + 1;
-  holding->at_us = now;
+  holding->rate = holding->rate * decay (holding, now_us) + 1;
+  holding->at_us = now_us;
 }
 
 double
-allowance_purse_demand (const AllowancePurse *purse, const char *account)
+allowance_purse_rate (const AllowancePurse *purse, const char *account)
 {
   const Holding *holding = g_hash_table_lookup (purse->holdings, account);
 
-  return holding ? holding->demand * decay (holding, clock_now (purse->clock)) : 0;
+  return holding ? holding->rate * decay (holding, clock_now (purse->clock)) : 0;
 }
 
 static void
@@ -146,23 +141,47 @@
 {
   Holding *holding = g_hash_table_lookup (purse->holdings, account);
 
+  gint64 now = clock_now (purse->clock);
+
   if (!holding)
     return FALSE;
-  drop_old (holding, clock_now (purse->clock));
+  drop_old (holding, now);
   if (holding->lots->len == 0)
     return FALSE;
   g_array_index (holding->lots, Lot, 0).count--;
+  note_use (holding, now);
   return TRUE;
 }
 
-/* The first request of a node that was quiet says nothing of a second one. */
+static guint
+at_hand (const Holding *holding, gint64 now_us)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < holding->lots->len; i++)
+    {
+      const Lot *lot = &g_array_index (holding->lots, Lot, i);
+
+      count += lot->until_us > now_us ? lot->count : 0;
+    }
+  return count;
+}
+
+/*
+ * By what is let through and not by what comes: borrowed for a flood, most would be worth
+ * nothing before it is used. The first request of a node that was quiet says nothing of a
+ * second one. What is borrowed is used up by half before more is asked for.
+ */
 guint
 allowance_purse_reserve (const AllowancePurse *purse, const char *account)
 {
-  double demand = allowance_purse_demand (purse, account) - 1;
+  const Holding *holding = g_hash_table_lookup (purse->holdings, account);
   double span = RESERVE_SHARE * ALLOWANCE_HOLD_US / SECOND_US;
+  double rate = allowance_purse_rate (purse, account) - 1;
+  guint wanted = rate > 0 ? (guint)(rate * span) : 0;
+  guint held = holding ? at_hand (holding, clock_now (purse->clock)) : 0;
 
-  return demand > 0 ? (guint)(demand * span) : 0;
+  return held * 2 > wanted ? 0 : wanted - held;
 }
 
 void
@@ -173,6 +192,7 @@
 {
   Lot lot = { count, asked_us + ALLOWANCE_HOLD_US };
 
+  sweep (purse, clock_now (purse->clock));
   if (count > 0)
     g_array_append_val (holding_of (purse, account)->lots, lot);
 }
--- a/core/tests/test-allowance.c
+++ b/core/tests/test-allowance.c
@@ -246,7 +246,6 @@
   Clock *clock = clock_create_manual (SECOND_US);
   AllowancePurse *purse = allowance_purse_create (clock);
 
-  allowance_purse_note (purse, ACCOUNT);
   assert_false (allowance_purse_spend (purse, ACCOUNT));
   allowance_purse_add (purse, ACCOUNT, 2, clock_now (clock));
   assert_true (allowance_purse_spend (purse, ACCOUNT));
@@ -262,14 +261,19 @@
   Clock *clock = clock_create_manual (SECOND_US);
   AllowancePurse *purse = allowance_purse_create (clock);
 
-  allowance_purse_note (purse, ACCOUNT);
+  allowance_purse_add (purse, ACCOUNT, 1, clock_now (clock));
+  assert_true (allowance_purse_spend (purse, ACCOUNT));
   assert_int_equal (allowance_purse_reserve (purse, ACCOUNT), 0);
   for (guint i = 0; i < 200; i++)
     {
       clock_advance (clock, 20 * MS_US);
-      allowance_purse_note (purse, ACCOUNT);
+      allowance_purse_add (purse, ACCOUNT, 1, clock_now (clock));
+      assert_true (allowance_purse_spend (purse, ACCOUNT));
     }
   assert_in_range (allowance_purse_reserve (purse, ACCOUNT), 9, 13);
+  /* What is at hand is used up by half first. */
+  allowance_purse_add (purse, ACCOUNT, 10, clock_now (clock));
+  assert_int_equal (allowance_purse_reserve (purse, ACCOUNT), 0);
   allowance_purse_destroy (purse);
   clock_destroy (clock);
 }
--- a/daemon/src/account/allowances.c
+++ b/daemon/src/account/allowances.c
@@ -378,7 +378,6 @@
       return;
     }
   sweep (allowances);
-  allowance_purse_note (allowances->purse, order->account->id);
   queue = queue_of (allowances, order->account);
   if (queue->waiters.length == 0 &&
       allowance_purse_spend (allowances->purse, queue->account))
@@ -455,8 +454,8 @@
   const Queue *queue = g_hash_table_lookup (allowances->queues, account->id);
   g_autofree char *per_s = g_strdup_printf ("%g", account->per_s);
   g_autofree char *burst = g_strdup_printf ("%g", account->burst);
-  g_autofree char *demand =
-      g_strdup_printf ("%.1f", allowance_purse_demand (allowances->purse, account->id));
+  g_autofree char *rate =
+      g_strdup_printf ("%.1f", allowance_purse_rate (allowances->purse, account->id));
   g_autofree char *retry =
       g_strdup_printf ("%" G_GINT64_FORMAT, verdict->retry_after_us / MS_US);
   g_autofree char *generation =
@@ -470,7 +469,7 @@
   log_event (G_LOG_LEVEL_INFO, "allowance-refused", "ID", order->id, "ACCOUNT",
              account->id, "OUTCOME",
              verdict->outcome == ALLOWANCE_EXCEEDED ? "exceeded" : "unknown", "PER_S",
-             per_s, "BURST", burst, "DEMAND_HERE", demand, "LENDER",
+             per_s, "BURST", burst, "LET_HERE_PER_S", rate, "LENDER",
              queue ? queue->lender : NULL, "ANSWER_AGE_MS", age, "RETRY_AFTER_MS", retry,
              "GENERATION", generation, NULL);
 }
