Allowances: the fleet is followed as it changes, and known from the store's list after a restart

Members are now taken in as they come and go, a bucket begins with its lender's life where nobody moved since, and a node that restarts lends as soon as it sees nine tenths of the nodes that the store lists. Retry-After is 20 ms at least: a wait of under 0.5 ms was said as 0.000 (test_a_flood_is_held_to_its_allowance).

--- a/daemon/src/account/allowance-fleet.c
+++ b/daemon/src/account/allowance-fleet.c
@@ -2,10 +2,16 @@
 
 #include <string.h>
 
-#define LOOK_EVERY_US (200 * MS_US)
-/* A node that has just started does not know the fleet yet, and would take itself for a
-   lender of every account. */
+/*
+ * A node that has just started does not know the fleet yet, and would take itself for a
+ * lender of every account. It lends when it has found nine tenths of those that are
+ * listed, or when gossip has had time to get round.
+ */
 #define YOUNG_US SECOND_US
+#define KNOWN_SHARE 0.9
+/* Whom a node finds in this time was there before it: with the node's life begins what it
+   lends. */
+#define FINDING_US (3 * SECOND_US)
 /* The largest fleet seen in so long is what shares are of: those that are cut off are
    found out within seconds, and come back, or have left. */
 #define MOST_KEPT_US (30 * SECOND_US)
@@ -13,10 +19,8 @@
 struct AllowanceFleet
 {
   const Node *node;
-  GArray *nodes; /* of AllowanceNode, with texts in `texts` */
-  GStringChunk *texts;
-  guint64 digest; /* of the names */
-  gint64 looked_us;
+  GHashTable *halls; /* of those that are there: node → hall */
+  GArray *nodes;     /* of AllowanceNode, borrowed from `halls` */
   gint64 changed_us;
   guint most;
   gint64 most_until_us;
@@ -28,10 +32,10 @@
   AllowanceFleet *fleet = g_new0 (AllowanceFleet, 1);
 
   fleet->node = node;
+  fleet->halls = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->nodes = g_array_new (FALSE, FALSE, sizeof (AllowanceNode));
-  fleet->texts = g_string_chunk_new (1024);
-  fleet->looked_us = clock_now (node->clock) - LOOK_EVERY_US;
-  fleet->changed_us = clock_now (node->clock);
+  fleet->changed_us = node->started_us;
+  allowance_fleet_note (fleet, members_self (node->members));
   return fleet;
 }
 
@@ -41,7 +45,7 @@
   if (!fleet)
     return;
   g_array_unref (fleet->nodes);
-  g_string_chunk_free (fleet->texts);
+  g_hash_table_unref (fleet->halls);
   g_free (fleet);
 }
 
@@ -54,45 +58,45 @@
   fleet->most_until_us = now_us + MOST_KEPT_US;
 }
 
-/* A digest of the names that does not depend on their order. */
-static guint64
-take_members (AllowanceFleet *fleet)
+static void
+list_nodes (AllowanceFleet *fleet)
 {
-  const GPtrArray *all = members_all (fleet->node->members);
-  guint64 digest = 0;
+  GHashTableIter iter;
+  gpointer node;
+  gpointer hall;
 
   g_array_set_size (fleet->nodes, 0);
-  g_string_chunk_clear (fleet->texts);
-  for (guint i = 0; i < all->len; i++)
+  g_hash_table_iter_init (&iter, fleet->halls);
+  while (g_hash_table_iter_next (&iter, &node, &hall))
     {
-      const Member *member = g_ptr_array_index (all, i);
-      AllowanceNode node;
+      AllowanceNode item = { node, hall };
 
-      if (!members_is_alive (member))
-        continue;
-      node.node = g_string_chunk_insert (fleet->texts, member->node);
-      node.hall = g_string_chunk_insert_const (fleet->texts, member->hall);
-      g_array_append_val (fleet->nodes, node);
-      digest += ((guint64)g_str_hash (member->node) + 1) * 0x9e3779b97f4a7c15u;
+      g_array_append_val (fleet->nodes, item);
     }
-  return digest;
+}
+
+static gint64
+age_us (const AllowanceFleet *fleet)
+{
+  return clock_now (fleet->node->clock) - fleet->node->started_us;
 }
 
 gboolean
-allowance_fleet_look (AllowanceFleet *fleet)
+allowance_fleet_note (AllowanceFleet *fleet, const Member *member)
 {
   gint64 now = clock_now (fleet->node->clock);
-  guint64 digest;
+  gboolean alive = members_is_alive (member);
 
-  if (now - fleet->looked_us < LOOK_EVERY_US)
+  if (alive == g_hash_table_contains (fleet->halls, member->node))
     return FALSE;
-  fleet->looked_us = now;
-  digest = take_members (fleet);
+  if (alive)
+    g_hash_table_insert (fleet->halls, g_strdup (member->node), g_strdup (member->hall));
+  else
+    g_hash_table_remove (fleet->halls, member->node);
+  list_nodes (fleet);
   note_size (fleet, now);
-  if (digest == fleet->digest)
-    return FALSE;
-  fleet->digest = digest;
-  fleet->changed_us = now;
+  if (age_us (fleet) > FINDING_US)
+    fleet->changed_us = now;
   return TRUE;
 }
 
@@ -130,7 +134,13 @@
 static gboolean
 is_young (const AllowanceFleet *fleet)
 {
-  return clock_now (fleet->node->clock) - fleet->node->started_us < YOUNG_US;
+  guint listed = fleet->node->listed;
+
+  if (age_us (fleet) >= YOUNG_US)
+    return FALSE;
+  /* While a fleet starts for the first time its list is as incomplete as its view. */
+  return fleet->node->settings->first_start || listed == 0 ||
+         fleet->nodes->len < KNOWN_SHARE * listed;
 }
 
 double
@@ -150,5 +160,5 @@
 gint64
 allowance_fleet_since_us (const AllowanceFleet *fleet)
 {
-  return MAX (fleet->changed_us, fleet->node->started_us + YOUNG_US);
+  return fleet->changed_us;
 }
--- a/daemon/src/account/allowance-fleet.h
+++ b/daemon/src/account/allowance-fleet.h
@@ -1,6 +1,6 @@
 /*
  * The fleet as allowances see it: who lends for an account, and how much of the fleet
- * there is to be seen. Looked at anew a few times a second.
+ * there is to be seen.
  */
 #ifndef DAEMON_ALLOWANCE_FLEET_H
 #define DAEMON_ALLOWANCE_FLEET_H
@@ -14,11 +14,11 @@
 AllowanceFleet *allowance_fleet_create (const Node *node);
 void allowance_fleet_destroy (AllowanceFleet *fleet);
 
-/* Looks at the members again when that was some time ago; TRUE when others are there. */
-gboolean allowance_fleet_look (AllowanceFleet *fleet);
+/* Takes in what the membership says of a member; TRUE when it has come or gone. */
+gboolean allowance_fleet_note (AllowanceFleet *fleet, const Member *member);
 
-/* The lenders of an account, those of this node's hall first; borrowed until the next
-   look. Returns how many there are. */
+/* The lenders of an account, those of this node's hall first; borrowed until somebody
+   comes or goes. Returns how many there are. */
 guint allowance_fleet_lenders (const AllowanceFleet *fleet,
                                const char *account,
                                const char *lenders[ALLOWANCE_LENDERS]);
@@ -26,7 +26,7 @@
 /* This node's share of the account's allowance, 0 when it does not lend for it. */
 double allowance_fleet_share (const AllowanceFleet *fleet, const char *account);
 
-/* Since when nobody has come or gone, and this node may lend. */
+/* Since when nobody has come or gone: from then on this node alone lends its share. */
 gint64 allowance_fleet_since_us (const AllowanceFleet *fleet);
 
 #endif
--- a/daemon/src/account/allowances.c
+++ b/daemon/src/account/allowances.c
@@ -24,6 +24,8 @@
 #define LOOK_AGAIN_US (25 * MS_US)
 /* A lender that has answered in so long knows how the account stands. */
 #define ANSWER_FRESH_US (2 * SECOND_US)
+/* A caller needs a moment to come again; less is not worth being said. */
+#define RETRY_MIN_US (20 * MS_US)
 #define SWEEP_US (10 * SECOND_US)
 #define UNKNOWN_RETRY_US (500 * MS_US)
 
@@ -200,7 +202,7 @@
 give_up (Queue *queue, gint64 wait_us)
 {
   if (is_exceeded (queue))
-    refuse (queue, ALLOWANCE_EXCEEDED, wait_us);
+    refuse (queue, ALLOWANCE_EXCEEDED, MAX (wait_us, RETRY_MIN_US));
   else
     refuse_overdue (queue, clock_now (queue->allowances->node->clock));
   if (queue->waiters.length > 0)
@@ -294,11 +296,11 @@
   return allowance_fleet_share (data, account) > 0;
 }
 
-/* Looks at the fleet, and forgets what others lend by now. */
-static void
-look (Allowances *allowances)
+/* With whoever comes or goes, other nodes may lend what this one lent. */
+void
+allowances_note_member (Allowances *allowances, const Member *member)
 {
-  if (allowance_fleet_look (allowances->fleet))
+  if (allowance_fleet_note (allowances->fleet, member))
     allowance_book_prune (allowances->book, is_own, allowances->fleet);
 }
 
@@ -318,7 +320,6 @@
       queue->waiters.length + allowance_purse_reserve (allowances->purse, queue->account);
   if (queue->wanted == 0)
     return;
-  look (allowances);
   count = allowance_fleet_lenders (allowances->fleet, queue->account, lenders);
   place =
       allowance_purse_pick (allowances->purse, queue->account, lenders, count, &wait_us);
@@ -427,7 +428,6 @@
   AllowanceLoan loan;
   double share;
 
-  look (allowances);
   share = allowance_fleet_share (allowances->fleet, args->account);
   if (share <= 0)
     return;
--- a/daemon/src/account/allowances.h
+++ b/daemon/src/account/allowances.h
@@ -42,6 +42,9 @@
 /* Refuses all that wait, for a stop; returns how many there were. */
 guint allowances_cut (Allowances *allowances);
 
+/* What the membership says of a member. */
+void allowances_note_member (Allowances *allowances, const Member *member);
+
 /* Another node asks this one, or this one itself. */
 void
 allowances_lend (Allowances *allowances, const sw_allow_args *args, sw_allow_res *res);
--- a/daemon/src/member/gossip-news.c
+++ b/daemon/src/member/gossip-news.c
@@ -2,6 +2,7 @@
 
 #include <wire/convert.h>
 
+#include "allowances.h"
 #include "config-sync.h"
 #include "log.h"
 #include "rumour.h"
@@ -115,6 +116,7 @@
   balancer_set_member (node->balancer, member->node, member->incarnation,
                        members_is_alive (member));
   take_words (node, member);
+  allowances_note_member (node->allowances, member);
   log_event (G_LOG_LEVEL_DEBUG, "member", "SUBJECT", member->node, "DETAIL",
              names[member->status], NULL);
 }
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -301,12 +301,12 @@
   self.incarnation = node->incarnation;
   node->members = members_create (&self, (const char *const *)settings->peers,
                                   &members_timing_default, node->rand, clock);
+  node->allowances = allowances_create (node);
   node->balancer = balancer_create (settings->hall, node->rand, clock);
   node->peers = peers_create (node);
   node->paths = path_probes_create (node);
   node->sidecar = sidecar_create (node);
   node->config = config_sync_create (node);
-  node->allowances = allowances_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
   if (create_listeners (run, error) && create_optional_listeners (node, error))
     {
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -60,6 +60,7 @@
   MetricsListener *metrics_listener; /* likewise */
   Readiness *readiness;              /* NULL for no such listener */
   gpointer discovery;                /* the adapter's own; NULL for none */
+  guint listed; /* nodes of the fleet as the platform lists them; 0 for not known */
   gboolean stopping;
 } Node;
 
