--- a/bench/src/allowance-net.c
+++ b/bench/src/allowance-net.c
@@ -84,7 +84,7 @@
 const char *
 allowance_pattern_name (AllowancePattern pattern)
 {
-  static const char *const names[] = { "steady", "moving", "one",     "all",  "halls",
+  static const char *const names[] = { "steady", "moving",  "one",     "all",  "halls",
                                        "cut",    "restart", "lowered", "small" };
 
   return names[pattern];
@@ -400,7 +400,8 @@
                    sim->it->pattern == ALLOWANCE_MOVING ||
                    sim->it->pattern == ALLOWANCE_SMALL;
 
-  return (sim->it->pattern == ALLOWANCE_SMALL ? 1 : LARGE_PER_S) * (usual ? USUAL : FLOOD);
+  return (sim->it->pattern == ALLOWANCE_SMALL ? 1 : LARGE_PER_S) *
+         (usual ? USUAL : FLOOD);
 }
 
 /* What happens to nodes and views at this step. */
@@ -504,8 +505,7 @@
   result.refused = sim->asked ? (double)sim->refused / sim->asked : 0;
   result.own = sim->ideal ? (double)sim->let / sim->ideal : 0;
   result.moved_ms = (double)sim->moved_us / MS_US;
-  result.bytes =
-      sim->messages * (QUESTION_BYTES + ANSWER_BYTES) / 2 / RUN_S / it->nodes;
+  result.bytes = sim->messages * (QUESTION_BYTES + ANSWER_BYTES) / 2 / RUN_S / it->nodes;
   sim_destroy (sim);
   return result;
 }
--- a/bench/src/allowance-net.h
+++ b/bench/src/allowance-net.h
@@ -39,12 +39,12 @@
 
 typedef struct
 {
-  double worst;       /* the worst window over what is allowed in one; 1 at most */
-  double refused;     /* share of what was asked */
-  double own;         /* what was let through, over what one bucket for all lets through */
-  double moved_ms;    /* the longest that the first request of a hall waited, for
-                         patterns that move */
-  double bytes;       /* a second and node, each way */
+  double worst;    /* the worst window over what is allowed in one; 1 at most */
+  double refused;  /* share of what was asked */
+  double own;      /* what was let through, over what one bucket for all lets through */
+  double moved_ms; /* the longest that the first request of a hall waited, for
+                      patterns that move */
+  double bytes;    /* a second and node, each way */
 } AllowanceResult;
 
 const char *allowance_way_name (AllowanceWay way);
--- a/bench/src/bench-allowance.c
+++ b/bench/src/bench-allowance.c
@@ -1,12 +1,17 @@
 /*
- * Ways to keep an account's allowance over a fleet, on the same patterns, as a table.
+ * Ways to keep an account's allowance over a fleet, on the same patterns, as a table; or
+ * one of them, as the experiment tool plays it:
+ *
+ *     bench-allowance run NODES PATTERN --seed N [--why TEXT] [--way WAY]
  */
+#include <argtable2.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "allowance-net.h"
 
-int
-main (void)
+static int
+print_table (void)
 {
   static const guint sizes[] = { 30, 93, 353, 1200 };
 
@@ -26,3 +31,65 @@
         }
   return 0;
 }
+
+/* FALSE for a name that is none. */
+static gboolean
+find_names (AllowanceCase *it, const char *pattern, const char *way)
+{
+  guint place = 0;
+
+  while (place < ALLOWANCE_PATTERNS && strcmp (allowance_pattern_name (place), pattern))
+    place++;
+  it->pattern = place;
+  place = 0;
+  while (place < ALLOWANCE_WAYS && strcmp (allowance_way_name (place), way))
+    place++;
+  it->way = place;
+  return it->pattern < ALLOWANCE_PATTERNS && it->way < ALLOWANCE_WAYS;
+}
+
+static int
+play (const AllowanceCase *it)
+{
+  AllowanceResult result = allowance_net_run (it);
+
+  printf ("day own/srv score worth served refused failed\n"
+          "%s %u/0 %.3f %.3f %.4f %.4f 0\n",
+          allowance_pattern_name (it->pattern), it->nodes, result.own, result.own,
+          1 - result.refused, result.refused);
+  if (result.worst > 1)
+    printf ("rules broken: a window of %.2f times the bound\n", result.worst);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_rex *verb = arg_rex1 (NULL, NULL, "run", "run", 0, "plays one");
+  struct arg_int *nodes = arg_int1 (NULL, NULL, "NODES", "in the fleet");
+  struct arg_str *pattern = arg_str1 (NULL, NULL, "PATTERN", "of load and trouble");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "of chance");
+  struct arg_str *why = arg_str0 (NULL, "why", "TEXT", "not used");
+  struct arg_str *way = arg_str0 (NULL, "way", "WAY", "equal, no-wait or lent");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { verb, nodes, pattern, seed, why, way, end };
+  AllowanceCase it = { 0 };
+  int code = 2;
+
+  if (argc == 1)
+    return print_table ();
+  seed->ival[0] = 1;
+  way->sval[0] = "lent";
+  if (arg_parse (argc, argv, table) > 0)
+    arg_print_errors (stderr, end, "bench-allowance");
+  else if (!find_names (&it, pattern->sval[0], way->sval[0]))
+    fprintf (stderr, "bench-allowance: no such pattern or way\n");
+  else
+    {
+      it.nodes = (guint)nodes->ival[0];
+      it.seed = (guint)seed->ival[0];
+      code = play (&it);
+    }
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
--- a/bench/tests/test-allowance-net.c
+++ b/bench/tests/test-allowance-net.c
@@ -1,4 +1,5 @@
-/* Allowances over a fleet, on each pattern: never over the bound, and of use to callers. */
+/* Allowances over a fleet, on each pattern: never over the bound, and of use to callers.
+ */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
