Accounts: their cost at full size, their counts, and a verb of their own

Ruled out: a table of all keys for each intent (150 ms).

'switchmill account' shows accounts with allowance, priority, keys and what became of their requests at a node; the count of outcomes in logs is 'switchmill outcomes' now.

--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -8,7 +8,7 @@
 #include <core/settings.h>
 #include <core/http-status.h>
 
-#include "account.h"
+#include "outcomes.h"
 #include "explain.h"
 #include "print.h"
 
@@ -108,6 +108,25 @@
   return with_status (options, print_targets);
 }
 
+static ExitCode
+run_account (const Options *options)
+{
+  g_autofree char *id =
+      options->word_count ? g_uri_escape_string (options->words[0], NULL, FALSE) : NULL;
+  g_autofree char *path = g_strconcat ("/v1/accounts", id ? "?id=" : "", id, NULL);
+  ApiResult *result = api_call (&options->api, "GET", path, NULL);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !object_of (result))
+    code = complain (result, options);
+  else if (options->json)
+    printf ("%s\n", result->text);
+  else
+    print_accounts (object_of (result));
+  api_result_free (result);
+  return code;
+}
+
 static ExitCode
 run_events (const Options *options)
 {
@@ -317,7 +336,7 @@
 static void
 take_counted (gpointer data, const char *line, gssize len)
 {
-  request_account_add (data, line, len);
+  request_outcomes_add (data, line, len);
 }
 
 /* Reads a file, "-" for standard input; FALSE with a message when it cannot be read. */
@@ -385,41 +404,41 @@
 }
 
 static void
-print_account (RequestAccount *account, gboolean json)
+print_outcomes (RequestOutcomes *outcomes, gboolean json)
 {
   g_autoptr (JsonNode) node = NULL;
   g_autofree char *text = NULL;
 
   if (json)
     {
-      node = request_account_json (account);
+      node = request_outcomes_json (outcomes);
       text = json_to_string (node, TRUE);
       printf ("%s\n", text);
       return;
     }
-  text = request_account_text (account);
+  text = request_outcomes_text (outcomes);
   fputs (text, stdout);
 }
 
 static ExitCode
-run_account (const Options *options)
+run_outcomes (const Options *options)
 {
-  RequestAccount *account = request_account_create (options->span_s);
-  ExitCode code = read_logs (options, 0, take_counted, account);
+  RequestOutcomes *outcomes = request_outcomes_create (options->span_s);
+  ExitCode code = read_logs (options, 0, take_counted, outcomes);
 
-  print_account (account, options->json);
-  tell_bad_lines (request_account_bad_lines (account));
-  if (request_account_omitted_lines (account) > 0)
+  print_outcomes (outcomes, options->json);
+  tell_bad_lines (request_outcomes_bad_lines (outcomes));
+  if (request_outcomes_omitted_lines (outcomes) > 0)
     fprintf (stderr,
              "switchmill: nodes left %" G_GUINT64_FORMAT
              " lines out: attempts are counted too low\n",
-             request_account_omitted_lines (account));
-  if (request_account_requests (account) == 0)
+             request_outcomes_omitted_lines (outcomes));
+  if (request_outcomes_requests (outcomes) == 0)
     {
       fprintf (stderr, "switchmill: no line tells of a request\n");
       code = CODE_FAULT;
     }
-  request_account_destroy (account);
+  request_outcomes_destroy (outcomes);
   return code;
 }
 
@@ -427,6 +446,8 @@
   { "status", "", "show a node's whole view", 0, 0, run_status },
   { "service", "[NAME]", "show the services, or one", 0, 1, run_service },
   { "target", "[SERVICE]", "show the targets and their verdicts", 0, 1, run_target },
+  { "account", "[ID]", "show a client account, or those that are busy at a node", 0, 1,
+    run_account },
   { "events", "", "show a node's last events", 0, 0, run_events },
   { "plan", "INTENT", "show what an intent file would change; --yes confirms it", 1, 1,
     run_plan },
@@ -439,7 +460,7 @@
   { "config", "check SETTINGS", "check a node's settings file", 2, 2, run_config },
   { "explain", "ID [LOG...]", "show one request's way out of nodes' logs", 1, G_MAXINT,
     run_explain },
-  { "account", "[LOG...]", "count what became of the requests in nodes' logs, and why", 0,
-    G_MAXINT, run_account },
+  { "outcomes", "[LOG...]", "count what became of the requests in nodes' logs, and why",
+    0, G_MAXINT, run_outcomes },
   { NULL, NULL, NULL, 0, 0, NULL },
 };
--- a/client/src/commands.h
+++ b/client/src/commands.h
@@ -26,7 +26,7 @@
   gboolean json;
   gboolean force;
   gboolean yes;
-  guint span_s;       /* of an account, in seconds; 0 for one span */
+  guint span_s;       /* of a count of outcomes, in seconds; 0 for one span */
   const char **words; /* the command's own arguments */
   int word_count;
 } Options;
--- a/client/src/main.c
+++ b/client/src/main.c
@@ -72,7 +72,7 @@
   struct arg_lit *yes = arg_lit0 ("y", "yes", "confirm the plan at once");
   struct arg_lit *force = arg_lit0 (NULL, "force", "confirm although a floor breaks");
   struct arg_int *span =
-      arg_int0 (NULL, "span", "SECONDS", "count by spans of so many seconds (account)");
+      arg_int0 (NULL, "span", "SECONDS", "count by spans of so many seconds (outcomes)");
   struct arg_str *node = arg_str0 ("n", "node", "ADDRESS:PORT",
                                    "a node's operator listener (or SWITCHMILL_NODE)");
   struct arg_str *token =
--- a/client/src/account-private.h
+++ b/client/src/outcomes-private.h
@@ -1,11 +1,11 @@
 /*
- * What the files of the account share: account.c reads the lines, account-report.c counts
- * what they tell and prints it.
+ * What the files of the outcomes share: outcomes.c reads the lines, outcomes-report.c
+ * counts what they tell and prints it.
  */
-#ifndef CLIENT_ACCOUNT_PRIVATE_H
-#define CLIENT_ACCOUNT_PRIVATE_H
+#ifndef CLIENT_OUTCOMES_PRIVATE_H
+#define CLIENT_OUTCOMES_PRIVATE_H
 
-#include "account.h"
+#include "outcomes.h"
 
 /* Why a request was not served, at the root. */
 typedef enum
@@ -51,7 +51,7 @@
   guint budget_denied;
 } Request;
 
-struct RequestAccount
+struct RequestOutcomes
 {
   guint span_s;
   GHashTable *requests; /* id → Request */
@@ -62,6 +62,6 @@
 };
 
 /* Adds to the sum of one kind of bytes; `table` is kind → guint64 *. */
-void request_account_add_bytes (GHashTable *table, const char *kind, guint64 bytes);
+void request_outcomes_add_bytes (GHashTable *table, const char *kind, guint64 bytes);
 
 #endif
--- a/client/src/account-report.c
+++ b/client/src/outcomes-report.c
@@ -1,4 +1,4 @@
-#include "account-private.h"
+#include "outcomes-private.h"
 
 #include <core/json-write.h>
 #include <string.h>
@@ -50,14 +50,14 @@
 
 /* The cause of a call that failed, by the id of the request that it was made for. */
 static GHashTable *
-causes_of_calls (const RequestAccount *account)
+causes_of_calls (const RequestOutcomes *outcomes)
 {
   GHashTable *causes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   GHashTableIter iter;
   gpointer id;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, account->requests);
+  g_hash_table_iter_init (&iter, outcomes->requests);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
       const Request *request = value;
@@ -71,14 +71,14 @@
 }
 
 static Row *
-row_of (const RequestAccount *account,
+row_of (const RequestOutcomes *outcomes,
         GHashTable *rows,
         const char *id,
         const Request *request)
 {
   const char *class = *request->class ? request->class : "unknown";
   g_autofree char *name = g_strconcat (strchr (id, '.') ? "call " : "", class, NULL);
-  gint64 span = account->span_s ? request->began_s / account->span_s : 0;
+  gint64 span = outcomes->span_s ? request->began_s / outcomes->span_s : 0;
   g_autofree char *key = g_strdup_printf ("%020" G_GINT64_FORMAT " %s", span, name);
   Row *row = g_hash_table_lookup (rows, key);
 
@@ -86,7 +86,7 @@
     return row;
   row = g_new0 (Row, 1);
   row->class = g_steal_pointer (&name);
-  row->span = span * account->span_s;
+  row->span = span * outcomes->span_s;
   g_hash_table_insert (rows, g_steal_pointer (&key), row);
   return row;
 }
@@ -113,19 +113,19 @@
 
 /* The rows of all requests, by "span class". */
 static GHashTable *
-tabulate (const RequestAccount *account)
+tabulate (const RequestOutcomes *outcomes)
 {
   GHashTable *rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
-  g_autoptr (GHashTable) calls = causes_of_calls (account);
+  g_autoptr (GHashTable) calls = causes_of_calls (outcomes);
   GHashTableIter iter;
   gpointer id;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, account->requests);
+  g_hash_table_iter_init (&iter, outcomes->requests);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
       const Request *request = value;
-      Row *row = request->over ? row_of (account, rows, id, request) : NULL;
+      Row *row = request->over ? row_of (outcomes, rows, id, request) : NULL;
 
       if (row)
         count (row, id, request, calls);
@@ -172,26 +172,29 @@
 
 /* All bytes of a kind: of lives that are over and of those that go on. */
 static GHashTable *
-sum_bytes (const RequestAccount *account, guint hall)
+sum_bytes (const RequestOutcomes *outcomes, guint hall)
 {
   GHashTable *sum = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, account->bytes[hall]);
+  g_hash_table_iter_init (&iter, outcomes->bytes[hall]);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    request_account_add_bytes (sum, key, *(guint64 *)value);
-  g_hash_table_iter_init (&iter, account->last[hall]);
+    request_outcomes_add_bytes (sum, key, *(guint64 *)value);
+  g_hash_table_iter_init (&iter, outcomes->last[hall]);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    request_account_add_bytes (sum, strrchr (key, ' ') + 1, *(guint64 *)value);
+    request_outcomes_add_bytes (sum, strrchr (key, ' ') + 1, *(guint64 *)value);
   return sum;
 }
 
 static void
-append_bytes (GString *text, const RequestAccount *account, guint hall, const char *name)
+append_bytes (GString *text,
+              const RequestOutcomes *outcomes,
+              guint hall,
+              const char *name)
 {
-  g_autoptr (GHashTable) sum = sum_bytes (account, hall);
+  g_autoptr (GHashTable) sum = sum_bytes (outcomes, hall);
   g_autoptr (GList) kinds = sorted_keys (sum);
 
   g_string_append_printf (text, "bytes sent to %s:", name);
@@ -202,9 +205,9 @@
 }
 
 char *
-request_account_text (RequestAccount *account)
+request_outcomes_text (RequestOutcomes *outcomes)
 {
-  g_autoptr (GHashTable) rows = tabulate (account);
+  g_autoptr (GHashTable) rows = tabulate (outcomes);
   g_autoptr (GList) keys = sorted_keys (rows);
   GString *text = g_string_new (NULL);
 
@@ -228,8 +231,8 @@
       append_causes (text, "call:", row->call_causes);
       g_string_append_c (text, '\n');
     }
-  append_bytes (text, account, 0, "the own hall");
-  append_bytes (text, account, 1, "other halls");
+  append_bytes (text, outcomes, 0, "the own hall");
+  append_bytes (text, outcomes, 1, "other halls");
   return g_string_free (text, FALSE);
 }
 
@@ -265,11 +268,11 @@
 
 static void
 write_bytes (JsonBuilder *builder,
-             const RequestAccount *account,
+             const RequestOutcomes *outcomes,
              guint hall,
              const char *name)
 {
-  g_autoptr (GHashTable) sum = sum_bytes (account, hall);
+  g_autoptr (GHashTable) sum = sum_bytes (outcomes, hall);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
@@ -283,23 +286,23 @@
 }
 
 JsonNode *
-request_account_json (RequestAccount *account)
+request_outcomes_json (RequestOutcomes *outcomes)
 {
-  g_autoptr (GHashTable) rows = tabulate (account);
+  g_autoptr (GHashTable) rows = tabulate (outcomes);
   g_autoptr (GList) keys = sorted_keys (rows);
   g_autoptr (JsonBuilder) builder = json_builder_new ();
 
   json_builder_begin_object (builder);
-  json_write_int (builder, "requests", request_account_requests (account));
-  json_write_int (builder, "bad_lines", account->bad);
-  json_write_int (builder, "omitted_lines", (gint64)account->omitted);
+  json_write_int (builder, "requests", request_outcomes_requests (outcomes));
+  json_write_int (builder, "bad_lines", outcomes->bad);
+  json_write_int (builder, "omitted_lines", (gint64)outcomes->omitted);
   json_builder_set_member_name (builder, "classes");
   json_builder_begin_array (builder);
   for (GList *key = keys; key; key = key->next)
     write_row (builder, g_hash_table_lookup (rows, key->data));
   json_builder_end_array (builder);
-  write_bytes (builder, account, 0, "bytes_own_hall");
-  write_bytes (builder, account, 1, "bytes_other_halls");
+  write_bytes (builder, outcomes, 0, "bytes_own_hall");
+  write_bytes (builder, outcomes, 1, "bytes_other_halls");
   json_builder_end_object (builder);
   return json_builder_get_root (builder);
 }
--- a/client/src/account.c
+++ b/client/src/outcomes.c
@@ -1,4 +1,4 @@
-#include "account-private.h"
+#include "outcomes-private.h"
 
 #include <core/http-status.h>
 #include <string.h>
@@ -41,45 +41,46 @@
   g_free (request);
 }
 
-RequestAccount *
-request_account_create (guint span_s)
+RequestOutcomes *
+request_outcomes_create (guint span_s)
 {
-  RequestAccount *account = g_new0 (RequestAccount, 1);
+  RequestOutcomes *outcomes = g_new0 (RequestOutcomes, 1);
 
-  account->span_s = span_s;
-  account->requests =
+  outcomes->span_s = span_s;
+  outcomes->requests =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, request_free);
   for (guint i = 0; i < 2; i++)
     {
-      account->bytes[i] = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      account->last[i] = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      outcomes->bytes[i] =
+          g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      outcomes->last[i] = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
     }
-  return account;
+  return outcomes;
 }
 
 void
-request_account_destroy (RequestAccount *account)
+request_outcomes_destroy (RequestOutcomes *outcomes)
 {
-  if (!account)
+  if (!outcomes)
     return;
   for (guint i = 0; i < 2; i++)
     {
-      g_hash_table_unref (account->bytes[i]);
-      g_hash_table_unref (account->last[i]);
+      g_hash_table_unref (outcomes->bytes[i]);
+      g_hash_table_unref (outcomes->last[i]);
     }
-  g_hash_table_unref (account->requests);
-  g_free (account);
+  g_hash_table_unref (outcomes->requests);
+  g_free (outcomes);
 }
 
 static Request *
-request_of (RequestAccount *account, const char *id)
+request_of (RequestOutcomes *outcomes, const char *id)
 {
-  Request *request = g_hash_table_lookup (account->requests, id);
+  Request *request = g_hash_table_lookup (outcomes->requests, id);
 
   if (request)
     return request;
   request = g_new0 (Request, 1);
-  g_hash_table_insert (account->requests, g_strdup (id), request);
+  g_hash_table_insert (outcomes->requests, g_strdup (id), request);
   return request;
 }
 
@@ -140,7 +141,7 @@
 }
 
 static void
-take_request_line (RequestAccount *account, const JsonNode *node, const char *event)
+take_request_line (RequestOutcomes *outcomes, const JsonNode *node, const char *event)
 {
   const char *id = log_line_member (node, "id");
 
@@ -148,7 +149,7 @@
     return;
   if (strcmp (event, "attempt") == 0)
     {
-      Request *request = request_of (account, id);
+      Request *request = request_of (outcomes, id);
 
       if (says_yes (node, "own_hall"))
         request->own_hall++;
@@ -156,16 +157,16 @@
         request->other_halls++;
     }
   else if (strcmp (event, "hedge") == 0)
-    request_of (account, id)->hedges++;
+    request_of (outcomes, id)->hedges++;
   else if (strcmp (event, "attempt-end") == 0 &&
            strcmp (log_line_member (node, "reason"), "budget") == 0)
-    request_of (account, id)->budget_denied++;
+    request_of (outcomes, id)->budget_denied++;
   else if (strcmp (event, "request") == 0 || strcmp (event, "request-failed") == 0)
-    take_end (request_of (account, id), node);
+    take_end (request_of (outcomes, id), node);
 }
 
 void
-request_account_add_bytes (GHashTable *table, const char *kind, guint64 bytes)
+request_outcomes_add_bytes (GHashTable *table, const char *kind, guint64 bytes)
 {
   guint64 *sum = g_hash_table_lookup (table, kind);
 
@@ -179,7 +180,7 @@
 
 /* "kind=bytes kind=bytes ...": counts rise while a node lives, and start anew with it. */
 static void
-take_bytes (RequestAccount *account, guint hall, const char *name, const char *text)
+take_bytes (RequestOutcomes *outcomes, guint hall, const char *name, const char *text)
 {
   g_auto (GStrv) pairs = g_strsplit (text, " ", -1);
 
@@ -194,17 +195,17 @@
         continue;
       key = g_strconcat (name, " ", pair[0], NULL);
       now = g_ascii_strtoull (pair[1], NULL, 10);
-      last = g_hash_table_lookup (account->last[hall], key);
+      last = g_hash_table_lookup (outcomes->last[hall], key);
       if (last && now < *last)
-        request_account_add_bytes (account->bytes[hall], pair[0], *last);
+        request_outcomes_add_bytes (outcomes->bytes[hall], pair[0], *last);
       last = g_new (guint64, 1);
       *last = now;
-      g_hash_table_replace (account->last[hall], g_steal_pointer (&key), last);
+      g_hash_table_replace (outcomes->last[hall], g_steal_pointer (&key), last);
     }
 }
 
 void
-request_account_add (RequestAccount *account, const char *line, gssize len)
+request_outcomes_add (RequestOutcomes *outcomes, const char *line, gssize len)
 {
   g_autoptr (JsonNode) node = NULL;
   const char *event;
@@ -214,45 +215,45 @@
     case LOG_LINE_OTHER:
       return;
     case LOG_LINE_BAD:
-      account->bad++;
+      outcomes->bad++;
       return;
     default:
       break;
     }
   event = log_line_member (node, "event");
   if (strcmp (event, "log-omitted") == 0)
-    account->omitted += (guint64)number_in (node, "count");
+    outcomes->omitted += (guint64)number_in (node, "count");
   else if (strcmp (event, "bytes-sent") == 0)
     {
-      take_bytes (account, 0, log_line_member (node, "node"),
+      take_bytes (outcomes, 0, log_line_member (node, "node"),
                   log_line_member (node, "own_hall"));
-      take_bytes (account, 1, log_line_member (node, "node"),
+      take_bytes (outcomes, 1, log_line_member (node, "node"),
                   log_line_member (node, "other_halls"));
     }
   else
-    take_request_line (account, node, event);
+    take_request_line (outcomes, node, event);
 }
 
 guint
-request_account_bad_lines (const RequestAccount *account)
+request_outcomes_bad_lines (const RequestOutcomes *outcomes)
 {
-  return account->bad;
+  return outcomes->bad;
 }
 
 guint64
-request_account_omitted_lines (const RequestAccount *account)
+request_outcomes_omitted_lines (const RequestOutcomes *outcomes)
 {
-  return account->omitted;
+  return outcomes->omitted;
 }
 
 guint
-request_account_requests (const RequestAccount *account)
+request_outcomes_requests (const RequestOutcomes *outcomes)
 {
   GHashTableIter iter;
   gpointer value;
   guint over = 0;
 
-  g_hash_table_iter_init (&iter, account->requests);
+  g_hash_table_iter_init (&iter, outcomes->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     over += ((Request *)value)->over;
   return over;
--- a/client/src/print.c
+++ b/client/src/print.c
@@ -144,3 +144,29 @@
               text_of (event, "subject"), text_of (event, "detail"));
     }
 }
+
+static double
+double_of (JsonObject *object, const char *name)
+{
+  return json_object_get_double_member_with_default (object, name, 0);
+}
+
+void
+print_accounts (JsonObject *answer)
+{
+  JsonArray *accounts = array_of (answer, "accounts");
+
+  printf ("%-24s %10s %8s %8s %5s %9s %9s %9s %9s\n", "ACCOUNT", "PER SECOND", "BURST",
+          "PRIORITY", "KEYS", "DONE", "NOT RUN", "UNKNOWN", "EXCEEDED");
+  for (guint i = 0; i < length_of (accounts); i++)
+    {
+      JsonObject *item = json_array_get_object_element (accounts, i);
+
+      printf (
+          "%-24s %10g %8g %8" G_GINT64_FORMAT " %5" G_GINT64_FORMAT " %9" G_GINT64_FORMAT
+          " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT "\n",
+          text_of (item, "id"), double_of (item, "per_s"), double_of (item, "burst"),
+          int_of (item, "priority"), int_of (item, "keys"), int_of (item, "done"),
+          int_of (item, "not-run"), int_of (item, "unknown"), int_of (item, "exceeded"));
+    }
+}
--- a/client/src/print.h
+++ b/client/src/print.h
@@ -12,4 +12,8 @@
 void print_targets (JsonObject *status, const char *only);
 void print_events (JsonArray *events);
 
+/* Client accounts with their allowances, and what became of their requests at the node.
+ */
+void print_accounts (JsonObject *answer);
+
 #endif
--- a/client/tests/test-account.c
+++ b/client/tests/test-outcomes.c
@@ -7,7 +7,7 @@
 
 #include <json-glib/json-glib.h>
 
-#include "../src/account.h"
+#include "../src/outcomes.h"
 
 #define AT(second) "{\"time\":\"2026-01-01T00:00:" second ".500000Z\",\"node\":\"a\","
 
@@ -47,14 +47,14 @@
   "no brace at all",
 };
 
-static RequestAccount *
+static RequestOutcomes *
 filled (guint span_s)
 {
-  RequestAccount *account = request_account_create (span_s);
+  RequestOutcomes *outcomes = request_outcomes_create (span_s);
 
   for (gsize i = 0; i < G_N_ELEMENTS (log_lines); i++)
-    request_account_add (account, log_lines[i], -1);
-  return account;
+    request_outcomes_add (outcomes, log_lines[i], -1);
+  return outcomes;
 }
 
 static JsonObject *
@@ -85,8 +85,8 @@
 static void
 test_fates_and_causes_are_told (void **state)
 {
-  RequestAccount *account = filled (0);
-  g_autoptr (JsonNode) node = request_account_json (account);
+  RequestOutcomes *outcomes = filled (0);
+  g_autoptr (JsonNode) node = request_outcomes_json (outcomes);
   JsonObject *root = json_node_get_object (node);
   JsonObject *pay = row_of (root, "pay", -1);
   JsonObject *call = row_of (root, "call read", -1);
@@ -106,36 +106,36 @@
   assert_int_equal (json_object_get_int_member (pay, "hedges"), 1);
   assert_int_equal (cause (call, "causes", "hung"), 1);
   assert_int_equal (json_object_get_int_member (call, "retries_denied"), 1);
-  request_account_destroy (account);
+  request_outcomes_destroy (outcomes);
 }
 
 static void
 test_gaps_and_bad_lines_are_counted (void **state)
 {
-  RequestAccount *account = filled (0);
+  RequestOutcomes *outcomes = filled (0);
 
-  assert_int_equal (request_account_requests (account), 5);
-  assert_int_equal (request_account_bad_lines (account), 1);
-  assert_int_equal (request_account_omitted_lines (account), 17);
-  request_account_destroy (account);
+  assert_int_equal (request_outcomes_requests (outcomes), 5);
+  assert_int_equal (request_outcomes_bad_lines (outcomes), 1);
+  assert_int_equal (request_outcomes_omitted_lines (outcomes), 17);
+  request_outcomes_destroy (outcomes);
 }
 
 static void
 test_bytes_of_all_lives_of_a_node_are_summed (void **state)
 {
-  RequestAccount *account = filled (0);
-  g_autofree char *text = request_account_text (account);
+  RequestOutcomes *outcomes = filled (0);
+  g_autofree char *text = request_outcomes_text (outcomes);
 
   assert_non_null (strstr (text, "bytes sent to the own hall: answers=6 probes=13\n"));
   assert_non_null (strstr (text, "bytes sent to other halls: answers=190 probes=11\n"));
-  request_account_destroy (account);
+  request_outcomes_destroy (outcomes);
 }
 
 static void
 test_spans_part_requests_by_when_they_began (void **state)
 {
-  RequestAccount *account = filled (2);
-  g_autoptr (JsonNode) node = request_account_json (account);
+  RequestOutcomes *outcomes = filled (2);
+  g_autoptr (JsonNode) node = request_outcomes_json (outcomes);
   JsonObject *root = json_node_get_object (node);
   gint64 zero = 1767225600; /* the lines' second 0, since the epoch */
 
@@ -144,7 +144,7 @@
                     1);
   assert_int_equal (
       json_object_get_int_member (row_of (root, "pay", zero + 4), "refused"), 1);
-  request_account_destroy (account);
+  request_outcomes_destroy (outcomes);
 }
 
 int
--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -13,6 +13,9 @@
 #include <core/json-view.h>
 
 #define CONFIG_SHARDS 64u
+/* Of accounts, and of access keys, of which there are more: a change of one at full size
+   costs no more than one of a route. */
+#define CONFIG_ACCOUNT_SHARDS 256u
 #define CONFIG_PRIORITIES 4u
 /* Of client accounts, each of which goes before all of a route's. */
 #define CONFIG_ACCOUNT_PRIORITIES 16u
@@ -94,8 +97,8 @@
 {
   char *id;
   char *tenant;
-  double per_s;   /* requests a second over the whole fleet; 0 for no limit */
-  double burst;   /* and so many at once beyond them */
+  float per_s;    /* requests a second over the whole fleet; 0 for no limit */
+  float burst;    /* and so many at once beyond them */
   guint priority; /* 0 first; goes before the route's */
 } Account;
 
@@ -183,6 +186,8 @@
                              const char *method);
 /* The account with this id, or NULL. */
 const Account *snapshot_account (const Snapshot *snapshot, const char *id);
+/* How many access keys an account has; looks through all. */
+guint snapshot_key_count (const Snapshot *snapshot, const char *id);
 /* The account that a key's digest belongs to, or NULL. */
 const Account *snapshot_key_account (const Snapshot *snapshot, const guint8 *digest);
 
--- a/core/src/config/account.c
+++ b/core/src/config/account.c
@@ -6,6 +6,7 @@
 #include <core/names.h>
 
 #define DIGEST_HEX (2 * CONFIG_KEY_DIGEST)
+#define DIGEST_BASE64 44u
 #define HEX_DIGITS "0123456789abcdef"
 /* More requests a second, or at once, than a fleet of 1,200 VMs can take. */
 #define ALLOWANCE_MAX 1e9
@@ -19,8 +20,8 @@
   account->id = g_ref_string_new_intern (names_required (view, "id"));
   account->tenant = g_ref_string_new_intern (
       json_view_string (view, "tenant", NAME_MAX_LEN, TENANT_DEFAULT));
-  account->per_s = json_view_double (view, "per_s", 0, ALLOWANCE_MAX, 0);
-  account->burst = json_view_double (view, "burst", 0, ALLOWANCE_MAX, 0);
+  account->per_s = (float)json_view_double (view, "per_s", 0, ALLOWANCE_MAX, 0);
+  account->burst = (float)json_view_double (view, "burst", 0, ALLOWANCE_MAX, 0);
   account->priority =
       (guint)json_view_int (view, "priority", 0, CONFIG_ACCOUNT_PRIORITIES - 1, 0);
   if (!names_valid (account->tenant))
@@ -82,14 +83,23 @@
   return key;
 }
 
+/* In a part a digest stands in base 64, which takes two thirds of the bytes. */
 AccessKey *
 access_key_read (const char *text, const char *path, JsonFaults *faults)
 {
+  g_autofree char *code = g_strndup (text, DIGEST_BASE64);
+  g_autofree guchar *digest = NULL;
   AccessKey *key = NULL;
+  gsize len = 0;
 
-  if (strlen (text) > DIGEST_HEX && text[DIGEST_HEX] == ' ' &&
-      names_valid (text + DIGEST_HEX + 1))
-    key = access_key_create (text, text + DIGEST_HEX + 1);
+  digest = g_base64_decode (code, &len);
+  if (len == CONFIG_KEY_DIGEST && strlen (text) > DIGEST_BASE64 &&
+      text[DIGEST_BASE64] == ' ' && names_valid (text + DIGEST_BASE64 + 1))
+    {
+      key = g_new0 (AccessKey, 1);
+      memcpy (key->digest, digest, CONFIG_KEY_DIGEST);
+      key->account = g_ref_string_new_intern (text + DIGEST_BASE64 + 1);
+    }
   if (!key)
     json_faults_add (faults, path, "is no digest of a key with its account");
   return key;
@@ -107,13 +117,10 @@
 void
 access_key_write (const AccessKey *key, JsonBuilder *builder)
 {
-  g_autoptr (GString) text = g_string_sized_new (DIGEST_HEX + NAME_MAX_LEN);
+  g_autofree char *code = g_base64_encode (key->digest, CONFIG_KEY_DIGEST);
+  g_autofree char *text = g_strconcat (code, " ", key->account, NULL);
 
-  for (guint i = 0; i < CONFIG_KEY_DIGEST; i++)
-    g_string_append_printf (text, "%02x", key->digest[i]);
-  g_string_append_c (text, ' ');
-  g_string_append (text, key->account);
-  json_builder_add_string_value (builder, text->str);
+  json_builder_add_string_value (builder, text);
 }
 
 static gint
@@ -129,17 +136,40 @@
   g_ptr_array_sort (keys, compare_keys);
 }
 
+/* Digests are spread evenly, so that a digest's place can be told from its first bytes,
+   to within the root of how many there are. */
+static guint
+guess (const GPtrArray *keys, const guint8 *digest)
+{
+  guint64 first = (guint64)digest[0] << 24 | (guint64)digest[1] << 16 |
+                  (guint64)digest[2] << 8 | digest[3];
+
+  return (guint)(first * keys->len >> 32);
+}
+
+static int
+order_at (const GPtrArray *keys, guint place, const guint8 *digest)
+{
+  return memcmp (((AccessKey *)g_ptr_array_index (keys, place))->digest, digest,
+                 CONFIG_KEY_DIGEST);
+}
+
+/* Widens what is looked at round the guess until the digest is in it, and halves it. */
 gint
 access_keys_find (const GPtrArray *keys, const guint8 *digest)
 {
-  guint low = 0;
-  guint high = keys->len;
-
+  guint low = keys->len > 0 ? guess (keys, digest) : 0;
+  guint high = low;
+
+  for (guint step = 4; low > 0 && order_at (keys, low, digest) > 0; step *= 2)
+    low -= MIN (step, low);
+  for (guint step = 4; high < keys->len && order_at (keys, high, digest) < 0; step *= 2)
+    high += MIN (step, keys->len - high);
+  high = MIN (high + 1, keys->len);
   while (low < high)
     {
       guint middle = low + (high - low) / 2;
-      const AccessKey *key = g_ptr_array_index (keys, middle);
-      int order = memcmp (key->digest, digest, CONFIG_KEY_DIGEST);
+      int order = order_at (keys, middle, digest);
 
       if (order == 0)
         return (gint)middle;
--- a/core/src/config/intent.c
+++ b/core/src/config/intent.c
@@ -4,6 +4,9 @@
 
 #include <core/names.h>
 
+/* So many accounts' keys are looked for one by one. */
+#define LOOKED_FOR_MAX 64u
+
 /* An intent being worked out. */
 typedef struct
 {
@@ -14,8 +17,9 @@
   GHashTable *routes;   /* shard key → GPtrArray of Route, copied from the base */
   GHashTable *accounts; /* shard key → GPtrArray of Account */
   GHashTable *keys;     /* shard key → GPtrArray of AccessKey */
-  GHashTable *holdings; /* account → GArray of the digests that it holds; NULL before the
-                           first question */
+  GHashTable *holdings; /* account → GArray of the digests that it holds in the base */
+  gboolean all_held;    /* and all accounts are in it */
+  guint looked_for;     /* accounts whose keys were looked for one by one */
 } Intent;
 
 static Service *
@@ -254,35 +258,63 @@
   return FALSE;
 }
 
-/* The digests that each account of the base holds: looked for in all shards once, for a
-   shard is found by the digest and not by the account. */
-static GArray *
-held_by (Intent *intent, const char *account)
+static void
+note_holding (Intent *intent, const AccessKey *key)
 {
-  if (!intent->holdings)
+  GArray *digests = g_hash_table_lookup (intent->holdings, key->account);
+
+  if (!digests)
+    {
+      digests = g_array_new (FALSE, FALSE, CONFIG_KEY_DIGEST);
+      g_hash_table_insert (intent->holdings, key->account, digests);
+    }
+  g_array_append_val (digests, key->digest);
+}
+
+/* Notes the digests that an account of the base holds, or all with NULL: a shard is found
+   by the digest, and not by the account. */
+static void
+note_holdings (Intent *intent, const char *account)
+{
+  for (guint i = 0; i < CONFIG_ACCOUNT_SHARDS; i++)
     {
-      intent->holdings = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                                (GDestroyNotify)g_array_unref);
-      for (guint i = 0; i < CONFIG_SHARDS; i++)
+      g_autofree char *name = g_strdup_printf ("keys/%02x", i);
+      const ConfigPart *part = snapshot_part (intent->base, name);
+
+      for (guint j = 0; part && j < config_part_keys (part)->len; j++)
         {
-          g_autofree char *name = g_strdup_printf ("keys/%02x", i);
-          const ConfigPart *part = snapshot_part (intent->base, name);
-
-          for (guint j = 0; part && j < config_part_keys (part)->len; j++)
-            {
-              const AccessKey *key = g_ptr_array_index (config_part_keys (part), j);
-              GArray *digests = g_hash_table_lookup (intent->holdings, key->account);
-
-              if (!digests)
-                {
-                  digests = g_array_new (FALSE, FALSE, CONFIG_KEY_DIGEST);
-                  g_hash_table_insert (intent->holdings, key->account, digests);
-                }
-              g_array_append_val (digests, key->digest);
-            }
+          const AccessKey *key = g_ptr_array_index (config_part_keys (part), j);
+
+          /* Accounts' names are interned: equal ones are the same text. */
+          if (!account || key->account == account)
+            note_holding (intent, key);
         }
     }
-  return g_hash_table_lookup (intent->holdings, account);
+}
+
+/* A look through 88,000 keys takes a millisecond, a table of them 150: for a few accounts
+   each is looked for, for many there is a table. */
+static const GArray *
+held_by (Intent *intent, const char *account)
+{
+  GRefString *interned;
+  const GArray *digests;
+
+  if (!intent->holdings)
+    intent->holdings = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                              (GDestroyNotify)g_array_unref);
+  if (!intent->all_held && intent->looked_for++ >= LOOKED_FOR_MAX)
+    {
+      g_hash_table_remove_all (intent->holdings);
+      note_holdings (intent, NULL);
+      intent->all_held = TRUE;
+    }
+  interned = g_ref_string_new_intern (account);
+  if (!intent->all_held && !g_hash_table_contains (intent->holdings, account))
+    note_holdings (intent, interned);
+  digests = g_hash_table_lookup (intent->holdings, account);
+  g_ref_string_release (interned);
+  return digests;
 }
 
 static void
--- a/core/src/config/model.h
+++ b/core/src/config/model.h
@@ -7,7 +7,7 @@
 #include <core/config.h>
 #include <core/names.h>
 
-/* Bytes of an access key in a part: its digest in hexadecimal, a space, its account. */
+/* Bytes of an access key in a part: its digest in base 64, a space, its account. */
 #define ACCESS_KEY_TEXT_MAX (2 * CONFIG_KEY_DIGEST + 1 + NAME_MAX_LEN)
 
 /* Each returns NULL or a partly filled thing, with faults noted, for a bad view. */
@@ -27,6 +27,9 @@
 void account_free (Account *account);
 void access_key_free (AccessKey *key);
 
+/* The number of the shard that holds an access key. */
+guint config_key_shard_place (const guint8 *digest);
+
 /* Puts a shard into the order that lookups and digests rest on. */
 void routes_sort (GPtrArray *routes);
 void accounts_sort (GPtrArray *accounts);
--- a/core/src/config/part.c
+++ b/core/src/config/part.c
@@ -17,30 +17,31 @@
   GPtrArray *keys;
 };
 
-static char *
-shard_key (const char *area, const char *name)
-{
-  return g_strdup_printf ("%s/%02x", area, g_str_hash (name) % CONFIG_SHARDS);
-}
-
 char *
 config_route_shard (const char *host, const char *prefix)
 {
   g_autofree char *key = route_key (host, prefix);
 
-  return shard_key ("routes", key);
+  return g_strdup_printf ("routes/%02x", g_str_hash (key) % CONFIG_SHARDS);
 }
 
 char *
 config_account_shard (const char *id)
 {
-  return shard_key ("accounts", id);
+  return g_strdup_printf ("accounts/%02x", g_str_hash (id) % CONFIG_ACCOUNT_SHARDS);
+}
+
+/* By the last byte: the first ones tell a digest's place within its shard. */
+guint
+config_key_shard_place (const guint8 *digest)
+{
+  return digest[CONFIG_KEY_DIGEST - 1] % CONFIG_ACCOUNT_SHARDS;
 }
 
 char *
 config_key_shard (const guint8 *digest)
 {
-  return g_strdup_printf ("keys/%02x", digest[0] % CONFIG_SHARDS);
+  return g_strdup_printf ("keys/%02x", config_key_shard_place (digest));
 }
 
 static void
--- a/core/src/config/snapshot.c
+++ b/core/src/config/snapshot.c
@@ -11,8 +11,8 @@
   GPtrArray *services;   /* of Service, by name, borrowed from parts and `composed` */
   GHashTable *composed;  /* name → Service, which it owns: those with targets put in */
   ConfigPart *route_parts[CONFIG_SHARDS];
-  ConfigPart *account_parts[CONFIG_SHARDS];
-  ConfigPart *key_parts[CONFIG_SHARDS];
+  ConfigPart *account_parts[CONFIG_ACCOUNT_SHARDS];
+  ConfigPart *key_parts[CONFIG_ACCOUNT_SHARDS];
 };
 
 static gint
@@ -40,7 +40,8 @@
 static guint
 shard_of_key (const char *key)
 {
-  return (guint)g_ascii_strtoull (strchr (key, '/') + 1, NULL, 16) % CONFIG_SHARDS;
+  return (guint)g_ascii_strtoull (strchr (key, '/') + 1, NULL, 16) %
+         CONFIG_ACCOUNT_SHARDS;
 }
 
 static void
@@ -53,7 +54,7 @@
   if (config_part_service (part))
     g_ptr_array_add (snapshot->services, (Service *)config_part_service (part));
   else if (config_part_routes (part))
-    snapshot->route_parts[shard_of_key (key)] = part;
+    snapshot->route_parts[shard_of_key (key) % CONFIG_SHARDS] = part;
   else if (config_part_keys (part))
     snapshot->key_parts[shard_of_key (key)] = part;
   else
@@ -212,7 +213,7 @@
 {
   guint count = 0;
 
-  for (guint i = 0; i < CONFIG_SHARDS; i++)
+  for (guint i = 0; i < CONFIG_ACCOUNT_SHARDS; i++)
     if (snapshot->account_parts[i])
       count += config_part_accounts (snapshot->account_parts[i])->len;
   return count;
@@ -221,7 +222,7 @@
 gboolean
 snapshot_has_accounts (const Snapshot *snapshot)
 {
-  for (guint i = 0; i < CONFIG_SHARDS; i++)
+  for (guint i = 0; i < CONFIG_ACCOUNT_SHARDS; i++)
     if (snapshot->account_parts[i])
       return TRUE;
   return FALSE;
@@ -250,7 +251,7 @@
 find_exact (const Snapshot *snapshot, const char *host, const char *prefix, guint method)
 {
   g_autofree char *key = config_route_shard (host, prefix);
-  const ConfigPart *part = snapshot->route_parts[shard_of_key (key)];
+  const ConfigPart *part = snapshot->route_parts[shard_of_key (key) % CONFIG_SHARDS];
   const GPtrArray *routes;
 
   if (!part)
@@ -303,7 +304,8 @@
 const Account *
 snapshot_account (const Snapshot *snapshot, const char *id)
 {
-  const ConfigPart *part = snapshot->account_parts[g_str_hash (id) % CONFIG_SHARDS];
+  const ConfigPart *part =
+      snapshot->account_parts[g_str_hash (id) % CONFIG_ACCOUNT_SHARDS];
   const GPtrArray *accounts;
   guint low = 0;
   guint high;
@@ -331,7 +333,7 @@
 const Account *
 snapshot_key_account (const Snapshot *snapshot, const guint8 *digest)
 {
-  const ConfigPart *part = snapshot->key_parts[digest[0] % CONFIG_SHARDS];
+  const ConfigPart *part = snapshot->key_parts[config_key_shard_place (digest)];
   const GPtrArray *keys = part ? config_part_keys (part) : NULL;
   gint place = keys ? access_keys_find (keys, digest) : -1;
 
@@ -340,3 +342,19 @@
   return snapshot_account (
       snapshot, ((AccessKey *)g_ptr_array_index (keys, (guint)place))->account);
 }
+
+guint
+snapshot_key_count (const Snapshot *snapshot, const char *id)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < CONFIG_ACCOUNT_SHARDS; i++)
+    {
+      const ConfigPart *part = snapshot->key_parts[i];
+      const GPtrArray *keys = part ? config_part_keys (part) : NULL;
+
+      for (guint j = 0; keys && j < keys->len; j++)
+        count += strcmp (((AccessKey *)g_ptr_array_index (keys, j))->account, id) == 0;
+    }
+  return count;
+}
--- a/daemon/src/account/allowances.c
+++ b/daemon/src/account/allowances.c
@@ -4,6 +4,7 @@
 
 #include <core/config.h>
 
+#include "account-stats.h"
 #include "allowance-fleet.h"
 #include "config-sync.h"
 #include "log.h"
@@ -472,6 +473,10 @@
     age = g_strdup_printf ("%" G_GINT64_FORMAT,
                            (clock_now (node->clock) - queue->answered_us) / MS_US);
   metrics_add (node->metrics, METRIC_ALLOWANCE_REFUSED, 1);
+  account_stats_note (node->account_stats, account->id,
+                      verdict->outcome == ALLOWANCE_EXCEEDED ? ACCOUNT_EXCEEDED
+                                                             : ACCOUNT_ALLOWANCE_UNKNOWN,
+                      clock_now (node->clock) - http_request_taken_us (order->request));
   log_event (G_LOG_LEVEL_INFO, "allowance-refused", "ID", order->id, "ACCOUNT",
              account->id, "OUTCOME",
              verdict->outcome == ALLOWANCE_EXCEEDED ? "exceeded" : "unknown", "PER_S",
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -3,6 +3,7 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "account-stats.h"
 #include "adapter.h"
 #include "allowances.h"
 #include "calls.h"
@@ -302,6 +303,7 @@
   node->members = members_create (&self, (const char *const *)settings->peers,
                                   &members_timing_default, node->rand, clock);
   node->list = fleet_list_create ();
+  node->account_stats = account_stats_create (clock);
   node->allowances = allowances_create (node);
   node->balancer = balancer_create (settings->hall, node->rand, clock);
   node->peers = peers_create (node);
@@ -340,6 +342,7 @@
   gossip_destroy (node->gossip);
   ingress_destroy (node->ingress);
   allowances_destroy (node->allowances);
+  account_stats_destroy (node->account_stats);
   vm_list_destroy (node->vm_list);
   config_sync_destroy (node->config);
   sidecar_destroy (node->sidecar);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -26,6 +26,7 @@
 typedef struct VmList VmList;
 typedef struct Registry Registry;
 typedef struct PathProbes PathProbes;
+typedef struct AccountStats AccountStats;
 typedef struct Allowances Allowances;
 typedef struct Readiness Readiness;
 typedef struct MetricsListener MetricsListener;
@@ -55,6 +56,7 @@
   ConfigSync *config;
   Sidecar *sidecar;
   Allowances *allowances;
+  AccountStats *account_stats;
   Ingress *ingress;
   Operators *operators;
   VmList *vm_list;                   /* NULL where the platform keeps no such list */
--- a/daemon/src/operator/metrics-listener.c
+++ b/daemon/src/operator/metrics-listener.c
@@ -5,6 +5,8 @@
 #include <io/http-server.h>
 #include <core/http-status.h>
 
+#include "status.h"
+
 #define METRICS_PATH "/metrics"
 #define CONNECTIONS_MAX 16u
 
@@ -27,7 +29,7 @@
       return;
     }
   headers = http_headers_new ();
-  text = metrics_text (listener->node->metrics, listener->node->traffic);
+  text = status_metrics_text (listener->node);
   http_headers_add (headers, "Content-Type", "text/plain; version=0.0.4");
   http_request_answer (request, HTTP_OK, headers, text, strlen (text));
 }
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -162,8 +162,8 @@
              : "counter";
 }
 
-char *
-metrics_text (const Metrics *metrics, const Traffic *traffic)
+GString *
+metrics_text (const Metrics *metrics)
 {
   GString *text = g_string_new (NULL);
   GHashTableIter iter;
@@ -178,6 +178,5 @@
   g_hash_table_iter_init (&iter, metrics->classes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     append_class (text, value);
-  traffic_append (traffic, text);
-  return g_string_free (text, FALSE);
+  return text;
 }
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -7,8 +7,6 @@
 #include <core/outcome.h>
 #include <glib.h>
 
-#include "traffic.h"
-
 typedef struct Metrics Metrics;
 
 typedef enum
@@ -55,7 +53,7 @@
                       Outcome outcome,
                       gint64 took_us);
 
-/* All of it, and the bytes sent, in the usual text exposition. */
-char *metrics_text (const Metrics *metrics, const Traffic *traffic);
+/* All of it, in the usual text exposition. */
+GString *metrics_text (const Metrics *metrics);
 
 #endif
--- a/daemon/src/operator/operators.c
+++ b/daemon/src/operator/operators.c
@@ -239,8 +239,7 @@
 static void
 on_metrics (Operators *operators, HttpRequest *request)
 {
-  g_autofree char *text =
-      metrics_text (operators->node->metrics, operators->node->traffic);
+  g_autofree char *text = status_metrics_text (operators->node);
   g_autoptr (GArray) headers = http_headers_new ();
 
   http_headers_add (headers, "Content-Type", "text/plain; version=0.0.4");
@@ -277,6 +276,8 @@
     status_answer (operators->node, request);
   else if (get && strcmp (path, "/v1/events") == 0)
     status_answer_events (operators->node, request);
+  else if (get && strcmp (path, "/v1/accounts") == 0)
+    status_answer_accounts (operators->node, request);
   else if (get && strcmp (path, "/metrics") == 0)
     on_metrics (operators, request);
   else
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -2,6 +2,7 @@
 #include <core/json-write.h>
 #include <core/http-status.h>
 
+#include "account-stats.h"
 #include "config-sync.h"
 #include "ingress.h"
 #include "sidecar.h"
@@ -138,3 +139,64 @@
   events_write (node->events, builder);
   answer (request, builder);
 }
+
+static void
+write_account (const Node *node, const Account *account, JsonBuilder *builder)
+{
+  json_builder_begin_object (builder);
+  json_write_string (builder, "id", account->id);
+  json_write_string (builder, "tenant", account->tenant);
+  json_write_double (builder, "per_s", account->per_s);
+  json_write_double (builder, "burst", account->burst);
+  json_write_int (builder, "priority", account->priority);
+  json_write_int (builder, "keys",
+                  snapshot_key_count (config_sync_snapshot (node->config), account->id));
+  account_stats_write (node->account_stats, account->id, builder);
+  json_builder_end_object (builder);
+}
+
+static void
+write_accounts (const Node *node, const GPtrArray *ids, JsonBuilder *builder)
+{
+  const Snapshot *snapshot = config_sync_snapshot (node->config);
+
+  json_builder_begin_object (builder);
+  json_write_string (builder, "node", node->settings->node);
+  json_write_int (builder, "generation", (gint64)snapshot_generation (snapshot));
+  json_builder_set_member_name (builder, "accounts");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < ids->len; i++)
+    {
+      const Account *account = snapshot_account (snapshot, g_ptr_array_index (ids, i));
+
+      if (account)
+        write_account (node, account, builder);
+    }
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+}
+
+void
+status_answer_accounts (Node *node, HttpRequest *request)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  const char *id = http_request_argument (request, "id");
+
+  if (id)
+    g_ptr_array_add (ids, (gpointer)id);
+  else
+    account_stats_names (node->account_stats, ids);
+  write_accounts (node, ids, builder);
+  answer (request, builder);
+}
+
+char *
+status_metrics_text (const Node *node)
+{
+  GString *text = metrics_text (node->metrics);
+
+  traffic_append (node->traffic, text);
+  account_stats_append (node->account_stats, text);
+  return g_string_free (text, FALSE);
+}
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -2,6 +2,7 @@
 
 #include <core/http-status.h>
 
+#include "account-stats.h"
 #include "answer.h"
 #include "exchange-private.h"
 #include "peers.h"
@@ -51,6 +52,9 @@
 
   metrics_request (node->metrics, exchange->tenant, exchange->route->class, step->outcome,
                    took);
+  if (exchange->account)
+    account_stats_note (node->account_stats, exchange->account->id,
+                        account_event_of (step->outcome), took);
   request_log_end (exchange, step, took);
   if (step->outcome != OUTCOME_DONE)
     cancel_attempts (exchange);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -78,7 +78,7 @@
 awk 'BEGIN { printf "{\"routes\":["; for (i = 0; i < 17000; i++) printf "%s{\"prefix\":\"/r/%d\",\"service\":\"s\"}", i ? "," : "", i; printf "]}" }' > "$dir/routes.json"
 "$mill" --yes --json plan "$dir/routes.json" >/dev/null; await_generation 2 0 1
 m1=$(rss_of "$(pid_of 1)")
-awk 'BEGIN { printf "{\"accounts\":["; for (i = 0; i < 44000; i++) printf "%s{\"id\":\"g%d\",\"tenant\":\"t\",\"keys_sha256\":[\"%064x\"]}", i ? "," : "", i, i; printf "]}" }' > "$dir/accounts.json"
+awk 'BEGIN { printf "{\"accounts\":["; for (i = 0; i < 44000; i++) printf "%s{\"id\":\"g%d\",\"per_s\":8,\"burst\":8,\"keys_sha256\":[\"%08x%056x\",\"%08x%056x\"]}", i ? "," : "", i, (i * 97613) % 4294967296, i, (i * 48799 + 7) % 4294967296, i + 50000; printf "]}" }' > "$dir/accounts.json"
 "$mill" --yes --json plan "$dir/accounts.json" >/dev/null; await_generation 3 0 1
 m2=$(rss_of "$(pid_of 1)")
 c0=$(cpu_of "$(pid_of 1)")
@@ -141,6 +141,18 @@
 row gray-errors-careful "$careful" "% of answers"
 row gray-errors-quick "$quick" "% of answers"
 
+# --- client accounts -------------------------------------------------------------------
+"$build/bench/bench-accounts" > "$dir/accounts"
+row key-lookup "$(awk '/lookup-us/ { print $2 }' "$dir/accounts")" us "digest, shard and account, of 44000 accounts with two keys"
+row one-key-over-one-route "$(awk '/key-over-route/ { print $2 }' "$dir/accounts")" times "planning of a change of one, at full size"
+"$build/bench/bench-allowance" > "$dir/allowance"
+row allowance-worst-window "$(awk '$1 == "lent" && $4 > m { m = $4 } END { print m }' "$dir/allowance")" share "of what a window allows; all patterns, 30 to 1200 nodes"
+row allowance-refused-within "$(awk '$1 == "lent" && ($2 == "steady" || $2 == "small") && $5 > m { m = $5 } END { print m + 0 }' "$dir/allowance")" share "of an account within its allowance"
+row allowance-refused-moving "$(awk '$1 == "lent" && $2 == "moving" && $5 > m { m = $5 } END { print m + 0 }' "$dir/allowance")" share "and of one whose callers move between halls"
+row allowance-hot-own "$(awk 'BEGIN { m = 9 } $1 == "lent" && ($2 == "one" || $2 == "all" || $2 == "halls") && $6 < m { m = $6 } END { print m }' "$dir/allowance")" share "of its own that a hot account gets"
+row allowance-bytes-at-93 "$(awk '$1 == "lent" && $2 == "steady" && $3 == 93 { print $8 }' "$dir/allowance")" bytes/s "a node, each way, one account of 264 a second"
+row allowance-bytes-at-1200 "$(awk '$1 == "lent" && $2 == "all" && $3 == 1200 { print $8 }' "$dir/allowance")" bytes/s "and of one flooded at five times"
+
 # --- simulated: membership, overload, detection ---------------------------------------
 "$build/bench/bench-members" > "$dir/members"
 row members-join-bytes-sent-at-400 "$(awk '/members-400-join/ { print $3 }' "$dir/members")" bytes/s "each way; the most there is"
