--- a/tests/proc/fleet-settings.c
+++ b/tests/proc/fleet-settings.c
@@ -22,6 +22,15 @@
   g_file_set_contents (path, text, -1, NULL);
 }
 
+/* Nobody listens at the second. */
+static char *
+platform_address (const Fleet *fleet, guint i)
+{
+  if (fleet->hidden >> i & 1)
+    return g_strdup ("127.0.0.1:1");
+  return fleet_address ("platform", 0);
+}
+
 /* What deploy/node.json is filled to on the users' platform, with shorter times. */
 static void
 write_objects_settings (Fleet *fleet, guint i, const char *path)
@@ -32,7 +41,7 @@
   g_autofree char *ready = fleet_address ("ready", i);
   g_autofree char *registrations = fleet_address ("registrations", i);
   g_autofree char *target = fleet_address ("targets", i);
-  g_autofree char *platform = fleet_address ("platform", 0);
+  g_autofree char *platform = platform_address (fleet, i);
   g_autofree char *advertise = fleet_address (fleet->relays[i] ? "relays" : "nodes", i);
   g_autofree char *text = g_strdup_printf (
       "{\"node\":\"vm-%u\",\"hall\":\"hall-%u\",\"listen\":{\"callers\":\"%s\","
@@ -51,6 +60,12 @@
   g_file_set_contents (path, text, -1, NULL);
 }
 
+void
+fleet_hide_platform (Fleet *fleet, guint64 nodes)
+{
+  fleet->hidden = nodes;
+}
+
 void
 fleet_write_settings (Fleet *fleet, guint i, const char *path)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -37,6 +37,9 @@
 /* A cmocka teardown: ends the fleet of a test that failed before its end. */
 int fleet_teardown (void **state);
 
+/* Nodes (bits) that have no way to the platform from their next start on. */
+void fleet_hide_platform (Fleet *fleet, guint64 nodes);
+
 void fleet_start_platform (Fleet *fleet);
 void fleet_start_target (Fleet *fleet, guint i, guint slots, guint latency_ms);
 void fleet_start_node (Fleet *fleet, guint i);
