A target may start again under its identifier

Its heartbeats, counted anew, were taken for late ones of the start before, so that it never came back. A start's name inside the fleet is now its identifier with that time, so that all that is kept by name (fence, verdicts, proofs, budgets, holds, latencies, drain and leave) is the start's own; targets hear their identifier alone.

--- a/core/include/core/succession.h
+++ b/core/include/core/succession.h
@@ -1,11 +1,14 @@
 /*
  * Which start of a target is the present one, by its heartbeats. Each start has a name of
- * its own, and heartbeats of a start that has crashed may come seconds late, also after
- * the next has registered and after the node itself has started anew.
+ * its own: the target's identifier, and the time of its start where it says one, for a
+ * target may start again under the identifier that it had. Heartbeats of a start that has
+ * crashed may come seconds late, also after the next has registered and after the node
+ * itself has started anew.
  *
  * Rule: another name takes over at once, for a crash is not announced. The one that it
  * replaces comes back only if it goes on: twice more, while the other is silent. One that
- * has said that it ends never does.
+ * has said that it ends never does, nor does one of the same identifier that began
+ * earlier.
  */
 #ifndef CORE_SUCCESSION_H
 #define CORE_SUCCESSION_H
@@ -26,7 +29,15 @@
 Succession *succession_create (Clock *clock);
 void succession_destroy (Succession *succession);
 
-/* A heartbeat; `sequence` rises with each of one start. */
+/*
+ * The name of a start: the identifier alone where `born`, the Unix millisecond of its
+ * start, is 0. The caller frees it.
+ */
+char *succession_name (const char *identifier, gint64 born);
+/* The identifier in a start's name; the caller frees it. */
+char *succession_identifier (const char *name);
+
+/* A heartbeat of the start of that name; `sequence` rises with each of one start. */
 SuccessionAnswer
 succession_beat (Succession *succession, const char *name, gint64 sequence);
 
--- a/core/src/health/succession.c
+++ b/core/src/health/succession.c
@@ -11,6 +11,9 @@
 /* So many heartbeats of one that was replaced bring it back. */
 #define RETURN_BEATS 2u
 
+/* In a start's name, between the identifier and the time of the start in hexadecimal. */
+#define BORN_MARK ".b"
+
 typedef struct
 {
   char *name;
@@ -45,6 +48,52 @@
   g_free (start);
 }
 
+/* The place of the mark in a name, or NULL. */
+static const char *
+born_mark (const char *name)
+{
+  const char *mark = g_strrstr (name, BORN_MARK);
+  gsize digits = mark ? strspn (mark + strlen (BORN_MARK), "0123456789abcdef") : 0;
+
+  return digits > 0 && !mark[strlen (BORN_MARK) + digits] ? mark : NULL;
+}
+
+char *
+succession_name (const char *identifier, gint64 born)
+{
+  /* An identifier that looks like a name with a time gets one, so that it stays whole. */
+  if (born == 0 && !born_mark (identifier))
+    return g_strdup (identifier);
+  return g_strdup_printf ("%s" BORN_MARK "%" G_GINT64_MODIFIER "x", identifier,
+                          (guint64)born);
+}
+
+char *
+succession_identifier (const char *name)
+{
+  const char *mark = born_mark (name);
+
+  return mark ? g_strndup (name, (gsize)(mark - name)) : g_strdup (name);
+}
+
+static gint64
+born_of (const char *name)
+{
+  const char *mark = born_mark (name);
+
+  return mark ? (gint64)g_ascii_strtoull (mark + strlen (BORN_MARK), NULL, 16) : 0;
+}
+
+/* Whether one start of an identifier began before another. */
+static gboolean
+is_earlier (const char *name, const char *other)
+{
+  g_autofree char *identifier = succession_identifier (name);
+  g_autofree char *others = succession_identifier (other);
+
+  return strcmp (identifier, others) == 0 && born_of (name) < born_of (other);
+}
+
 Succession *
 succession_create (Clock *clock)
 {
@@ -100,6 +149,18 @@
   succession->beat_us = clock_now (succession->clock);
 }
 
+/* Whether a later start of its identifier is known. */
+static gboolean
+is_over (const Succession *succession, const char *name)
+{
+  if (succession->present && is_earlier (name, succession->present->name))
+    return TRUE;
+  for (GList *item = succession->over.head; item; item = item->next)
+    if (is_earlier (name, ((Start *)item->data)->name))
+      return TRUE;
+  return FALSE;
+}
+
 /* Whether one that was replaced goes on while the one that replaced it does not. */
 static gboolean
 returns (const Succession *succession, Start *start, gint64 sequence)
@@ -127,6 +188,8 @@
       succession->beat_us = clock_now (succession->clock);
       return SUCCESSION_SAME;
     }
+  if (is_over (succession, name))
+    return SUCCESSION_LATE;
   over = find_over (succession, name);
   if (over && !returns (succession, over, sequence))
     return SUCCESSION_LATE;
--- a/core/tests/test-succession.c
+++ b/core/tests/test-succession.c
@@ -108,6 +108,47 @@
   teardown (&fixture);
 }
 
+/* A target that starts again under its identifier counts its heartbeats anew. */
+static void
+test_a_start_under_the_same_identifier_takes_over (void **state)
+{
+  Fixture fixture = setup ();
+  g_autofree char *first = succession_name ("i-1", 1000);
+  g_autofree char *second = succession_name ("i-1", 2000);
+
+  beat (&fixture, first, 7);
+  assert_int_equal (beat (&fixture, second, 1), SUCCESSION_NEXT);
+  for (gint64 sequence = 8; sequence < 20; sequence++)
+    {
+      clock_advance (fixture.clock, 4 * SECOND_US);
+      assert_int_equal (beat (&fixture, first, sequence), SUCCESSION_LATE);
+    }
+  assert_int_equal (beat (&fixture, second, 1), SUCCESSION_LATE);
+  assert_int_equal (beat (&fixture, second, 2), SUCCESSION_SAME);
+  /* Nor does one that does not say when it began. */
+  assert_int_equal (beat (&fixture, "i-1", 50), SUCCESSION_LATE);
+  succession_end (fixture.succession, first);
+  assert_string_equal (succession_present (fixture.succession), second);
+  teardown (&fixture);
+}
+
+static void
+test_a_name_holds_its_identifier (void **state)
+{
+  static const char *const identifiers[] = { "i-7f3a91c2", "i.b", "i.bq", "i-1.b1f",
+                                             "b" };
+  static const gint64 borns[] = { 0, 1, 1796256000000, G_MAXINT64 };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (identifiers); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (borns); j++)
+      {
+        g_autofree char *name = succession_name (identifiers[i], borns[j]);
+        g_autofree char *back = succession_identifier (name);
+
+        assert_string_equal (back, identifiers[i]);
+      }
+}
+
 int
 main (void)
 {
@@ -117,6 +158,8 @@
     cmocka_unit_test (test_a_late_heartbeat_that_is_taken_for_a_start_does_not_last),
     cmocka_unit_test (test_one_that_has_said_that_it_ends_never_comes_back),
     cmocka_unit_test (test_an_end_that_comes_first_is_remembered),
+    cmocka_unit_test (test_a_start_under_the_same_identifier_takes_over),
+    cmocka_unit_test (test_a_name_holds_its_identifier),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -38,6 +38,7 @@
   guint slots;
   gboolean leaving;
   gint64 sequence;
+  gint64 born; /* Unix milliseconds; 0 where it is not said */
 } Heartbeat;
 
 static void
@@ -57,6 +58,7 @@
   heartbeat->slots = (guint)json_view_floor (view, "slots", 1, SLOTS_MAX, 1);
   heartbeat->leaving = json_view_choice (view, "state", state_names, 0) == 1;
   heartbeat->sequence = json_view_floor (view, "sequence", 0, G_MAXINT64, 0);
+  heartbeat->born = json_view_int (view, "born", 0, G_MAXINT64, 0);
   json_view_release (view);
   return json_faults_count (faults) == 0;
 }
@@ -78,8 +80,9 @@
 }
 
 static void
-take_heartbeat (Registry *registry, const char *name, const Heartbeat *heartbeat)
+take_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
 {
+  g_autofree char *name = succession_name (identifier, heartbeat->born);
   SuccessionAnswer answer = succession_beat (registry->starts, name, heartbeat->sequence);
 
   if (answer == SUCCESSION_LATE)
@@ -97,6 +100,37 @@
   publish (registry);
 }
 
+/* The start that leaves: the one that began when it says, or, where it does not say, the
+   present one of that identifier. NULL, with a line in the log, for what cannot be read.
+ */
+static char *
+leaving_start (Registry *registry, const char *identifier, const GByteArray *body)
+{
+  const char *present = succession_present (registry->starts);
+  g_autofree char *of_present = present ? succession_identifier (present) : NULL;
+  JsonFaults *faults = json_faults_create ();
+  JsonView *view = NULL;
+  char *name = NULL;
+  gint64 born = 0;
+
+  if (body->len > 0)
+    view = json_view_parse ((const char *)body->data, body->len, faults);
+  if (view)
+    {
+      born = json_view_int (view, "born", 0, G_MAXINT64, 0);
+      json_view_release (view);
+    }
+  if (json_faults_count (faults) > 0)
+    log_event (G_LOG_LEVEL_WARNING, "leave-bad", "SUBJECT", identifier, "DETAIL",
+               json_faults_get (faults, 0), NULL);
+  else if (born == 0 && g_strcmp0 (of_present, identifier) == 0)
+    name = g_strdup (present);
+  else
+    name = succession_name (identifier, born);
+  json_faults_destroy (faults);
+  return name;
+}
+
 static void
 take_leave (Registry *registry, const char *name)
 {
@@ -149,6 +183,7 @@
   const char *path = http_request_path (request);
   g_autofree char *alive = name_in (path, HEARTBEAT_SUFFIX);
   g_autofree char *leaves = name_in (path, LEAVE_SUFFIX);
+  g_autofree char *start = NULL;
 
   if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
     {
@@ -160,8 +195,11 @@
       on_heartbeat (registry, request, alive);
       return;
     }
-  take_leave (registry, leaves);
-  http_request_answer_json (request, HTTP_OK, "{}");
+  start = leaving_start (registry, leaves, http_request_body (request));
+  if (start)
+    take_leave (registry, start);
+  http_request_answer_json (request, start ? HTTP_OK : HTTP_BAD_REQUEST,
+                            start ? "{}" : "{\"error\":\"not valid\"}");
 }
 
 Registry *
