--- a/bench/src/bench-allowance.c
+++ b/bench/src/bench-allowance.c
@@ -38,11 +38,12 @@
 {
   guint place = 0;
 
-  while (place < ALLOWANCE_PATTERNS && strcmp (allowance_pattern_name (place), pattern))
+  while (place < ALLOWANCE_PATTERNS &&
+         strcmp (allowance_pattern_name (place), pattern) != 0)
     place++;
   it->pattern = place;
   place = 0;
-  while (place < ALLOWANCE_WAYS && strcmp (allowance_way_name (place), way))
+  while (place < ALLOWANCE_WAYS && strcmp (allowance_way_name (place), way) != 0)
     place++;
   it->way = place;
   return it->pattern < ALLOWANCE_PATTERNS && it->way < ALLOWANCE_WAYS;
