--- a/bench/src/allowance-net.c
+++ b/bench/src/allowance-net.c
@@ -1,97 +1,9 @@
-#include "allowance-net.h"
-
-#include <math.h>
-
-#define STEP_US (5 * MS_US)
-#define STEPS_PER_S ((guint)(SECOND_US / STEP_US))
-#define RUN_S 60u
-#define STEPS (RUN_S * STEPS_PER_S)
-#define WINDOW_S 5u
-/* Before it everyone knows everyone, and buckets have filled. */
-#define SETTLE_US (20 * SECOND_US)
-#define TIMEOUT_US (60 * MS_US)
-#define SILENT_US (500 * MS_US)
-#define NOT_LENDER_US (50 * MS_US)
-#define YOUNG_US SECOND_US
-#define MOST_KEPT_US (30 * SECOND_US)
-/* When trouble begins, how long it lasts, and how long until it is known. */
-#define TROUBLE_S 20u
-#define CUT_S 15u
-#define DETECT_S 5u
-#define HEAL_S 2u
-#define CONFIG_S 2u
-/* Of a question and its answer, with the heads of RPC and record. */
-#define QUESTION_BYTES 104.0
-#define ANSWER_BYTES 44.0
-
-#define LARGE_PER_S 264.0
-#define FLOOD 5.0
-#define USUAL 0.62
-
-static const AllowanceRule rule = { WINDOW_S * SECOND_US, 0.1, 20 };
-
-typedef struct
-{
-  char *name;
-  guint hall;
-  AllowanceBook *book;
-  AllowancePurse *purse;
-  AllowanceTerms terms;
-  gint64 started_us;
-  gint64 config_us; /* when it hears of the lowered allowance */
-  /* The question on its way. */
-  guint waiting;
-  guint wanted;
-  gint64 waits_since_us;
-  gint64 asked_us;
-  gint64 due_us; /* of its answer; 0 for none */
-  gint lender;
-} SimNode;
-
-typedef struct
-{
-  const AllowanceCase *it;
-  Clock *clock;
-  GRand *rand;
-  SimNode *nodes;
-  guint halls;
-  char **hall_names;
-  GArray *views[2]; /* of AllowanceNode: what hall 0 sees, what the others see */
-  guint lenders[2][ALLOWANCE_LENDERS]; /* by view, as places */
-  guint lender_counts[2];
-  gint64 changed_us[2];
-  gint64 most_until_us;
-  gboolean cut;
-  AllowanceTerms terms; /* those in force */
-  guint *passed;        /* by step */
-  guint asked;
-  guint let;
-  guint refused;
-  guint messages;
-  double ideal_level;
-  guint ideal;
-  gint64 moved_us;
-} Sim;
-
-const char *
-allowance_way_name (AllowanceWay way)
-{
-  static const char *const names[] = { "equal", "no-wait", "lent" };
+#include "allowance-net-private.h"
 
-  return names[way];
-}
+const AllowanceRule sim_rule = { WINDOW_S * SECOND_US, 0.1, 20 };
 
-const char *
-allowance_pattern_name (AllowancePattern pattern)
-{
-  static const char *const names[] = { "steady", "moving",  "one",     "all",  "halls",
-                                       "cut",    "restart", "lowered", "small" };
-
-  return names[pattern];
-}
-
-static gint64
-now_of (const Sim *sim)
+gint64
+sim_now (const Sim *sim)
 {
   return clock_now (sim->clock) - SETTLE_US;
 }
@@ -115,8 +27,8 @@
         sim->lenders[view][i] = j;
 }
 
-static void
-fill_view (Sim *sim, guint view)
+void
+sim_fill_view (Sim *sim, guint view)
 {
   gboolean whole = !sim->cut;
 
@@ -132,12 +44,12 @@
   find_lenders (sim, view);
 }
 
-static void
-start_node (Sim *sim, SimNode *node)
+void
+sim_start_node (Sim *sim, SimNode *node)
 {
   allowance_book_destroy (node->book);
   allowance_purse_destroy (node->purse);
-  node->book = allowance_book_create (&rule, sim->clock);
+  node->book = allowance_book_create (&sim_rule, sim->clock);
   node->purse = allowance_purse_create (sim->clock);
   node->started_us = clock_now (sim->clock);
   node->waiting = 0;
@@ -166,12 +78,12 @@
       sim->nodes[i].name = g_strdup_printf ("vm-%u-%u", it->seed, i);
       sim->nodes[i].hall = i % sim->halls;
       sim->nodes[i].terms = sim->terms;
-      start_node (sim, &sim->nodes[i]);
+      sim_start_node (sim, &sim->nodes[i]);
     }
   for (guint i = 0; i < 2; i++)
     {
       sim->views[i] = g_array_new (FALSE, FALSE, sizeof (AllowanceNode));
-      fill_view (sim, i);
+      sim_fill_view (sim, i);
     }
   clock_advance (sim->clock, SETTLE_US);
   return sim;
@@ -251,7 +163,7 @@
   gint64 waited = clock_now (sim->clock) - node->waits_since_us;
 
   sim->let++;
-  sim->passed[now_of (sim) / STEP_US]++;
+  sim->passed[sim_now (sim) / STEP_US]++;
   if (node->waiting > 0)
     sim->moved_us = MAX (sim->moved_us, waited);
 }
@@ -270,7 +182,7 @@
 static gboolean
 gets_there (const Sim *sim, const SimNode *from, const SimNode *to)
 {
-  gint64 now = now_of (sim);
+  gint64 now = sim_now (sim);
   gboolean apart = sim->it->pattern == ALLOWANCE_CUT && now >= TROUBLE_S * SECOND_US &&
                    now < (TROUBLE_S + CUT_S) * SECOND_US;
 
@@ -369,118 +281,6 @@
   carry_on (sim, node);
 }
 
-/* Where the next request comes. */
-static SimNode *
-pick_node (Sim *sim)
-{
-  guint nodes = sim->it->nodes;
-  guint second = (guint)(now_of (sim) / SECOND_US);
-  guint i = (guint)g_rand_int_range (sim->rand, 0, (gint32)nodes);
-
-  switch (sim->it->pattern)
-    {
-    case ALLOWANCE_STEADY:
-      return &sim->nodes[i - i % 4];
-    case ALLOWANCE_ONE:
-      return &sim->nodes[0];
-    case ALLOWANCE_MOVING:
-    case ALLOWANCE_HALLS:
-      while (sim->nodes[i].hall != second % sim->halls)
-        i = (guint)g_rand_int_range (sim->rand, 0, (gint32)nodes);
-      return &sim->nodes[i];
-    default:
-      return &sim->nodes[i];
-    }
-}
-
-static double
-demand_of (const Sim *sim)
-{
-  gboolean usual = sim->it->pattern == ALLOWANCE_STEADY ||
-                   sim->it->pattern == ALLOWANCE_MOVING ||
-                   sim->it->pattern == ALLOWANCE_SMALL;
-
-  return (sim->it->pattern == ALLOWANCE_SMALL ? 1 : LARGE_PER_S) *
-         (usual ? USUAL : FLOOD);
-}
-
-/* What happens to nodes and views at this step. */
-static void
-trouble (Sim *sim, guint step)
-{
-  guint begin = TROUBLE_S * STEPS_PER_S;
-  gint64 now = clock_now (sim->clock);
-
-  if (sim->it->pattern == ALLOWANCE_CUT && step == begin + DETECT_S * STEPS_PER_S)
-    {
-      sim->cut = TRUE;
-      sim->most_until_us = now + MOST_KEPT_US;
-      fill_view (sim, 0);
-      fill_view (sim, 1);
-    }
-  if (sim->it->pattern == ALLOWANCE_CUT && step == begin + (CUT_S + HEAL_S) * STEPS_PER_S)
-    {
-      sim->cut = FALSE;
-      fill_view (sim, 0);
-      fill_view (sim, 1);
-    }
-  for (guint i = 0; sim->it->pattern == ALLOWANCE_RESTART && i < sim->it->nodes; i++)
-    if (step == begin + (i * 7919u) % STEPS_PER_S)
-      start_node (sim, &sim->nodes[i]);
-  if (sim->it->pattern == ALLOWANCE_LOWERED && step == begin)
-    {
-      sim->terms.per_s /= 10;
-      sim->terms.burst /= 10;
-      for (guint i = 0; i < sim->it->nodes; i++)
-        sim->nodes[i].config_us =
-            now + g_rand_int_range (sim->rand, 0, CONFIG_S * (gint32)SECOND_US);
-    }
-  for (guint i = 0; i < sim->it->nodes; i++)
-    if (sim->nodes[i].config_us > 0 && now >= sim->nodes[i].config_us)
-      sim->nodes[i].terms = sim->terms;
-}
-
-static double
-bound_of (const AllowanceTerms *terms)
-{
-  return (terms->per_s * WINDOW_S + terms->burst) * (1 + rule.overage) + rule.slack;
-}
-
-/* A lower allowance binds the windows that begin when all nodes have heard of it. */
-static double
-worst_window (const Sim *sim)
-{
-  guint span = WINDOW_S * STEPS_PER_S + 1;
-  guint lower = (TROUBLE_S + CONFIG_S) * STEPS_PER_S + span;
-  double high = bound_of (&sim->nodes[0].terms);
-  double worst = 0;
-  guint sum = 0;
-
-  if (sim->it->pattern == ALLOWANCE_LOWERED)
-    high = bound_of (&(AllowanceTerms){ LARGE_PER_S, LARGE_PER_S });
-  for (guint i = 0; i < STEPS; i++)
-    {
-      gboolean lowered = sim->it->pattern == ALLOWANCE_LOWERED && i >= lower;
-
-      sum += sim->passed[i] - (i >= span ? sim->passed[i - span] : 0);
-      worst = MAX (worst, sum / (lowered ? bound_of (&sim->terms) : high));
-    }
-  return worst;
-}
-
-/* A Poisson number (Knuth's way; the means here are under ten). */
-static guint
-arrivals (Sim *sim, double mean)
-{
-  double limit = exp (-mean);
-  double product = g_rand_double (sim->rand);
-  guint count = 0;
-
-  for (; product > limit; count++)
-    product *= g_rand_double (sim->rand);
-  return count;
-}
-
 AllowanceResult
 allowance_net_run (const AllowanceCase *it)
 {
@@ -489,19 +289,19 @@
 
   for (guint step = 0; step < STEPS; step++)
     {
-      double expected = demand_of (sim) / STEPS_PER_S;
+      double expected = sim_demand (sim) / STEPS_PER_S;
 
-      trouble (sim, step);
+      sim_trouble (sim, step);
       sim->ideal_level =
           MIN (sim->ideal_level + sim->terms.per_s / STEPS_PER_S, sim->terms.burst);
       for (guint i = 0; i < it->nodes; i++)
         if (sim->nodes[i].due_us > 0 && clock_now (sim->clock) >= sim->nodes[i].due_us)
           take_answer (sim, &sim->nodes[i]);
-      for (guint count = arrivals (sim, expected); count > 0; count--)
-        come (sim, pick_node (sim));
+      for (guint count = sim_arrivals (sim, expected); count > 0; count--)
+        come (sim, sim_pick_node (sim));
       clock_advance (sim->clock, STEP_US);
     }
-  result.worst = worst_window (sim);
+  result.worst = sim_worst_window (sim);
   result.refused = sim->asked ? (double)sim->refused / sim->asked : 0;
   result.own = sim->ideal ? (double)sim->let / sim->ideal : 0;
   result.moved_ms = (double)sim->moved_us / MS_US;
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -265,12 +265,6 @@
   return members_table_alive (members->table);
 }
 
-gboolean
-members_is_alive (const Member *member)
-{
-  return member->status == MEMBER_ALIVE || member->status == MEMBER_SUSPECT;
-}
-
 guint
 members_rank_in_hall (const Members *members)
 {
