--- a/daemon/src/account/allowances.c
+++ b/daemon/src/account/allowances.c
@@ -1,10 +1,9 @@
-#include "allowances.h"
+#include "allowances-private.h"
 
 #include <string.h>
 
 #include <core/config.h>
 
-#include "account-stats.h"
 #include "allowance-fleet.h"
 #include "config-sync.h"
 #include "log.h"
@@ -30,43 +29,6 @@
 #define SWEEP_US (10 * SECOND_US)
 #define UNKNOWN_RETRY_US (500 * MS_US)
 
-typedef struct Queue Queue;
-
-/* A request that waits for an answer. */
-typedef struct
-{
-  Queue *queue;
-  ExchangeOrder order; /* with references of its own */
-  char *id;
-} Waiter;
-
-/* The requests of one account that wait, and the question that is on its way. */
-struct Queue
-{
-  Allowances *allowances;
-  char *account;
-  AllowanceTerms terms;
-  GQueue waiters;
-  gboolean asking;
-  guint wanted;
-  gint64 asked_us;
-  gint64 answered_us; /* by a lender, last */
-  char *lender;       /* that is asked */
-  LoopTimer *again;
-};
-
-struct Allowances
-{
-  Node *node;
-  AllowanceBook *book;
-  AllowancePurse *purse;
-  AllowanceFleet *fleet;
-  GHashTable *queues; /* account → Queue */
-  gint64 swept_us;
-  AllowanceDone done;
-  gpointer data;
-};
-
 static const RpcProcedure allow = { SW_ALLOW, (xdrproc_t)xdr_sw_allow_args,
                                     (xdrproc_t)xdr_sw_allow_res, sizeof (sw_allow_res) };
 
@@ -291,26 +253,6 @@
   take_answer (queue, &res);
 }
 
-static gboolean
-is_own (const char *account, gpointer data)
-{
-  return allowance_fleet_share (data, account) > 0;
-}
-
-void
-allowances_note_list (Allowances *allowances)
-{
-  allowance_fleet_note_list (allowances->fleet);
-}
-
-/* With whoever comes or goes, other nodes may lend what this one lent. */
-void
-allowances_note_member (Allowances *allowances, const Member *member)
-{
-  if (allowance_fleet_note (allowances->fleet, member))
-    allowance_book_prune (allowances->book, is_own, allowances->fleet);
-}
-
 static void
 carry_on (Queue *queue)
 {
@@ -413,78 +355,6 @@
   return count;
 }
 
-/* Of the two the newer configuration decides. */
-static AllowanceTerms
-terms_of (const Allowances *allowances, const sw_allow_args *args)
-{
-  const Snapshot *snapshot = config_sync_snapshot (allowances->node->config);
-  const Account *account = snapshot_account (snapshot, args->account);
-  AllowanceTerms asked = { args->per_s_milli / 1000.0, args->burst_milli / 1000.0 };
-
-  if (args->generation > snapshot_generation (snapshot))
-    return asked;
-  if (!account)
-    return asked;
-  return (AllowanceTerms){ account->per_s, account->burst };
-}
-
-void
-allowances_lend (Allowances *allowances, const sw_allow_args *args, sw_allow_res *res)
-{
-  AllowanceTerms terms = terms_of (allowances, args);
-  AllowanceLoan loan;
-  double share;
-
-  share = allowance_fleet_share (allowances->fleet, args->account);
-  if (share <= 0)
-    return;
-  res->lender = TRUE;
-  /* Without a limit by now: a newer configuration than the one that was asked under. */
-  if (terms.per_s <= 0)
-    {
-      res->lent = args->wanted;
-      return;
-    }
-  loan = allowance_book_lend (allowances->book, args->account, &terms, share,
-                              allowance_fleet_since_us (allowances->fleet), args->wanted);
-  res->lent = loan.lent;
-  res->retry_after_ms = (u_int)(loan.retry_after_us / MS_US);
-}
-
-void
-allowances_log (const Allowances *allowances,
-                const ExchangeOrder *order,
-                const AllowanceVerdict *verdict)
-{
-  const Node *node = allowances->node;
-  const Account *account = order->account;
-  const Queue *queue = g_hash_table_lookup (allowances->queues, account->id);
-  g_autofree char *per_s = g_strdup_printf ("%g", account->per_s);
-  g_autofree char *burst = g_strdup_printf ("%g", account->burst);
-  g_autofree char *rate =
-      g_strdup_printf ("%.1f", allowance_purse_rate (allowances->purse, account->id));
-  g_autofree char *retry =
-      g_strdup_printf ("%" G_GINT64_FORMAT, verdict->retry_after_us / MS_US);
-  g_autofree char *generation =
-      g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (order->snapshot));
-  g_autofree char *age = NULL;
-
-  if (queue && queue->answered_us > 0)
-    age = g_strdup_printf ("%" G_GINT64_FORMAT,
-                           (clock_now (node->clock) - queue->answered_us) / MS_US);
-  metrics_add (node->metrics, METRIC_ALLOWANCE_REFUSED, 1);
-  account_stats_note (node->account_stats, account->id,
-                      verdict->outcome == ALLOWANCE_EXCEEDED ? ACCOUNT_EXCEEDED
-                                                             : ACCOUNT_ALLOWANCE_UNKNOWN,
-                      clock_now (node->clock) - http_request_taken_us (order->request));
-  log_event (G_LOG_LEVEL_INFO, "allowance-refused", "ID", order->id, "ACCOUNT",
-             account->id, "OUTCOME",
-             verdict->outcome == ALLOWANCE_EXCEEDED ? "exceeded" : "unknown", "PER_S",
-             per_s, "BURST", burst, "LET_HERE_PER_S", rate, "LENDER",
-             queue ? queue->lender : NULL, "ANSWER_AGE_MS", age, "RETRY_AFTER_MS", retry,
-             "GENERATION", generation, NULL);
-}
-
 Allowances *
 allowances_create (Node *node)
 {
