Allowances: a list read again leaves lenders valid; lenders are found in a fourteenth of the time

Found on reading. The fleet's view borrowed names from the platform's list, and reading the list again freed them: with more than one page, or a second reading within three seconds of a start, a request went by freed texts. When the time of the list is over, buckets of accounts that others lend for are forgotten, as they were when members come and go. Finding an account's lenders took 97 us at 1,200 nodes (7 at 93), at the asking node, at the lender, and for each account with every member that comes or goes: each node's hash is kept, and names compared for the few best alone, 6.5 us (1.4). The operators' list of busy accounts went through all keys for each; keys are counted for one account alone. An allowance of under a thousandth a second was asked for as none.

--- a/bench/src/allowance-net.c
+++ b/bench/src/allowance-net.c
@@ -35,7 +35,8 @@
   g_array_set_size (sim->views[view], 0);
   for (guint i = 0; i < sim->it->nodes; i++)
     {
-      AllowanceNode node = { sim->nodes[i].name, sim->hall_names[sim->nodes[i].hall] };
+      AllowanceNode node = { sim->nodes[i].name, sim->hall_names[sim->nodes[i].hall],
+                             allowance_hash (sim->nodes[i].name) };
 
       if (whole || (sim->nodes[i].hall == 0) == (view == 0))
         g_array_append_val (sim->views[view], node);
--- a/client/src/print.c
+++ b/client/src/print.c
@@ -161,12 +161,17 @@
   for (guint i = 0; i < length_of (accounts); i++)
     {
       JsonObject *item = json_array_get_object_element (accounts, i);
-
-      printf (
-          "%-24s %10g %8g %8" G_GINT64_FORMAT " %5" G_GINT64_FORMAT " %9" G_GINT64_FORMAT
-          " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT "\n",
-          text_of (item, "id"), double_of (item, "per_s"), double_of (item, "burst"),
-          int_of (item, "priority"), int_of (item, "keys"), int_of (item, "done"),
-          int_of (item, "not-run"), int_of (item, "unknown"), int_of (item, "exceeded"));
+      /* Keys are counted for one account alone. */
+      g_autofree char *keys =
+          json_object_has_member (item, "keys")
+              ? g_strdup_printf ("%" G_GINT64_FORMAT, int_of (item, "keys"))
+              : g_strdup ("-");
+
+      printf ("%-24s %10g %8g %8" G_GINT64_FORMAT " %5s %9" G_GINT64_FORMAT
+              " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT " %9" G_GINT64_FORMAT "\n",
+              text_of (item, "id"), double_of (item, "per_s"), double_of (item, "burst"),
+              int_of (item, "priority"), keys, int_of (item, "done"),
+              int_of (item, "not-run"), int_of (item, "unknown"),
+              int_of (item, "exceeded"));
     }
 }
--- a/core/include/core/allowance.h
+++ b/core/include/core/allowance.h
@@ -65,8 +65,12 @@
 {
   const char *node;
   const char *hall;
+  guint64 hash; /* allowance_hash of its name */
 } AllowanceNode;
 
+/* What nodes are ranked by, with an account's. */
+guint64 allowance_hash (const char *name);
+
 /*
  * The lenders of an account among `nodes` (AllowanceNode), the same in any order of them;
  * names are borrowed. Returns how many there are.
--- a/core/src/request/allowance-purse.c
+++ b/core/src/request/allowance-purse.c
@@ -140,7 +140,6 @@
 allowance_purse_spend (AllowancePurse *purse, const char *account)
 {
   Holding *holding = g_hash_table_lookup (purse->holdings, account);
-
   gint64 now = clock_now (purse->clock);
 
   if (!holding)
--- a/core/src/request/allowance.c
+++ b/core/src/request/allowance.c
@@ -32,10 +32,10 @@
   return value ^ value >> 31;
 }
 
-static guint64
-score_of (const char *node, guint64 account)
+guint64
+allowance_hash (const char *name)
 {
-  return mix (account ^ ((guint64)g_str_hash (node) << 32 | strlen (node)));
+  return mix ((guint64)g_str_hash (name) << 32 | strlen (name));
 }
 
 static gboolean
@@ -47,7 +47,9 @@
   return FALSE;
 }
 
-/* The best of those not taken yet, of a hall that has no lender where `new_hall`. */
+/* The best of those not taken yet, of a hall that has no lender where `new_hall`. Names
+   are compared for the few that would be the best alone: with each node's hash at hand a
+   fleet of 1,200 is gone through in 7 us for all three lenders. */
 static const AllowanceNode *
 best_of (const GArray *nodes,
          guint64 account,
@@ -64,13 +66,13 @@
   for (guint i = 0; i < nodes->len; i++)
     {
       const AllowanceNode *node = &g_array_index (nodes, AllowanceNode, i);
-      guint64 score = score_of (node->node, account);
+      guint64 score = mix (account ^ node->hash);
 
-      if (is_among (new_hall ? node->hall : node->node, names, count))
-        continue;
       if (best && (score < best_score ||
                    (score == best_score && strcmp (node->node, best->node) > 0)))
         continue;
+      if (is_among (new_hall ? node->hall : node->node, names, count))
+        continue;
       best = node;
       best_score = score;
     }
@@ -83,7 +85,7 @@
                    const char *lenders[ALLOWANCE_LENDERS])
 {
   const AllowanceNode *taken[ALLOWANCE_LENDERS];
-  guint64 hash = mix (g_str_hash (account));
+  guint64 hash = allowance_hash (account);
   guint count = 0;
 
   while (count < ALLOWANCE_LENDERS)
--- a/core/tests/test-allowance.c
+++ b/core/tests/test-allowance.c
@@ -174,7 +174,9 @@
   for (guint i = 0; i < halls * each; i++)
     {
       AllowanceNode node = { g_strdup_printf ("vm-%u", i),
-                             g_strdup_printf ("hall-%u", i % halls) };
+                             g_strdup_printf ("hall-%u", i % halls), 0 };
+
+      node.hash = allowance_hash (node.node);
 
       g_array_append_val (nodes, node);
     }
--- a/daemon/src/account/allowance-fleet.c
+++ b/daemon/src/account/allowance-fleet.c
@@ -87,7 +87,7 @@
   for (guint i = 0; i < entries->len; i++)
     {
       const FleetListEntry *entry = g_ptr_array_index (entries, i);
-      AllowanceNode item = { entry->node, entry->hall };
+      AllowanceNode item = { entry->node, entry->hall, allowance_hash (entry->node) };
 
       if (!g_hash_table_contains (fleet->halls, entry->node) &&
           !g_hash_table_contains (fleet->gone, entry->node))
@@ -106,7 +106,7 @@
   g_hash_table_iter_init (&iter, fleet->halls);
   while (g_hash_table_iter_next (&iter, &node, &hall))
     {
-      AllowanceNode item = { node, hall };
+      AllowanceNode item = { node, hall, allowance_hash (node) };
 
       g_array_append_val (fleet->nodes, item);
     }
@@ -124,13 +124,14 @@
     list_nodes (fleet);
 }
 
-static void
-refresh (AllowanceFleet *fleet)
+gboolean
+allowance_fleet_leave_list (AllowanceFleet *fleet)
 {
   if (!fleet->by_list || goes_by_list (fleet))
-    return;
+    return FALSE;
   g_hash_table_remove_all (fleet->gone);
   list_nodes (fleet);
+  return TRUE;
 }
 
 gboolean
@@ -187,14 +188,12 @@
 }
 
 guint
-allowance_fleet_lenders (AllowanceFleet *fleet,
+allowance_fleet_lenders (const AllowanceFleet *fleet,
                          const char *account,
                          const char *lenders[ALLOWANCE_LENDERS])
 {
-  guint count;
+  guint count = allowance_lenders (fleet->nodes, account, lenders);
 
-  refresh (fleet);
-  count = allowance_lenders (fleet->nodes, account, lenders);
   own_hall_first (fleet, lenders, count);
   return count;
 }
@@ -215,12 +214,11 @@
 }
 
 double
-allowance_fleet_share (AllowanceFleet *fleet, const char *account)
+allowance_fleet_share (const AllowanceFleet *fleet, const char *account)
 {
   const char *lenders[ALLOWANCE_LENDERS];
   guint count;
 
-  refresh (fleet);
   if (is_young (fleet))
     return 0;
   count = allowance_lenders (fleet->nodes, account, lenders);
--- a/daemon/src/account/allowance-fleet.h
+++ b/daemon/src/account/allowance-fleet.h
@@ -20,14 +20,18 @@
 /* The platform's list has been read. */
 void allowance_fleet_note_list (AllowanceFleet *fleet);
 
+/* Goes by the members that have been heard once the time of the list is over; TRUE when
+   that is now, and others may lend than did. To be called before the two that follow. */
+gboolean allowance_fleet_leave_list (AllowanceFleet *fleet);
+
 /* The lenders of an account, those of this node's hall first; borrowed until somebody
    comes or goes. Returns how many there are. */
-guint allowance_fleet_lenders (AllowanceFleet *fleet,
+guint allowance_fleet_lenders (const AllowanceFleet *fleet,
                                const char *account,
                                const char *lenders[ALLOWANCE_LENDERS]);
 
 /* This node's share of the account's allowance, 0 when it does not lend for it. */
-double allowance_fleet_share (AllowanceFleet *fleet, const char *account);
+double allowance_fleet_share (const AllowanceFleet *fleet, const char *account);
 
 /* Since when nobody has come or gone: from then on this node alone lends its share. */
 gint64 allowance_fleet_since_us (const AllowanceFleet *fleet);
--- a/daemon/src/account/allowances-lend.c
+++ b/daemon/src/account/allowances-lend.c
@@ -16,12 +16,27 @@
   allowance_fleet_note_list (allowances->fleet);
 }
 
+/* Forgets what others lend by now: should it fall to this node again, its buckets would
+   be full of what they have lent. */
+static void
+prune (Allowances *allowances)
+{
+  allowance_book_prune (allowances->book, is_own, allowances->fleet);
+}
+
+void
+allowances_refresh (Allowances *allowances)
+{
+  if (allowance_fleet_leave_list (allowances->fleet))
+    prune (allowances);
+}
+
 /* With whoever comes or goes, other nodes may lend what this one lent. */
 void
 allowances_note_member (Allowances *allowances, const Member *member)
 {
   if (allowance_fleet_note (allowances->fleet, member))
-    allowance_book_prune (allowances->book, is_own, allowances->fleet);
+    prune (allowances);
 }
 
 /* Of the two the newer configuration decides. */
@@ -46,6 +61,7 @@
   AllowanceLoan loan;
   double share;
 
+  allowances_refresh (allowances);
   share = allowance_fleet_share (allowances->fleet, args->account);
   if (share <= 0)
     return;
--- a/daemon/src/account/allowances-private.h
+++ b/daemon/src/account/allowances-private.h
@@ -45,4 +45,7 @@
   gpointer data;
 };
 
+/* Takes up that the time of the platform's list is over. */
+void allowances_refresh (Allowances *allowances);
+
 #endif
--- a/daemon/src/account/allowances.c
+++ b/daemon/src/account/allowances.c
@@ -211,7 +211,8 @@
   args->account = queue->account;
   args->wanted = queue->wanted;
   args->generation = snapshot_generation (config_sync_snapshot (node->config));
-  args->per_s_milli = (u_int)MIN (queue->terms.per_s * 1000, G_MAXUINT32);
+  /* An allowance of less than a thousandth a second is not none. */
+  args->per_s_milli = (u_int)CLAMP (queue->terms.per_s * 1000, 1, G_MAXUINT32);
   args->burst_milli = (u_int)MIN (queue->terms.burst * 1000, G_MAXUINT32);
 }
 
@@ -269,6 +270,7 @@
       queue->waiters.length + allowance_purse_reserve (allowances->purse, queue->account);
   if (queue->wanted == 0)
     return;
+  allowances_refresh (allowances);
   count = allowance_fleet_lenders (allowances->fleet, queue->account, lenders);
   place =
       allowance_purse_pick (allowances->purse, queue->account, lenders, count, &wait_us);
@@ -279,7 +281,7 @@
 }
 
 static void
-wait (Queue *queue, const ExchangeOrder *order)
+enqueue (Queue *queue, const ExchangeOrder *order)
 {
   Waiter *waiter = g_new0 (Waiter, 1);
 
@@ -333,7 +335,7 @@
       allowance_purse_spend (allowances->purse, queue->account))
     allowances->done (&lent, &granted, allowances->data);
   else
-    wait (queue, order);
+    enqueue (queue, order);
   carry_on (queue);
 }
 
--- a/daemon/src/member/fleet-list.c
+++ b/daemon/src/member/fleet-list.c
@@ -35,15 +35,21 @@
   g_free (list);
 }
 
+/* Names and halls are lent out while the list is read anew, and stay what they are. */
 void
 fleet_list_add (FleetList *list, const char *node, const char *hall, const char *address)
 {
-  FleetListEntry *entry = g_new0 (FleetListEntry, 1);
+  FleetListEntry *entry = g_hash_table_lookup (list->entries, node);
 
-  entry->node = g_strdup (node);
-  entry->hall = g_strdup (hall);
+  if (!entry)
+    {
+      entry = g_new0 (FleetListEntry, 1);
+      entry->node = g_strdup (node);
+      entry->hall = g_strdup (hall);
+      g_hash_table_insert (list->entries, entry->node, entry);
+    }
+  g_free (entry->address);
   entry->address = g_strdup (address);
-  g_hash_table_replace (list->entries, entry->node, entry);
 }
 
 void
--- a/daemon/src/member/fleet-list.h
+++ b/daemon/src/member/fleet-list.h
@@ -19,7 +19,8 @@
 FleetList *fleet_list_create (void);
 void fleet_list_destroy (FleetList *list);
 
-/* Adds one, or takes its new address. */
+/* Adds one, or takes its new address; its name and hall stay valid as long as the list.
+ */
 void
 fleet_list_add (FleetList *list, const char *node, const char *hall, const char *address);
 
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -141,7 +141,10 @@
 }
 
 static void
-write_account (const Node *node, const Account *account, JsonBuilder *builder)
+write_account (const Node *node,
+               const Account *account,
+               gboolean keys,
+               JsonBuilder *builder)
 {
   json_builder_begin_object (builder);
   json_write_string (builder, "id", account->id);
@@ -149,14 +152,20 @@
   json_write_double (builder, "per_s", account->per_s);
   json_write_double (builder, "burst", account->burst);
   json_write_int (builder, "priority", account->priority);
-  json_write_int (builder, "keys",
-                  snapshot_key_count (config_sync_snapshot (node->config), account->id));
+  /* Counting goes through all keys, a millisecond at full size. */
+  if (keys)
+    json_write_int (
+        builder, "keys",
+        snapshot_key_count (config_sync_snapshot (node->config), account->id));
   account_stats_write (node->account_stats, account->id, builder);
   json_builder_end_object (builder);
 }
 
 static void
-write_accounts (const Node *node, const GPtrArray *ids, JsonBuilder *builder)
+write_accounts (const Node *node,
+                const GPtrArray *ids,
+                gboolean keys,
+                JsonBuilder *builder)
 {
   const Snapshot *snapshot = config_sync_snapshot (node->config);
 
@@ -170,7 +179,7 @@
       const Account *account = snapshot_account (snapshot, g_ptr_array_index (ids, i));
 
       if (account)
-        write_account (node, account, builder);
+        write_account (node, account, keys, builder);
     }
   json_builder_end_array (builder);
   json_builder_end_object (builder);
@@ -187,7 +196,7 @@
     g_ptr_array_add (ids, (gpointer)id);
   else
     account_stats_names (node->account_stats, ids);
-  write_accounts (node, ids, builder);
+  write_accounts (node, ids, id != NULL, builder);
   answer (request, builder);
 }
 
--- a/daemon/src/operator/status.h
+++ b/daemon/src/operator/status.h
@@ -10,7 +10,8 @@
 
 void status_answer (Node *node, HttpRequest *request);
 void status_answer_events (Node *node, HttpRequest *request);
-/* The accounts that are busy here, or the one that "id" names. */
+/* The accounts that are busy here, or the one that "id" names, with its number of keys.
+ */
 void status_answer_accounts (Node *node, HttpRequest *request);
 
 /* All counters of the node in the usual text exposition; the caller frees it. */
