Sight: a target that ends is told from one that breaks off, with what was at work there

After a break at which nothing older runs on, the sidecar opens a connection: refused, the process is gone. Lines target-ended and ended-under (attempt, fingerprint's first digits, how long, how many beside it), two counters. A fingerprint is made only of what broke: keyed, of service, account, method, host, path and body. Nothing is decided by it yet.

--- /dev/null
+++ b/core/src/request/fingerprint.c
@@ -0,0 +1,101 @@
+#include <core/fingerprint.h>
+
+#include <string.h>
+
+#define SHA256_BYTES 32u
+
+struct FingerprintKey
+{
+  GHmac *keyed; /* copied for each fingerprint */
+};
+
+FingerprintKey *
+fingerprint_key_create (const char *secret)
+{
+  FingerprintKey *key = g_new0 (FingerprintKey, 1);
+
+  key->keyed = g_hmac_new (G_CHECKSUM_SHA256, (const guchar *)secret, strlen (secret));
+  return key;
+}
+
+void
+fingerprint_key_destroy (FingerprintKey *key)
+{
+  if (!key)
+    return;
+  g_hmac_unref (key->keyed);
+  g_free (key);
+}
+
+/* The first eight bytes of the digest, which it ends. */
+static guint64
+finish (GHmac *hmac)
+{
+  guint8 digest[SHA256_BYTES];
+  gsize len = sizeof digest;
+  guint64 value;
+
+  g_hmac_get_digest (hmac, digest, &len);
+  g_hmac_unref (hmac);
+  memcpy (&value, digest, sizeof value);
+  return GUINT64_FROM_BE (value);
+}
+
+/* Each text comes with its end, so that no two lists of texts read alike. */
+static void
+add_text (GHmac *hmac, const char *text)
+{
+  const char *given = text ? text : "";
+
+  g_hmac_update (hmac, (const guchar *)given, (gssize)strlen (given) + 1);
+}
+
+guint64
+fingerprint_head (const FingerprintKey *key, const FingerprintWords *words)
+{
+  GHmac *hmac = g_hmac_copy (key->keyed);
+  guint64 length = GUINT64_TO_BE ((guint64)words->body_len);
+
+  add_text (hmac, words->service);
+  add_text (hmac, words->account);
+  add_text (hmac, words->method);
+  add_text (hmac, words->host);
+  add_text (hmac, words->path);
+  g_hmac_update (hmac, (const guchar *)&length, sizeof length);
+  return finish (hmac);
+}
+
+guint64
+fingerprint_body (const FingerprintKey *key, const FingerprintWords *words)
+{
+  GHmac *hmac;
+
+  if (words->body_len == 0)
+    return 0;
+  hmac = g_hmac_copy (key->keyed);
+  g_hmac_update (hmac, words->body, (gssize)words->body_len);
+  return finish (hmac);
+}
+
+Fingerprint
+fingerprint_of (const FingerprintKey *key, const FingerprintWords *words)
+{
+  Fingerprint fingerprint = { fingerprint_head (key, words),
+                              fingerprint_body (key, words) };
+
+  return fingerprint;
+}
+
+gboolean
+fingerprint_equal (const Fingerprint *a, const Fingerprint *b)
+{
+  return a->head == b->head && a->body == b->body;
+}
+
+char *
+fingerprint_text (const Fingerprint *fingerprint)
+{
+  return g_strdup_printf ("%0*" G_GINT64_MODIFIER "x", FINGERPRINT_DIGITS,
+                          (fingerprint->head ^ fingerprint->body) >>
+                              (64 - 4 * FINGERPRINT_DIGITS));
+}
--- /dev/null
+++ b/core/tests/test-fingerprint.c
@@ -0,0 +1,120 @@
+/* Which requests count as the same, and which as others. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/fingerprint.h>
+
+#include <string.h>
+
+static const FingerprintWords plain = {
+  "pay", "acme", "POST", "shop.example", "/pay/1?x=2", "body", sizeof "body" - 1
+};
+
+static Fingerprint
+of (const char *secret, const FingerprintWords *words)
+{
+  FingerprintKey *key = fingerprint_key_create (secret);
+  Fingerprint fingerprint = fingerprint_of (key, words);
+
+  fingerprint_key_destroy (key);
+  return fingerprint;
+}
+
+static void
+assert_other (const FingerprintWords *words)
+{
+  Fingerprint a = of ("secret", &plain);
+  Fingerprint b = of ("secret", words);
+
+  assert_false (fingerprint_equal (&a, &b));
+}
+
+static void
+test_the_same_again_is_the_same (void **state)
+{
+  Fingerprint a = of ("secret", &plain);
+  Fingerprint b = of ("secret", &plain);
+
+  assert_true (fingerprint_equal (&a, &b));
+}
+
+static void
+test_each_word_tells_requests_apart (void **state)
+{
+  FingerprintWords words = plain;
+
+  words.service = "read";
+  assert_other (&words);
+  words = plain;
+  words.account = "other";
+  assert_other (&words);
+  words.account = NULL;
+  assert_other (&words);
+  words = plain;
+  words.method = "PUT";
+  assert_other (&words);
+  words = plain;
+  words.host = "other.example";
+  assert_other (&words);
+  words = plain;
+  words.path = "/pay/1?x=3";
+  assert_other (&words);
+  words = plain;
+  words.body = "Body";
+  assert_other (&words);
+  words.body_len = 0;
+  assert_other (&words);
+}
+
+/* "a" with "bc" is not "ab" with "c". */
+static void
+test_words_do_not_run_into_each_other (void **state)
+{
+  FingerprintWords one = { .service = "a", .account = "bc" };
+  FingerprintWords two = { .service = "ab", .account = "c" };
+  Fingerprint a = of ("secret", &one);
+  Fingerprint b = of ("secret", &two);
+
+  assert_false (fingerprint_equal (&a, &b));
+}
+
+/* Who does not know the fleet's secret cannot look for two requests that are alike. */
+static void
+test_another_secret_gives_another_fingerprint (void **state)
+{
+  Fingerprint a = of ("secret", &plain);
+  Fingerprint b = of ("other", &plain);
+
+  assert_false (fingerprint_equal (&a, &b));
+  assert_int_not_equal (a.body, b.body);
+}
+
+/* The head is all that is looked at for a request whose body is not suspected. */
+static void
+test_the_head_leaves_the_body_out (void **state)
+{
+  FingerprintWords words = plain;
+  Fingerprint a = of ("secret", &plain);
+  Fingerprint b;
+
+  words.body = "ydob";
+  b = of ("secret", &words);
+  assert_int_equal (a.head, b.head);
+  assert_int_not_equal (a.body, b.body);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_the_same_again_is_the_same),
+    cmocka_unit_test (test_each_word_tells_requests_apart),
+    cmocka_unit_test (test_words_do_not_run_into_each_other),
+    cmocka_unit_test (test_another_secret_gives_another_fingerprint),
+    cmocka_unit_test (test_the_head_leaves_the_body_out),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -294,6 +294,7 @@
   node->rand = g_rand_new ();
   node->incarnation = new_incarnation ();
   node->started_us = clock_now (clock);
+  node->fingerprints = fingerprint_key_create (settings->fleet_token);
   node->metrics = metrics_create ();
   node->traffic = traffic_create (loop);
   node->events = events_create (clock);
@@ -353,6 +354,7 @@
   events_destroy (node->events);
   metrics_destroy (node->metrics);
   traffic_destroy (node->traffic);
+  fingerprint_key_destroy (node->fingerprints);
   loop_timer_destroy (run->stop);
   g_rand_free (node->rand);
   g_free (run);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -5,6 +5,7 @@
 #define DAEMON_NODE_H
 
 #include <core/balancer.h>
+#include <core/fingerprint.h>
 #include <core/members.h>
 #include <core/settings.h>
 #include <io/http-client.h>
@@ -43,6 +44,7 @@
   GRand *rand;
   guint64 incarnation; /* random, new with each start */
   gint64 started_us;
+  FingerprintKey *fingerprints;
   Metrics *metrics;
   Traffic *traffic;
   Events *events;
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -29,6 +29,8 @@
   "switchmill_sidecar_refused_total",
   "switchmill_sidecar_failed_total",
   "switchmill_target_refused_total",
+  "switchmill_targets_ended_total",
+  "switchmill_ended_requests_total",
   "switchmill_rpc_denied_total",
   "switchmill_allowance_questions_total",
   "switchmill_allowance_refused_total",
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -155,6 +155,7 @@
   .returns = returns,
   .status = status,
   .add_verdict = add_verdict,
+  .account_header = ACCOUNT_HEADER,
   .slack_us = SLACK_US,
   .tickets = TRUE,
 };
--- a/daemon/src/request/dialect.h
+++ b/daemon/src/request/dialect.h
@@ -55,6 +55,7 @@
   /* The status of an answer of our own, and its headers. */
   guint (*status) (const Verdict *verdict);
   void (*add_verdict) (const Verdict *verdict, const char *id, GArray *headers);
+  const char *account_header; /* that tells the target whose request it is */
   gint64 slack_us;          /* past the deadline, until a caller is told at the latest */
   gboolean tickets;         /* callers may ask for tickets (ticket.h) */
   gboolean keys_everywhere; /* where there are accounts, a key is looked at on any route,
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -1,15 +1,18 @@
 /*
  * What the files of the sidecar share: sidecar.c its life, submission.c one attempt at a
  * target from its admission to its answer, submission-watch.c what attempts say of their
- * target and route, sidecar-calls.c the calls of ingresses.
+ * target and route, submission-words.c what makes two of them the same request,
+ * sidecar-calls.c the calls of ingresses.
  */
 #ifndef DAEMON_SIDECAR_PRIVATE_H
 #define DAEMON_SIDECAR_PRIVATE_H
 
 #include <core/fence.h>
+#include <core/fingerprint.h>
 #include <core/latency.h>
 #include <io/http-client.h>
 
+#include "end-watch.h"
 #include "sidecar-budget.h"
 #include "sidecar-holds.h"
 #include "sidecar-target.h"
@@ -30,7 +33,7 @@
 } Waiter;
 
 /* One attempt at a target of this VM. */
-typedef struct
+typedef struct Submission
 {
   Sidecar *sidecar;
   SidecarTarget *target;
@@ -53,6 +56,7 @@
   LatencyBook *latencies;
   SidecarBudgets *budgets;
   SidecarHolds *holds;
+  EndWatches *ends;
   LoopTimer *sweep;
   gboolean queues_closed;
   gboolean draining;
@@ -101,6 +105,9 @@
 /* Nobody waits for it any more: that it took too long counts against its target. */
 void submission_note_given_up (Submission *submission);
 
+/* What makes it the same request as another; texts are borrowed from it. */
+FingerprintWords submission_words (const Submission *submission);
+
 /* What is known of how long answers on its route take. */
 LatencyFit submission_fit (const Submission *submission);
 
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -88,6 +88,7 @@
   sidecar->latencies = latency_book_create ();
   sidecar->budgets = sidecar_budgets_create (node);
   sidecar->holds = sidecar_holds_create (node->clock);
+  sidecar->ends = end_watches_create (node, NULL, NULL);
   sidecar->sweep = loop_timer_create (node->loop, on_sweep, sidecar);
   loop_timer_start (sidecar->sweep, SWEEP_US);
   return sidecar;
@@ -111,6 +112,7 @@
     }
   g_hash_table_unref (sidecar->submissions);
   sidecar_holds_destroy (sidecar->holds);
+  end_watches_destroy (sidecar->ends);
   g_hash_table_unref (sidecar->targets);
   latency_book_destroy (sidecar->latencies);
   sidecar_budgets_destroy (sidecar->budgets);
--- /dev/null
+++ b/daemon/src/target/submission-words.c
@@ -0,0 +1,33 @@
+#include "sidecar-private.h"
+
+#include "adapter.h"
+#include "credentials.h"
+
+static const char *
+header_of (const sw_submit_args *args, const char *name)
+{
+  for (u_int i = 0; i < args->headers.headers_len; i++)
+    if (g_ascii_strcasecmp (args->headers.headers_val[i].name, name) == 0)
+      return args->headers.headers_val[i].value;
+  return NULL;
+}
+
+FingerprintWords
+submission_words (const Submission *submission)
+{
+  const sw_submit_args *args = &submission->args;
+  const Dialect *dialect = submission->sidecar->node->adapter->dialect;
+  const char *account = header_of (args, dialect->account_header);
+  FingerprintWords words = { .service = submission->target->service,
+                             .account = account,
+                             .method = args->method,
+                             .host = header_of (args, "Host"),
+                             .path = args->path,
+                             .body = args->body.body_val,
+                             .body_len = args->body.body_len };
+
+  /* A key that the fleet knows nothing of tells callers apart all the same. */
+  if (!account)
+    words.account = header_of (args, CREDENTIALS_HEADER);
+  return words;
+}
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -179,6 +179,8 @@
     log_failure (submission, result, &res);
   if (failed)
     metrics_add (sidecar->node->metrics, METRIC_SIDECAR_FAILED, 1);
+  if (result->outcome == HTTP_CALL_BROKEN)
+    end_watches_note_break (sidecar->ends, submission);
   admission_release (target->admission, failed ? -1 : result->took_us);
   record_end (submission, &res);
   finish (submission, &res);
--- /dev/null
+++ b/io/src/connect-check.c
@@ -0,0 +1,92 @@
+#include <io/connect-check.h>
+
+#include <errno.h>
+#include <unistd.h>
+
+#include <io/socket.h>
+
+struct ConnectCheck
+{
+  int fd;
+  LoopFd *watch;
+  LoopTimer *timer;
+  gboolean refused; /* at once, as a machine does to itself */
+  ConnectCheckFunc func;
+  gpointer data;
+};
+
+static void
+close_socket (ConnectCheck *check)
+{
+  loop_fd_destroy (check->watch);
+  check->watch = NULL;
+  if (check->fd >= 0)
+    close (check->fd);
+  check->fd = -1;
+}
+
+static void
+decide (ConnectCheck *check, ConnectAnswer answer)
+{
+  close_socket (check);
+  loop_timer_stop (check->timer);
+  check->func (answer, check->data);
+}
+
+static void
+on_decided (int fd, LoopEvents ready, gpointer data)
+{
+  switch (socket_error (fd))
+    {
+    case 0:
+      decide (data, CONNECT_ACCEPTED);
+      break;
+    case ECONNREFUSED:
+    case ECONNRESET:
+      decide (data, CONNECT_REFUSED);
+      break;
+    default:
+      decide (data, CONNECT_UNKNOWN);
+      break;
+    }
+}
+
+/* Time is up, or it was decided when the connection was begun. */
+static void
+on_timer (gpointer data)
+{
+  ConnectCheck *check = data;
+
+  decide (check, check->refused ? CONNECT_REFUSED : CONNECT_UNKNOWN);
+}
+
+ConnectCheck *
+connect_check_create (Loop *loop,
+                      const char *address,
+                      gint64 timeout_us,
+                      ConnectCheckFunc func,
+                      gpointer data)
+{
+  ConnectCheck *check = g_new0 (ConnectCheck, 1);
+
+  check->func = func;
+  check->data = data;
+  check->timer = loop_timer_create (loop, on_timer, check);
+  errno = 0;
+  check->fd = socket_connect (address);
+  check->refused = check->fd < 0 && errno == ECONNREFUSED;
+  if (check->fd >= 0)
+    check->watch = loop_fd_create (loop, check->fd, LOOP_WRITE, on_decided, check);
+  loop_timer_start (check->timer, check->fd >= 0 ? timeout_us : 0);
+  return check;
+}
+
+void
+connect_check_destroy (ConnectCheck *check)
+{
+  if (!check)
+    return;
+  close_socket (check);
+  loop_timer_destroy (check->timer);
+  g_free (check);
+}
