--- a/standins/src/target-faults.c
+++ b/standins/src/target-faults.c
@@ -18,6 +18,12 @@
   return (now_us / faults->flap_us) % 2 == 0;
 }
 
+gboolean
+target_faults_is_deadly (const TargetFaults *faults, const char *path)
+{
+  return faults->deadly && *faults->deadly && path && strstr (path, faults->deadly);
+}
+
 static gint64
 milliseconds (const char *path, const char *key, gint64 fallback_us)
 {
@@ -28,6 +34,7 @@
 target_faults_set (TargetFaults *faults, const char *path)
 {
   g_autofree char *kind = target_query_text (path, "answer");
+  char *deadly = target_query_text (path, "deadly");
 
   faults->latency_us = milliseconds (path, "latency_ms", faults->latency_us);
   faults->error_percent =
@@ -36,6 +43,11 @@
       (guint)target_query_number (path, "slow_percent", faults->slow_percent);
   faults->slow_us = milliseconds (path, "slow_ms", faults->slow_us);
   faults->flap_us = milliseconds (path, "flap_ms", faults->flap_us);
+  if (deadly)
+    {
+      g_free (faults->deadly);
+      faults->deadly = deadly;
+    }
   for (guint i = 0; kind && answer_names[i]; i++)
     if (strcmp (answer_names[i], kind) == 0)
       faults->answer = i;
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -9,6 +9,8 @@
  *   answer: whole, truncated, long (bytes past the end), crossed (another's attempt),
  *   silent (never), hangup (runs, closes without an answer), half (half, then silence),
  *   refused (503 that says so, and does not run), busy (503 that does not say).
+ * deadly=TEXT: a request whose path holds the text ends the process, once its time of
+ * service is over, and everything beside it; an empty text ends that.
  * A request in the platform's dialect is counted under its id there, and its answer is
  * signed. Caller, time left and expected target of the last one are told by /_seen, and
  * the head of the last request as it came by /_head.
@@ -133,6 +135,8 @@
 {
   TargetConn *conn = data;
 
+  if (target_faults_is_deadly (&faults, conn->path))
+    exit (EXIT_FAILURE);
   send_answer (conn);
   /* A silent target keeps its slot busy, as a hung worker would. */
   if (faults_on () && faults.answer == TARGET_SILENT)
--- a/tests/proc/fleet-process.c
+++ b/tests/proc/fleet-process.c
@@ -90,6 +90,15 @@
     kill (fleet->targets[i], signal);
 }
 
+gboolean
+fleet_target_ended (Fleet *fleet, guint i)
+{
+  if (!fleet->targets[i] || waitpid (fleet->targets[i], NULL, WNOHANG) <= 0)
+    return FALSE;
+  fleet->targets[i] = 0;
+  return TRUE;
+}
+
 gboolean
 fleet_node_ended (Fleet *fleet, guint i, int *code)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -51,6 +51,8 @@
 void fleet_signal_node (Fleet *fleet, guint i, int signal);
 void fleet_kill_target (Fleet *fleet, guint i);
 void fleet_signal_target (Fleet *fleet, guint i, int signal);
+/* Whether a target's process has ended by itself; it may be started again then. */
+gboolean fleet_target_ended (Fleet *fleet, guint i);
 /* Whether a node's process has ended; then *code is as fleet_wait_node says. */
 gboolean fleet_node_ended (Fleet *fleet, guint i, int *code);
 /* Leaves the folder with logs and settings when the fleet is destroyed. */
