--- /dev/null
+++ b/client/src/commands-logs.c
@@ -0,0 +1,128 @@
+/* The commands that read nodes' logs. */
+#include "commands-private.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "explain.h"
+#include "outcomes.h"
+
+/* Takes a line of a log. */
+typedef void (*TakeLine) (gpointer data, const char *line, gssize len);
+
+static void
+take_explained (gpointer data, const char *line, gssize len)
+{
+  explanation_add (data, line, len);
+}
+
+static void
+take_counted (gpointer data, const char *line, gssize len)
+{
+  request_outcomes_add (data, line, len);
+}
+
+/* Reads a file, "-" for standard input; FALSE with a message when it cannot be read. */
+static gboolean
+read_log (const char *path, TakeLine take, gpointer data)
+{
+  gboolean is_input = strcmp (path, "-") == 0;
+  FILE *file = is_input ? stdin : fopen (path, "r");
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t len;
+
+  if (!file)
+    {
+      fprintf (stderr, "switchmill: %s: %s\n", path, g_strerror (errno));
+      return FALSE;
+    }
+  while ((len = getline (&line, &size, file)) >= 0)
+    take (data, line, len);
+  free (line);
+  if (!is_input)
+    fclose (file);
+  return TRUE;
+}
+
+/* Reads the files named from the word at `first` on, standard input where there is none.
+ */
+static ExitCode
+read_logs (const Options *options, int first, TakeLine take, gpointer data)
+{
+  ExitCode code = CODE_OK;
+
+  if (options->word_count <= first && !read_log ("-", take, data))
+    code = CODE_FAULT;
+  for (int i = first; i < options->word_count; i++)
+    if (!read_log (options->words[i], take, data))
+      code = CODE_FAULT;
+  return code;
+}
+
+static void
+tell_bad_lines (guint count)
+{
+  if (count > 0)
+    fprintf (stderr, "switchmill: %u lines were not JSON and were passed over\n", count);
+}
+
+ExitCode
+command_explain (const Options *options)
+{
+  Explanation *explanation = explanation_create (options->words[0]);
+  ExitCode code = read_logs (options, 1, take_explained, explanation);
+  g_autoptr (GPtrArray) lines = explanation_lines (explanation);
+
+  for (guint i = 0; i < lines->len; i++)
+    printf ("%s\n", (char *)g_ptr_array_index (lines, i));
+  tell_bad_lines (explanation_bad_lines (explanation));
+  if (lines->len == 0)
+    {
+      fprintf (stderr, "switchmill: no line names \"%s\"\n", options->words[0]);
+      code = CODE_FAULT;
+    }
+  explanation_destroy (explanation);
+  return code;
+}
+
+static void
+print_outcomes (RequestOutcomes *outcomes, gboolean json)
+{
+  g_autoptr (JsonNode) node = NULL;
+  g_autofree char *text = NULL;
+
+  if (json)
+    {
+      node = request_outcomes_json (outcomes);
+      text = json_to_string (node, TRUE);
+      printf ("%s\n", text);
+      return;
+    }
+  text = request_outcomes_text (outcomes);
+  fputs (text, stdout);
+}
+
+ExitCode
+command_outcomes (const Options *options)
+{
+  RequestOutcomes *outcomes = request_outcomes_create (options->span_s);
+  ExitCode code = read_logs (options, 0, take_counted, outcomes);
+
+  print_outcomes (outcomes, options->json);
+  tell_bad_lines (request_outcomes_bad_lines (outcomes));
+  if (request_outcomes_omitted_lines (outcomes) > 0)
+    fprintf (stderr,
+             "switchmill: nodes left %" G_GUINT64_FORMAT
+             " lines out: attempts are counted too low\n",
+             request_outcomes_omitted_lines (outcomes));
+  if (request_outcomes_requests (outcomes) == 0)
+    {
+      fprintf (stderr, "switchmill: no line tells of a request\n");
+      code = CODE_FAULT;
+    }
+  request_outcomes_destroy (outcomes);
+  return code;
+}
--- /dev/null
+++ b/client/src/commands-quarantine.c
@@ -0,0 +1,65 @@
+/* The requests that targets have ended under. */
+#include "commands-private.h"
+
+#include <core/http-status.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "print.h"
+
+static ExitCode
+show (const Options *options)
+{
+  ApiResult *result = api_call (&options->api, "GET", "/v1/quarantine", NULL);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK || !command_object (result))
+    code = command_complain (result, options);
+  else if (options->json)
+    printf ("%s\n", result->text);
+  else
+    print_quarantine (command_object (result));
+  api_result_free (result);
+  return code;
+}
+
+static char *
+lift_body (const char *request)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autoptr (JsonNode) root = NULL;
+
+  json_builder_begin_object (builder);
+  json_builder_set_member_name (builder, "request");
+  json_builder_add_string_value (builder, request);
+  json_builder_end_object (builder);
+  root = json_builder_get_root (builder);
+  return json_to_string (root, FALSE);
+}
+
+static ExitCode
+lift (const Options *options, const char *request)
+{
+  g_autofree char *body = lift_body (request);
+  ApiResult *result = api_call (&options->api, "POST", "/v1/quarantine/lift", body);
+  ExitCode code = CODE_OK;
+
+  if (result->status != HTTP_OK)
+    code = command_complain (result, options);
+  else if (!options->json)
+    printf ("%s is let go; it is held back again if targets end under it\n", request);
+  api_result_free (result);
+  return code;
+}
+
+ExitCode
+command_quarantine (const Options *options)
+{
+  if (options->word_count == 0)
+    return show (options);
+  if (options->word_count == 2 && strcmp (options->words[0], "lift") == 0)
+    return lift (options, options->words[1]);
+  fprintf (stderr, "usage: switchmill quarantine [lift REQUEST]\n");
+  return CODE_USAGE;
+}
--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -8,12 +8,11 @@
 #include <core/settings.h>
 #include <core/http-status.h>
 
-#include "outcomes.h"
-#include "explain.h"
+#include "commands-private.h"
 #include "print.h"
 
-static JsonObject *
-object_of (const ApiResult *result)
+JsonObject *
+command_object (const ApiResult *result)
 {
   if (!result->root || !JSON_NODE_HOLDS_OBJECT (result->root))
     return NULL;
@@ -32,11 +31,10 @@
     fprintf (stderr, "  %s\n", json_array_get_string_element (faults, i));
 }
 
-/* Says what went wrong and what to do; the code for a call that did not succeed. */
-static ExitCode
-complain (const ApiResult *result, const Options *options)
+ExitCode
+command_complain (const ApiResult *result, const Options *options)
 {
-  JsonObject *object = object_of (result);
+  JsonObject *object = command_object (result);
 
   if (result->status == 0)
     {
@@ -74,12 +72,12 @@
   ApiResult *result = api_call (&options->api, "GET", "/v1/status", NULL);
   ExitCode code = CODE_OK;
 
-  if (result->status != HTTP_OK || !object_of (result))
-    code = complain (result, options);
+  if (result->status != HTTP_OK || !command_object (result))
+    code = command_complain (result, options);
   else if (options->json)
     printf ("%s\n", result->text);
   else
-    print (object_of (result), options->word_count ? options->words[0] : NULL);
+    print (command_object (result), options->word_count ? options->words[0] : NULL);
   api_result_free (result);
   return code;
 }
@@ -117,12 +115,12 @@
   ApiResult *result = api_call (&options->api, "GET", path, NULL);
   ExitCode code = CODE_OK;
 
-  if (result->status != HTTP_OK || !object_of (result))
-    code = complain (result, options);
+  if (result->status != HTTP_OK || !command_object (result))
+    code = command_complain (result, options);
   else if (options->json)
     printf ("%s\n", result->text);
   else
-    print_accounts (object_of (result));
+    print_accounts (command_object (result));
   api_result_free (result);
   return code;
 }
@@ -134,7 +132,7 @@
   ExitCode code = CODE_OK;
 
   if (result->status != HTTP_OK || !result->root || !JSON_NODE_HOLDS_ARRAY (result->root))
-    code = complain (result, options);
+    code = command_complain (result, options);
   else if (options->json)
     printf ("%s\n", result->text);
   else
@@ -176,13 +174,13 @@
   ApiResult *result = api_call (&options->api, "POST", "/v1/confirm", body);
   ExitCode code = CODE_OK;
 
-  if (result->status != HTTP_OK || !object_of (result))
-    code = complain (result, options);
+  if (result->status != HTTP_OK || !command_object (result))
+    code = command_complain (result, options);
   else if (options->json)
     fputs (result->text, stdout);
   else
     printf ("accepted as generation %" G_GINT64_FORMAT "\n",
-            json_object_get_int_member (object_of (result), "generation"));
+            json_object_get_int_member (command_object (result), "generation"));
   /* An answer that did not come says nothing of the write. */
   if (result->status == 0)
     {
@@ -198,12 +196,12 @@
 plan (const Options *options, const char *intent, gboolean confirm_it)
 {
   ApiResult *result = api_call (&options->api, "POST", "/v1/plan", intent);
-  JsonObject *object = object_of (result);
+  JsonObject *object = command_object (result);
   ExitCode code = CODE_OK;
 
   if (result->status != HTTP_OK || !object)
     {
-      code = complain (result, options);
+      code = command_complain (result, options);
       api_result_free (result);
       return code;
     }
@@ -324,130 +322,15 @@
   return code;
 }
 
-/* Takes a line of a log. */
-typedef void (*TakeLine) (gpointer data, const char *line, gssize len);
-
-static void
-take_explained (gpointer data, const char *line, gssize len)
-{
-  explanation_add (data, line, len);
-}
-
-static void
-take_counted (gpointer data, const char *line, gssize len)
-{
-  request_outcomes_add (data, line, len);
-}
-
-/* Reads a file, "-" for standard input; FALSE with a message when it cannot be read. */
-static gboolean
-read_log (const char *path, TakeLine take, gpointer data)
-{
-  gboolean is_input = strcmp (path, "-") == 0;
-  FILE *file = is_input ? stdin : fopen (path, "r");
-  char *line = NULL;
-  size_t size = 0;
-  ssize_t len;
-
-  if (!file)
-    {
-      fprintf (stderr, "switchmill: %s: %s\n", path, g_strerror (errno));
-      return FALSE;
-    }
-  while ((len = getline (&line, &size, file)) >= 0)
-    take (data, line, len);
-  free (line);
-  if (!is_input)
-    fclose (file);
-  return TRUE;
-}
-
-/* Reads the files named from the word at `first` on, standard input where there is none.
- */
-static ExitCode
-read_logs (const Options *options, int first, TakeLine take, gpointer data)
-{
-  ExitCode code = CODE_OK;
-
-  if (options->word_count <= first && !read_log ("-", take, data))
-    code = CODE_FAULT;
-  for (int i = first; i < options->word_count; i++)
-    if (!read_log (options->words[i], take, data))
-      code = CODE_FAULT;
-  return code;
-}
-
-static void
-tell_bad_lines (guint count)
-{
-  if (count > 0)
-    fprintf (stderr, "switchmill: %u lines were not JSON and were passed over\n", count);
-}
-
-static ExitCode
-run_explain (const Options *options)
-{
-  Explanation *explanation = explanation_create (options->words[0]);
-  ExitCode code = read_logs (options, 1, take_explained, explanation);
-  g_autoptr (GPtrArray) lines = explanation_lines (explanation);
-
-  for (guint i = 0; i < lines->len; i++)
-    printf ("%s\n", (char *)g_ptr_array_index (lines, i));
-  tell_bad_lines (explanation_bad_lines (explanation));
-  if (lines->len == 0)
-    {
-      fprintf (stderr, "switchmill: no line names \"%s\"\n", options->words[0]);
-      code = CODE_FAULT;
-    }
-  explanation_destroy (explanation);
-  return code;
-}
-
-static void
-print_outcomes (RequestOutcomes *outcomes, gboolean json)
-{
-  g_autoptr (JsonNode) node = NULL;
-  g_autofree char *text = NULL;
-
-  if (json)
-    {
-      node = request_outcomes_json (outcomes);
-      text = json_to_string (node, TRUE);
-      printf ("%s\n", text);
-      return;
-    }
-  text = request_outcomes_text (outcomes);
-  fputs (text, stdout);
-}
-
-static ExitCode
-run_outcomes (const Options *options)
-{
-  RequestOutcomes *outcomes = request_outcomes_create (options->span_s);
-  ExitCode code = read_logs (options, 0, take_counted, outcomes);
-
-  print_outcomes (outcomes, options->json);
-  tell_bad_lines (request_outcomes_bad_lines (outcomes));
-  if (request_outcomes_omitted_lines (outcomes) > 0)
-    fprintf (stderr,
-             "switchmill: nodes left %" G_GUINT64_FORMAT
-             " lines out: attempts are counted too low\n",
-             request_outcomes_omitted_lines (outcomes));
-  if (request_outcomes_requests (outcomes) == 0)
-    {
-      fprintf (stderr, "switchmill: no line tells of a request\n");
-      code = CODE_FAULT;
-    }
-  request_outcomes_destroy (outcomes);
-  return code;
-}
-
 const Command commands[] = {
   { "status", "", "show a node's whole view", 0, 0, run_status },
   { "service", "[NAME]", "show the services, or one", 0, 1, run_service },
   { "target", "[SERVICE]", "show the targets and their verdicts", 0, 1, run_target },
   { "account", "[ID]", "show a client account, or those that are busy at a node", 0, 1,
     run_account },
+  { "quarantine", "[lift REQUEST]",
+    "show the requests that targets have ended under, or let one go", 0, 2,
+    command_quarantine },
   { "events", "", "show a node's last events", 0, 0, run_events },
   { "plan", "INTENT", "show what an intent file would change; --yes confirms it", 1, 1,
     run_plan },
@@ -459,8 +342,8 @@
     run_restore },
   { "config", "check SETTINGS", "check a node's settings file", 2, 2, run_config },
   { "explain", "ID [LOG...]", "show one request's way out of nodes' logs", 1, G_MAXINT,
-    run_explain },
+    command_explain },
   { "outcomes", "[LOG...]", "count what became of the requests in nodes' logs, and why",
-    0, G_MAXINT, run_outcomes },
+    0, G_MAXINT, command_outcomes },
   { NULL, NULL, NULL, 0, 0, NULL },
 };
--- a/client/src/print.c
+++ b/client/src/print.c
@@ -175,3 +175,21 @@
               int_of (item, "exceeded"));
     }
 }
+
+void
+print_quarantine (JsonObject *answer)
+{
+  JsonArray *requests = array_of (answer, "requests");
+
+  printf ("%-10s %-8s %5s %7s %14s %14s\n", "REQUEST", "STATE", "ENDS", "TRIALS",
+          "LAST END S AGO", "NEXT TRIAL S");
+  for (guint i = 0; i < length_of (requests); i++)
+    {
+      JsonObject *item = json_array_get_object_element (requests, i);
+
+      printf ("%-10s %-8s %5" G_GINT64_FORMAT " %7" G_GINT64_FORMAT " %14.1f %14.1f\n",
+              text_of (item, "request"), text_of (item, "state"), int_of (item, "ends"),
+              int_of (item, "trials"), (double)int_of (item, "last_end_age_ms") / 1e3,
+              (double)int_of (item, "next_trial_ms") / 1e3);
+    }
+}
--- a/client/src/print.h
+++ b/client/src/print.h
@@ -12,6 +12,9 @@
 void print_targets (JsonObject *status, const char *only);
 void print_events (JsonArray *events);
 
+/* The requests that targets have ended under, as a node knows them. */
+void print_quarantine (JsonObject *answer);
+
 /* Client accounts with their allowances, and what became of their requests at the node.
  */
 void print_accounts (JsonObject *answer);
--- a/core/include/core/quarantine.h
+++ b/core/include/core/quarantine.h
@@ -15,9 +15,9 @@
  * the same facts hold the same. Nobody's view decides alone, and none has to be there:
  * three ends may have been seen by three nodes that nobody hears of again.
  *
- * The innocent: an end counts against the request that has most ends among those at work
- * there, and of one that is held back already it is that one's alone. Ends at one moment,
- * as of a hall, count once. QUARANTINE_SETTLE_US pass before anything is held back, in
+ * The innocent: an end counts against the request that was at most ends among those at work
+ * there, and an end of one that is held back already counts against that one alone. Ends at
+ * one moment, as of a hall, count once. QUARANTINE_SETTLE_US pass before anything is held back, in
  * which work elsewhere may come to an answer. And who is held back is tried again, one
  * request at a time: at once, after a minute, after ten, and so on.
  */
--- a/core/src/request/quarantine-blame.c
+++ b/core/src/request/quarantine-blame.c
@@ -1,5 +1,41 @@
 #include "quarantine-private.h"
 
+/* Which of an entry's ends count; NULL for all. */
+typedef gboolean (*Counts) (const Quarantine *quarantine,
+                            const QuarantineEntry *entry,
+                            guint32 end);
+
+static guint
+count_moments (const Quarantine *quarantine,
+               const QuarantineEntry *entry,
+               Counts counts,
+               gint64 *decisive_us)
+{
+  gint64 moment = 0;
+  guint count = 0;
+
+  for (guint i = 0; i < entry->end_count; i++)
+    {
+      const QuarantineEnd *end = &entry->ends[i];
+
+      if ((count > 0 && end->at_us - moment <= QUARANTINE_MOMENT_US) ||
+          (counts && !counts (quarantine, entry, end->id)))
+        continue;
+      moment = end->at_us;
+      if (++count == QUARANTINE_ENDS)
+        *decisive_us = moment;
+    }
+  return count;
+}
+
+static guint
+all_moments (const QuarantineEntry *entry)
+{
+  gint64 decisive_us;
+
+  return count_moments (NULL, entry, NULL, &decisive_us);
+}
+
 static gboolean
 was_at (const QuarantineEntry *entry, guint32 end)
 {
@@ -9,29 +45,22 @@
   return FALSE;
 }
 
-/* Whether more speaks against `other` than against `entry`. */
+/* An end is laid to the request that was at most of them: one that was only beside it
+   there has been beside it at fewer. */
 static gboolean
-is_worse (const QuarantineEntry *other, const QuarantineEntry *entry)
+is_own (const Quarantine *quarantine, const QuarantineEntry *entry, guint32 end)
 {
-  if (other->held_us && !entry->held_us)
-    return TRUE;
-  return other->end_count > entry->end_count;
-}
+  guint own = all_moments (entry);
 
-/* An end is laid to the request that has most of them: one that was only beside it there
-   has been beside it at fewer. */
-static gboolean
-is_of_another (const Quarantine *quarantine, const QuarantineEntry *entry, guint32 end)
-{
   for (guint i = 0; i < quarantine->entries->len; i++)
     {
       const QuarantineEntry *other =
           &g_array_index (quarantine->entries, QuarantineEntry, i);
 
-      if (other != entry && was_at (other, end) && is_worse (other, entry))
-        return TRUE;
+      if (other != entry && was_at (other, end) && all_moments (other) > own)
+        return FALSE;
     }
-  return FALSE;
+  return TRUE;
 }
 
 guint
@@ -39,19 +68,5 @@
                     const QuarantineEntry *entry,
                     gint64 *decisive_us)
 {
-  gint64 moment = 0;
-  guint count = 0;
-
-  for (guint i = 0; i < entry->end_count; i++)
-    {
-      const QuarantineEnd *end = &entry->ends[i];
-
-      if ((count > 0 && end->at_us - moment <= QUARANTINE_MOMENT_US) ||
-          is_of_another (quarantine, entry, end->id))
-        continue;
-      moment = end->at_us;
-      if (++count == QUARANTINE_ENDS)
-        *decisive_us = moment;
-    }
-  return count;
+  return count_moments (quarantine, entry, is_own, decisive_us);
 }
--- a/core/src/request/quarantine.c
+++ b/core/src/request/quarantine.c
@@ -9,6 +9,9 @@
 /* Trials that are made at once, and after a short pause. */
 #define TRIALS_EARLY 2u
 #define PAUSE_DOUBLINGS_MAX 4u
+/* A trial that was undecided is made again once: each is one more that reaches a target.
+ */
+#define UNDECIDED_TURNS_MAX 2u
 
 Quarantine *
 quarantine_create (Clock *clock)
@@ -390,7 +393,8 @@
 {
   QuarantineEntry *entry = quarantine_find (quarantine, request);
 
-  if (!entry || !entry->held_us || entry->trials == 0)
+  if (!entry || !entry->held_us || entry->trials == 0 ||
+      entry->turn >= UNDECIDED_TURNS_MAX)
     return;
   set_due (quarantine, entry, entry->trials - 1,
            clock_now (quarantine->clock) + QUARANTINE_PAUSE_UNDECIDED_US);
--- /dev/null
+++ b/core/tests/test-quarantine.c
@@ -0,0 +1,621 @@
+/*
+ * Which requests are held back, by whom, and when they are let go. Nodes here hear of
+ * each other's news when the test says so.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/quarantine.h>
+
+#include <string.h>
+
+#define NODES 4u
+#define SERVICE 7u
+#define VERSION 1u
+#define NEWS_MAX 64u
+/* Between ends that one request brings about: it works for some 65 ms first. */
+#define APART_US (100 * MS_US)
+/* Until what was found is in force: settling, with room to spare. */
+#define SETTLED_US (400 * MS_US)
+
+typedef struct
+{
+  Clock *clock;
+  Quarantine *nodes[NODES];
+  guint32 ends;
+} Fixture;
+
+static const Fingerprint deadly = { 0xdeadull << 48, 1 };
+static const Fingerprint sound = { 0x50ull << 48, 0 };
+static const Fingerprint other = { 0x07ull << 48, 0 };
+
+static int
+set_up (void **state)
+{
+  Fixture *fixture = g_new0 (Fixture, 1);
+
+  fixture->clock = clock_create_manual (1000 * SECOND_US);
+  for (guint i = 0; i < NODES; i++)
+    fixture->nodes[i] = quarantine_create (fixture->clock);
+  *state = fixture;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  Fixture *fixture = *state;
+
+  for (guint i = 0; i < NODES; i++)
+    quarantine_destroy (fixture->nodes[i]);
+  clock_destroy (fixture->clock);
+  g_free (fixture);
+  return 0;
+}
+
+static void
+pass (Fixture *fixture, gint64 us)
+{
+  clock_advance (fixture->clock, us);
+  for (guint i = 0; i < NODES; i++)
+    quarantine_tick (fixture->nodes[i]);
+}
+
+/* A target beside the node ends under so many requests. */
+static void
+end_under (Fixture *fixture, guint node, const Fingerprint *requests, guint count)
+{
+  g_autoptr (GArray) work = g_array_new (FALSE, FALSE, sizeof (Fingerprint));
+
+  g_array_append_vals (work, requests, count);
+  quarantine_note_end (fixture->nodes[node], ++fixture->ends, SERVICE, VERSION, work);
+}
+
+static void
+tell (Fixture *fixture, guint from, guint to)
+{
+  QuarantineNews news[NEWS_MAX];
+  guint count = quarantine_some (fixture->nodes[from], news, NEWS_MAX);
+
+  for (guint i = 0; i < count; i++)
+    quarantine_merge (fixture->nodes[to], &news[i]);
+}
+
+/* All that any knows gets to all. */
+static void
+tell_all (Fixture *fixture)
+{
+  for (guint round = 0; round < 2; round++)
+    for (guint i = 0; i < NODES; i++)
+      for (guint j = 0; j < NODES; j++)
+        if (i != j)
+          tell (fixture, i, j);
+}
+
+static QuarantineState
+state_at (Fixture *fixture, guint node, const Fingerprint *request)
+{
+  return quarantine_check (fixture->nodes[node], request).state;
+}
+
+/* Three targets end under it, one after the other, each beside another node. */
+static void
+end_three (Fixture *fixture, const Fingerprint *request)
+{
+  for (guint i = 0; i < QUARANTINE_ENDS; i++)
+    {
+      end_under (fixture, i, request, 1);
+      pass (fixture, APART_US);
+    }
+}
+
+/* Held back, with the first trial made: it ended a target too. */
+static void
+hold (Fixture *fixture, const Fingerprint *request)
+{
+  end_three (fixture, request);
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  tell_all (fixture);
+  assert_true (quarantine_begin_trial (fixture->nodes[0], request));
+  end_under (fixture, 0, request, 1);
+  tell_all (fixture);
+}
+
+/* Three nodes have seen one end each, and a fourth none. */
+static void
+test_a_node_that_saw_no_end_holds_it_back (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_three (fixture, &deadly);
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  for (guint i = 0; i < NODES; i++)
+    assert_true (state_at (fixture, i, &deadly) >= QUARANTINE_TRIAL);
+  assert_int_equal (state_at (fixture, 3, &sound), QUARANTINE_FREE);
+}
+
+static void
+test_two_ends_are_not_enough (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_under (fixture, 0, &deadly, 1);
+  pass (fixture, APART_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_SUSPECT);
+  end_under (fixture, 0, &deadly, 1);
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_DOUBTED);
+}
+
+/* Who hears of it twice, in any order, from several, counts it once. */
+static void
+test_news_that_is_told_again_counts_once (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_under (fixture, 0, &deadly, 1);
+  pass (fixture, APART_US);
+  end_under (fixture, 1, &deadly, 1);
+  for (guint i = 0; i < 5; i++)
+    tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (state_at (fixture, i, &deadly), QUARANTINE_DOUBTED);
+  assert_int_equal (quarantine_digest (fixture->nodes[0]),
+                    quarantine_digest (fixture->nodes[3]));
+}
+
+/* A hall fails: all its targets end at one moment, each under the same path with an empty
+   body. Nothing has answered anywhere. */
+static void
+test_a_hall_that_ends_at_once_blames_nobody (void **state)
+{
+  Fixture *fixture = *state;
+
+  for (guint i = 0; i < 12; i++)
+    {
+      end_under (fixture, i % NODES, &sound, 1);
+      clock_advance (fixture->clock, 2 * MS_US);
+    }
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 0, &sound), QUARANTINE_SUSPECT);
+}
+
+/* Targets go down by turns, and the same request is at work at each; it is answered where
+   they are up. */
+static void
+test_what_is_answered_anywhere_was_not_deadly (void **state)
+{
+  Fixture *fixture = *state;
+
+  for (guint i = 0; i < 20; i++)
+    {
+      end_under (fixture, i % NODES, &sound, 1);
+      tell_all (fixture);
+      pass (fixture, APART_US / 2);
+      assert_true (state_at (fixture, 0, &sound) < QUARANTINE_TRIAL);
+      assert_true (quarantine_note_answer (fixture->nodes[(i + 1) % NODES], &sound));
+      tell_all (fixture);
+      pass (fixture, APART_US / 2);
+      for (guint j = 0; j < NODES; j++)
+        assert_int_equal (state_at (fixture, j, &sound), QUARANTINE_FREE);
+    }
+}
+
+/* The answer has come in before the third end's news has: within the time to settle. */
+static void
+test_an_answer_before_it_settles_is_in_time (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_three (fixture, &sound);
+  tell_all (fixture);
+  pass (fixture, QUARANTINE_SETTLE_US - APART_US - MS_US);
+  assert_true (quarantine_note_answer (fixture->nodes[3], &sound));
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (state_at (fixture, i, &sound), QUARANTINE_FREE);
+}
+
+/* Four to ten others are killed at each end beside the one that did it: new ones each
+   time, but for one that comes again at two of the ends. */
+static void
+test_those_beside_it_are_not_held_back (void **state)
+{
+  Fixture *fixture = *state;
+  Fingerprint work[11] = { deadly, other };
+
+  for (guint i = 0; i < 5; i++)
+    {
+      guint count = 5 + i;
+
+      for (guint j = i < 2 ? 2 : 1; j < count; j++)
+        work[j] = (Fingerprint){ ((guint64)i << 56) | ((guint64)j << 40) | 1, 0 };
+      end_under (fixture, i % NODES, work, count);
+      tell_all (fixture);
+      pass (fixture, APART_US);
+    }
+  pass (fixture, SETTLED_US);
+  for (guint i = 0; i < NODES; i++)
+    {
+      const GArray *entries = quarantine_entries (fixture->nodes[i]);
+      guint held = 0;
+
+      for (guint j = 0; j < entries->len; j++)
+        held += g_array_index (entries, QuarantineEntry, j).held_us != 0;
+      assert_int_equal (held, 1);
+      assert_true (state_at (fixture, i, &deadly) >= QUARANTINE_TRIAL);
+      assert_true (state_at (fixture, i, &other) < QUARANTINE_TRIAL);
+    }
+}
+
+/* Beside it at three of its four ends: the fourth tells them apart. */
+static void
+test_an_end_is_laid_to_whom_most_are_laid_to (void **state)
+{
+  Fixture *fixture = *state;
+  const Fingerprint both[] = { deadly, other };
+
+  end_under (fixture, 0, &deadly, 1);
+  tell_all (fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      pass (fixture, APART_US);
+      end_under (fixture, i, both, 2);
+      tell_all (fixture);
+    }
+  pass (fixture, SETTLED_US);
+  assert_true (state_at (fixture, 3, &deadly) >= QUARANTINE_TRIAL);
+  assert_true (state_at (fixture, 3, &other) < QUARANTINE_TRIAL);
+}
+
+/* Nothing tells two apart that were at the same three ends. The first request of each is
+   its trial, so that the sound one is not turned away. */
+static void
+test_who_cannot_be_told_apart_is_tried_at_once (void **state)
+{
+  Fixture *fixture = *state;
+  const Fingerprint both[] = { deadly, other };
+
+  for (guint i = 0; i < QUARANTINE_ENDS; i++)
+    {
+      end_under (fixture, i, both, 2);
+      pass (fixture, APART_US);
+    }
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 0, &other), QUARANTINE_TRIAL);
+  assert_true (quarantine_begin_trial (fixture->nodes[0], &other));
+  assert_true (quarantine_begin_trial (fixture->nodes[0], &deadly));
+  assert_true (quarantine_note_answer (fixture->nodes[0], &other));
+  tell_all (fixture);
+  for (guint i = 0; i < NODES; i++)
+    {
+      assert_int_equal (state_at (fixture, i, &other), QUARANTINE_FREE);
+      assert_int_equal (state_at (fixture, i, &deadly), QUARANTINE_HELD);
+    }
+}
+
+/* An end of one that is held back counts against it alone. */
+static void
+test_a_trial_blames_nobody_beside_it (void **state)
+{
+  Fixture *fixture = *state;
+  const Fingerprint both[] = { other, deadly };
+
+  hold (fixture, &deadly);
+  for (guint i = 0; i < QUARANTINE_ENDS; i++)
+    {
+      pass (fixture, APART_US);
+      end_under (fixture, i, both, 2);
+      tell_all (fixture);
+    }
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 0, &other), QUARANTINE_FREE);
+}
+
+/* At once, after a minute, after ten: one at a time, whoever asks. */
+static void
+test_trials_are_single_and_grow_rare (void **state)
+{
+  Fixture *fixture = *state;
+  QuarantineVerdict verdict;
+
+  hold (fixture, &deadly);
+  for (guint i = 0; i < NODES; i++)
+    assert_false (quarantine_begin_trial (fixture->nodes[i], &deadly));
+  verdict = quarantine_check (fixture->nodes[3], &deadly);
+  assert_int_equal (verdict.state, QUARANTINE_HELD);
+  assert_in_range (verdict.retry_after_us, QUARANTINE_PAUSE_FIRST_US - SECOND_US,
+                   QUARANTINE_PAUSE_FIRST_US);
+  pass (fixture, QUARANTINE_PAUSE_FIRST_US);
+  assert_true (quarantine_begin_trial (fixture->nodes[1], &deadly));
+  end_under (fixture, 1, &deadly, 1);
+  tell_all (fixture);
+  pass (fixture, QUARANTINE_PAUSE_SECOND_US - SECOND_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_HELD);
+  pass (fixture, SECOND_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_TRIAL);
+}
+
+/* A trial that was broken off by a target in a bad spell is made again soon, but once:
+   each is one more that reaches a target. */
+static void
+test_an_undecided_trial_is_made_again_once (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_three (fixture, &deadly);
+  tell_all (fixture);
+  pass (fixture, SETTLED_US);
+  assert_true (quarantine_begin_trial (fixture->nodes[0], &deadly));
+  quarantine_trial_undecided (fixture->nodes[0], &deadly);
+  assert_false (quarantine_begin_trial (fixture->nodes[0], &deadly));
+  pass (fixture, QUARANTINE_PAUSE_UNDECIDED_US);
+  assert_true (quarantine_begin_trial (fixture->nodes[0], &deadly));
+  quarantine_trial_undecided (fixture->nodes[0], &deadly);
+  pass (fixture, QUARANTINE_PAUSE_UNDECIDED_US);
+  assert_false (quarantine_begin_trial (fixture->nodes[0], &deadly));
+}
+
+static void
+test_a_good_trial_ends_it_everywhere (void **state)
+{
+  Fixture *fixture = *state;
+
+  hold (fixture, &sound);
+  pass (fixture, QUARANTINE_PAUSE_FIRST_US);
+  assert_true (quarantine_begin_trial (fixture->nodes[2], &sound));
+  assert_true (quarantine_note_answer (fixture->nodes[2], &sound));
+  tell_all (fixture);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (state_at (fixture, i, &sound), QUARANTINE_FREE);
+}
+
+/* News from before the answer arrives after it, again and again. */
+static void
+test_late_news_brings_nothing_back (void **state)
+{
+  Fixture *fixture = *state;
+  QuarantineNews old[NEWS_MAX];
+  guint count;
+
+  hold (fixture, &sound);
+  count = quarantine_some (fixture->nodes[0], old, NEWS_MAX);
+  quarantine_note_answer (fixture->nodes[1], &sound);
+  tell_all (fixture);
+  for (guint i = 0; i < count; i++)
+    assert_false (quarantine_merge (fixture->nodes[2], &old[i]));
+  assert_int_equal (state_at (fixture, 2, &sound), QUARANTINE_FREE);
+}
+
+/* A node that starts, or was cut off, has an empty list, which its digest tells. */
+static void
+test_a_node_that_starts_learns_what_the_fleet_knows (void **state)
+{
+  Fixture *fixture = *state;
+
+  hold (fixture, &deadly);
+  quarantine_destroy (fixture->nodes[3]);
+  fixture->nodes[3] = quarantine_create (fixture->clock);
+  assert_int_not_equal (quarantine_digest (fixture->nodes[3]),
+                        quarantine_digest (fixture->nodes[0]));
+  tell (fixture, 0, 3);
+  assert_int_equal (state_at (fixture, 3, &deadly), QUARANTINE_HELD);
+  assert_int_equal (quarantine_digest (fixture->nodes[3]),
+                    quarantine_digest (fixture->nodes[0]));
+}
+
+/* Two parts that do not hear each other count by themselves, and agree afterwards. */
+static void
+test_parts_out_of_touch_agree_when_they_meet (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_under (fixture, 0, &deadly, 1);
+  pass (fixture, APART_US);
+  end_under (fixture, 1, &deadly, 1);
+  tell (fixture, 0, 1);
+  pass (fixture, APART_US);
+  end_under (fixture, 2, &deadly, 1);
+  tell (fixture, 2, 3);
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 1, &deadly), QUARANTINE_DOUBTED);
+  assert_int_equal (state_at (fixture, 3, &deadly), QUARANTINE_SUSPECT);
+  tell_all (fixture);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (state_at (fixture, i, &deadly), QUARANTINE_TRIAL);
+}
+
+static void
+test_suspects_are_forgotten_after_some_time (void **state)
+{
+  Fixture *fixture = *state;
+
+  end_under (fixture, 0, &deadly, 1);
+  pass (fixture, QUARANTINE_MEMORY_US - SECOND_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_SUSPECT);
+  pass (fixture, 2 * SECOND_US);
+  assert_int_equal (quarantine_entries (fixture->nodes[0])->len, 0);
+  assert_int_equal (quarantine_digest (fixture->nodes[0]), 0);
+}
+
+/* Nobody has sent it for an hour after its next trial was due. */
+static void
+test_what_is_held_back_is_let_go_in_the_end (void **state)
+{
+  Fixture *fixture = *state;
+
+  hold (fixture, &deadly);
+  pass (fixture, QUARANTINE_PAUSE_FIRST_US + QUARANTINE_PAUSE_MAX_US + SECOND_US);
+  assert_int_equal (quarantine_entries (fixture->nodes[0])->len, 0);
+}
+
+/* A caller may send a new request each time; what is held back outlasts them all. */
+static void
+test_the_list_is_bounded_and_keeps_what_matters (void **state)
+{
+  Fixture *fixture = *state;
+
+  hold (fixture, &deadly);
+  for (guint i = 0; i < 10000; i++)
+    {
+      const Fingerprint fresh = { 0xf00dull << 40 | i, 0 };
+
+      end_under (fixture, 0, &fresh, 1);
+      clock_advance (fixture->clock, MS_US);
+    }
+  assert_int_equal (quarantine_entries (fixture->nodes[0])->len, QUARANTINE_ENTRIES_MAX);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_HELD);
+}
+
+/* With more at work than count, one that has been counted once is counted each time. */
+static void
+test_a_crowded_target_still_counts_who_is_known (void **state)
+{
+  Fixture *fixture = *state;
+  Fingerprint work[40];
+
+  end_under (fixture, 0, &deadly, 1);
+  for (guint i = 0; i < 2; i++)
+    {
+      pass (fixture, APART_US);
+      for (guint j = 0; j < G_N_ELEMENTS (work); j++)
+        work[j] = (Fingerprint){ (guint64)(i + 1) << 48 | j << 8 | 1, 0 };
+      work[G_N_ELEMENTS (work) - 1] = deadly;
+      end_under (fixture, 0, work, G_N_ELEMENTS (work));
+    }
+  pass (fixture, SETTLED_US);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_TRIAL);
+}
+
+/* Another version of the software may not end under it: one trial, while two are left. */
+static void
+test_a_new_version_may_be_tried (void **state)
+{
+  Fixture *fixture = *state;
+
+  hold (fixture, &deadly);
+  quarantine_note_version (fixture->nodes[0], SERVICE, VERSION);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_HELD);
+  quarantine_note_version (fixture->nodes[0], SERVICE + 1, VERSION + 1);
+  assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_HELD);
+  quarantine_note_version (fixture->nodes[0], SERVICE, VERSION + 1);
+  tell_all (fixture);
+  assert_int_equal (state_at (fixture, 3, &deadly), QUARANTINE_TRIAL);
+  assert_true (quarantine_begin_trial (fixture->nodes[3], &deadly));
+  tell_all (fixture);
+  quarantine_note_version (fixture->nodes[1], SERVICE, VERSION + 2);
+  assert_int_equal (state_at (fixture, 1, &deadly), QUARANTINE_HELD);
+}
+
+static void
+test_an_operator_lifts_an_entry (void **state)
+{
+  Fixture *fixture = *state;
+  g_autofree char *digits = fingerprint_text (&deadly);
+
+  hold (fixture, &deadly);
+  assert_false (quarantine_lift (fixture->nodes[0], "00000000"));
+  assert_true (quarantine_lift (fixture->nodes[0], digits));
+  assert_false (quarantine_lift (fixture->nodes[0], digits));
+  tell_all (fixture);
+  for (guint i = 0; i < NODES; i++)
+    assert_int_equal (state_at (fixture, i, &deadly), QUARANTINE_FREE);
+}
+
+/* Each change is told a few times and no more, however long nothing changes. */
+static void
+test_news_ends (void **state)
+{
+  Fixture *fixture = *state;
+  QuarantineNews news[NEWS_MAX];
+  guint told = 0;
+
+  end_three (fixture, &deadly);
+  while (quarantine_has_news (fixture->nodes[0]) && told < 1000)
+    told += quarantine_news (fixture->nodes[0], news, 1);
+  assert_in_range (told, 1, 20);
+  assert_int_equal (quarantine_news (fixture->nodes[0], news, NEWS_MAX), 0);
+}
+
+/* Words that no node says. */
+static void
+test_implausible_news_is_passed_over (void **state)
+{
+  Fixture *fixture = *state;
+  QuarantineNews news = { .request = deadly, .service = SERVICE, .held_age_us = -1 };
+
+  news.cleared_age_us = -1;
+  news.end_count = QUARANTINE_ENDS_KEPT + 1;
+  assert_false (quarantine_merge (fixture->nodes[0], &news));
+  news.end_count = 1;
+  news.end_ages_us[0] = -5;
+  assert_false (quarantine_merge (fixture->nodes[0], &news));
+  news.end_ages_us[0] = G_MAXINT64;
+  assert_false (quarantine_merge (fixture->nodes[0], &news));
+  news.end_count = 0;
+  assert_false (quarantine_merge (fixture->nodes[0], &news));
+  assert_int_equal (quarantine_entries (fixture->nodes[0])->len, 0);
+}
+
+/* Of ten ends, seen in another order by each node, all keep the same six. */
+static void
+test_nodes_that_heard_in_another_order_agree (void **state)
+{
+  Fixture *fixture = *state;
+
+  for (guint i = 0; i < 10; i++)
+    {
+      end_under (fixture, (i * 7) % NODES, &sound, 1);
+      if (i % 3 == 0)
+        tell (fixture, i % NODES, (i + 1) % NODES);
+      clock_advance (fixture->clock, MS_US);
+    }
+  tell_all (fixture);
+  tell_all (fixture);
+  for (guint i = 1; i < NODES; i++)
+    assert_int_equal (quarantine_digest (fixture->nodes[0]),
+                      quarantine_digest (fixture->nodes[i]));
+}
+
+int
+main (void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
+  const struct CMUnitTest tests[] = {
+    TEST (test_a_node_that_saw_no_end_holds_it_back),
+    TEST (test_two_ends_are_not_enough),
+    TEST (test_news_that_is_told_again_counts_once),
+    TEST (test_a_hall_that_ends_at_once_blames_nobody),
+    TEST (test_what_is_answered_anywhere_was_not_deadly),
+    TEST (test_an_answer_before_it_settles_is_in_time),
+    TEST (test_those_beside_it_are_not_held_back),
+    TEST (test_an_end_is_laid_to_whom_most_are_laid_to),
+    TEST (test_who_cannot_be_told_apart_is_tried_at_once),
+    TEST (test_a_trial_blames_nobody_beside_it),
+    TEST (test_trials_are_single_and_grow_rare),
+    TEST (test_an_undecided_trial_is_made_again_once),
+    TEST (test_a_good_trial_ends_it_everywhere),
+    TEST (test_late_news_brings_nothing_back),
+    TEST (test_a_node_that_starts_learns_what_the_fleet_knows),
+    TEST (test_parts_out_of_touch_agree_when_they_meet),
+    TEST (test_suspects_are_forgotten_after_some_time),
+    TEST (test_what_is_held_back_is_let_go_in_the_end),
+    TEST (test_the_list_is_bounded_and_keeps_what_matters),
+    TEST (test_a_crowded_target_still_counts_who_is_known),
+    TEST (test_a_new_version_may_be_tried),
+    TEST (test_an_operator_lifts_an_entry),
+    TEST (test_news_ends),
+    TEST (test_implausible_news_is_passed_over),
+    TEST (test_nodes_that_heard_in_another_order_agree),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/operator/operators.c
+++ b/daemon/src/operator/operators.c
@@ -10,6 +10,7 @@
 #include "config-sync.h"
 #include "confirm.h"
 #include "log.h"
+#include "quarantine-node.h"
 #include "status.h"
 
 #define CONNECTIONS_MAX 64u
@@ -40,12 +41,13 @@
 }
 
 static void
-answer_faults (HttpRequest *request, const JsonFaults *faults)
+answer_faults (HttpRequest *request, const char *what, const JsonFaults *faults)
 {
   g_autoptr (JsonBuilder) builder = json_builder_new ();
+  g_autofree char *error = g_strdup_printf ("the %s is not valid", what);
 
   json_builder_begin_object (builder);
-  json_write_string (builder, "error", "the intent is not valid");
+  json_write_string (builder, "error", error);
   json_builder_set_member_name (builder, "faults");
   json_builder_begin_array (builder);
   for (guint i = 0; i < json_faults_count (faults); i++)
@@ -92,7 +94,7 @@
                             node, faults);
 
   if (!plan)
-    answer_faults (request, faults);
+    answer_faults (request, "intent", faults);
   json_faults_destroy (faults);
   return plan;
 }
@@ -230,7 +232,7 @@
   if (read_words (http_request_body (request), &words, faults))
     confirm_words (operators, request, &words, name);
   else
-    answer_faults (request, faults);
+    answer_faults (request, "intent", faults);
   json_faults_destroy (faults);
   g_free (words.intent);
   g_free (words.id);
@@ -246,6 +248,32 @@
   http_request_answer (request, HTTP_OK, headers, text, strlen (text));
 }
 
+/* Lets a request go that is held back, named by its digits: {"request": DIGITS}. */
+static void
+on_lift (Operators *operators, HttpRequest *request, const char *name)
+{
+  const GByteArray *body = http_request_body (request);
+  JsonFaults *faults = json_faults_create ();
+  JsonView *view = json_view_parse ((const char *)body->data, body->len, faults);
+  g_autofree char *digits =
+      view ? g_strdup (json_view_required (view, "request", FINGERPRINT_DIGITS)) : NULL;
+
+  if (view)
+    json_view_release (view);
+  if (json_faults_count (faults) > 0)
+    answer_faults (request, "body", faults);
+  else if (!quarantine_node_lift (operators->node->quarantine, digits))
+    answer_error (request, HTTP_NOT_FOUND,
+                  "no request, or not one alone, has these digits",
+                  "see 'switchmill quarantine'; a node learns of others' in a moment");
+  else
+    {
+      events_add (operators->node->events, "quarantine-lifted", digits, name);
+      http_request_answer_json (request, HTTP_OK, "{}\n");
+    }
+  json_faults_destroy (faults);
+}
+
 static const char *
 authenticate (Operators *operators, HttpRequest *request)
 {
@@ -276,6 +304,10 @@
     status_answer (operators->node, request);
   else if (get && strcmp (path, "/v1/events") == 0)
     status_answer_events (operators->node, request);
+  else if (get && strcmp (path, "/v1/quarantine") == 0)
+    status_answer_quarantine (operators->node, request);
+  else if (post && strcmp (path, "/v1/quarantine/lift") == 0)
+    on_lift (operators, request, name);
   else if (get && strcmp (path, "/v1/accounts") == 0)
     status_answer_accounts (operators->node, request);
   else if (get && strcmp (path, "/metrics") == 0)
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -5,6 +5,7 @@
 #include "account-stats.h"
 #include "config-sync.h"
 #include "ingress.h"
+#include "quarantine-node.h"
 #include "sidecar.h"
 
 /* One word for how a target stands, as this ingress sees it. */
@@ -121,6 +122,7 @@
   json_write_int (builder, "routes", snapshot_route_count (snapshot));
   json_write_int (builder, "accounts", snapshot_account_count (snapshot));
   json_write_int (builder, "requests_in_flight", ingress_active (node->ingress));
+  json_write_int (builder, "quarantined", quarantine_node_held (node->quarantine));
   json_builder_set_member_name (builder, "services");
   write_services (node, builder);
   json_builder_set_member_name (builder, "own_targets");
@@ -140,6 +142,19 @@
   answer (request, builder);
 }
 
+void
+status_answer_quarantine (Node *node, HttpRequest *request)
+{
+  g_autoptr (JsonBuilder) builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_write_string (builder, "node", node->settings->node);
+  json_builder_set_member_name (builder, "requests");
+  quarantine_node_write (node->quarantine, builder);
+  json_builder_end_object (builder);
+  answer (request, builder);
+}
+
 static void
 write_account (const Node *node,
                const Account *account,
--- a/daemon/src/operator/status.h
+++ b/daemon/src/operator/status.h
@@ -14,6 +14,9 @@
  */
 void status_answer_accounts (Node *node, HttpRequest *request);
 
+/* The requests that targets have ended under. */
+void status_answer_quarantine (Node *node, HttpRequest *request);
+
 /* All counters of the node in the usual text exposition; the caller frees it. */
 char *status_metrics_text (const Node *node);
 
--- a/daemon/src/quarantine/quarantine-node.c
+++ b/daemon/src/quarantine/quarantine-node.c
@@ -236,6 +236,17 @@
   return lifted;
 }
 
+guint
+quarantine_node_held (const QuarantineNode *quarantine)
+{
+  const GArray *entries = quarantine_entries (quarantine->list);
+  guint held = 0;
+
+  for (guint i = 0; i < entries->len; i++)
+    held += g_array_index (entries, QuarantineEntry, i).held_us != 0;
+  return held;
+}
+
 static const char *
 state_name (const QuarantineEntry *entry)
 {
--- a/daemon/src/quarantine/quarantine-node.h
+++ b/daemon/src/quarantine/quarantine-node.h
@@ -74,6 +74,9 @@
 /* An operator lets a request go, by its first digits; FALSE for none or several. */
 gboolean quarantine_node_lift (QuarantineNode *quarantine, const char *digits);
 
+/* Requests that are held back now. */
+guint quarantine_node_held (const QuarantineNode *quarantine);
+
 /* Appends the list of what is known. */
 void quarantine_node_write (const QuarantineNode *quarantine, JsonBuilder *builder);
 
