Quarantine: a request is known by its path alone too

What is known by the path alone is cleared by any answer under it, so that of many who share a path only the one with its deadly query stays known, by the whole of it.

--- a/core/include/core/fingerprint.h
+++ b/core/include/core/fingerprint.h
@@ -4,6 +4,10 @@
  * path and body are. Keyed with the fleet's secret, so that nobody outside can make two
  * requests alike.
  *
+ * A request has a fingerprint with its query and one without: callers send a page's
+ * number or the time along with what is the same to a target, and others ask for very
+ * different things under one path.
+ *
  * A fingerprint has two halves. The head is cheap, whatever the size of the body, and
  * tells most requests apart; the body is digested only where the head is one that is
  * looked for.
@@ -40,9 +44,22 @@
 FingerprintKey *fingerprint_key_create (const char *secret);
 void fingerprint_key_destroy (FingerprintKey *key);
 
-guint64 fingerprint_head (const FingerprintKey *key, const FingerprintWords *words);
-guint64 fingerprint_body (const FingerprintKey *key, const FingerprintWords *words);
-Fingerprint fingerprint_of (const FingerprintKey *key, const FingerprintWords *words);
+/* What a request may be known by: its path as it came, and, where that has a query, its
+   path alone. */
+#define FINGERPRINTS_MAX 2u
+typedef struct
+{
+  Fingerprint of[FINGERPRINTS_MAX];
+  guint count;
+} Fingerprints;
+
+/* All heads, with no bodies yet; and all of it. */
+Fingerprints fingerprint_heads (const FingerprintKey *key, const FingerprintWords *words);
+Fingerprints fingerprint_all (const FingerprintKey *key, const FingerprintWords *words);
+/* Adds the body to heads. */
+void fingerprint_add_body (const FingerprintKey *key,
+                           const FingerprintWords *words,
+                           Fingerprints *prints);
 
 gboolean fingerprint_equal (const Fingerprint *a, const Fingerprint *b);
 
--- a/core/include/core/quarantine.h
+++ b/core/include/core/quarantine.h
@@ -15,11 +15,11 @@
  * the same facts hold the same. Nobody's view decides alone, and none has to be there:
  * three ends may have been seen by three nodes that nobody hears of again.
  *
- * The innocent: an end counts against the request that was at most ends among those at work
- * there, and an end of one that is held back already counts against that one alone. Ends at
- * one moment, as of a hall, count once. QUARANTINE_SETTLE_US pass before anything is held back, in
- * which work elsewhere may come to an answer. And who is held back is tried again, one
- * request at a time: at once, after a minute, after ten, and so on.
+ * The innocent: an end counts against the request that was at most ends among those at
+ * work there, and an end of one that is held back already counts against that one alone.
+ * Ends at one moment, as of a hall, count once. QUARANTINE_SETTLE_US pass before anything
+ * is held back, in which work elsewhere may come to an answer. And who is held back is
+ * tried again, one request at a time: at once, after a minute, after ten, and so on.
  */
 #ifndef CORE_QUARANTINE_H
 #define CORE_QUARANTINE_H
@@ -43,8 +43,9 @@
 /* Ends kept for an entry; which ones is decided by their numbers, so that all nodes keep
    the same. */
 #define QUARANTINE_ENDS_KEPT 6u
-/* Requests that one end counts against; with more at work it tells little of each. */
-#define QUARANTINE_WORK_MAX 16u
+/* Fingerprints that one end counts against, two for a request with a query; with more at
+   work it tells little of each. */
+#define QUARANTINE_WORK_MAX 24u
 /* A request that comes every few minutes must be known again; one that has ended nothing
    for so long is forgotten. */
 #define QUARANTINE_MEMORY_US (600 * SECOND_US)
--- a/core/src/request/fingerprint.c
+++ b/core/src/request/fingerprint.c
@@ -50,8 +50,8 @@
   g_hmac_update (hmac, (const guchar *)given, (gssize)strlen (given) + 1);
 }
 
-guint64
-fingerprint_head (const FingerprintKey *key, const FingerprintWords *words)
+static guint64
+head_of (const FingerprintKey *key, const FingerprintWords *words)
 {
   GHmac *hmac = g_hmac_copy (key->keyed);
   guint64 length = GUINT64_TO_BE ((guint64)words->body_len);
@@ -65,8 +65,8 @@
   return finish (hmac);
 }
 
-guint64
-fingerprint_body (const FingerprintKey *key, const FingerprintWords *words)
+static guint64
+body_of (const FingerprintKey *key, const FingerprintWords *words)
 {
   GHmac *hmac;
 
@@ -77,13 +77,42 @@
   return finish (hmac);
 }
 
-Fingerprint
-fingerprint_of (const FingerprintKey *key, const FingerprintWords *words)
+Fingerprints
+fingerprint_heads (const FingerprintKey *key, const FingerprintWords *words)
+{
+  Fingerprints prints = { .count = 1 };
+  const char *query = words->path ? strchr (words->path, '?') : NULL;
+  FingerprintWords alone = *words;
+  g_autofree char *path = NULL;
+
+  prints.of[0].head = head_of (key, words);
+  if (!query)
+    return prints;
+  path = g_strndup (words->path, (gsize)(query - words->path));
+  alone.path = path;
+  prints.of[1].head = head_of (key, &alone);
+  prints.count = 2;
+  return prints;
+}
+
+void
+fingerprint_add_body (const FingerprintKey *key,
+                      const FingerprintWords *words,
+                      Fingerprints *prints)
+{
+  guint64 body = body_of (key, words);
+
+  for (guint i = 0; i < prints->count; i++)
+    prints->of[i].body = body;
+}
+
+Fingerprints
+fingerprint_all (const FingerprintKey *key, const FingerprintWords *words)
 {
-  Fingerprint fingerprint = { fingerprint_head (key, words),
-                              fingerprint_body (key, words) };
+  Fingerprints prints = fingerprint_heads (key, words);
 
-  return fingerprint;
+  fingerprint_add_body (key, words, &prints);
+  return prints;
 }
 
 gboolean
--- a/core/tests/test-fingerprint.c
+++ b/core/tests/test-fingerprint.c
@@ -16,10 +16,10 @@
 of (const char *secret, const FingerprintWords *words)
 {
   FingerprintKey *key = fingerprint_key_create (secret);
-  Fingerprint fingerprint = fingerprint_of (key, words);
+  Fingerprints prints = fingerprint_all (key, words);
 
   fingerprint_key_destroy (key);
-  return fingerprint;
+  return prints.of[0];
 }
 
 static void
@@ -105,6 +105,28 @@
   assert_int_not_equal (a.body, b.body);
 }
 
+/* The second is that of the path alone, whatever the query, and of a request without one.
+ */
+static void
+test_the_path_alone_is_a_name_too (void **state)
+{
+  FingerprintKey *key = fingerprint_key_create ("secret");
+  FingerprintWords words = plain;
+  Fingerprints one = fingerprint_all (key, &plain);
+  Fingerprints two;
+
+  words.path = "/pay/1?x=3";
+  two = fingerprint_all (key, &words);
+  assert_int_equal (one.count, 2);
+  assert_false (fingerprint_equal (&one.of[0], &two.of[0]));
+  assert_true (fingerprint_equal (&one.of[1], &two.of[1]));
+  words.path = "/pay/1";
+  two = fingerprint_all (key, &words);
+  assert_int_equal (two.count, 1);
+  assert_true (fingerprint_equal (&one.of[1], &two.of[0]));
+  fingerprint_key_destroy (key);
+}
+
 int
 main (void)
 {
@@ -114,6 +136,7 @@
     cmocka_unit_test (test_words_do_not_run_into_each_other),
     cmocka_unit_test (test_another_secret_gives_another_fingerprint),
     cmocka_unit_test (test_the_head_leaves_the_body_out),
+    cmocka_unit_test (test_the_path_alone_is_a_name_too),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/daemon/src/quarantine/quarantine-node.c
+++ b/daemon/src/quarantine/quarantine-node.c
@@ -61,6 +61,15 @@
          quarantine_watches (quarantine->list, quarantine_service_hash (service));
 }
 
+static gboolean
+knows_any_head (const Quarantine *list, const Fingerprints *prints)
+{
+  for (guint i = 0; i < prints->count; i++)
+    if (quarantine_knows_head (list, prints->of[i].head))
+      return TRUE;
+  return FALSE;
+}
+
 /* Whether the request may be on the list; its print is whole then. */
 static gboolean
 may_know (const QuarantineNode *quarantine,
@@ -71,13 +80,12 @@
 
   if (!quarantine_node_watches (quarantine, words->service))
     return FALSE;
-  if (!print->has_head)
-    print->value.head = fingerprint_head (key, words);
-  print->has_head = TRUE;
-  if (!quarantine_knows_head (quarantine->list, print->value.head))
+  if (print->prints.count == 0)
+    print->prints = fingerprint_heads (key, words);
+  if (!knows_any_head (quarantine->list, &print->prints))
     return FALSE;
   if (!print->has_body)
-    print->value.body = fingerprint_body (key, words);
+    fingerprint_add_body (key, words, &print->prints);
   print->has_body = TRUE;
   return TRUE;
 }
@@ -90,18 +98,36 @@
     gossip_spread (quarantine->node->gossip);
 }
 
+/* The worst that is known of it by any of its names. */
 QuarantineVerdict
 quarantine_node_check (QuarantineNode *quarantine,
                        RequestPrint *print,
                        const FingerprintWords *words)
 {
-  QuarantineVerdict verdict = { QUARANTINE_FREE, 0 };
+  QuarantineVerdict worst = { QUARANTINE_FREE, 0 };
 
   if (!may_know (quarantine, print, words))
-    return verdict;
-  verdict = quarantine_check (quarantine->list, &print->value);
+    return worst;
+  for (guint i = 0; i < print->prints.count; i++)
+    {
+      QuarantineVerdict verdict =
+          quarantine_check (quarantine->list, &print->prints.of[i]);
+
+      worst.state = MAX (worst.state, verdict.state);
+      worst.retry_after_us = MAX (worst.retry_after_us, verdict.retry_after_us);
+    }
   tell (quarantine);
-  return verdict;
+  return worst;
+}
+
+static gboolean
+begin_trial (QuarantineNode *quarantine, const Fingerprints *prints)
+{
+  gboolean any = FALSE;
+
+  for (guint i = 0; i < prints->count; i++)
+    any |= quarantine_begin_trial (quarantine->list, &prints->of[i]);
+  return any;
 }
 
 gboolean
@@ -115,9 +141,10 @@
   QuarantineVerdict verdict = quarantine_node_check (quarantine, print, words);
 
   *retry_after_us = verdict.retry_after_us;
-  if (verdict.state != QUARANTINE_TRIAL && verdict.state != QUARANTINE_HELD)
+  if (verdict.state < QUARANTINE_TRIAL)
     return TRUE;
-  *trial = offered && quarantine_begin_trial (quarantine->list, &print->value);
+  *trial = offered && verdict.state == QUARANTINE_TRIAL &&
+           begin_trial (quarantine, &print->prints);
   tell (quarantine);
   return *trial;
 }
@@ -127,20 +154,23 @@
                              RequestPrint *print,
                              const FingerprintWords *words)
 {
-  g_autofree char *request = NULL;
-
-  if (!may_know (quarantine, print, words) ||
-      !quarantine_note_answer (quarantine->list, &print->value))
+  if (!may_know (quarantine, print, words))
     return;
-  request = fingerprint_text (&print->value);
-  log_event (G_LOG_LEVEL_INFO, "quarantine-answer", "REQUEST", request, NULL);
+  for (guint i = 0; i < print->prints.count; i++)
+    {
+      g_autofree char *request = fingerprint_text (&print->prints.of[i]);
+
+      if (quarantine_note_answer (quarantine->list, &print->prints.of[i]))
+        log_event (G_LOG_LEVEL_INFO, "quarantine-answer", "REQUEST", request, NULL);
+    }
   tell (quarantine);
 }
 
 void
-quarantine_node_trial_undecided (QuarantineNode *quarantine, const Fingerprint *request)
+quarantine_node_trial_undecided (QuarantineNode *quarantine, const RequestPrint *print)
 {
-  quarantine_trial_undecided (quarantine->list, request);
+  for (guint i = 0; i < print->prints.count; i++)
+    quarantine_trial_undecided (quarantine->list, &print->prints.of[i]);
   tell (quarantine);
 }
 
--- a/daemon/src/quarantine/quarantine-node.h
+++ b/daemon/src/quarantine/quarantine-node.h
@@ -14,12 +14,12 @@
 
 typedef struct QuarantineNode QuarantineNode;
 
-/* A request's fingerprint, made only as far as it is needed. A zeroed one is not made. */
+/* A request's fingerprints, made only as far as they are needed. A zeroed one has none.
+ */
 typedef struct
 {
-  gboolean has_head;
   gboolean has_body;
-  Fingerprint value;
+  Fingerprints prints;
 } RequestPrint;
 
 QuarantineNode *quarantine_node_create (Node *node);
@@ -49,7 +49,7 @@
                                   const FingerprintWords *words);
 /* A trial here came to neither an answer nor an end. */
 void quarantine_node_trial_undecided (QuarantineNode *quarantine,
-                                      const Fingerprint *request);
+                                      const RequestPrint *print);
 
 /* A target of this VM has ended under these requests (Fingerprint). */
 void quarantine_node_note_end (QuarantineNode *quarantine,
--- a/daemon/src/request/exchange-quarantine.c
+++ b/daemon/src/request/exchange-quarantine.c
@@ -41,7 +41,7 @@
 static void
 log_refusal (const Exchange *exchange, const QuarantineVerdict *verdict)
 {
-  g_autofree char *request = fingerprint_text (&exchange->print.value);
+  g_autofree char *request = fingerprint_text (&exchange->print.prints.of[0]);
   g_autofree char *arrivals =
       g_strdup_printf ("%u", dispatch_arrivals (exchange->dispatch));
   g_autofree char *retry =
@@ -85,14 +85,16 @@
 const Target *
 exchange_trial_target (const Exchange *exchange, const Service *service)
 {
+  /* The path alone, where there is a query: all that is held back by it goes to one. */
+  const Fingerprints *prints = &exchange->print.prints;
+  guint64 head = prints->of[prints->count - 1].head;
   const Target *best = NULL;
   guint best_rank = 0;
 
   for (guint i = 0; i < service->targets->len; i++)
     {
       const Target *target = g_ptr_array_index (service->targets, i);
-      guint rank =
-          (g_str_hash (target->name) ^ (guint)exchange->print.value.head) * 2654435761u;
+      guint rank = (g_str_hash (target->name) ^ (guint)head) * 2654435761u;
 
       if ((best && rank <= best_rank) || !is_sound (exchange, service, target))
         continue;
--- a/daemon/src/target/end-watch.c
+++ b/daemon/src/target/end-watch.c
@@ -79,7 +79,7 @@
 static void
 log_work (const EndWatch *watch, const EndedWork *work)
 {
-  g_autofree char *request = fingerprint_text (&work->fingerprint);
+  g_autofree char *request = fingerprint_text (&work->print.prints.of[0]);
   g_autofree char *ran = g_strdup_printf ("%" G_GINT64_FORMAT, work->ran_us);
   g_autofree char *beside = g_strdup_printf ("%u", watch->work->len - 1);
 
@@ -87,6 +87,15 @@
              watch->target, "REQUEST", request, "RAN_US", ran, "BESIDE", beside, NULL);
 }
 
+static void
+add_distinct (GArray *requests, const Fingerprint *request)
+{
+  for (guint i = 0; i < requests->len; i++)
+    if (fingerprint_equal (&g_array_index (requests, Fingerprint, i), request))
+      return;
+  g_array_append_val (requests, *request);
+}
+
 /* Several of them may be the same request, which counts once. */
 static GArray *
 distinct_requests (const EndWatch *watch)
@@ -95,14 +104,11 @@
 
   for (guint i = 0; i < watch->work->len; i++)
     {
-      const Fingerprint *request = &g_array_index (watch->work, EndedWork, i).fingerprint;
-      guint j = 0;
-
-      while (j < requests->len &&
-             !fingerprint_equal (&g_array_index (requests, Fingerprint, j), request))
-        j++;
-      if (j == requests->len)
-        g_array_append_val (requests, *request);
+      const Fingerprints *prints =
+          &g_array_index (watch->work, EndedWork, i).print.prints;
+
+      for (guint j = 0; j < prints->count; j++)
+        add_distinct (requests, &prints->of[j]);
     }
   return requests;
 }
@@ -116,8 +122,7 @@
       const EndedWork *work = &g_array_index (watch->work, EndedWork, i);
 
       if (work->trial)
-        quarantine_node_trial_undecided (watch->owner->node->quarantine,
-                                         &work->fingerprint);
+        quarantine_node_trial_undecided (watch->owner->node->quarantine, &work->print);
     }
   g_array_set_size (watch->work, 0);
 }
@@ -252,7 +257,8 @@
     begin_gathering (watch, now);
   if (watch->work->len >= WORK_MAX)
     return;
-  work.fingerprint = fingerprint_of (node->fingerprints, &words);
+  work.print.prints = fingerprint_all (node->fingerprints, &words);
+  work.print.has_body = TRUE;
   work.attempt = attempt_name_text (&submission->args.attempt);
   work.trial = submission->quarantine_trial;
   work.ran_us = now - submission->started_us;
--- a/daemon/src/target/end-watch.h
+++ b/daemon/src/target/end-watch.h
@@ -6,14 +6,12 @@
 #ifndef DAEMON_END_WATCH_H
 #define DAEMON_END_WATCH_H
 
-#include <core/fingerprint.h>
-
-#include "node.h"
+#include "quarantine-node.h"
 
 /* One request that was at work at the end. */
 typedef struct
 {
-  Fingerprint fingerprint;
+  RequestPrint print;
   char *attempt;  /* its name in logs */
   gboolean trial; /* of a request that is held back otherwise */
   gint64 ran_us;
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -150,7 +150,7 @@
   if (result->outcome == HTTP_CALL_BROKEN)
     end_watches_note_break (sidecar->ends, submission);
   else if (failed && submission->quarantine_trial)
-    quarantine_node_trial_undecided (quarantine, &submission->print.value);
+    quarantine_node_trial_undecided (quarantine, &submission->print);
   if (failed || !quarantine_node_watches (quarantine, submission->target->service))
     return;
   words = submission_words (submission);
@@ -350,7 +350,7 @@
   http_call_cancel (submission->call);
   if (submission->quarantine_trial)
     quarantine_node_trial_undecided (submission->sidecar->node->quarantine,
-                                     &submission->print.value);
+                                     &submission->print);
   admission_release (target->admission, -1);
   finish (submission, &res);
   submission_start_waiting (target);
