--- a/core/src/request/quarantine-news.c
+++ b/core/src/request/quarantine-news.c
@@ -19,7 +19,8 @@
                             .cleared_age_us = entry->epoch ? now - entry->cleared_us : -1,
                             .turn = entry->turn,
                             .trials = entry->trials,
-                            .due_in_us = entry->due_us - now };
+                            /* Without a trial there is no time of the next. */
+                            .due_in_us = entry->turn ? entry->due_us - now : 0 };
   for (guint i = 0; i < entry->end_count; i++)
     {
       news->end_ids[i] = entry->ends[i].id;
