--- /dev/null
+++ b/core/tests/test-suspension.c
@@ -0,0 +1,201 @@
+/*
+ * A machine that is suspended for seconds. Its steady clock stood still meanwhile, so
+ * that a node took all that it held for as young as before: requests borrowed out of an
+ * allowance, good for half a second, were spent seconds later; members that had gone
+ * counted as heard just now; deadlines that had passed were waited for. The clock counts
+ * such time now, and what follows a jump of it is looked at here, one thing after the
+ * other.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <time.h>
+
+#include <core/admission.h>
+#include <core/allowance.h>
+#include <core/dispatch.h>
+#include <core/fence.h>
+#include <core/members.h>
+#include <core/quarantine.h>
+
+#define SUSPENDED_US (7 * SECOND_US)
+#define STEADY_S 100
+
+/* Seconds for which the machine has been suspended so far. */
+static time_t suspended_s;
+
+/* The kernel's clocks, in place of the C library's function. */
+int
+clock_gettime (clockid_t id, struct timespec *now)
+{
+  now->tv_nsec = 0;
+  now->tv_sec = STEADY_S + (id == CLOCK_BOOTTIME ? suspended_s : 0);
+  return 0;
+}
+
+static void
+test_the_clock_counts_the_time_of_a_suspension (void **state)
+{
+  Clock *clock = clock_create_monotonic ();
+  gint64 before = clock_now (clock);
+
+  suspended_s = SUSPENDED_US / SECOND_US;
+  assert_int_equal (clock_now (clock) - before, SUSPENDED_US);
+  clock_destroy (clock);
+}
+
+static void
+test_what_was_borrowed_is_not_spent_afterwards (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  AllowancePurse *purse = allowance_purse_create (clock);
+  gint64 asked_us = clock_now (clock);
+
+  allowance_purse_add (purse, "acme", 5, asked_us);
+  clock_advance (clock, SUSPENDED_US);
+  assert_false (allowance_purse_spend (purse, "acme"));
+  /* Nor is what a lender said before and is read only now. */
+  allowance_purse_add (purse, "acme", 5, asked_us);
+  assert_false (allowance_purse_spend (purse, "acme"));
+  allowance_purse_destroy (purse);
+  clock_destroy (clock);
+}
+
+/* All that waited in a queue is refused at once, and nothing of it starts. */
+static void
+test_what_waited_past_its_deadline_does_not_start (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  Admission *admission = admission_create (1, 4, clock);
+  AdmissionOrder order = { 1, clock_now (clock) + SECOND_US, 0 };
+  int items[3];
+
+  assert_int_equal (admission_offer (admission, &items[0], &order), ADMISSION_START);
+  assert_int_equal (admission_offer (admission, &items[1], &order), ADMISSION_QUEUED);
+  assert_int_equal (admission_offer (admission, &items[2], &order), ADMISSION_QUEUED);
+  clock_advance (clock, SUSPENDED_US);
+  assert_non_null (admission_expired (admission));
+  assert_non_null (admission_expired (admission));
+  admission_release (admission, -1);
+  assert_null (admission_next (admission));
+  admission_destroy (admission);
+  clock_destroy (clock);
+}
+
+/* A request whose time is over is answered, not sent: it has not run. */
+static void
+test_a_request_whose_time_is_over_is_not_sent (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  GRand *rand = g_rand_new_with_seed (1);
+  DispatchPolicy policy = { .repeatable = TRUE,
+                            .deadline_us = clock_now (clock) + SECOND_US,
+                            .attempts_max = 3 };
+  Dispatch *dispatch = dispatch_create (&policy, rand, clock);
+  DispatchStep step = dispatch_begin (dispatch);
+
+  assert_int_equal (step.kind, DISPATCH_CHOOSE);
+  clock_advance (clock, SUSPENDED_US);
+  step = dispatch_chosen (dispatch, TRUE, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  dispatch_destroy (dispatch);
+  g_rand_free (rand);
+  clock_destroy (clock);
+}
+
+/* A reading of before the suspension is older than the fence remembers. */
+static void
+test_the_fence_takes_nothing_from_before_its_window (void **state)
+{
+  static const FenceLimits limits = { 5 * SECOND_US, 64, 4096 };
+  Clock *clock = clock_create_manual (100 * SECOND_US);
+  Fence *fence = fence_create (&limits, 3, clock);
+  AttemptId id = { "vm-1", 7, 1 };
+  gint64 reading_us = clock_now (clock);
+  FenceEntry *entry;
+
+  clock_advance (clock, SUSPENDED_US);
+  assert_int_equal (fence_submit (fence, &id, 3, reading_us, &entry), FENCE_STALE);
+  fence_destroy (fence);
+  clock_destroy (clock);
+}
+
+/* All others were silent for as long as this node did not listen: one probe that was on
+   its way makes one suspect, and nobody dead. */
+static void
+test_the_others_are_not_thought_dead (void **state)
+{
+  static const char *const no_seeds[] = { NULL };
+  Clock *clock = clock_create_manual (SECOND_US);
+  GRand *rand = g_rand_new_with_seed (1);
+  Member self = { .node = "a", .hall = "h", .address = "127.0.0.1:1", .incarnation = 1 };
+  Members *members =
+      members_create (&self, no_seeds, &members_timing_default, rand, clock);
+  g_autoptr (GPtrArray) probes = NULL;
+  g_autoptr (GPtrArray) after = NULL;
+
+  for (guint i = 0; i < 9; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("b%u", i);
+      Member other = { .node = name,
+                       .hall = "h",
+                       .address = "127.0.0.1:2",
+                       .incarnation = 2 + i,
+                       .epoch = 1,
+                       .status = MEMBER_ALIVE };
+
+      assert_true (members_merge (members, &other));
+    }
+  probes = members_tick (members);
+  clock_advance (clock, SUSPENDED_US);
+  after = members_tick (members);
+  assert_int_equal (members_count_alive (members), 10);
+  assert_in_range (after->len, 1, 5);
+  members_destroy (members);
+  g_rand_free (rand);
+  clock_destroy (clock);
+}
+
+/* What is held back is tried again by the time that has passed, slept through or not. */
+static void
+test_the_quarantine_goes_on (void **state)
+{
+  Clock *clock = clock_create_manual (1000 * SECOND_US);
+  Quarantine *quarantine = quarantine_create (clock);
+  Fingerprint deadly = { 1, 1 };
+  g_autoptr (GArray) work = g_array_new (FALSE, FALSE, sizeof (Fingerprint));
+
+  g_array_append_val (work, deadly);
+  for (guint32 i = 1; i <= QUARANTINE_ENDS; i++)
+    {
+      quarantine_note_end (quarantine, i, 1, 1, work);
+      clock_advance (clock, SECOND_US);
+    }
+  quarantine_tick (quarantine);
+  assert_true (quarantine_begin_trial (quarantine, &deadly));
+  clock_advance (clock, QUARANTINE_PAUSE_FIRST_US - SUSPENDED_US);
+  assert_int_equal (quarantine_check (quarantine, &deadly).state, QUARANTINE_HELD);
+  clock_advance (clock, SUSPENDED_US);
+  assert_int_equal (quarantine_check (quarantine, &deadly).state, QUARANTINE_TRIAL);
+  quarantine_destroy (quarantine);
+  clock_destroy (clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_the_clock_counts_the_time_of_a_suspension),
+    cmocka_unit_test (test_what_was_borrowed_is_not_spent_afterwards),
+    cmocka_unit_test (test_what_waited_past_its_deadline_does_not_start),
+    cmocka_unit_test (test_a_request_whose_time_is_over_is_not_sent),
+    cmocka_unit_test (test_the_fence_takes_nothing_from_before_its_window),
+    cmocka_unit_test (test_the_others_are_not_thought_dead),
+    cmocka_unit_test (test_the_quarantine_goes_on),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
