Clock: the time for which a machine is suspended counts

What was looked through, by test: requests borrowed out of an allowance, queues, deadlines, held slots (swept by the same clock), the fence's readings, probes and members, the quarantine's trials. Left: libcurl's and libmicrohttpd's own time-outs are not of this clock; the first only ends what a caller has been answered for, the second keeps idle connections so much longer. The test that failed passes.

--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -1,6 +1,7 @@
 /*
- * The runtime's clock: monotonic microseconds, which tests pause and advance.
- * Never wall-clock time, and never compared between nodes.
+ * The runtime's clock: microseconds that never go back, which tests pause and advance. They
+ * count the time for which the machine is suspended. Never wall-clock time, and never compared
+ * between nodes.
  */
 #ifndef CORE_CLOCK_H
 #define CORE_CLOCK_H
@@ -12,8 +13,8 @@
 
 typedef struct Clock Clock;
 
-/* The machine's monotonic clock. */
-Clock *clock_create_monotonic (void);
+/* The machine's time since it was started. */
+Clock *clock_create_boottime (void);
 
 /* A clock that stands at `now_us` until it is told to move. */
 Clock *clock_create_manual (gint64 now_us);
@@ -26,7 +27,7 @@
 /* Processor time that the calling thread has used, in microseconds. */
 gint64 clock_thread_cpu (void);
 
-/* Moves a manual clock forward; a monotonic clock ignores it. */
+/* Moves a manual clock forward; the machine's ignores it. */
 void clock_advance (Clock *clock, gint64 by_us);
 
 /* Lets each reading of a manual clock move it on, as time passes between two looks. */
--- a/core/src/base/clock.c
+++ b/core/src/base/clock.c
@@ -14,10 +14,15 @@
   gint64 step_us;
 };
 
+/* GLib's monotonic time leaves out the time for which the machine is suspended: a node
+   would take leases and loans of before for fresh. */
 static gint64
-now_monotonic (Clock *clock)
+now_boottime (Clock *clock)
 {
-  return g_get_monotonic_time ();
+  struct timespec now = { 0 };
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return now.tv_sec * SECOND_US + now.tv_nsec / 1000;
 }
 
 static gint64
@@ -29,7 +34,7 @@
   return now;
 }
 
-static const ClockKind monotonic = { now_monotonic };
+static const ClockKind boottime = { now_boottime };
 static const ClockKind manual = { now_manual };
 
 static Clock *
@@ -43,9 +48,9 @@
 }
 
 Clock *
-clock_create_monotonic (void)
+clock_create_boottime (void)
 {
-  return create (&monotonic, 0);
+  return create (&boottime, 0);
 }
 
 Clock *
--- a/core/tests/test-suspension.c
+++ b/core/tests/test-suspension.c
@@ -38,7 +38,7 @@
 static void
 test_the_clock_counts_the_time_of_a_suspension (void **state)
 {
-  Clock *clock = clock_create_monotonic ();
+  Clock *clock = clock_create_boottime ();
   gint64 before = clock_now (clock);
 
   suspended_s = SUSPENDED_US / SECOND_US;
--- a/daemon/src/node/main.c
+++ b/daemon/src/node/main.c
@@ -113,7 +113,7 @@
 {
   Program program = { .path = path };
   g_autoptr (GError) error = NULL;
-  Clock *clock = clock_create_monotonic ();
+  Clock *clock = clock_create_boottime ();
   Loop *loop = loop_create (clock);
   int signals = open_signals ();
   const Adapter *adapter =
--- a/io/tests/test-worker.c
+++ b/io/tests/test-worker.c
@@ -27,7 +27,7 @@
 static Fixture
 setup (void)
 {
-  Fixture fixture = { .clock = clock_create_monotonic () };
+  Fixture fixture = { .clock = clock_create_boottime () };
 
   fixture.loop = loop_create (fixture.clock);
   fixture.worker = worker_create (fixture.loop, NULL);
--- a/standins/src/load.c
+++ b/standins/src/load.c
@@ -288,7 +288,7 @@
   LoopTimer *give_up;
   guint64 bad = 0;
 
-  loop = loop_create (clock_create_monotonic ());
+  loop = loop_create (clock_create_boottime ());
   client = http_client_create (loop);
   pace = loop_timer_create (loop, on_pace, NULL);
   give_up = loop_timer_create (loop, on_give_up, NULL);
--- a/standins/src/relay.c
+++ b/standins/src/relay.c
@@ -255,7 +255,7 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
-  loop = loop_create (clock_create_monotonic ());
+  loop = loop_create (clock_create_boottime ());
   pairs = g_ptr_array_new ();
   flows = g_ptr_array_new ();
   target = argv[2];
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -16,8 +16,8 @@
  * the head of the last request as it came by /_head.
  *   flap_ms: faults are on and off by turns of that length.
  * With RUNS_FILE each run adds a line to it when it begins, "ID EXPECTED MICROSECONDS"
- * (the target that the request was meant for; the monotonic clock), which outlives the
- * process.
+ * (the target that the request was meant for; the time since the machine's start), which
+ * outlives the process.
  * /_health always answers well. /_runs: totals, and how many ids ran more than once.
  * /_runs?id=ID: how often that one ran. /_ids: all ids, each with how often it ran.
  */
@@ -289,7 +289,7 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
-  loop = loop_create (clock_create_monotonic ());
+  loop = loop_create (clock_create_boottime ());
   dice = g_rand_new_with_seed (argc > 4 ? (guint32)atoi (argv[4]) : 1);
   name = g_strdup (argv[1]);
   slots = (guint)atoi (argv[2]);
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet-private.h"
 
+#include <core/clock.h>
+
 #include <curl/curl.h>
 #include <glib/gstdio.h>
 #include <string.h>
@@ -39,6 +41,16 @@
   return NULL;
 }
 
+gint64
+fleet_now_us (void)
+{
+  static Clock *clock;
+
+  if (g_once_init_enter (&clock))
+    g_once_init_leave (&clock, clock_create_boottime ());
+  return clock_now (clock);
+}
+
 char *
 fleet_path (Fleet *fleet, const char *name)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -115,6 +115,9 @@
 /* Where something listens; FLEET_PORT_OFFSET in the environment is added to its port. */
 char *fleet_address (const char *kind, guint i);
 
+/* Now, on the clock of the nodes and stand-ins of this machine. */
+gint64 fleet_now_us (void);
+
 /* A path in the fleet's folder; the caller frees it. */
 char *fleet_path (Fleet *fleet, const char *name);
 
