--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -1,7 +1,7 @@
 /*
- * The runtime's clock: microseconds that never go back, which tests pause and advance. They
- * count the time for which the machine is suspended. Never wall-clock time, and never compared
- * between nodes.
+ * The runtime's clock: microseconds that never go back, which tests pause and advance.
+ * They count the time for which the machine is suspended. Never wall-clock time, and
+ * never compared between nodes.
  */
 #ifndef CORE_CLOCK_H
 #define CORE_CLOCK_H
--- a/core/src/request/quarantine.c
+++ b/core/src/request/quarantine.c
@@ -321,7 +321,8 @@
 {
   gint64 decisive_us = 0;
 
-  if (entry->held_us ||
+  /* Most have one end: what they share with others need not be looked at. */
+  if (entry->held_us || entry->end_count < QUARANTINE_ENDS ||
       quarantine_moments (quarantine, entry, &decisive_us) < QUARANTINE_ENDS ||
       now < decisive_us + QUARANTINE_SETTLE_US)
     return;
