--- a/client/src/explain.c
+++ b/client/src/explain.c
@@ -16,6 +16,7 @@
   char *id;
   GPtrArray *entries;   /* of Entry: every line about some request */
   GHashTable *attempts; /* names of the request's attempts */
+  GHashTable *prints;   /* digits that it was held back by, or ended a target under */
   guint bad;
 };
 
@@ -37,6 +38,7 @@
   explanation->id = g_strdup (id);
   explanation->entries = g_ptr_array_new_with_free_func (entry_free);
   explanation->attempts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  explanation->prints = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return explanation;
 }
 
@@ -46,6 +48,7 @@
   if (!explanation)
     return;
   g_hash_table_unref (explanation->attempts);
+  g_hash_table_unref (explanation->prints);
   g_ptr_array_unref (explanation->entries);
   g_free (explanation->id);
   g_free (explanation);
@@ -83,13 +86,15 @@
 }
 
 /* Whether a line may be about the request: it names it, or an attempt of nobody knows
-   which request, which the sidecars' lines do. */
+   which request, which the sidecars' lines do, or a fingerprint, which the quarantine's
+   do. */
 static gboolean
 may_be_about (const Explanation *explanation, const char *text)
 {
   if (strstr (text, explanation->id))
     return TRUE;
-  return !strstr (text, "\"id\":\"") && strstr (text, "\"attempt\":\"");
+  return !strstr (text, "\"id\":\"") &&
+         (strstr (text, "\"attempt\":\"") || strstr (text, "\"request\":\""));
 }
 
 void
@@ -132,8 +137,26 @@
   return order ? order : (x->order > y->order) - (x->order < y->order);
 }
 
+/* The members of a line that hold a fingerprint's digits. */
+static const char *const print_members[] = { "request", "path_alone" };
+
+/* Whether a line of the quarantine tells of a request that has such a fingerprint. */
 static gboolean
-is_about (const Explanation *explanation, const Entry *entry)
+has_print (const Explanation *explanation, const Entry *entry)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (print_members); i++)
+    {
+      const char *print = log_line_member (entry->node, print_members[i]);
+
+      if (strcmp (print, explanation->id) == 0 ||
+          g_hash_table_contains (explanation->prints, print))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+is_own (const Explanation *explanation, const Entry *entry)
 {
   const char *attempt = log_line_member (entry->node, "attempt");
 
@@ -142,6 +165,33 @@
          g_hash_table_contains (explanation->attempts, attempt);
 }
 
+/* Lines of others with the same fingerprint say why it was held back: ends under them.
+   What became of those others otherwise is their own matter. */
+static gboolean
+is_about (const Explanation *explanation, const Entry *entry)
+{
+  return is_own (explanation, entry) ||
+         (!*log_line_member (entry->node, "id") && has_print (explanation, entry));
+}
+
+static void
+collect_prints (Explanation *explanation)
+{
+  for (guint i = 0; i < explanation->entries->len; i++)
+    {
+      const Entry *entry = g_ptr_array_index (explanation->entries, i);
+
+      for (gsize j = 0; is_own (explanation, entry) && j < G_N_ELEMENTS (print_members);
+           j++)
+        {
+          const char *print = log_line_member (entry->node, print_members[j]);
+
+          if (*print)
+            g_hash_table_add (explanation->prints, g_strdup (print));
+        }
+    }
+}
+
 /* "TIME NODE event name=value ..." */
 static char *
 entry_text (const Entry *entry)
@@ -173,6 +223,7 @@
   GPtrArray *lines = g_ptr_array_new_with_free_func (g_free);
 
   g_ptr_array_sort (explanation->entries, compare_entries);
+  collect_prints (explanation);
   for (guint i = 0; i < explanation->entries->len; i++)
     {
       const Entry *entry = g_ptr_array_index (explanation->entries, i);
--- a/client/tests/test-explain.c
+++ b/client/tests/test-explain.c
@@ -69,6 +69,40 @@
   explanation_destroy (explanation);
 }
 
+/* A request that was turned away by its fingerprint: the ends that led to it stand
+   before, though other requests were at work there. */
+static void
+test_what_held_a_request_back_is_told (void **state)
+{
+  static const char *const lines[] = {
+    "{\"time\":\"T1\",\"node\":\"a\",\"event\":\"ended-under\",\"attempt\":\"b-1-1\","
+    "\"request\":\"00000001\",\"path_alone\":\"abcd0123\"}",
+    "{\"time\":\"T2\",\"node\":\"a\",\"event\":\"ended-under\",\"attempt\":\"b-1-2\","
+    "\"request\":\"00000002\"}",
+    "{\"time\":\"T3\",\"node\":\"c\",\"event\":\"quarantined\",\"request\":\"abcd0123\"}",
+    "{\"time\":\"T4\",\"node\":\"c\",\"event\":\"held-back\",\"id\":\"x\","
+    "\"request\":\"abcd0123\"}",
+    "{\"time\":\"T5\",\"node\":\"c\",\"event\":\"held-back\",\"id\":\"y\","
+    "\"request\":\"abcd0123\"}",
+  };
+  static const char *const wanted[] = { "x", "abcd0123" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (wanted); i++)
+    {
+      Explanation *explanation = explanation_create (wanted[i]);
+      g_autoptr (GPtrArray) found = NULL;
+
+      for (gsize j = 0; j < G_N_ELEMENTS (lines); j++)
+        explanation_add (explanation, lines[j], -1);
+      found = explanation_lines (explanation);
+      /* Of the digits alone: the end and the finding, and nobody's refusal. */
+      assert_int_equal (found->len, i == 0 ? 3 : 2);
+      assert_true (g_str_has_prefix (g_ptr_array_index (found, 0), "T1 a ended-under"));
+      assert_true (g_str_has_prefix (g_ptr_array_index (found, 1), "T3 c quarantined"));
+      explanation_destroy (explanation);
+    }
+}
+
 int
 main (void)
 {
@@ -76,6 +110,7 @@
     cmocka_unit_test (test_lines_of_all_nodes_come_in_order),
     cmocka_unit_test (test_an_attempts_name_serves_too),
     cmocka_unit_test (test_an_unknown_id_has_no_lines),
+    cmocka_unit_test (test_what_held_a_request_back_is_told),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/core/tests/test-suspension.c
+++ b/core/tests/test-suspension.c
@@ -134,7 +134,6 @@
   Member self = { .node = "a", .hall = "h", .address = "127.0.0.1:1", .incarnation = 1 };
   Members *members =
       members_create (&self, no_seeds, &members_timing_default, rand, clock);
-  g_autoptr (GPtrArray) probes = NULL;
   g_autoptr (GPtrArray) after = NULL;
 
   for (guint i = 0; i < 9; i++)
@@ -149,7 +148,7 @@
 
       assert_true (members_merge (members, &other));
     }
-  probes = members_tick (members);
+  g_ptr_array_unref (members_tick (members));
   clock_advance (clock, SUSPENDED_US);
   after = members_tick (members);
   assert_int_equal (members_count_alive (members), 10);
--- a/daemon/src/quarantine/quarantine-node.c
+++ b/daemon/src/quarantine/quarantine-node.c
@@ -112,6 +112,8 @@
       QuarantineVerdict verdict =
           quarantine_check (quarantine->list, &print->prints.of[i]);
 
+      if (verdict.state > worst.state)
+        print->worst = i;
       worst.state = MAX (worst.state, verdict.state);
       worst.retry_after_us = MAX (worst.retry_after_us, verdict.retry_after_us);
     }
--- a/daemon/src/quarantine/quarantine-node.h
+++ b/daemon/src/quarantine/quarantine-node.h
@@ -19,6 +19,7 @@
 typedef struct
 {
   gboolean has_body;
+  guint worst; /* which of the prints most is known of, after a check */
   Fingerprints prints;
 } RequestPrint;
 
--- a/daemon/src/request/exchange-quarantine.c
+++ b/daemon/src/request/exchange-quarantine.c
@@ -41,7 +41,8 @@
 static void
 log_refusal (const Exchange *exchange, const QuarantineVerdict *verdict)
 {
-  g_autofree char *request = fingerprint_text (&exchange->print.prints.of[0]);
+  g_autofree char *request =
+      fingerprint_text (&exchange->print.prints.of[exchange->print.worst]);
   g_autofree char *arrivals =
       g_strdup_printf ("%u", dispatch_arrivals (exchange->dispatch));
   g_autofree char *retry =
--- a/daemon/src/target/end-watch.c
+++ b/daemon/src/target/end-watch.c
@@ -79,12 +79,15 @@
 static void
 log_work (const EndWatch *watch, const EndedWork *work)
 {
-  g_autofree char *request = fingerprint_text (&work->print.prints.of[0]);
+  const Fingerprints *prints = &work->print.prints;
+  g_autofree char *request = fingerprint_text (&prints->of[0]);
+  g_autofree char *alone = prints->count > 1 ? fingerprint_text (&prints->of[1]) : NULL;
   g_autofree char *ran = g_strdup_printf ("%" G_GINT64_FORMAT, work->ran_us);
   g_autofree char *beside = g_strdup_printf ("%u", watch->work->len - 1);
 
   log_event (G_LOG_LEVEL_INFO, "ended-under", "ATTEMPT", work->attempt, "TARGET",
-             watch->target, "REQUEST", request, "RAN_US", ran, "BESIDE", beside, NULL);
+             watch->target, "REQUEST", request, "PATH_ALONE", alone, "RAN_US", ran,
+             "BESIDE", beside, NULL);
 }
 
 static void
