--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -19,7 +19,7 @@
 #define RETELL_US (10 * MS_US)
 /* What is found out of requests that end targets concerns every node at once: each that
    hears of it tells so many of its hall and of as many others. All of 1,200 nodes hold a
-   request back 0.7 s after it has ended a third target, 0.3 s of it to let it settle, in
+   request back 0.6 s after it has ended a third target, 0.3 s of it to let it settle, in
    the simulated fleet; two home nodes of each request that count and tell all are no
    faster, and nobody is told where both have gone (bench-quarantine). */
 #define SPREAD_NEAR 3u
