--- a/core/tests/test-quarantine.c
+++ b/core/tests/test-quarantine.c
@@ -220,6 +220,8 @@
   end_three (fixture, &sound);
   tell_all (fixture);
   pass (fixture, QUARANTINE_SETTLE_US - APART_US - MS_US);
+  for (guint i = 0; i < NODES; i++)
+    assert_true (state_at (fixture, i, &sound) < QUARANTINE_TRIAL);
   assert_true (quarantine_note_answer (fixture->nodes[3], &sound));
   tell_all (fixture);
   pass (fixture, SETTLED_US);
