--- a/core/tests/test-quarantine.c
+++ b/core/tests/test-quarantine.c
@@ -481,6 +481,33 @@
   assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_HELD);
 }
 
+/* The list is full of requests with two ends each: one more with a first end is not taken
+   up, or nodes that tell each other of more than they can keep would do so without end.
+ */
+static void
+test_a_full_list_takes_up_nothing_that_matters_less (void **state)
+{
+  Fixture *fixture = *state;
+  const Fingerprint fresh = { 0xf00dull << 40, 0 };
+
+  for (guint round = 0; round < 2; round++)
+    for (guint i = 0; i < QUARANTINE_ENTRIES_MAX; i++)
+      {
+        const Fingerprint known = { (i + 1ull) << 32, 0 };
+
+        end_under (fixture, 0, &known, 1);
+        clock_advance (fixture->clock, APART_US);
+      }
+  end_under (fixture, 0, &fresh, 1);
+  assert_int_equal (state_at (fixture, 0, &fresh), QUARANTINE_FREE);
+  for (guint i = 0; i < QUARANTINE_ENTRIES_MAX; i++)
+    {
+      const Fingerprint known = { (i + 1ull) << 32, 0 };
+
+      assert_int_equal (state_at (fixture, 0, &known), QUARANTINE_DOUBTED);
+    }
+}
+
 /* With more at work than count, one that has been counted once is counted each time. */
 static void
 test_a_crowded_target_still_counts_who_is_known (void **state)
@@ -615,6 +642,7 @@
     TEST (test_suspects_are_forgotten_after_some_time),
     TEST (test_what_is_held_back_is_let_go_in_the_end),
     TEST (test_the_list_is_bounded_and_keeps_what_matters),
+    TEST (test_a_full_list_takes_up_nothing_that_matters_less),
     TEST (test_a_crowded_target_still_counts_who_is_known),
     TEST (test_a_new_version_may_be_tried),
     TEST (test_an_operator_lifts_an_entry),
