Files: the quarantine, ends and gossip without circles, and shorter

No decision is changed. Measured: all unit tests named here pass (test-quarantine 26, test-quarantine-net 5, test-members 11, test-suspension 7, test-explain 4), test-proc-deadly seven of seven with 5 and 6 ends and no run past contact, formatter and linter clean.

--- a/client/src/commands-quarantine.c
+++ b/client/src/commands-quarantine.c
@@ -8,22 +8,6 @@
 
 #include "print.h"
 
-static ExitCode
-show (const Options *options)
-{
-  ApiResult *result = api_call (&options->api, "GET", "/v1/quarantine", NULL);
-  ExitCode code = CODE_OK;
-
-  if (result->status != HTTP_OK || !command_object (result))
-    code = command_complain (result, options);
-  else if (options->json)
-    printf ("%s\n", result->text);
-  else
-    print_quarantine (command_object (result));
-  api_result_free (result);
-  return code;
-}
-
 static char *
 lift_body (const char *request)
 {
@@ -57,7 +41,7 @@
 command_quarantine (const Options *options)
 {
   if (options->word_count == 0)
-    return show (options);
+    return command_show (options, "/v1/quarantine", print_quarantine);
   if (options->word_count == 2 && strcmp (options->words[0], "lift") == 0)
     return lift (options, options->words[1]);
   fprintf (stderr, "usage: switchmill quarantine [lift REQUEST]\n");
--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -106,12 +106,11 @@
   return with_status (options, print_targets);
 }
 
-static ExitCode
-run_account (const Options *options)
+ExitCode
+command_show (const Options *options,
+              const char *path,
+              void (*print) (JsonObject *object))
 {
-  g_autofree char *id =
-      options->word_count ? g_uri_escape_string (options->words[0], NULL, FALSE) : NULL;
-  g_autofree char *path = g_strconcat ("/v1/accounts", id ? "?id=" : "", id, NULL);
   ApiResult *result = api_call (&options->api, "GET", path, NULL);
   ExitCode code = CODE_OK;
 
@@ -120,11 +119,21 @@
   else if (options->json)
     printf ("%s\n", result->text);
   else
-    print_accounts (command_object (result));
+    print (command_object (result));
   api_result_free (result);
   return code;
 }
 
+static ExitCode
+run_account (const Options *options)
+{
+  g_autofree char *id =
+      options->word_count ? g_uri_escape_string (options->words[0], NULL, FALSE) : NULL;
+  g_autofree char *path = g_strconcat ("/v1/accounts", id ? "?id=" : "", id, NULL);
+
+  return command_show (options, path, print_accounts);
+}
+
 static ExitCode
 run_events (const Options *options)
 {
--- /dev/null
+++ b/core/src/request/quarantine-list.c
@@ -0,0 +1,229 @@
+#include "quarantine-private.h"
+
+#include <string.h>
+
+/* Ends that lie no further apart are ranked as if they were of one moment: nodes reckon
+   it differently. */
+#define SAME_TIME_US SECOND_US
+
+Quarantine *
+quarantine_create (Clock *clock)
+{
+  Quarantine *quarantine = g_new0 (Quarantine, 1);
+
+  quarantine->clock = clock;
+  quarantine->entries = g_array_new (FALSE, TRUE, sizeof (QuarantineEntry));
+  quarantine->tellings = g_array_new (FALSE, TRUE, sizeof (guint));
+  return quarantine;
+}
+
+void
+quarantine_destroy (Quarantine *quarantine)
+{
+  if (!quarantine)
+    return;
+  g_array_unref (quarantine->entries);
+  g_array_unref (quarantine->tellings);
+  g_free (quarantine);
+}
+
+void
+quarantine_set_changed (Quarantine *quarantine, QuarantineChanged changed, gpointer data)
+{
+  quarantine->changed = changed;
+  quarantine->data = data;
+}
+
+guint32
+quarantine_service_hash (const char *service)
+{
+  return g_str_hash (service);
+}
+
+QuarantineEntry *
+quarantine_entry_at (const Quarantine *quarantine, guint i)
+{
+  return &g_array_index (quarantine->entries, QuarantineEntry, i);
+}
+
+const GArray *
+quarantine_entries (const Quarantine *quarantine)
+{
+  return quarantine->entries;
+}
+
+gboolean
+quarantine_watches (const Quarantine *quarantine, guint32 service)
+{
+  for (guint i = 0; i < quarantine->entries->len; i++)
+    if (quarantine_entry_at (quarantine, i)->service == service)
+      return TRUE;
+  return FALSE;
+}
+
+gboolean
+quarantine_knows_head (const Quarantine *quarantine, guint64 head)
+{
+  for (guint i = 0; i < quarantine->entries->len; i++)
+    if (quarantine_entry_at (quarantine, i)->request.head == head)
+      return TRUE;
+  return FALSE;
+}
+
+QuarantineEntry *
+quarantine_find (const Quarantine *quarantine, const Fingerprint *request)
+{
+  for (guint i = 0; i < quarantine->entries->len; i++)
+    if (fingerprint_equal (&quarantine_entry_at (quarantine, i)->request, request))
+      return quarantine_entry_at (quarantine, i);
+  return NULL;
+}
+
+void
+quarantine_forget (Quarantine *quarantine, guint i)
+{
+  g_array_remove_index_fast (quarantine->entries, i);
+  g_array_remove_index_fast (quarantine->tellings, i);
+}
+
+/* What is kept of two entries when there is no room for both: each node decides alike. */
+static gboolean
+matters_less (const QuarantineEntry *entry, const QuarantineEntry *other)
+{
+  if (!entry->held_us != !other->held_us)
+    return !entry->held_us;
+  if (entry->end_count != other->end_count)
+    return entry->end_count < other->end_count;
+  if (ABS (entry->last_end_us - other->last_end_us) > SAME_TIME_US)
+    return entry->last_end_us < other->last_end_us;
+  return entry->request.head < other->request.head;
+}
+
+/* FALSE where the list is full of what matters more. */
+static gboolean
+make_room (Quarantine *quarantine, const QuarantineEntry *rank)
+{
+  guint least = 0;
+
+  if (quarantine->entries->len < QUARANTINE_ENTRIES_MAX)
+    return TRUE;
+  for (guint i = 1; i < quarantine->entries->len; i++)
+    if (matters_less (quarantine_entry_at (quarantine, i),
+                      quarantine_entry_at (quarantine, least)))
+      least = i;
+  if (matters_less (rank, quarantine_entry_at (quarantine, least)))
+    return FALSE;
+  quarantine_forget (quarantine, least);
+  return TRUE;
+}
+
+QuarantineEntry *
+quarantine_make (Quarantine *quarantine, const QuarantineEntry *rank)
+{
+  QuarantineEntry fresh = { .request = rank->request, .service = rank->service };
+  guint tellings = 0;
+
+  if (!make_room (quarantine, rank))
+    return NULL;
+  g_array_append_val (quarantine->entries, fresh);
+  g_array_append_val (quarantine->tellings, tellings);
+  return quarantine_entry_at (quarantine, quarantine->entries->len - 1);
+}
+
+gboolean
+quarantine_is_urgent (const QuarantineEntry *entry)
+{
+  return entry->end_count > 1 || entry->held_us;
+}
+
+void
+quarantine_tell (Quarantine *quarantine, const QuarantineEntry *entry, gboolean urgent)
+{
+  guint i = (guint)(entry - quarantine_entry_at (quarantine, 0));
+
+  g_array_index (quarantine->tellings, guint, i) =
+      urgent ? QUARANTINE_TELLINGS_URGENT : QUARANTINE_TELLINGS;
+}
+
+/* Where an end belongs in the order of time. */
+static guint
+place_of (const QuarantineEntry *entry, const QuarantineEnd *end)
+{
+  guint i = entry->end_count;
+
+  while (i > 0 && entry->ends[i - 1].at_us > end->at_us)
+    i--;
+  return i;
+}
+
+static void
+remove_end (QuarantineEntry *entry, guint i)
+{
+  entry->end_count--;
+  memmove (&entry->ends[i], &entry->ends[i + 1],
+           (entry->end_count - i) * sizeof *entry->ends);
+}
+
+static void
+insert_end (QuarantineEntry *entry, const QuarantineEnd *end)
+{
+  guint place = place_of (entry, end);
+
+  memmove (&entry->ends[place + 1], &entry->ends[place],
+           (entry->end_count - place) * sizeof *entry->ends);
+  entry->ends[place] = *end;
+  entry->end_count++;
+}
+
+/* Of more ends than are kept, those with the lowest numbers stay, on each node the same.
+ */
+gboolean
+quarantine_add_end (QuarantineEntry *entry, const QuarantineEnd *end)
+{
+  guint highest = 0;
+
+  for (guint i = 0; i < entry->end_count; i++)
+    {
+      if (entry->ends[i].id == end->id)
+        return FALSE;
+      if (entry->ends[i].id > entry->ends[highest].id)
+        highest = i;
+    }
+  entry->last_end_us = MAX (entry->last_end_us, end->at_us);
+  if (entry->end_count == QUARANTINE_ENDS_KEPT)
+    {
+      if (end->id > entry->ends[highest].id)
+        return FALSE;
+      remove_end (entry, highest);
+    }
+  insert_end (entry, end);
+  return TRUE;
+}
+
+void
+quarantine_clear (Quarantine *quarantine,
+                  QuarantineEntry *entry,
+                  guint32 epoch,
+                  gint64 at_us)
+{
+  gboolean was_held = entry->held_us != 0;
+
+  entry->epoch = epoch;
+  entry->cleared_us = at_us;
+  entry->end_count = 0;
+  entry->held_us = 0;
+  entry->turn = 0;
+  entry->trials = 0;
+  entry->due_us = 0;
+  if (was_held && quarantine->changed)
+    quarantine->changed (entry, quarantine->data);
+}
+
+void
+quarantine_hold (Quarantine *quarantine, QuarantineEntry *entry, gint64 at_us)
+{
+  entry->held_us = at_us;
+  entry->due_us = at_us;
+  if (quarantine->changed)
+    quarantine->changed (entry, quarantine->data);
+}
--- a/core/src/request/quarantine-private.h
+++ b/core/src/request/quarantine-private.h
@@ -1,7 +1,7 @@
 /*
- * What the files of the quarantine share: quarantine.c the entries and what is known of
- * them, quarantine-blame.c which request an end counts against, quarantine-news.c what
- * nodes tell each other.
+ * What the files of the quarantine share: quarantine.c what becomes of a request,
+ * quarantine-list.c the entries and what is kept of them, quarantine-blame.c which
+ * request an end counts against, quarantine-news.c what nodes tell each other.
  */
 #ifndef CORE_QUARANTINE_PRIVATE_H
 #define CORE_QUARANTINE_PRIVATE_H
@@ -18,6 +18,9 @@
   gpointer data;
 };
 
+QuarantineEntry *quarantine_entry_at (const Quarantine *quarantine, guint i);
+void quarantine_forget (Quarantine *quarantine, guint i);
+
 /* The entry of a request, or NULL. Pointers hold until the next one is made or forgotten.
  */
 QuarantineEntry *quarantine_find (const Quarantine *quarantine,
--- a/daemon/src/member/gossip-private.h
+++ b/daemon/src/member/gossip-private.h
@@ -1,6 +1,7 @@
 /*
- * What the files of gossip share: gossip.c its datagrams, gossip-news.c what rumours say
- * and what they bring about, gossip-repair.c the comparison of views.
+ * What the files of gossip share: gossip.c the protocol, gossip-send.c its datagrams on
+ * their way out, gossip-news.c what rumours say and what they bring about,
+ * gossip-repair.c the comparison of views.
  */
 #ifndef DAEMON_GOSSIP_PRIVATE_H
 #define DAEMON_GOSSIP_PRIVATE_H
@@ -21,6 +22,16 @@
   guint32 relay_sequence;
 };
 
+/* Sends a call, or an answer to one, with this node's news for `to` (NULL for nobody
+   known) on it. */
+void gossip_send_call (Gossip *gossip,
+                       const char *address,
+                       const char *to,
+                       guint32 procedure,
+                       const char *subject,
+                       guint32 xid);
+void gossip_send_reply (Gossip *gossip, const char *address, const char *to, guint32 xid);
+
 /* Puts this node's news for `to` (NULL for nobody known) on a message. */
 void gossip_put_news (Node *node, const char *to, sw_gossip *message);
 void gossip_drop_news (sw_gossip *message);
--- /dev/null
+++ b/daemon/src/member/gossip-send.c
@@ -0,0 +1,84 @@
+#include "gossip-private.h"
+
+#include "config-sync.h"
+#include "peers.h"
+#include "quarantine-node.h"
+
+/* A message with this node's news on it, which drop_filled drops. */
+static void
+fill_gossip (Gossip *gossip, const char *to, sw_gossip *message)
+{
+  Node *node = gossip->node;
+
+  message->seal = node->settings->fleet_seal;
+  message->from = node->settings->node;
+  message->generation = snapshot_generation (config_sync_snapshot (node->config));
+  message->digest = members_digest (node->members);
+  if (!message->subject)
+    message->subject = "";
+  gossip_put_news (node, to, message);
+  quarantine_node_put_news (node->quarantine, to, message);
+}
+
+static void
+drop_filled (sw_gossip *message)
+{
+  gossip_drop_news (message);
+  quarantine_node_drop_news (message);
+}
+
+/* Counts a message's bytes: its news, and the rest. */
+static void
+count_sent (Gossip *gossip, const char *to, const sw_gossip *message, gsize bytes)
+{
+  Node *node = gossip->node;
+  gboolean own_hall = peers_in_own_hall (node, to);
+  gsize news = 0;
+
+  for (guint i = 0; i < message->rumours.rumours_len; i++)
+    news += xdr_sizeof ((xdrproc_t)xdr_sw_rumour, &message->rumours.rumours_val[i]);
+  for (guint i = 0; i < message->briefs.briefs_len; i++)
+    news += xdr_sizeof ((xdrproc_t)xdr_sw_brief, &message->briefs.briefs_val[i]);
+  for (guint i = 0; i < message->quarantine.quarantine_len; i++)
+    news +=
+        xdr_sizeof ((xdrproc_t)xdr_sw_quarantine, &message->quarantine.quarantine_val[i]);
+  traffic_add (node->traffic, TRAFFIC_RUMOURS, own_hall, news);
+  traffic_add (node->traffic, TRAFFIC_PROBES, own_hall, bytes - news);
+}
+
+void
+gossip_send_call (Gossip *gossip,
+                  const char *address,
+                  const char *to,
+                  guint32 procedure,
+                  const char *subject,
+                  guint32 xid)
+{
+  sw_gossip message = { .subject = (char *)subject };
+  g_autoptr (GByteArray) bytes = NULL;
+
+  fill_gossip (gossip, to, &message);
+  bytes = wire_call_encode (xid, procedure, (xdrproc_t)xdr_sw_gossip, &message);
+  if (bytes)
+    {
+      datagram_send (gossip->datagram, address, bytes);
+      count_sent (gossip, to, &message, bytes->len);
+    }
+  drop_filled (&message);
+}
+
+void
+gossip_send_reply (Gossip *gossip, const char *address, const char *to, guint32 xid)
+{
+  sw_gossip message = { 0 };
+  g_autoptr (GByteArray) bytes = NULL;
+
+  fill_gossip (gossip, to, &message);
+  bytes = wire_reply_encode (xid, (xdrproc_t)xdr_sw_gossip, &message);
+  if (bytes)
+    {
+      datagram_send (gossip->datagram, address, bytes);
+      count_sent (gossip, to, &message, bytes->len);
+    }
+  drop_filled (&message);
+}
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -52,85 +52,6 @@
   g_free (relay);
 }
 
-/* A message with this node's news on it, which drop_filled drops. */
-static void
-fill_gossip (Gossip *gossip, const char *to, sw_gossip *message)
-{
-  Node *node = gossip->node;
-
-  message->seal = node->settings->fleet_seal;
-  message->from = node->settings->node;
-  message->generation = snapshot_generation (config_sync_snapshot (node->config));
-  message->digest = members_digest (node->members);
-  if (!message->subject)
-    message->subject = "";
-  gossip_put_news (node, to, message);
-  quarantine_node_put_news (node->quarantine, to, message);
-}
-
-static void
-drop_filled (sw_gossip *message)
-{
-  gossip_drop_news (message);
-  quarantine_node_drop_news (message);
-}
-
-/* Counts a message's bytes: its news, and the rest. */
-static void
-count_sent (Gossip *gossip, const char *to, const sw_gossip *message, gsize bytes)
-{
-  Node *node = gossip->node;
-  gboolean own_hall = peers_in_own_hall (node, to);
-  gsize news = 0;
-
-  for (guint i = 0; i < message->rumours.rumours_len; i++)
-    news += xdr_sizeof ((xdrproc_t)xdr_sw_rumour, &message->rumours.rumours_val[i]);
-  for (guint i = 0; i < message->briefs.briefs_len; i++)
-    news += xdr_sizeof ((xdrproc_t)xdr_sw_brief, &message->briefs.briefs_val[i]);
-  for (guint i = 0; i < message->quarantine.quarantine_len; i++)
-    news +=
-        xdr_sizeof ((xdrproc_t)xdr_sw_quarantine, &message->quarantine.quarantine_val[i]);
-  traffic_add (node->traffic, TRAFFIC_RUMOURS, own_hall, news);
-  traffic_add (node->traffic, TRAFFIC_PROBES, own_hall, bytes - news);
-}
-
-static void
-send_call (Gossip *gossip,
-           const char *address,
-           const char *to,
-           guint32 procedure,
-           const char *subject,
-           guint32 xid)
-{
-  sw_gossip message = { .subject = (char *)subject };
-  g_autoptr (GByteArray) bytes = NULL;
-
-  fill_gossip (gossip, to, &message);
-  bytes = wire_call_encode (xid, procedure, (xdrproc_t)xdr_sw_gossip, &message);
-  if (bytes)
-    {
-      datagram_send (gossip->datagram, address, bytes);
-      count_sent (gossip, to, &message, bytes->len);
-    }
-  drop_filled (&message);
-}
-
-static void
-send_reply (Gossip *gossip, const char *address, const char *to, guint32 xid)
-{
-  sw_gossip message = { 0 };
-  g_autoptr (GByteArray) bytes = NULL;
-
-  fill_gossip (gossip, to, &message);
-  bytes = wire_reply_encode (xid, (xdrproc_t)xdr_sw_gossip, &message);
-  if (bytes)
-    {
-      datagram_send (gossip->datagram, address, bytes);
-      count_sent (gossip, to, &message, bytes->len);
-    }
-  drop_filled (&message);
-}
-
 static void
 take_message (Gossip *gossip, const sw_gossip *message)
 {
@@ -161,7 +82,7 @@
   relay->xid = xid;
   relay->until_us = clock_now (gossip->node->clock) + RELAY_LIFE_US;
   g_hash_table_insert (gossip->relays, GUINT_TO_POINTER (own), relay);
-  send_call (gossip, member->address, subject, SW_PROBE, NULL, own);
+  gossip_send_call (gossip, member->address, subject, SW_PROBE, NULL, own);
 }
 
 static void
@@ -179,7 +100,7 @@
       if (call.procedure == SW_PROBE_VIA)
         relay_probe (gossip, from, call.xid, message.subject);
       else if (call.procedure == SW_PROBE)
-        send_reply (gossip, from, message.from, call.xid);
+        gossip_send_reply (gossip, from, message.from, call.xid);
     }
   xdr_free ((xdrproc_t)xdr_sw_gossip, (char *)&message);
   xdr_destroy (&xdr);
@@ -190,7 +111,7 @@
 take_relayed (Gossip *gossip, const Relay *relay, const char *from)
 {
   if (strcmp (relay->subject, from) == 0)
-    send_reply (gossip, relay->to, NULL, relay->xid);
+    gossip_send_reply (gossip, relay->to, NULL, relay->xid);
   else
     members_taken_over (gossip->node->members, relay->subject);
 }
@@ -253,11 +174,11 @@
       const MembersAction *action = g_ptr_array_index (actions, i);
 
       if (action->kind == MEMBERS_PROBE)
-        send_call (gossip, action->address, action->subject, SW_PROBE, NULL,
-                   action->sequence);
+        gossip_send_call (gossip, action->address, action->subject, SW_PROBE, NULL,
+                          action->sequence);
       else
-        send_call (gossip, action->address, NULL, SW_PROBE_VIA, action->subject,
-                   action->sequence);
+        gossip_send_call (gossip, action->address, NULL, SW_PROBE_VIA, action->subject,
+                          action->sequence);
     }
   g_hash_table_foreach_remove (gossip->relays, relay_is_over, &now);
   datagram_bytes (gossip->datagram, &sent, &received);
@@ -304,8 +225,8 @@
     {
       const Member *member = g_ptr_array_index (some, i);
 
-      send_call (gossip, member->address, member->node, SW_NEWS, NULL,
-                 RELAY_SEQUENCES | ++gossip->relay_sequence);
+      gossip_send_call (gossip, member->address, member->node, SW_NEWS, NULL,
+                        RELAY_SEQUENCES | ++gossip->relay_sequence);
     }
 }
 
@@ -402,8 +323,8 @@
     {
       guint i = (guint)g_rand_int_range (gossip->node->rand, 0, (gint32)some->len);
 
-      send_call (gossip, g_ptr_array_steal_index_fast (some, i), NULL, SW_PROBE, NULL,
-                 RELAY_SEQUENCES | ++gossip->relay_sequence);
+      gossip_send_call (gossip, g_ptr_array_steal_index_fast (some, i), NULL, SW_PROBE,
+                        NULL, RELAY_SEQUENCES | ++gossip->relay_sequence);
     }
 }
 
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -208,6 +208,12 @@
   return number;
 }
 
+static void
+on_quarantine_news (gpointer data)
+{
+  gossip_spread (((Node *)data)->gossip);
+}
+
 static gboolean
 create_listeners (NodeRun *run, GError **error)
 {
@@ -220,6 +226,7 @@
   node->gossip = gossip_create (node, error);
   if (!node->gossip)
     return FALSE;
+  quarantine_node_set_news (node->quarantine, on_quarantine_news, node);
   run->rpc = rpc_server_create (node->loop, node->settings->nodes_address, &limits,
                                 calls_handle, node, error);
   if (!run->rpc)
--- a/daemon/src/quarantine/quarantine-node.c
+++ b/daemon/src/quarantine/quarantine-node.c
@@ -2,15 +2,15 @@
 
 #include <core/json-write.h>
 
-#include "gossip.h"
 #include "log.h"
 #include "quarantine-words.h"
-#include "registry.h"
 
 struct QuarantineNode
 {
   Node *node;
   Quarantine *list;
+  QuarantineNewsFunc news_func; /* NULL for nobody */
+  gpointer news_data;
   GHashTable *behind; /* set of names: members whose list differs from this node's */
 };
 
@@ -54,6 +54,15 @@
   g_free (quarantine);
 }
 
+void
+quarantine_node_set_news (QuarantineNode *quarantine,
+                          QuarantineNewsFunc func,
+                          gpointer data)
+{
+  quarantine->news_func = func;
+  quarantine->news_data = data;
+}
+
 gboolean
 quarantine_node_watches (const QuarantineNode *quarantine, const char *service)
 {
@@ -78,8 +87,6 @@
 {
   const FingerprintKey *key = quarantine->node->fingerprints;
 
-  if (!quarantine_node_watches (quarantine, words->service))
-    return FALSE;
   if (print->prints.count == 0)
     print->prints = fingerprint_heads (key, words);
   if (!knows_any_head (quarantine->list, &print->prints))
@@ -94,7 +101,8 @@
 static void
 tell (QuarantineNode *quarantine)
 {
-  gossip_spread (quarantine->node->gossip);
+  if (quarantine->news_func && quarantine_urgency (quarantine->list))
+    quarantine->news_func (quarantine->news_data);
 }
 
 /* The worst that is known of it by any of its names. */
@@ -168,20 +176,19 @@
 }
 
 void
-quarantine_node_trial_undecided (QuarantineNode *quarantine, const RequestPrint *print)
+quarantine_node_trial_undecided (QuarantineNode *quarantine, const Fingerprints *prints)
 {
-  for (guint i = 0; i < print->prints.count; i++)
-    quarantine_trial_undecided (quarantine->list, &print->prints.of[i]);
+  for (guint i = 0; i < prints->count; i++)
+    quarantine_trial_undecided (quarantine->list, &prints->of[i]);
   tell (quarantine);
 }
 
 void
 quarantine_node_note_end (QuarantineNode *quarantine,
                           const char *service,
+                          const char *version,
                           const GArray *requests)
 {
-  const char *version = registry_version (quarantine->node->registry);
-
   quarantine_note_end (quarantine->list, g_rand_int (quarantine->node->rand),
                        quarantine_service_hash (service),
                        version ? quarantine_service_hash (version) : 0, requests);
--- a/daemon/src/quarantine/quarantine-node.h
+++ b/daemon/src/quarantine/quarantine-node.h
@@ -23,10 +23,17 @@
   Fingerprints prints;
 } RequestPrint;
 
+/* Told that there is news to be spread soon. */
+typedef void (*QuarantineNewsFunc) (gpointer data);
+
 QuarantineNode *quarantine_node_create (Node *node);
 void quarantine_node_destroy (QuarantineNode *quarantine);
+void quarantine_node_set_news (QuarantineNode *quarantine,
+                               QuarantineNewsFunc func,
+                               gpointer data);
 
-/* Whether requests to the service may be known: if not, nothing below need be asked. */
+/* Whether requests to the service may be known: the three that follow are asked only
+   then, so that nothing is made of requests that nothing is known of. */
 gboolean quarantine_node_watches (const QuarantineNode *quarantine, const char *service);
 
 /* What may become of a request now; `words` are read where the print lacks something. */
@@ -50,11 +57,13 @@
                                   const FingerprintWords *words);
 /* A trial here came to neither an answer nor an end. */
 void quarantine_node_trial_undecided (QuarantineNode *quarantine,
-                                      const RequestPrint *print);
+                                      const Fingerprints *prints);
 
-/* A target of this VM has ended under these requests (Fingerprint). */
+/* A target of this VM has ended under these requests (Fingerprint); `version` is of its
+   software, NULL for not known. */
 void quarantine_node_note_end (QuarantineNode *quarantine,
                                const char *service,
+                               const char *version,
                                const GArray *requests);
 /* A target of this VM runs a version of its service's software. */
 void quarantine_node_note_version (QuarantineNode *quarantine,
--- a/daemon/src/target/end-watch.c
+++ b/daemon/src/target/end-watch.c
@@ -2,9 +2,7 @@
 
 #include <io/connect-check.h>
 
-#include "attempt-name.h"
 #include "log.h"
-#include "sidecar-private.h"
 
 /* The connections of a process that ends break within a millisecond of each other. */
 #define GATHER_US (5 * MS_US)
@@ -23,7 +21,7 @@
   char *target;
   char *service;
   char *address;
-  GArray *work; /* of EndedWork */
+  GArray *work; /* of BrokenWork */
   gint64 first_break_us;
   gint64 checked_us; /* when the last check began */
   LoopTimer *timer;
@@ -32,14 +30,16 @@
 
 struct EndWatches
 {
-  Node *node;
+  const Node *node;
+  const EndWatchOwner *owner;
+  gpointer data;
   GHashTable *by_target; /* name → EndWatch */
 };
 
 static void
 clear_work (gpointer data)
 {
-  g_free (((EndedWork *)data)->attempt);
+  g_free (((BrokenWork *)data)->attempt);
 }
 
 static void
@@ -57,11 +57,13 @@
 }
 
 EndWatches *
-end_watches_create (Node *node)
+end_watches_create (const Node *node, const EndWatchOwner *owner, gpointer data)
 {
   EndWatches *watches = g_new0 (EndWatches, 1);
 
   watches->node = node;
+  watches->owner = owner;
+  watches->data = data;
   watches->by_target =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, end_watch_free);
   return watches;
@@ -77,9 +79,9 @@
 }
 
 static void
-log_work (const EndWatch *watch, const EndedWork *work)
+log_work (const EndWatch *watch, const BrokenWork *work)
 {
-  const Fingerprints *prints = &work->print.prints;
+  const Fingerprints *prints = &work->prints;
   g_autofree char *request = fingerprint_text (&prints->of[0]);
   g_autofree char *alone = prints->count > 1 ? fingerprint_text (&prints->of[1]) : NULL;
   g_autofree char *ran = g_strdup_printf ("%" G_GINT64_FORMAT, work->ran_us);
@@ -107,8 +109,7 @@
 
   for (guint i = 0; i < watch->work->len; i++)
     {
-      const Fingerprints *prints =
-          &g_array_index (watch->work, EndedWork, i).print.prints;
+      const Fingerprints *prints = &g_array_index (watch->work, BrokenWork, i).prints;
 
       for (guint j = 0; j < prints->count; j++)
         add_distinct (requests, &prints->of[j]);
@@ -122,10 +123,10 @@
 {
   for (guint i = 0; i < watch->work->len; i++)
     {
-      const EndedWork *work = &g_array_index (watch->work, EndedWork, i);
+      const BrokenWork *work = &g_array_index (watch->work, BrokenWork, i);
 
       if (work->trial)
-        quarantine_node_trial_undecided (watch->owner->node->quarantine, &work->print);
+        watch->owner->owner->trial_broken (&work->prints, watch->owner->data);
     }
   g_array_set_size (watch->work, 0);
 }
@@ -142,8 +143,8 @@
   log_event (G_LOG_LEVEL_WARNING, "target-ended", "TARGET", watch->target, "SERVICE",
              watch->service, "AT_WORK", at_work, NULL);
   for (guint i = 0; i < watch->work->len; i++)
-    log_work (watch, &g_array_index (watch->work, EndedWork, i));
-  quarantine_node_note_end (watches->node->quarantine, watch->service, requests);
+    log_work (watch, &g_array_index (watch->work, BrokenWork, i));
+  watches->owner->ended (watch->service, requests, watches->data);
 }
 
 static void
@@ -159,37 +160,19 @@
   loop_timer_start (watch->timer, 0);
 }
 
-/* Something that was sent before the first break runs on: the process is there. */
-static gboolean
-works_on (const EndWatch *watch)
-{
-  const Sidecar *sidecar = watch->owner->node->sidecar;
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, sidecar->submissions);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const Submission *submission = key;
-
-      if (submission->running && submission->started_us < watch->first_break_us &&
-          g_str_equal (submission->target->name, watch->target))
-        return TRUE;
-    }
-  return FALSE;
-}
-
 /* Either enough has been gathered, or the last check is over. */
 static void
 on_timer (gpointer data)
 {
   EndWatch *watch = data;
-  Node *node = watch->owner->node;
+  const EndWatches *watches = watch->owner;
+  const Node *node = watches->node;
 
   g_clear_pointer (&watch->check, connect_check_destroy);
   if (watch->work->len == 0)
     return;
-  if (works_on (watch))
+  /* The process is there. */
+  if (watches->owner->works_on (watch->target, watch->first_break_us, watches->data))
     {
       lives_on (watch);
       return;
@@ -200,7 +183,7 @@
 }
 
 static EndWatch *
-watch_of (EndWatches *watches, const SidecarTarget *target)
+watch_of (EndWatches *watches, const WatchedTarget *target)
 {
   EndWatch *watch = g_hash_table_lookup (watches->by_target, target->name);
 
@@ -211,7 +194,7 @@
   watch->target = g_strdup (target->name);
   watch->service = g_strdup (target->service);
   watch->address = g_strdup (target->address);
-  watch->work = g_array_new (FALSE, FALSE, sizeof (EndedWork));
+  watch->work = g_array_new (FALSE, FALSE, sizeof (BrokenWork));
   g_array_set_clear_func (watch->work, clear_work);
   watch->timer = loop_timer_create (watches->node->loop, on_timer, watch);
   g_hash_table_insert (watches->by_target, watch->target, watch);
@@ -246,24 +229,18 @@
 }
 
 void
-end_watches_note_break (EndWatches *watches, const Submission *submission)
+end_watches_note_break (EndWatches *watches,
+                        const WatchedTarget *target,
+                        const BrokenWork *work)
 {
-  const Node *node = watches->node;
-  gint64 now = clock_now (node->clock);
-  FingerprintWords words = submission_words (submission);
   EndWatch *watch;
-  EndedWork work;
 
-  drop_idle (watches, submission->target->name);
-  watch = watch_of (watches, submission->target);
+  drop_idle (watches, target->name);
+  watch = watch_of (watches, target);
   if (watch->work->len == 0)
-    begin_gathering (watch, now);
-  if (watch->work->len >= WORK_MAX)
-    return;
-  work.print.prints = fingerprint_all (node->fingerprints, &words);
-  work.print.has_body = TRUE;
-  work.attempt = attempt_name_text (&submission->args.attempt);
-  work.trial = submission->quarantine_trial;
-  work.ran_us = now - submission->started_us;
-  g_array_append_val (watch->work, work);
+    begin_gathering (watch, clock_now (watches->node->clock));
+  if (watch->work->len < WORK_MAX)
+    g_array_append_vals (watch->work, work, 1);
+  else
+    g_free (work->attempt);
 }
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -34,7 +34,7 @@
 } Waiter;
 
 /* One attempt at a target of this VM. */
-typedef struct Submission
+typedef struct
 {
   Sidecar *sidecar;
   SidecarTarget *target;
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "adapter.h"
+#include "registry.h"
 #include "verdicts.h"
 
 /* How often verdicts, waiting requests and overdue ones are looked at. */
@@ -73,6 +74,43 @@
   loop_timer_start (sidecar->sweep, SWEEP_US);
 }
 
+static gboolean
+works_on (const char *target, gint64 before_us, gpointer data)
+{
+  const Sidecar *sidecar = data;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Submission *submission = key;
+
+      if (submission->running && submission->started_us < before_us &&
+          strcmp (submission->target->name, target) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static void
+on_target_ended (const char *service, const GArray *requests, gpointer data)
+{
+  const Node *node = ((Sidecar *)data)->node;
+
+  quarantine_node_note_end (node->quarantine, service, registry_version (node->registry),
+                            requests);
+}
+
+static void
+on_trial_broken (const Fingerprints *prints, gpointer data)
+{
+  quarantine_node_trial_undecided (((Sidecar *)data)->node->quarantine, prints);
+}
+
+static const EndWatchOwner end_watch_owner = { works_on, on_target_ended,
+                                               on_trial_broken };
+
 Sidecar *
 sidecar_create (Node *node)
 {
@@ -89,7 +127,7 @@
   sidecar->latencies = latency_book_create ();
   sidecar->budgets = sidecar_budgets_create (node);
   sidecar->holds = sidecar_holds_create (node->clock);
-  sidecar->ends = end_watches_create (node);
+  sidecar->ends = end_watches_create (node, &end_watch_owner, sidecar);
   sidecar->sweep = loop_timer_create (node->loop, on_sweep, sidecar);
   loop_timer_start (sidecar->sweep, SWEEP_US);
   return sidecar;
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -137,6 +137,22 @@
   fence_finish (sidecar->fence, submission->entry, packed);
 }
 
+static void
+note_break (const Submission *submission)
+{
+  const Sidecar *sidecar = submission->sidecar;
+  const SidecarTarget *target = submission->target;
+  const Node *node = sidecar->node;
+  FingerprintWords words = submission_words (submission);
+  WatchedTarget where = { target->name, target->service, target->address };
+  BrokenWork work = { .prints = fingerprint_all (node->fingerprints, &words),
+                      .attempt = attempt_name_text (&submission->args.attempt),
+                      .trial = submission->quarantine_trial,
+                      .ran_us = clock_now (node->clock) - submission->started_us };
+
+  end_watches_note_break (sidecar->ends, &where, &work);
+}
+
 /* What the end of the exchange says of the request itself, where it is suspected: a good
    answer takes it all back. Targets in a bad spell answer with failures of their own that
    no request has run to. */
@@ -148,9 +164,9 @@
   FingerprintWords words;
 
   if (result->outcome == HTTP_CALL_BROKEN)
-    end_watches_note_break (sidecar->ends, submission);
+    note_break (submission);
   else if (failed && submission->quarantine_trial)
-    quarantine_node_trial_undecided (quarantine, &submission->print);
+    quarantine_node_trial_undecided (quarantine, &submission->print.prints);
   if (failed || !quarantine_node_watches (quarantine, submission->target->service))
     return;
   words = submission_words (submission);
@@ -350,7 +366,7 @@
   http_call_cancel (submission->call);
   if (submission->quarantine_trial)
     quarantine_node_trial_undecided (submission->sidecar->node->quarantine,
-                                     &submission->print);
+                                     &submission->print.prints);
   admission_release (target->admission, -1);
   finish (submission, &res);
   submission_start_waiting (target);
