--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -6,7 +6,7 @@
 #ifndef CORE_ADMISSION_H
 #define CORE_ADMISSION_H
 
-#include <core/clock.h>
+#include <core/warmup.h>
 
 typedef struct Admission Admission;
 
@@ -26,6 +26,9 @@
 /* Whether the limit follows the target's speed; it does at first. */
 void admission_set_adaptive (Admission *admission, gboolean adaptive);
 
+/* Bounds starts while the target is cold; borrowed, and NULL for no bound. */
+void admission_set_warmup (Admission *admission, Warmup *warmup);
+
 /* Whether a request offered now would start at once. */
 gboolean admission_is_free (const Admission *admission);
 
@@ -44,9 +47,10 @@
 
 /*
  * Takes a slot whether one is free or not, for a trial: a target whose slots are all held
- * by work that hangs shows in no other way that it is well again.
+ * by work that hangs shows in no other way that it is well again. FALSE when the target
+ * is cold and has been given as much as it bears.
  */
-void admission_force (Admission *admission);
+gboolean admission_force (Admission *admission);
 
 /* Asks for a slot. */
 AdmissionAnswer
@@ -69,6 +73,7 @@
 
 guint admission_in_use (const Admission *admission);
 guint admission_queued (const Admission *admission);
+/* Slots that may be in use; no more than are, while a cold target is given nothing. */
 guint admission_limit (const Admission *admission);
 /* When to come back: about the time that what is ahead will need. */
 gint64 admission_retry_after_us (const Admission *admission);
--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -10,6 +10,7 @@
 #ifndef CORE_CONFIG_H
 #define CORE_CONFIG_H
 
+#include <core/evacuations.h>
 #include <core/json-view.h>
 
 #define CONFIG_SHARDS 64u
@@ -38,7 +39,8 @@
 typedef enum
 {
   TARGET_SERVING,
-  TARGET_LEAVING /* takes nothing new */
+  TARGET_LEAVING,  /* takes nothing new */
+  TARGET_EVACUATED /* likewise, until its data hall is taken back */
 } TargetState;
 
 /* One target of a service, in an operator's words. */
@@ -64,6 +66,7 @@
   guint retry_percent;
   guint retry_burst;    /* retries that the whole fleet may save up; 0 for the default */
   gboolean fixed_limit; /* all slots are used, however slow the targets are */
+  double cold_per_s;  /* requests a second that a cold target is given; 0 for no bound */
   gboolean dynamic;   /* the targets register themselves; the configuration names none */
   gsize answer_max;   /* bytes */
   GPtrArray *targets; /* of Target, by name */
@@ -160,9 +163,12 @@
 Snapshot *snapshot_create (const ConfigHead *head, GHashTable *parts);
 /*
  * `base` with the targets of its dynamic services taken from `targets` (service name →
- * GPtrArray of Target, which are copied). All else is shared.
+ * GPtrArray of Target, which are copied), and those in evacuated data halls marked so.
+ * All else is shared.
  */
-Snapshot *snapshot_with_targets (Snapshot *base, GHashTable *targets);
+Snapshot *snapshot_with_targets (Snapshot *base,
+                                 GHashTable *targets,
+                                 const Evacuations *evacuations);
 /* Generation 0: nothing configured. */
 Snapshot *snapshot_create_empty (void);
 Snapshot *snapshot_ref (Snapshot *snapshot);
--- a/core/include/core/outcome.h
+++ b/core/include/core/outcome.h
@@ -40,6 +40,7 @@
   REASON_BUDGET,         /* a retry that the service's budget has no room for */
   REASON_UNPROVED,       /* the target has kept nothing lately that it was sent */
   REASON_QUARANTINED,    /* targets have ended under this request */
+  REASON_EVACUATED,      /* the target's data hall takes nothing for now */
   REASON_LOST,           /* no answer from the sidecar */
   REASON_UNREACHABLE,    /* no connection to the sidecar: nothing was sent */
   REASON_COUNT
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -55,6 +55,7 @@
   char *target_service;       /* its service; both NULL for none */
   char *platform_address;
   PlatformKind platform;
+  gboolean evacuations; /* the platform says which data halls are evacuated */
   gboolean first_start; /* the whole fleet starts for the first time */
   char **peers;         /* NULL-terminated addresses of other nodes */
   char *fleet_token;
--- a/core/src/config/service.c
+++ b/core/src/config/service.c
@@ -9,10 +9,14 @@
 #define ANSWER_DEFAULT (4 * 1024 * 1024)
 #define ANSWER_MAX (8 * 1024 * 1024)
 #define RETRY_DEFAULT 20
+/* More than any target is given, cold or not. */
+#define COLD_PER_S_MAX 1e6
 
 static const char *const detection_names[] = { "off", "careful", "quick", "strict",
                                                NULL };
 static const char *const state_names[] = { "serving", "leaving", NULL };
+/* Evacuated is what a data hall is, and no word of a configuration. */
+static const char *const written_states[] = { "serving", "leaving", "serving" };
 
 void
 target_free (Target *target)
@@ -115,6 +119,7 @@
   service->retry_percent =
       (guint)json_view_int (view, "retry_percent", 0, 100, RETRY_DEFAULT);
   service->retry_burst = (guint)json_view_int (view, "retry_burst", 0, G_MAXINT, 0);
+  service->cold_per_s = json_view_double (view, "cold_per_s", 0, COLD_PER_S_MAX, 0);
   service->fixed_limit = json_view_bool (view, "fixed_limit", FALSE);
   service->dynamic = json_view_bool (view, "dynamic", FALSE);
   service->floor_percent = (guint)json_view_int (view, "floor_percent", 0, 100, 0);
@@ -166,7 +171,7 @@
   json_write_string (builder, "address", target->address);
   json_write_int (builder, "slots", target->slots);
   json_write_int (builder, "connections", target->connections);
-  json_write_string (builder, "state", state_names[target->state]);
+  json_write_string (builder, "state", written_states[target->state]);
   json_builder_end_object (builder);
 }
 
@@ -182,6 +187,8 @@
   json_write_int (builder, "retry_percent", service->retry_percent);
   json_write_int (builder, "retry_burst", service->retry_burst);
   json_write_int (builder, "floor_percent", service->floor_percent);
+  if (service->cold_per_s > 0)
+    json_write_double (builder, "cold_per_s", service->cold_per_s);
   json_write_bool (builder, "fixed_limit", service->fixed_limit);
   json_write_bool (builder, "dynamic", service->dynamic);
   json_write_int (builder, "answer_max", (gint64)service->answer_max);
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -268,6 +268,7 @@
           : g_strdup (settings->nodes_address);
   settings->platform =
       json_view_choice (view, "platform_kind", platform_names, PLATFORM_OWN);
+  settings->evacuations = json_view_bool (view, "evacuations", FALSE);
   settings->first_start = json_view_bool (view, "first_start", FALSE);
   read_target (settings, view);
   read_defaults (settings, view);
--- a/core/src/config/snapshot.c
+++ b/core/src/config/snapshot.c
@@ -77,22 +77,43 @@
   return snapshot;
 }
 
+static void
+mark_evacuated (Service *service, const Evacuations *evacuations)
+{
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      Target *target = g_ptr_array_index (service->targets, i);
+
+      if (target->state == TARGET_SERVING && evacuations_has (evacuations, target->hall))
+        target->state = TARGET_EVACUATED;
+    }
+}
+
 /* Puts the targets that registered themselves into a dynamic service. */
 static void
-compose_service (Snapshot *snapshot, guint place, GHashTable *targets)
+compose_service (Snapshot *snapshot,
+                 guint place,
+                 GHashTable *targets,
+                 const Evacuations *evacuations)
 {
   const Service *base = g_ptr_array_index (snapshot->services, place);
+  const GPtrArray *from = base->targets;
   Service *service;
 
-  if (!base->dynamic)
+  if (!base->dynamic && evacuations_halls (evacuations)->len == 0)
     return;
-  service = service_with_targets (base, g_hash_table_lookup (targets, base->name));
+  if (base->dynamic)
+    from = g_hash_table_lookup (targets, base->name);
+  service = service_with_targets (base, from);
+  mark_evacuated (service, evacuations);
   g_hash_table_insert (snapshot->composed, service->name, service);
   g_ptr_array_index (snapshot->services, place) = service;
 }
 
 Snapshot *
-snapshot_with_targets (Snapshot *base, GHashTable *targets)
+snapshot_with_targets (Snapshot *base,
+                       GHashTable *targets,
+                       const Evacuations *evacuations)
 {
   Snapshot *snapshot = snapshot_create_empty ();
   GHashTableIter iter;
@@ -105,7 +126,7 @@
     take_part (snapshot, part);
   g_ptr_array_sort (snapshot->services, compare_services);
   for (guint i = 0; i < snapshot->services->len; i++)
-    compose_service (snapshot, i, targets);
+    compose_service (snapshot, i, targets, evacuations);
   return snapshot;
 }
 
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -20,6 +20,7 @@
   guint limit;
   guint queue_max;
   guint in_use;
+  Warmup *warmup; /* borrowed; NULL for no bound on starts */
   AdmissionQueue *queue;
   gpointer displaced;
   gint64 recent_us;
@@ -69,6 +70,27 @@
     admission->limit = admission->slots;
 }
 
+void
+admission_set_warmup (Admission *admission, Warmup *warmup)
+{
+  admission->warmup = warmup;
+}
+
+/* Whether the target is warm enough for one more start. */
+static gboolean
+may_start (const Admission *admission)
+{
+  return !admission->warmup || warmup_allows (admission->warmup);
+}
+
+static void
+take_slot (Admission *admission)
+{
+  admission->in_use++;
+  if (admission->warmup)
+    warmup_count_start (admission->warmup);
+}
+
 static gint64
 took_us (const Admission *admission)
 {
@@ -87,7 +109,11 @@
 static gint64
 expected_wait_us (const Admission *admission, guint ahead)
 {
-  return (gint64)(ahead + 1) * took_us (admission) / MAX (admission->limit, 1);
+  gint64 slots_us = (gint64)(ahead + 1) * took_us (admission) / MAX (admission->limit, 1);
+
+  if (!admission->warmup)
+    return slots_us;
+  return MAX (slots_us, warmup_wait_us (admission->warmup, ahead));
 }
 
 /* Makes room in a full queue, when something there matters less than the new one. */
@@ -102,7 +128,7 @@
 gboolean
 admission_is_free (const Admission *admission)
 {
-  return admission->in_use < admission->limit &&
+  return admission->in_use < admission->limit && may_start (admission) &&
          admission_queue_length (admission->queue) == 0;
 }
 
@@ -111,14 +137,17 @@
 {
   if (!admission_is_free (admission))
     return FALSE;
-  admission->in_use++;
+  take_slot (admission);
   return TRUE;
 }
 
-void
+gboolean
 admission_force (Admission *admission)
 {
-  admission->in_use++;
+  if (!may_start (admission))
+    return FALSE;
+  take_slot (admission);
+  return TRUE;
 }
 
 /* Whether what is expected to wait so long might as well not wait at all. */
@@ -142,7 +171,7 @@
     return ADMISSION_REFUSED;
   if (admission_is_free (admission))
     {
-      admission->in_use++;
+      take_slot (admission);
       return ADMISSION_START;
     }
   ahead = admission_queue_ahead (admission->queue, order, clock_now (admission->clock));
@@ -202,11 +231,11 @@
 {
   gpointer item;
 
-  if (admission->in_use >= admission->limit)
+  if (admission->in_use >= admission->limit || !may_start (admission))
     return NULL;
   item = admission_queue_take (admission->queue, clock_now (admission->clock));
   if (item)
-    admission->in_use++;
+    take_slot (admission);
   return item;
 }
 
@@ -238,7 +267,9 @@
 guint
 admission_limit (const Admission *admission)
 {
-  return admission->limit;
+  if (may_start (admission))
+    return admission->limit;
+  return CLAMP (admission->in_use, 1, admission->limit);
 }
 
 gint64
--- /dev/null
+++ b/core/src/request/warmup.c
@@ -0,0 +1,109 @@
+#include <core/warmup.h>
+
+/* Of a second's starts, so many may be made at once. */
+#define BURST_SHARE 0.2
+/* Starts made while the target was warm weigh on it for no longer than this. */
+#define DEBT_MAX_S 1.0
+
+struct Warmup
+{
+  Clock *clock;
+  double per_s;
+  double saved; /* starts that may be made at once, at `counted_us`; below 0 for a debt */
+  gint64 counted_us;
+  gint64 cold_until_us;
+  gboolean unknown; /* nothing has been heard since it may have turned cold */
+};
+
+Warmup *
+warmup_create (Clock *clock)
+{
+  Warmup *warmup = g_new0 (Warmup, 1);
+
+  warmup->clock = clock;
+  warmup->counted_us = clock_now (clock);
+  warmup->unknown = TRUE;
+  return warmup;
+}
+
+void
+warmup_destroy (Warmup *warmup)
+{
+  g_free (warmup);
+}
+
+static double
+burst_of (const Warmup *warmup)
+{
+  return MAX (1, warmup->per_s * BURST_SHARE);
+}
+
+/* What may start at once, now. */
+static double
+saved_now (const Warmup *warmup)
+{
+  double seconds =
+      (double)(clock_now (warmup->clock) - warmup->counted_us) / (double)SECOND_US;
+
+  return MIN (burst_of (warmup), warmup->saved + seconds * warmup->per_s);
+}
+
+void
+warmup_set_rate (Warmup *warmup, double per_s)
+{
+  if (per_s == warmup->per_s)
+    return;
+  warmup->per_s = per_s;
+  warmup->saved = burst_of (warmup);
+  warmup->counted_us = clock_now (warmup->clock);
+}
+
+void
+warmup_note (Warmup *warmup, gint64 cold_us)
+{
+  warmup->unknown = FALSE;
+  warmup->cold_until_us = clock_now (warmup->clock) + cold_us;
+}
+
+void
+warmup_assume_cold (Warmup *warmup)
+{
+  warmup->unknown = TRUE;
+}
+
+gboolean
+warmup_is_on (const Warmup *warmup)
+{
+  if (warmup->per_s <= 0)
+    return FALSE;
+  return warmup->unknown || clock_now (warmup->clock) < warmup->cold_until_us;
+}
+
+gboolean
+warmup_allows (const Warmup *warmup)
+{
+  return !warmup_is_on (warmup) || saved_now (warmup) >= 1;
+}
+
+void
+warmup_count_start (Warmup *warmup)
+{
+  double saved;
+
+  if (warmup->per_s <= 0)
+    return;
+  saved = saved_now (warmup) - 1;
+  warmup->saved = MAX (saved, -DEBT_MAX_S * warmup->per_s);
+  warmup->counted_us = clock_now (warmup->clock);
+}
+
+gint64
+warmup_wait_us (const Warmup *warmup, guint ahead)
+{
+  double lacking;
+
+  if (!warmup_is_on (warmup))
+    return 0;
+  lacking = (double)ahead + 1 - saved_now (warmup);
+  return lacking <= 0 ? 0 : (gint64)(lacking / warmup->per_s * (double)SECOND_US);
+}
--- /dev/null
+++ b/core/tests/test-evacuations.c
@@ -0,0 +1,107 @@
+/* Which data halls are evacuated: the newer reading holds, however it comes. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/evacuations.h>
+
+static gboolean
+take (Evacuations *evacuations, guint64 era, guint64 revision, const char *halls)
+{
+  g_auto (GStrv) names = g_strsplit (halls, " ", 0);
+  g_autoptr (GPtrArray) array = g_ptr_array_new ();
+
+  for (guint i = 0; names[i]; i++)
+    if (*names[i])
+      g_ptr_array_add (array, names[i]);
+  return evacuations_take (evacuations, era, revision, array);
+}
+
+static void
+test_the_newer_reading_holds (void **state)
+{
+  Evacuations *evacuations = evacuations_create ();
+
+  assert_false (evacuations_has (evacuations, "a"));
+  assert_true (take (evacuations, 1, 100, "a"));
+  assert_true (evacuations_has (evacuations, "a"));
+  /* Late news of the time before, and the same again. */
+  assert_false (take (evacuations, 1, 90, ""));
+  assert_false (take (evacuations, 1, 100, "b"));
+  assert_true (evacuations_has (evacuations, "a"));
+  assert_true (take (evacuations, 1, 140, "b"));
+  assert_false (evacuations_has (evacuations, "a"));
+  assert_true (evacuations_has (evacuations, "b"));
+  evacuations_destroy (evacuations);
+}
+
+/* A reading that says the same makes older ones void: an evacuation of between, heard of
+   late, has been taken back since. */
+static void
+test_a_reading_without_news_is_newer_all_the_same (void **state)
+{
+  Evacuations *evacuations = evacuations_create ();
+
+  assert_false (take (evacuations, 0, 150, ""));
+  assert_false (take (evacuations, 0, 120, "a"));
+  assert_false (evacuations_has (evacuations, "a"));
+  evacuations_destroy (evacuations);
+}
+
+/* A store that comes back from an older copy gives its revisions out again: its era goes
+   before them. */
+static void
+test_an_era_goes_before_any_revision (void **state)
+{
+  Evacuations *evacuations = evacuations_create ();
+
+  assert_true (take (evacuations, 1, 1000, "a b"));
+  assert_true (take (evacuations, 2, 700, "b"));
+  assert_false (evacuations_has (evacuations, "a"));
+  assert_false (take (evacuations, 1, 1100, "a"));
+  assert_int_equal (evacuations_era (evacuations), 2);
+  assert_int_equal (evacuations_revision (evacuations), 700);
+  evacuations_destroy (evacuations);
+}
+
+static void
+test_order_and_repeats_are_no_change (void **state)
+{
+  Evacuations *evacuations = evacuations_create ();
+
+  assert_true (take (evacuations, 0, 1, "b a"));
+  assert_false (take (evacuations, 0, 2, "a b a"));
+  assert_int_equal (evacuations_halls (evacuations)->len, 2);
+  assert_string_equal (g_ptr_array_index (evacuations_halls (evacuations), 0), "a");
+  evacuations_destroy (evacuations);
+}
+
+static void
+test_more_than_fit_are_cut_alike (void **state)
+{
+  Evacuations *evacuations = evacuations_create ();
+  g_autoptr (GPtrArray) halls = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = EVACUATIONS_MAX + 4; i-- > 0;)
+    g_ptr_array_add (halls, g_strdup_printf ("hall-%02u", i));
+  assert_true (evacuations_take (evacuations, 0, 1, halls));
+  assert_int_equal (evacuations_halls (evacuations)->len, EVACUATIONS_MAX);
+  assert_true (evacuations_has (evacuations, "hall-00"));
+  assert_false (evacuations_has (evacuations, "hall-19"));
+  evacuations_destroy (evacuations);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_the_newer_reading_holds),
+    cmocka_unit_test (test_a_reading_without_news_is_newer_all_the_same),
+    cmocka_unit_test (test_an_era_goes_before_any_revision),
+    cmocka_unit_test (test_order_and_repeats_are_no_change),
+    cmocka_unit_test (test_more_than_fit_are_cut_alike),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/core/tests/test-warmup.c
@@ -0,0 +1,211 @@
+/* How fast a cold target is given work, by itself and at its admission. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/admission.h>
+
+#define PER_S 13.0
+/* What a cold target bears in any second, as the users state it: 1.5 times its rate, and
+   8 more. */
+#define BEARS_IN_A_SECOND (guint) (PER_S * 1.5 + 8)
+
+typedef struct
+{
+  Clock *clock;
+  Warmup *warmup;
+} Fixture;
+
+static Fixture
+begin (void)
+{
+  Fixture fixture = { clock_create_manual (1000 * SECOND_US), NULL };
+
+  fixture.warmup = warmup_create (fixture.clock);
+  warmup_set_rate (fixture.warmup, PER_S);
+  return fixture;
+}
+
+static void
+end (Fixture *fixture)
+{
+  warmup_destroy (fixture->warmup);
+  clock_destroy (fixture->clock);
+}
+
+/* Starts as many as it may in each millisecond of a span; the most in any one second. */
+static guint
+most_in_a_second (Fixture *fixture, gint64 span_us)
+{
+  g_autoptr (GArray) starts = g_array_new (FALSE, FALSE, sizeof (gint64));
+  guint most = 0;
+  guint first = 0;
+
+  for (gint64 at = 0; at < span_us; at += MS_US)
+    {
+      while (warmup_allows (fixture->warmup))
+        {
+          warmup_count_start (fixture->warmup);
+          g_array_append_val (starts, at);
+          if (starts->len > 10000)
+            return G_MAXUINT;
+        }
+      while (first < starts->len &&
+             g_array_index (starts, gint64, first) <= at - SECOND_US)
+        first++;
+      most = MAX (most, starts->len - first);
+      clock_advance (fixture->clock, MS_US);
+    }
+  return most;
+}
+
+static void
+test_a_cold_target_is_given_what_it_bears (void **state)
+{
+  Fixture fixture = begin ();
+  guint most;
+
+  warmup_note (fixture.warmup, 60 * SECOND_US);
+  most = most_in_a_second (&fixture, 10 * SECOND_US);
+  assert_in_range (most, (guint)PER_S, BEARS_IN_A_SECOND);
+  end (&fixture);
+}
+
+static void
+test_one_that_nothing_is_heard_of_is_cold (void **state)
+{
+  Fixture fixture = begin ();
+
+  assert_true (warmup_is_on (fixture.warmup));
+  assert_in_range (most_in_a_second (&fixture, 3 * SECOND_US), 1, BEARS_IN_A_SECOND);
+  warmup_note (fixture.warmup, 0);
+  assert_false (warmup_is_on (fixture.warmup));
+  assert_true (warmup_allows (fixture.warmup));
+  warmup_assume_cold (fixture.warmup);
+  assert_true (warmup_is_on (fixture.warmup));
+  end (&fixture);
+}
+
+/* What it was given just before, while it was warm, counts: the bound is on any second.
+ */
+static void
+test_starts_before_it_turned_cold_weigh_on_it (void **state)
+{
+  Fixture fixture = begin ();
+
+  warmup_note (fixture.warmup, 0);
+  for (guint i = 0; i < 100; i++)
+    warmup_count_start (fixture.warmup);
+  warmup_note (fixture.warmup, 10 * SECOND_US);
+  assert_false (warmup_allows (fixture.warmup));
+  clock_advance (fixture.clock, SECOND_US / 2);
+  assert_false (warmup_allows (fixture.warmup));
+  clock_advance (fixture.clock, SECOND_US);
+  assert_true (warmup_allows (fixture.warmup));
+  end (&fixture);
+}
+
+static void
+test_it_is_warm_when_its_time_is_over (void **state)
+{
+  Fixture fixture = begin ();
+
+  warmup_note (fixture.warmup, 2 * SECOND_US);
+  clock_advance (fixture.clock, 2 * SECOND_US - 1);
+  assert_true (warmup_is_on (fixture.warmup));
+  clock_advance (fixture.clock, 1);
+  assert_false (warmup_is_on (fixture.warmup));
+  end (&fixture);
+}
+
+static void
+test_without_a_rate_nothing_is_bounded (void **state)
+{
+  Fixture fixture = begin ();
+
+  warmup_set_rate (fixture.warmup, 0);
+  assert_false (warmup_is_on (fixture.warmup));
+  for (guint i = 0; i < 1000; i++)
+    {
+      assert_true (warmup_allows (fixture.warmup));
+      warmup_count_start (fixture.warmup);
+    }
+  end (&fixture);
+}
+
+/* Each way to a slot is bounded: offers, slots held before the request, trials, and what
+   waits and has its turn. What may not start waits where it can be in time. */
+static void
+test_admission_starts_no_more_than_it_bears (void **state)
+{
+  Fixture fixture = begin ();
+  Admission *admission = admission_create (50, 100, fixture.clock);
+  AdmissionOrder order = { .deadline_us = clock_now (fixture.clock) + 60 * SECOND_US };
+  guint started = 0;
+  guint queued = 0;
+  char items[40];
+
+  admission_set_warmup (admission, fixture.warmup);
+  warmup_note (fixture.warmup, 60 * SECOND_US);
+  for (guint i = 0; i < G_N_ELEMENTS (items); i++)
+    {
+      started += admission_hold (admission);
+      started += admission_force (admission);
+      switch (admission_offer (admission, &items[i], &order))
+        {
+        case ADMISSION_START:
+          started++;
+          break;
+        case ADMISSION_QUEUED:
+          queued++;
+          break;
+        default:
+          break;
+        }
+    }
+  assert_in_range (started, 1, BEARS_IN_A_SECOND);
+  assert_true (queued > 0);
+  assert_false (admission_is_free (admission));
+  /* Ingresses are told that there is no room. */
+  assert_int_equal (admission_limit (admission), started);
+  for (guint ms = 0; ms < 1000; ms++)
+    {
+      while (admission_next (admission))
+        started++;
+      clock_advance (fixture.clock, MS_US);
+    }
+  assert_in_range (started, (guint)PER_S, BEARS_IN_A_SECOND);
+  admission_destroy (admission);
+  end (&fixture);
+}
+
+static void
+test_who_comes_back_is_told_when (void **state)
+{
+  Fixture fixture = begin ();
+  Admission *admission = admission_create (50, 100, fixture.clock);
+
+  admission_set_warmup (admission, fixture.warmup);
+  while (admission_hold (admission))
+    ;
+  assert_in_range (admission_retry_after_us (admission), 50 * MS_US, SECOND_US);
+  admission_destroy (admission);
+  end (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_cold_target_is_given_what_it_bears),
+    cmocka_unit_test (test_one_that_nothing_is_heard_of_is_cold),
+    cmocka_unit_test (test_starts_before_it_turned_cold_weigh_on_it),
+    cmocka_unit_test (test_it_is_warm_when_its_time_is_over),
+    cmocka_unit_test (test_without_a_rate_nothing_is_bounded),
+    cmocka_unit_test (test_admission_starts_no_more_than_it_bears),
+    cmocka_unit_test (test_who_comes_back_is_told_when),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -1,6 +1,7 @@
 /*
  * What the files of the sync share: config-sync.c what is in force, config-fetch.c the
- * parts of a newer head, config-start.c the questions of a node that starts.
+ * parts of a newer head, config-start.c the questions of a node that starts,
+ * config-halls.c which data halls are evacuated.
  */
 #ifndef DAEMON_CONFIG_SYNC_PRIVATE_H
 #define DAEMON_CONFIG_SYNC_PRIVATE_H
@@ -19,6 +20,7 @@
   Snapshot *base;       /* as it was configured */
   Snapshot *snapshot;   /* with the targets that registered themselves */
   Directory *directory; /* of these targets */
+  Evacuations *evacuations;
   char *head_text;
   gboolean ready;
   LoopTimer *poll;
@@ -49,6 +51,10 @@
   gint64 applied_us; /* what is in force since */
 };
 
+/* Makes the snapshot in force from the configuration, the directory and the
+   evacuations. */
+void config_sync_compose (ConfigSync *sync);
+
 /* Puts the wanted head in force, when all of its parts have come. */
 void config_sync_apply (ConfigSync *sync);
 
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -39,13 +39,12 @@
   return sync->ready;
 }
 
-/* Makes the snapshot in force from the configuration and the directory. */
-static void
-compose (ConfigSync *sync)
+void
+config_sync_compose (ConfigSync *sync)
 {
   Node *node = sync->node;
-  Snapshot *snapshot =
-      snapshot_with_targets (sync->base, directory_targets (sync->directory));
+  Snapshot *snapshot = snapshot_with_targets (
+      sync->base, directory_targets (sync->directory), sync->evacuations);
 
   snapshot_unref (sync->snapshot);
   sync->snapshot = snapshot;
@@ -62,7 +61,7 @@
   if (!directory_set (sync->directory, vm, hall, registration))
     return;
   if (strcmp (vm, sync->node->settings->node) == 0)
-    compose (sync);
+    config_sync_compose (sync);
   else
     loop_timer_start (sync->compose, 0);
 }
@@ -72,7 +71,7 @@
 static void
 on_compose (gpointer data)
 {
-  compose (data);
+  config_sync_compose (data);
 }
 
 void
@@ -92,7 +91,7 @@
   config_fetch_drop (sync);
   sync->ready = TRUE;
   sync->applied_us = clock_now (node->clock);
-  compose (sync);
+  config_sync_compose (sync);
   metrics_add (node->metrics, METRIC_CONFIG_APPLIED, 1);
   metrics_set (node->metrics, METRIC_CONFIG_GENERATION, snapshot_generation (base));
   generation = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (base));
@@ -177,17 +176,15 @@
   return members_rank_in_hall (members) < MAX (WATCHERS_PER_HALL, share);
 }
 
-/* A watch that was cut is made anew soon, for changes may have been missed; a store that
-   is away is asked once a second. */
-static gint64
-watch_pause_us (const ConfigSync *sync)
+gint64
+config_sync_watch_pause_us (const ConfigSync *sync, guint failures)
 {
   double jitter = g_rand_double_range (sync->node->rand, 0.5, 1.5);
   gint64 pause;
 
-  if (sync->watch_failures == 0)
+  if (failures == 0)
     return 0;
-  pause = WATCH_PAUSE_FIRST_US << MIN (sync->watch_failures - 1, WATCH_DOUBLINGS_MAX);
+  pause = WATCH_PAUSE_FIRST_US << MIN (failures - 1, WATCH_DOUBLINGS_MAX);
   return (gint64)((double)pause * jitter);
 }
 
@@ -202,7 +199,7 @@
   sync->watching = FALSE;
   take_reading (sync, reading);
   sync->watch_failures = failed ? sync->watch_failures + 1 : 0;
-  loop_timer_start (sync->watch, watch_pause_us (sync));
+  loop_timer_start (sync->watch, config_sync_watch_pause_us (sync, sync->watch_failures));
 }
 
 static void
@@ -232,6 +229,7 @@
   sync->base = snapshot_create_empty ();
   sync->snapshot = snapshot_create_empty ();
   sync->directory = directory_create ();
+  sync->evacuations = evacuations_create ();
   sync->created_us = clock_now (node->clock);
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
@@ -264,6 +262,7 @@
   snapshot_unref (sync->snapshot);
   snapshot_unref (sync->base);
   directory_destroy (sync->directory);
+  evacuations_destroy (sync->evacuations);
   sync->kind->destroy (sync->source_data);
   g_free (sync->head_text);
   g_free (sync);
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -44,6 +44,24 @@
  */
 gboolean config_sync_is_watcher (const ConfigSync *sync);
 
+/* How long to wait before a watch that has failed so often in a row is made anew: soon,
+   for changes may have been missed; a store that is away is asked once a second. */
+gint64 config_sync_watch_pause_us (const ConfigSync *sync, guint failures);
+
+/*
+ * Which data halls are evacuated, as the store said at a moment (core/evacuations.h);
+ * `halls` of char *. Where that changes anything it is in force at once, and told on.
+ */
+void config_sync_take_evacuations (ConfigSync *sync,
+                                   guint64 era,
+                                   guint64 revision,
+                                   const GPtrArray *halls);
+/* Puts it on a message, and takes it from one; the texts are borrowed from the sync until
+   the loop goes on. */
+void config_sync_put_evacuations (const ConfigSync *sync, sw_evacuations *words);
+void config_sync_drop_evacuations (sw_evacuations *words);
+void config_sync_note_evacuations (ConfigSync *sync, const sw_evacuations *words);
+
 /* Answers for other nodes; the results borrow from the sync. */
 void config_sync_answer_head (ConfigSync *sync, sw_head_res *res);
 void
--- a/daemon/src/member/gossip-send.c
+++ b/daemon/src/member/gossip-send.c
@@ -18,6 +18,7 @@
     message->subject = "";
   gossip_put_news (node, to, message);
   quarantine_node_put_news (node->quarantine, to, message);
+  config_sync_put_evacuations (node->config, &message->evacuations);
 }
 
 static void
@@ -25,6 +26,7 @@
 {
   gossip_drop_news (message);
   quarantine_node_drop_news (message);
+  config_sync_drop_evacuations (&message->evacuations);
 }
 
 /* Counts a message's bytes: its news, and the rest. */
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -63,6 +63,7 @@
   if (quarantine_node_take_news (node->quarantine, message))
     gossip_spread (gossip);
   config_sync_note_generation (node->config, message->from, message->generation);
+  config_sync_note_evacuations (node->config, &message->evacuations);
   gossip_repair (gossip, message->from, message->digest);
 }
 
--- a/daemon/src/node/adapter.h
+++ b/daemon/src/node/adapter.h
@@ -15,6 +15,10 @@
   /* Starts what finds other nodes; NULL where settings name enough of them. */
   gpointer (*discovery_create) (Node *node);
   void (*discovery_destroy) (gpointer discovery);
+  /* Follows what the platform says of evacuated data halls; NULL where it says nothing.
+   */
+  gpointer (*halls_create) (Node *node);
+  void (*halls_destroy) (gpointer halls);
   gboolean vm_list; /* the platform keeps a list of VMs */
 } Adapter;
 
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -268,6 +268,8 @@
     node->vm_list = vm_list_create (node);
   if (node->adapter->discovery_create)
     node->discovery = node->adapter->discovery_create (node);
+  if (node->adapter->halls_create && node->settings->evacuations)
+    node->halls = node->adapter->halls_create (node);
 }
 
 /* Nobody got an answer meanwhile. */
@@ -341,6 +343,8 @@
   worker_destroy (node->worker);
   if (node->adapter->discovery_destroy)
     node->adapter->discovery_destroy (node->discovery);
+  if (node->halls)
+    node->adapter->halls_destroy (node->halls);
   readiness_destroy (node->readiness);
   metrics_listener_destroy (node->metrics_listener);
   operators_destroy (node->operators);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -68,6 +68,7 @@
   MetricsListener *metrics_listener; /* likewise */
   Readiness *readiness;              /* NULL for no such listener */
   gpointer discovery;                /* the adapter's own; NULL for none */
+  gpointer halls;                    /* likewise */
   gboolean stopping;
 } Node;
 
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -41,6 +41,8 @@
   "switchmill_callers_refused_total",
   "switchmill_config_applied_total",
   "switchmill_config_generation",
+  "switchmill_halls_evacuated",
+  "switchmill_cold_refused_total",
   "switchmill_platform_calls_total",
   "switchmill_gossip_sent_bytes_total",
   "switchmill_gossip_received_bytes_total",
--- a/daemon/src/request/exchange-quarantine.c
+++ b/daemon/src/request/exchange-quarantine.c
@@ -79,7 +79,7 @@
   TargetStatus status =
       balancer_status (exchange->owner->node->balancer, service, target);
 
-  return target->state != TARGET_LEAVING && status.alive && status.path_open &&
+  return target->state == TARGET_SERVING && status.alive && status.path_open &&
          !status.ejected && !status.report.draining && status.report.severity == 0;
 }
 
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -10,6 +10,7 @@
 #include "config-sync.h"
 #include "log.h"
 #include "quarantine-node.h"
+#include "sidecar.h"
 
 #define PATH_PREFIX "/v1/targets/"
 #define HEARTBEAT_SUFFIX "/heartbeat"
@@ -18,6 +19,8 @@
 #define BODY_MAX (16u * 1024)
 #define CONNECTIONS_MAX 64u
 #define SLOTS_MAX 100000
+/* A target that says it stays cold for longer is heard again long before. */
+#define COLD_MAX_MS (3600 * 1000)
 
 static const char *const state_names[] = { "serving", "leaving", NULL };
 
@@ -30,6 +33,7 @@
   char *version; /* of its software, "" where it is not said; likewise */
   guint slots;
   gboolean leaving;
+  gboolean cold; /* as it last said */
   gboolean news;
 };
 
@@ -41,6 +45,7 @@
   guint slots;
   gboolean leaving;
   gint64 sequence;
+  gint64 cold_us;
   gint64 born; /* Unix milliseconds; 0 where it is not said */
 } Heartbeat;
 
@@ -63,6 +68,7 @@
   heartbeat->slots = (guint)json_view_floor (view, "slots", 1, SLOTS_MAX, 1);
   heartbeat->leaving = json_view_choice (view, "state", state_names, 0) == 1;
   heartbeat->sequence = json_view_floor (view, "sequence", 0, G_MAXINT64, 0);
+  heartbeat->cold_us = MS_US * json_view_floor (view, "cold_ms", 0, COLD_MAX_MS, 0);
   heartbeat->born = json_view_int (view, "born", 0, G_MAXINT64, 0);
   json_view_release (view);
   return json_faults_count (faults) == 0;
@@ -85,13 +91,20 @@
 }
 
 static void
-take_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
+take_cold (Registry *registry, const char *target, gint64 cold_us)
 {
-  g_autofree char *name = succession_name (identifier, heartbeat->born);
-  SuccessionAnswer answer = succession_beat (registry->starts, name, heartbeat->sequence);
+  gboolean cold = cold_us > 0;
 
-  if (answer == SUCCESSION_LATE)
-    return;
+  sidecar_note_cold (registry->node->sidecar, target, cold_us);
+  if (cold != registry->cold)
+    events_add (registry->node->events, cold ? "target-cold" : "target-warm", target,
+                NULL);
+  registry->cold = cold;
+}
+
+static void
+take_state (Registry *registry, SuccessionAnswer answer, const Heartbeat *heartbeat)
+{
   /* A target that has said it leaves does not come back under the same name. */
   if (answer == SUCCESSION_SAME &&
       (registry->leaving || registry->leaving == heartbeat->leaving) &&
@@ -109,6 +122,18 @@
                                 registry->version);
 }
 
+static void
+take_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
+{
+  g_autofree char *name = succession_name (identifier, heartbeat->born);
+  SuccessionAnswer answer = succession_beat (registry->starts, name, heartbeat->sequence);
+
+  if (answer == SUCCESSION_LATE)
+    return;
+  take_state (registry, answer, heartbeat);
+  take_cold (registry, name, heartbeat->cold_us);
+}
+
 /* The start that leaves: the one that began when it says, or, where it does not say, the
    present one of that identifier. NULL, with a line in the log, for what cannot be read.
  */
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -3,8 +3,8 @@
  * a second, and before it leaves. This node is the authority on it for the whole fleet.
  *
  *   POST /v1/targets/NAME/heartbeat   {"service", "slots", "state": "serving"|"leaving",
- *                                      "sequence", ...}; 200 when it has been taken in
- *   POST /v1/targets/NAME/leave       it leaves and calls no more
+ *                                      "sequence", "cold_ms", ...}; 200 when it has been
+ * taken in POST /v1/targets/NAME/leave       it leaves and calls no more
  *
  * NAME is new with each start of the target. A call that is answered with 200 is in
  * force.
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -106,7 +106,7 @@
 is_forced (SidecarTarget *target, const sw_submit_args *args)
 {
   return args->trial && detector_severity (target->detector) > 0 &&
-         !admission_is_free (target->admission);
+         !admission_is_free (target->admission) && warmup_allows (target->warmup);
 }
 
 /* Why the attempt is not taken, or SW_REASON_NONE; `has_slot` when one is held for
@@ -121,6 +121,8 @@
     return SW_REASON_NO_TARGET;
   if (sidecar_target_is_leaving (target, sidecar->draining))
     return SW_REASON_DRAINING;
+  if (target->state == TARGET_EVACUATED)
+    return SW_REASON_EVACUATED;
   /* What follows was looked at when the slot was asked for. */
   if (has_slot)
     return SW_REASON_NONE;
@@ -128,7 +130,10 @@
     return SW_REASON_SICK;
   if ((!args->may_queue || sidecar->queues_closed) && !is_forced (target, args) &&
       !admission_is_free (target->admission))
-    return SW_REASON_OVERLOAD;
+    {
+      sidecar_count_cold (target, sidecar);
+      return SW_REASON_OVERLOAD;
+    }
   if (args->proved_only &&
       !proof_is_fresh (&target->proof, clock_now (sidecar->node->clock)))
     return SW_REASON_UNPROVED;
@@ -174,10 +179,7 @@
              sidecar_holds_take (sidecar->holds, target, &id);
   reason = refusal_of (sidecar, target, args, has_slot);
   if (reason == SW_REASON_NONE && !has_slot && is_forced (target, args))
-    {
-      admission_force (target->admission);
-      has_slot = TRUE;
-    }
+    has_slot = admission_force (target->admission);
   if (reason != SW_REASON_NONE)
     {
       if (has_slot)
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -65,6 +65,9 @@
   gboolean draining;
 };
 
+/* Counts a request that is turned away while its target is cold. */
+void sidecar_count_cold (const SidecarTarget *target, const Sidecar *sidecar);
+
 /* Answers a call that has no submission; `target` may be NULL. */
 void sidecar_reply_plain (Sidecar *sidecar,
                           RpcConn *conn,
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -7,6 +7,8 @@
 
   target->name = g_strdup (config->name);
   target->admission = admission_create (config->slots, service->queue, clock);
+  target->warmup = warmup_create (clock);
+  admission_set_warmup (target->admission, target->warmup);
   target->detection = service->detection;
   target->detector = detector_create (service->detection, clock);
   target->shedding = shedding_create (clock);
@@ -18,6 +20,7 @@
 sidecar_target_destroy (SidecarTarget *target)
 {
   admission_destroy (target->admission);
+  warmup_destroy (target->warmup);
   detector_destroy (target->detector);
   shedding_destroy (target->shedding);
   g_free (target->name);
@@ -36,7 +39,11 @@
   target->service = g_strdup (service->name);
   g_free (target->address);
   target->address = g_strdup (config->address);
+  /* While its hall was evacuated it may have turned cold; its next word tells. */
+  if (target->state == TARGET_EVACUATED && config->state != TARGET_EVACUATED)
+    warmup_assume_cold (target->warmup);
   target->state = config->state;
+  warmup_set_rate (target->warmup, service->cold_per_s);
   target->answer_max = service->answer_max;
   target->present = TRUE;
   admission_resize (target->admission, config->slots, service->queue);
@@ -54,6 +61,12 @@
   return draining || target->state == TARGET_LEAVING || !target->present;
 }
 
+void
+sidecar_target_note_cold (SidecarTarget *target, gint64 cold_us)
+{
+  warmup_note (target->warmup, cold_us);
+}
+
 void
 sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state)
 {
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -19,7 +19,8 @@
   TargetState state;
   Detection detection;
   gsize answer_max;
-  Admission *admission;
+  Warmup *warmup;
+  Admission *admission; /* bounded by it */
   Detector *detector;
   Shedding *shedding;
   Proof proof;
@@ -45,6 +46,9 @@
 /* Whether it takes nothing new: it leaves, has gone, or its whole node drains. */
 gboolean sidecar_target_is_leaving (const SidecarTarget *target, gboolean draining);
 
+/* The target's own word of how much longer it is cold; 0 for warm. */
+void sidecar_target_note_cold (SidecarTarget *target, gint64 cold_us);
+
 /* What is said of it in answers; the text is borrowed. Raises the serial. */
 void
 sidecar_target_state (SidecarTarget *target, gboolean draining, sw_target_state *state);
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -17,8 +17,16 @@
   stamp->clock_us = (guint64)clock_now (sidecar->node->clock);
 }
 
-/* Those who wait at a target that leaves, or would end with its node, are better off
-   elsewhere, at once. */
+/* Why those who wait at a target are better off elsewhere, at once; SW_REASON_NONE where
+   they are not. */
+static sw_reason
+reason_to_move (const Sidecar *sidecar, const SidecarTarget *target)
+{
+  if (sidecar->queues_closed || sidecar_target_is_leaving (target, sidecar->draining))
+    return SW_REASON_DRAINING;
+  return target->state == TARGET_EVACUATED ? SW_REASON_EVACUATED : SW_REASON_NONE;
+}
+
 static void
 refuse_waiting (Sidecar *sidecar)
 {
@@ -32,8 +40,7 @@
       const Submission *submission = key;
 
       if (!submission->running &&
-          (sidecar->queues_closed ||
-           sidecar_target_is_leaving (submission->target, sidecar->draining)))
+          reason_to_move (sidecar, submission->target) != SW_REASON_NONE)
         g_ptr_array_add (waiting, key);
     }
   for (guint i = 0; i < waiting->len; i++)
@@ -41,7 +48,7 @@
       Submission *submission = g_ptr_array_index (waiting, i);
 
       admission_withdraw (submission->target->admission, submission);
-      submission_refuse (submission, SW_REASON_DRAINING);
+      submission_refuse (submission, reason_to_move (sidecar, submission->target));
     }
 }
 
@@ -209,6 +216,22 @@
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
 }
 
+void
+sidecar_note_cold (Sidecar *sidecar, const char *target, gint64 cold_us)
+{
+  SidecarTarget *held = g_hash_table_lookup (sidecar->targets, target);
+
+  if (held)
+    sidecar_target_note_cold (held, cold_us);
+}
+
+void
+sidecar_count_cold (const SidecarTarget *target, const Sidecar *sidecar)
+{
+  if (warmup_is_on (target->warmup))
+    metrics_add (sidecar->node->metrics, METRIC_COLD_REFUSED, 1);
+}
+
 /* Whether a target may have seen the request before, or one that called for it. */
 static gboolean
 is_repeat (const Submission *submission)
--- a/daemon/src/target/sidecar.h
+++ b/daemon/src/target/sidecar.h
@@ -15,6 +15,9 @@
 /* Takes the targets of this VM from a new configuration. */
 void sidecar_apply (Sidecar *sidecar, const Snapshot *snapshot);
 
+/* A target's own word of how much longer it is cold; 0 for warm. */
+void sidecar_note_cold (Sidecar *sidecar, const char *target, gint64 cold_us);
+
 /* Takes calls; each is answered through `conn`, now or later. `args` is borrowed. */
 void
 sidecar_submit (Sidecar *sidecar, RpcConn *conn, guint32 xid, const sw_submit_args *args);
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -350,6 +350,7 @@
         submission_refuse (displaced, SW_REASON_OVERLOAD);
       break;
     default:
+      sidecar_count_cold (target, submission->sidecar);
       submission_refuse (submission, SW_REASON_OVERLOAD);
       break;
     }
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -27,6 +27,7 @@
 #define SW_MEMBERS_MAX 4096
 #define SW_QUARANTINE_MAX 4
 #define SW_ENDS_MAX 6
+#define SW_EVACUATED_MAX 16
 #define SW_NEVER 4294967295
 
 struct sw_attempt {
@@ -228,6 +229,7 @@
 	SW_REASON_BUDGET = 18,
 	SW_REASON_UNPROVED = 19,
 	SW_REASON_QUARANTINED = 20,
+	SW_REASON_EVACUATED = 21,
 };
 typedef enum sw_reason sw_reason;
 
@@ -290,6 +292,18 @@
 };
 typedef struct sw_quarantine sw_quarantine;
 
+typedef char *sw_hall_name;
+
+struct sw_evacuations {
+	u_quad_t era;
+	u_quad_t revision;
+	struct {
+		u_int halls_len;
+		sw_hall_name *halls_val;
+	} halls;
+};
+typedef struct sw_evacuations sw_evacuations;
+
 struct sw_gossip {
 	u_quad_t seal;
 	char *from;
@@ -309,6 +323,7 @@
 		u_int quarantine_len;
 		sw_quarantine *quarantine_val;
 	} quarantine;
+	sw_evacuations evacuations;
 };
 typedef struct sw_gossip sw_gossip;
 
@@ -489,6 +504,8 @@
 extern  bool_t xdr_sw_fence_args (XDR *, sw_fence_args*);
 extern  bool_t xdr_sw_target_end (XDR *, sw_target_end*);
 extern  bool_t xdr_sw_quarantine (XDR *, sw_quarantine*);
+extern  bool_t xdr_sw_hall_name (XDR *, sw_hall_name*);
+extern  bool_t xdr_sw_evacuations (XDR *, sw_evacuations*);
 extern  bool_t xdr_sw_gossip (XDR *, sw_gossip*);
 extern  bool_t xdr_sw_cancel_args (XDR *, sw_cancel_args*);
 extern  bool_t xdr_sw_head_res (XDR *, sw_head_res*);
@@ -522,6 +539,8 @@
 extern bool_t xdr_sw_fence_args ();
 extern bool_t xdr_sw_target_end ();
 extern bool_t xdr_sw_quarantine ();
+extern bool_t xdr_sw_hall_name ();
+extern bool_t xdr_sw_evacuations ();
 extern bool_t xdr_sw_gossip ();
 extern bool_t xdr_sw_cancel_args ();
 extern bool_t xdr_sw_head_res ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -896,6 +896,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_hall_name (XDR *xdrs, sw_hall_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, SW_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_sw_evacuations (XDR *xdrs, sw_evacuations *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->halls.halls_val, (u_int *) &objp->halls.halls_len, SW_EVACUATED_MAX,
+		sizeof (sw_hall_name), (xdrproc_t) xdr_sw_hall_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_gossip (XDR *xdrs, sw_gossip *objp)
 {
@@ -922,6 +947,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->quarantine.quarantine_val, (u_int *) &objp->quarantine.quarantine_len, SW_QUARANTINE_MAX,
 		sizeof (sw_quarantine), (xdrproc_t) xdr_sw_quarantine))
 		 return FALSE;
+	 if (!xdr_sw_evacuations (xdrs, &objp->evacuations))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -19,6 +19,7 @@
 const SW_MEMBERS_MAX = 4096;
 const SW_QUARANTINE_MAX = 4;
 const SW_ENDS_MAX = 6;
+const SW_EVACUATED_MAX = 16;
 const SW_NEVER = 4294967295;
 
 /* One try at a request: unique for ever, for a node never reuses an incarnation. */
@@ -196,7 +197,8 @@
   SW_REASON_SICK = 17,
   SW_REASON_BUDGET = 18,
   SW_REASON_UNPROVED = 19,
-  SW_REASON_QUARANTINED = 20
+  SW_REASON_QUARANTINED = 20,
+  SW_REASON_EVACUATED = 21
 };
 
 struct sw_answer {
@@ -246,6 +248,16 @@
   sw_target_end ends<SW_ENDS_MAX>;
 };
 
+typedef string sw_hall_name<SW_NAME_MAX>;
+
+/* The data halls that are evacuated, read from the store at one moment: its era, then its
+   revision. The newer of two replaces the older as a whole. */
+struct sw_evacuations {
+  unsigned hyper era;
+  unsigned hyper revision;      /* 0 for not known */
+  sw_hall_name halls<SW_EVACUATED_MAX>;
+};
+
 /* A probe or its answer, in one datagram. */
 struct sw_gossip {
   unsigned hyper seal;          /* a digest of the fleet's token */
@@ -257,6 +269,7 @@
   sw_brief briefs<SW_RUMOURS_MAX>;
   unsigned int quarantine_digest; /* of the sender's list; 0 for an empty one */
   sw_quarantine quarantine<SW_QUARANTINE_MAX>;
+  sw_evacuations evacuations;
 };
 
 /* An attempt that nobody waits for any more. */
