The whole fleet: what its starts cost the store no longer grows as it did

Cause, by reading: at the first start every node reads two new pages of the others' addresses and the configuration; 1.5 s after any start a node that knows nobody yet ranks itself first of its hall and watches, so that of 981 that start at once nearly all do; the poll of the configuration is once a minute for each node, whatever the fleet.

- Who watches is told by the platform's list, too, while a node is young.
- Polls are half a second apart over the whole fleet, not a minute at each.

--- a/core/include/core/members.h
+++ b/core/include/core/members.h
@@ -157,6 +157,12 @@
 /* Whether any member that is not known dead was heard of besides self. */
 gboolean members_is_alive (const Member *member);
 
+/* What a member is called in briefs, and ranked by: a hash of its name. */
+guint32 members_id (const char *node);
+
+/* Whether self has only just started: it may know few of the others. */
+gboolean members_is_young (const Members *members);
+
 /* How many live members of the own hall come before self in an order by a hash of their
    names, which all that see them agree on without a word. */
 guint members_rank_in_hall (const Members *members);
--- a/core/src/member/members-news.c
+++ b/core/src/member/members-news.c
@@ -27,7 +27,7 @@
 MemberBrief
 members_brief (const Member *member)
 {
-  MemberBrief brief = { members_table_id (member->node),
+  MemberBrief brief = { members_id (member->node),
                         (guint32)member->incarnation,
                         member->epoch,
                         member->status,
--- a/core/src/member/members-private.h
+++ b/core/src/member/members-private.h
@@ -53,9 +53,6 @@
 /* Changes what is held of a member, and tells it. */
 void members_set_status (Members *members, MemberRecord *record, MemberStatus status);
 
-/* Whether self has only just started. */
-gboolean members_is_young (const Members *members);
-
 /* About the logarithm of the fleet: how far news has to go. */
 double members_fleet_log (const Members *members);
 
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -269,7 +269,7 @@
 members_rank_in_hall (const Members *members)
 {
   g_autoptr (GPtrArray) all = g_ptr_array_new ();
-  guint own = members_table_id (members->self->member.node);
+  guint own = members_id (members->self->member.node);
   guint rank = 0;
 
   members_table_all (members->table, all);
@@ -278,7 +278,7 @@
       const Member *member = g_ptr_array_index (all, i);
 
       rank += members_in_own_hall (members, member) && members_is_alive (member) &&
-              members_table_id (member->node) < own;
+              members_id (member->node) < own;
     }
   return rank;
 }
--- a/core/src/member/table.c
+++ b/core/src/member/table.c
@@ -64,7 +64,7 @@
 }
 
 guint32
-members_table_id (const char *node)
+members_id (const char *node)
 {
   return g_str_hash (node);
 }
@@ -121,8 +121,8 @@
   record->hash = hash_of (&record->member);
   table->buckets[record->bucket] ^= record->hash;
   g_hash_table_insert (table->records, (char *)record->member.node, record);
-  g_hash_table_insert (table->by_id,
-                       GUINT_TO_POINTER (members_table_id (record->member.node)), record);
+  g_hash_table_insert (table->by_id, GUINT_TO_POINTER (members_id (record->member.node)),
+                       record);
   return record;
 }
 
@@ -145,7 +145,7 @@
 void
 members_table_remove (MembersTable *table, MemberRecord *record)
 {
-  guint32 id = members_table_id (record->member.node);
+  guint32 id = members_id (record->member.node);
 
   table->buckets[record->bucket] ^= record->hash;
   if (g_hash_table_lookup (table->by_id, GUINT_TO_POINTER (id)) == record)
--- a/core/src/member/table.h
+++ b/core/src/member/table.h
@@ -33,9 +33,6 @@
 /* To be called after a record's epoch, status or serial was changed in place. */
 void members_table_rehash (MembersTable *table, MemberRecord *record);
 
-/* What members are called in briefs. */
-guint32 members_table_id (const char *node);
-
 /* Appends copies of all names. */
 void members_table_names (const MembersTable *table, GPtrArray *names);
 /* Appends the borrowed addresses of the dead. */
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -48,6 +48,7 @@
   char *far_source; /* NULL for none */
   guint64 far_generation;
   gint64 created_us;
+  gint64 polled_us;  /* for the last time, by the timer */
   gint64 applied_us; /* what is in force since */
 };
 
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -10,6 +10,8 @@
 /* A node that starts knows nobody and would take itself for a watcher: by then it has
    heard of its hall. What changes meanwhile is behind the revision that it has read. */
 #define WATCH_SETTLE_US (1500 * MS_US)
+/* Of a fleet's first start, before the platform's list names the others. */
+#define WATCH_SETTLE_FIRST_US (10 * SECOND_US)
 /* So many nodes of each hall watch the store, and so many of all halls together: of nine
    none has the store left once in 12,000 times that it is lost to a third of the nodes.
    The others hear by gossip, within a second at 30 nodes. With a watch at each of 353, a
@@ -20,6 +22,9 @@
 #define WATCH_DOUBLINGS_MAX 3u
 /* Every node reads the head now and then, should all gossip have passed it by. */
 #define POLL_EVERY_US (60 * SECOND_US)
+/* And in all no more often than this: what a node costs the store must not grow with the
+   fleet. */
+#define POLL_OF_FLEET_US (500 * MS_US)
 
 Snapshot *
 config_sync_snapshot (const ConfigSync *sync)
@@ -102,7 +107,13 @@
 static gboolean
 has_settled (const ConfigSync *sync)
 {
-  return clock_now (sync->node->clock) - sync->created_us >= WATCH_SETTLE_US;
+  const Node *node = sync->node;
+  gint64 age = clock_now (node->clock) - sync->created_us;
+
+  if (node->settings->first_start && !fleet_list_is_read (node->list) &&
+      age < WATCH_SETTLE_FIRST_US)
+    return FALSE;
+  return age >= WATCH_SETTLE_US;
 }
 
 static void
@@ -146,6 +157,14 @@
   sync->kind->read (sync->source_data, on_polled, sync);
 }
 
+/* How far apart a node's polls are, by the fleet that it knows. */
+static gint64
+poll_every_us (const ConfigSync *sync)
+{
+  return MAX (POLL_EVERY_US,
+              POLL_OF_FLEET_US * (gint64)members_count_alive (sync->node->members));
+}
+
 /* The first wait too is spread: 79 nodes that had started together read 400 KB each in
    the same second, and 111 of 189 requests of that second were late. */
 static void
@@ -153,15 +172,21 @@
 {
   double jitter = g_rand_double_range (sync->node->rand, 0.5, 1.5);
 
-  loop_timer_start (sync->poll, (gint64)(POLL_EVERY_US * jitter));
+  loop_timer_start (sync->poll, (gint64)((double)poll_every_us (sync) * jitter));
 }
 
+/* A wait that was begun when few others were known is drawn again. */
 static void
 on_poll_timer (gpointer data)
 {
   ConfigSync *sync = data;
+  gint64 now = clock_now (sync->node->clock);
+  gboolean due = now - sync->polled_us >= poll_every_us (sync) / 2;
 
   start_poll_timer (sync);
+  if (!due)
+    return;
+  sync->polled_us = now;
   config_sync_poll (sync);
 }
 
@@ -172,8 +197,17 @@
   const Members *members = sync->node->members;
   guint halls = members_count_halls (members);
   guint share = (WATCHERS_MIN + halls - 1) / halls;
-
-  return members_rank_in_hall (members) < MAX (WATCHERS_PER_HALL, share);
+  guint rank = members_rank_in_hall (members);
+
+  if (!has_settled (sync))
+    return FALSE;
+  /* Of 981 nodes that start at once each knows a few: by the platform's list, too, all
+     agree on who watches. */
+  if (members_is_young (members))
+    rank = MAX (rank,
+                fleet_list_rank_in_hall (sync->node->list, members_self (members)->node,
+                                         members_self (members)->hall));
+  return rank < MAX (WATCHERS_PER_HALL, share);
 }
 
 gint64
@@ -231,6 +265,7 @@
   sync->directory = directory_create ();
   sync->evacuations = evacuations_create ();
   sync->created_us = clock_now (node->clock);
+  sync->polled_us = sync->created_us;
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
--- a/daemon/src/member/fleet-list.c
+++ b/daemon/src/member/fleet-list.c
@@ -1,5 +1,9 @@
 #include "fleet-list.h"
 
+#include <string.h>
+
+#include <core/members.h>
+
 struct FleetList
 {
   GHashTable *entries; /* node → FleetListEntry */
@@ -70,6 +74,24 @@
   return g_hash_table_lookup (list->entries, node);
 }
 
+guint
+fleet_list_rank_in_hall (const FleetList *list, const char *node, const char *hall)
+{
+  guint own = members_id (node);
+  guint rank = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, list->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FleetListEntry *entry = value;
+
+      rank += strcmp (entry->hall, hall) == 0 && members_id (entry->node) < own;
+    }
+  return rank;
+}
+
 void
 fleet_list_all (const FleetList *list, GPtrArray *entries)
 {
--- a/daemon/src/member/fleet-list.h
+++ b/daemon/src/member/fleet-list.h
@@ -31,6 +31,10 @@
 /* NULL for one that is not listed. */
 const FleetListEntry *fleet_list_find (const FleetList *list, const char *node);
 
+/* How many listed nodes of the hall go before this one, in the order that the membership
+   ranks them in (members_rank_in_hall). */
+guint fleet_list_rank_in_hall (const FleetList *list, const char *node, const char *hall);
+
 /* Appends all entries; borrowed. */
 void fleet_list_all (const FleetList *list, GPtrArray *entries);
 
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -97,10 +97,13 @@
 reader_create (Reader *reader, guint32 seed)
 {
   static const char *const nobody[] = { NULL };
+  static const Settings settings = { .node = "vm", .hall = "hall" };
   static const Member self = { .node = "vm", .hall = "hall", .address = "127.0.0.1:1" };
   Node *node = &reader->node;
 
   node->adapter = &adapter;
+  node->settings = &settings;
+  node->list = fleet_list_create ();
   node->clock = fixture->clock;
   node->loop = fixture->loop;
   node->rand = g_rand_new_with_seed (seed);
@@ -114,6 +117,7 @@
 {
   config_sync_destroy (reader->sync);
   members_destroy (reader->node.members);
+  fleet_list_destroy (reader->node.list);
   g_rand_free (reader->node.rand);
 }
 
--- a/tests/proc/fleet-private.h
+++ b/tests/proc/fleet-private.h
@@ -19,6 +19,7 @@
   guint nodes;
   gboolean objects; /* the users' platform */
   guint linger_ms;  /* of nodes there */
+  gboolean first_start;
   gboolean keep_files;
   guint64 hidden; /* nodes (bits) that start without a way to the platform */
   GPid platform;
--- a/tests/proc/fleet-settings.c
+++ b/tests/proc/fleet-settings.c
@@ -50,12 +50,14 @@
       "kind\":\"objects\","
       "\"target\":{\"address\":\"%s\",\"service\":\"pay\"},"
       "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\",\"evacuations\":true,"
-      "\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,\"floor_share\":0.7,"
+      "\"first_start\":%s,\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,"
+      "\"floor_share\":0.7,"
       "\"detection\":\"strict\",\"queue\":16},"
       "\"limits\":{\"linger_ms\":%u,\"grace_s\":%u},"
       "\"operators\":[{\"name\":\"tester\",\"token\":\"" FLEET_TOKEN "\"}]}",
       i, i % 3, callers, operators, nodes, ready, registrations, advertise, platform,
-      target, fleet->linger_ms, 4 * fleet->linger_ms / 1000);
+      target, fleet->first_start ? "true" : "false", fleet->linger_ms,
+      4 * fleet->linger_ms / 1000);
 
   g_file_set_contents (path, text, -1, NULL);
 }
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -31,6 +31,9 @@
 
 /* The users' platform: the store's stand-in, nodes beside targets that register. */
 void fleet_use_objects (Fleet *fleet);
+/* From here on nodes of that kind are told that their whole fleet starts for the first
+   time. */
+void fleet_set_first_start (Fleet *fleet, gboolean first_start);
 /* How long nodes of that kind linger after SIGTERM; they have four times that to end. */
 void fleet_set_linger (Fleet *fleet, guint linger_ms);
 
