The store comes back from an older copy: its era is heeded

Cause, by reading: nothing knew the header Store-Era. A watch from revision R went on without a word when the store had climbed past R again with other changes; a condition could match a number that had been given out again; a node whose address was lost was not put back.

- Every answer tells the era, refusals too; gossip carries the highest.

Not done here: the specification, the soak's restores.

--- a/daemon/src/config/config-halls.c
+++ b/daemon/src/config/config-halls.c
@@ -46,6 +46,12 @@
   gossip_push (sync->node->gossip);
 }
 
+const Evacuations *
+config_sync_evacuations (const ConfigSync *sync)
+{
+  return sync->evacuations;
+}
+
 void
 config_sync_put_evacuations (const ConfigSync *sync, sw_evacuations *words)
 {
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -56,6 +56,8 @@
                                    guint64 era,
                                    guint64 revision,
                                    const GPtrArray *halls);
+/* What is held of them. */
+const Evacuations *config_sync_evacuations (const ConfigSync *sync);
 /* Puts it on a message, and takes it from one; the texts are borrowed from the sync until
    the loop goes on. */
 void config_sync_put_evacuations (const ConfigSync *sync, sw_evacuations *words);
--- /dev/null
+++ b/daemon/src/config/platform-era.c
@@ -0,0 +1,58 @@
+#include "platform-era.h"
+
+#include "gossip.h"
+
+struct PlatformEra
+{
+  Node *node;
+  guint64 era;
+  PlatformEraFunc risen;
+  gpointer data;
+};
+
+PlatformEra *
+platform_era_create (Node *node)
+{
+  PlatformEra *era = g_new0 (PlatformEra, 1);
+
+  era->node = node;
+  return era;
+}
+
+void
+platform_era_destroy (PlatformEra *era)
+{
+  g_free (era);
+}
+
+void
+platform_era_note (PlatformEra *era, guint64 seen)
+{
+  g_autofree char *from = g_strdup_printf ("%" G_GUINT64_FORMAT, era->era);
+  g_autofree char *to = g_strdup_printf ("%" G_GUINT64_FORMAT, seen);
+  gboolean known = era->era > 0;
+
+  if (seen <= era->era)
+    return;
+  era->era = seen;
+  metrics_set (era->node->metrics, METRIC_STORE_ERA, seen);
+  if (!known)
+    return;
+  events_add (era->node->events, "store-restored", to, from);
+  gossip_push (era->node->gossip);
+  if (era->risen)
+    era->risen (era->data);
+}
+
+guint64
+platform_era_get (const PlatformEra *era)
+{
+  return era->era;
+}
+
+void
+platform_era_set_risen (PlatformEra *era, PlatformEraFunc func, gpointer data)
+{
+  era->risen = func;
+  era->data = data;
+}
--- a/daemon/src/member/gossip-send.c
+++ b/daemon/src/member/gossip-send.c
@@ -2,6 +2,7 @@
 
 #include "config-sync.h"
 #include "peers.h"
+#include "platform-era.h"
 #include "quarantine-node.h"
 
 /* A message with this node's news on it, which drop_filled drops. */
@@ -18,6 +19,7 @@
     message->subject = "";
   gossip_put_news (node, to, message);
   quarantine_node_put_news (node->quarantine, to, message);
+  message->store_era = platform_era_get (node->era);
   config_sync_put_evacuations (node->config, &message->evacuations);
 }
 
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -4,6 +4,7 @@
 
 #include "config-sync.h"
 #include "peers.h"
+#include "platform-era.h"
 #include "quarantine-node.h"
 
 /* News of this node is told to so many of its hall at once, and to one of so many other
@@ -63,6 +64,7 @@
   if (quarantine_node_take_news (node->quarantine, message))
     gossip_spread (gossip);
   config_sync_note_generation (node->config, message->from, message->generation);
+  platform_era_note (node->era, message->store_era);
   config_sync_note_evacuations (node->config, &message->evacuations);
   gossip_repair (gossip, message->from, message->digest);
 }
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -15,6 +15,7 @@
 #include "operators.h"
 #include "path-probe.h"
 #include "peers.h"
+#include "platform-era.h"
 #include "quarantine-node.h"
 #include "readiness.h"
 #include "registry.h"
@@ -321,6 +322,7 @@
   node->paths = path_probes_create (node);
   node->quarantine = quarantine_node_create (node);
   node->sidecar = sidecar_create (node);
+  node->era = platform_era_create (node);
   node->config = config_sync_create (node);
   run->stop = loop_timer_create (loop, on_stop_check, run);
   if (create_listeners (run, error) && create_optional_listeners (node, error))
@@ -359,6 +361,7 @@
   account_stats_destroy (node->account_stats);
   vm_list_destroy (node->vm_list);
   config_sync_destroy (node->config);
+  platform_era_destroy (node->era);
   sidecar_destroy (node->sidecar);
   quarantine_node_destroy (node->quarantine);
   registry_destroy (node->registry);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -30,6 +30,7 @@
 typedef struct AccountStats AccountStats;
 typedef struct Allowances Allowances;
 typedef struct QuarantineNode QuarantineNode;
+typedef struct PlatformEra PlatformEra;
 typedef struct Readiness Readiness;
 typedef struct MetricsListener MetricsListener;
 struct Adapter;
@@ -57,6 +58,7 @@
   PathProbes *paths;
   Gossip *gossip;
   ConfigSync *config;
+  PlatformEra *era; /* of the platform's store */
   Sidecar *sidecar;
   QuarantineNode *quarantine;
   Allowances *allowances;
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -44,6 +44,8 @@
   "switchmill_halls_evacuated",
   "switchmill_cold_refused_total",
   "switchmill_platform_calls_total",
+  "switchmill_store_era",
+  "switchmill_store_put_back_total",
   "switchmill_gossip_sent_bytes_total",
   "switchmill_gossip_received_bytes_total",
   "switchmill_loop_long_turns_total",
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -38,6 +38,8 @@
   METRIC_HALLS_EVACUATED, /* now */
   METRIC_COLD_REFUSED,    /* for what a cold target bears */
   METRIC_PLATFORM_CALLS,
+  METRIC_STORE_ERA,
+  METRIC_STORE_PUT_BACK, /* what a store from an older copy had lost */
   METRIC_GOSSIP_SENT_BYTES,
   METRIC_GOSSIP_RECEIVED_BYTES,
   METRIC_LONG_TURNS,
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -122,6 +122,12 @@
   fleet->first_start = first_start;
 }
 
+guint
+fleet_nodes (const Fleet *fleet)
+{
+  return fleet->nodes;
+}
+
 void
 fleet_keep_files (Fleet *fleet)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -29,6 +29,8 @@
 /* Ends what is left by SIGKILL and removes the files. */
 void fleet_destroy (Fleet *fleet);
 
+guint fleet_nodes (const Fleet *fleet);
+
 /* The users' platform: the store's stand-in, nodes beside targets that register. */
 void fleet_use_objects (Fleet *fleet);
 /* From here on nodes of that kind are told that their whole fleet starts for the first
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -324,6 +324,7 @@
 		sw_quarantine *quarantine_val;
 	} quarantine;
 	sw_evacuations evacuations;
+	u_quad_t store_era;
 };
 typedef struct sw_gossip sw_gossip;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -949,6 +949,8 @@
 		 return FALSE;
 	 if (!xdr_sw_evacuations (xdrs, &objp->evacuations))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -270,6 +270,7 @@
   unsigned int quarantine_digest; /* of the sender's list; 0 for an empty one */
   sw_quarantine quarantine<SW_QUARANTINE_MAX>;
   sw_evacuations evacuations;
+  unsigned hyper store_era;     /* of the platform's store; 0 for not known */
 };
 
 /* An attempt that nobody waits for any more. */
