Callers that do not read: what is held for all of them is bounded, and they are let go

A caller that took nothing of its answer held it for as long as the connection lived: 300 of 500 KB are 150 MB of a node's 160. Answers go out piece by piece; who takes none for 8 s is let go, with a line and a counter; while more than 48 MB are held for callers, new requests are refused as not run, with when to come back.

--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -64,6 +64,8 @@
   guint connections_max;
   gsize header_max;
   gsize body_max;
+  gsize held_max; /* bytes that are held for all callers' requests together */
+  gint64 stall_us; /* who takes nothing of an answer for so long is let go */
   gint64 read_us;
   gint64 idle_us;   /* a caller's connection that rests longer is closed */
   gint64 stop_us;   /* a planned stop takes no longer */
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -225,6 +225,9 @@
       (guint)json_view_int (limits, "connections", 1, 100000, 2000);
   settings->header_max = (gsize)json_view_int (limits, "header_bytes", 2048, MB, 32768);
   settings->body_max = (gsize)json_view_int (limits, "body_bytes", 0, 8 * MB, 4 * MB);
+  settings->held_max =
+      (gsize)json_view_int (limits, "held_bytes", MB, 2047 * MB, 48 * MB);
+  settings->stall_us = 1000 * json_view_int (limits, "stall_ms", 100, 600000, 8000);
   settings->read_us = 1000 * json_view_int (limits, "read_ms", 100, 600000, 10000);
   settings->idle_us = 1000 * json_view_int (limits, "idle_ms", 1000, 3600000, 80000);
   read_stop (settings, limits);
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -39,6 +39,8 @@
   "switchmill_allowance_questions_total",
   "switchmill_allowance_refused_total",
   "switchmill_callers_refused_total",
+  "switchmill_callers_let_go_total",
+  "switchmill_callers_no_room_total",
   "switchmill_config_applied_total",
   "switchmill_config_generation",
   "switchmill_halls_evacuated",
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -33,6 +33,8 @@
   METRIC_ALLOWANCE_QUESTIONS,
   METRIC_ALLOWANCE_REFUSED,
   METRIC_CALLERS_REFUSED, /* for their access keys */
+  METRIC_CALLERS_LET_GO,  /* who took nothing of their answers */
+  METRIC_CALLERS_NO_ROOM, /* refused, for what is held for others */
   METRIC_CONFIG_APPLIED,
   METRIC_CONFIG_GENERATION,
   METRIC_HALLS_EVACUATED, /* now */
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -209,12 +209,30 @@
   caller_words_clear (&words);
 }
 
+/* A caller has taken nothing of its answer for too long. */
+static void
+on_let_go (gsize left, gpointer data)
+{
+  Node *node = data;
+  g_autofree char *bytes = g_strdup_printf ("%" G_GSIZE_FORMAT, left);
+
+  metrics_add (node->metrics, METRIC_CALLERS_LET_GO, 1);
+  events_add (node->events, "caller-let-go", bytes, "bytes of its answer not taken");
+}
+
+static void
+on_full (gpointer data)
+{
+  metrics_add (((Node *)data)->metrics, METRIC_CALLERS_NO_ROOM, 1);
+}
+
 Ingress *
 ingress_create (Node *node, GError **error)
 {
   const Settings *settings = node->settings;
   HttpLimits limits = { settings->connections_max, settings->header_max,
-                        settings->body_max, settings->read_us, settings->idle_us };
+                        settings->body_max, settings->read_us, settings->idle_us,
+                        settings->stall_us, settings->held_max };
   Ingress *ingress = g_new0 (Ingress, 1);
 
   ingress->node = node;
@@ -225,7 +243,11 @@
   ingress->server = http_server_create (node->loop, settings->callers_address, &limits,
                                         on_request, ingress, error);
   if (ingress->server)
-    return ingress;
+    {
+      http_server_set_let_go (ingress->server, on_let_go, node);
+      http_server_set_full (ingress->server, on_full, node);
+      return ingress;
+    }
   start_queue_destroy (ingress->start_queue);
   exchanges_destroy (ingress->exchanges);
   splitter_destroy (ingress->splitter);
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -18,6 +18,9 @@
   gsize body_max;   /* bytes */
   gint64 read_us;   /* from the first byte's due to the whole request */
   gint64 idle_us;   /* a connection without a request is closed after so long */
+  gint64 stall_us;  /* one whose answer nobody takes is closed after so long; 0 for none */
+  gsize held_max;   /* bytes of bodies and answers of all requests; 0 for no bound. While
+                       they are more, new requests are refused as not run */
 } HttpLimits;
 
 typedef void (*HttpHandler) (HttpRequest *request, gpointer data);
@@ -30,6 +33,14 @@
                                 GError **error);
 void http_server_destroy (HttpServer *server);
 
+/* Runs when a caller is let go that has taken nothing of its answer for too long; `left`
+   is what it had not taken, in bytes. One function in all. */
+typedef void (*HttpLetGoFunc) (gsize left, gpointer data);
+void http_server_set_let_go (HttpServer *server, HttpLetGoFunc func, gpointer data);
+/* Runs when a request is refused for want of room; likewise. */
+typedef void (*HttpFullFunc) (gpointer data);
+void http_server_set_full (HttpServer *server, HttpFullFunc func, gpointer data);
+
 /* Stops taking connections; those open are served on. */
 void http_server_quiesce (HttpServer *server);
 
--- /dev/null
+++ b/io/src/http-answer.c
@@ -0,0 +1,57 @@
+#include "http-server-private.h"
+
+#include <string.h>
+
+/* A piece of an answer: what the library holds beside the body itself. */
+#define PIECE_MAX (32u * 1024)
+
+typedef struct
+{
+  GBytes *body;
+  Conn *conn; /* alive as long as pieces are asked for */
+} Answer;
+
+/* The connection has room for more: the caller has taken some. */
+static ssize_t
+next_piece (void *data, uint64_t at, char *piece, size_t max)
+{
+  Answer *answer = data;
+  gsize len;
+  const char *bytes = g_bytes_get_data (answer->body, &len);
+  gsize count = MIN (max, len - at);
+
+  if (at >= len)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  memcpy (piece, bytes + at, count);
+  if (answer->conn)
+    {
+      answer->conn->taking_since_us = clock_now (loop_clock (answer->conn->server->loop));
+      answer->conn->answer_left = len - at;
+    }
+  return (ssize_t)count;
+}
+
+static void
+answer_free (void *data)
+{
+  Answer *answer = data;
+
+  g_bytes_unref (answer->body);
+  g_free (answer);
+}
+
+struct MHD_Response *
+http_answer_response (HttpRequest *request, GBytes *body)
+{
+  gsize len = g_bytes_get_size (body);
+  Answer *answer;
+
+  if (len == 0)
+    return MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  answer = g_new0 (Answer, 1);
+  answer->body = g_bytes_ref (body);
+  answer->conn = request->conn;
+  http_request_hold (request, len);
+  return MHD_create_response_from_callback (len, MIN (len, PIECE_MAX), next_piece, answer,
+                                            answer_free);
+}
--- a/io/src/http-request.c
+++ b/io/src/http-request.c
@@ -91,10 +91,11 @@
                      const void *body,
                      gsize len)
 {
+  g_autoptr (GBytes) bytes = g_bytes_new (body, len);
+
   g_return_if_fail (!request->response);
   request->status = status;
-  request->response =
-      MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY);
+  request->response = http_answer_response (request, bytes);
   for (guint i = 0; headers && i < headers->len; i++)
     {
       const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -16,6 +16,8 @@
   int fd;
   gint64 reading_since_us; /* 0 while no request is being read */
   gint64 idle_since_us;    /* 0 while there is a request */
+  gint64 taking_since_us;  /* when the caller last took some of its answer; 0 for none */
+  gsize answer_left;       /* bytes that it has not taken */
   gboolean refused;        /* told that nothing ran: nothing that still comes may run */
 } Conn;
 
@@ -32,6 +34,11 @@
   HttpLimits limits;
   HttpHandler handler;
   gpointer data;
+  HttpLetGoFunc let_go;
+  gpointer let_go_data;
+  HttpFullFunc full;
+  gpointer full_data;
+  gsize held; /* bytes of bodies and answers */
   GHashTable *conns; /* set of Conn */
   guint active;
   gboolean woken; /* a connection was resumed since the daemon last ran */
@@ -48,6 +55,7 @@
   char *path;
   GArray *headers;
   GByteArray *body;
+  gsize held; /* bytes counted for it */
   gboolean handled;
   gint64 taken_us; /* when it was handled */
   gboolean suspended;
@@ -58,6 +66,12 @@
   struct MHD_Response *response;
 };
 
+/* Counts bytes that are held for a request, until it has ended. */
+void http_request_hold (HttpRequest *request, gsize bytes);
+
+/* A response whose bytes the connection takes piece by piece; it keeps the body. */
+struct MHD_Response *http_answer_response (HttpRequest *request, GBytes *body);
+
 /* Looks for hang-ups while anybody wants to know of them; for the server's timer. */
 void http_gone_check (gpointer data);
 
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -9,6 +9,8 @@
 #include <io/socket.h>
 
 #define SWEEP_US (SECOND_US / 4)
+/* When there may be room again. */
+#define FULL_RETRY_AFTER_S "1"
 #define SLOW_ANSWER                                                                      \
   "HTTP/1.1 408 Request Timeout\r\nSwitchmill-Outcome: not-run\r\n"                      \
   "Connection: close\r\nContent-Length: 0\r\n\r\n"
@@ -60,11 +62,38 @@
   MHD_add_response_header (response, "Connection", "close");
   MHD_add_response_header (response, "Content-Type", "application/json");
   MHD_add_response_header (response, "Switchmill-Outcome", "not-run");
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    MHD_add_response_header (response, "Retry-After", FULL_RETRY_AFTER_S);
   result = MHD_queue_response (connection, status, response);
   MHD_destroy_response (response);
   return result;
 }
 
+void
+http_request_hold (HttpRequest *request, gsize bytes)
+{
+  if (!request->server)
+    return;
+  request->held += bytes;
+  request->server->held += bytes;
+}
+
+/* Whether so many bytes more are over what the server may hold for all requests. */
+static gboolean
+is_full (const HttpServer *server, guint64 bytes)
+{
+  return server->limits.held_max > 0 && server->held + bytes > server->limits.held_max;
+}
+
+static enum MHD_Result
+refuse_full (HttpServer *server, struct MHD_Connection *connection)
+{
+  if (server->full)
+    server->full (server->full_data);
+  return answer_early (connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+                       "too much is held for other callers");
+}
+
 static enum MHD_Result
 begin (HttpServer *server,
        HttpRequest *request,
@@ -74,7 +103,7 @@
 {
   const char *fault;
   const char *length;
-  guint64 bytes;
+  guint64 bytes = 0;
 
   request->connection = connection;
   request->method = g_strdup (method);
@@ -90,6 +119,8 @@
                          "Content-Length is not a number");
   if (length && bytes > server->limits.body_max)
     return answer_early (connection, MHD_HTTP_CONTENT_TOO_LARGE, "the body is too large");
+  if (is_full (server, bytes))
+    return refuse_full (server, connection);
   request->server = server;
   server->active++;
   return MHD_YES;
@@ -129,6 +160,7 @@
         return MHD_NO; /* a chunked body over the bound: nothing can be answered any more
                         */
       g_byte_array_append (request->body, (const guint8 *)upload, (guint)*upload_size);
+      http_request_hold (request, *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -168,9 +200,12 @@
   g_hash_table_remove (server->watched, request);
   if (request->server)
     server->active--;
+  server->held -= request->held;
+  request->held = 0;
   if (request->conn)
     {
       request->conn->reading_since_us = 0;
+      request->conn->taking_since_us = 0;
       request->conn->idle_since_us = clock_now (loop_clock (server->loop));
     }
   request->connection = NULL;
@@ -216,6 +251,27 @@
   shutdown (conn->fd, SHUT_RDWR);
 }
 
+static gboolean
+has_stalled (const Conn *conn, gint64 now)
+{
+  gint64 stall_us = conn->server->limits.stall_us;
+
+  return stall_us > 0 && conn->taking_since_us > 0 &&
+         now - conn->taking_since_us > stall_us;
+}
+
+/* It costs what the connection holds, and no longer than this. */
+static void
+let_go (Conn *conn)
+{
+  HttpServer *server = conn->server;
+
+  conn->taking_since_us = 0;
+  if (server->let_go)
+    server->let_go (conn->answer_left, server->let_go_data);
+  shutdown (conn->fd, SHUT_RDWR);
+}
+
 /*
  * libmicrohttpd's own time-out counts from the last byte, so that a caller who sends
  * one byte now and then would hold a connection for ever. This one counts from the start.
@@ -235,6 +291,8 @@
 
       if (conn->reading_since_us && now - conn->reading_since_us > server->limits.read_us)
         refuse_slow (conn);
+      else if (has_stalled (conn, now))
+        let_go (conn);
       else if (conn->idle_since_us && now - conn->idle_since_us > server->limits.idle_us)
         shutdown (conn->fd, SHUT_RDWR);
     }
@@ -316,6 +374,20 @@
   return server;
 }
 
+void
+http_server_set_let_go (HttpServer *server, HttpLetGoFunc func, gpointer data)
+{
+  server->let_go = func;
+  server->let_go_data = data;
+}
+
+void
+http_server_set_full (HttpServer *server, HttpFullFunc func, gpointer data)
+{
+  server->full = func;
+  server->full_data = data;
+}
+
 void
 http_server_quiesce (HttpServer *server)
 {
