--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -31,3 +31,4 @@
 }
 specification fence NO_TOMBSTONE NO_INCARNATION NO_START_RECORD NO_WINDOW NO_REFUSE_RECORD NO_PROOF
 specification allowance NO_EMPTY_START NO_EMPTY_MOVE NO_LAPSE NO_STOP
+specification era NO_WATCH_ERA NO_CONDITION_ERA NO_PUT_BACK
