--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -67,6 +67,7 @@
   guint retry_burst;    /* retries that the whole fleet may save up; 0 for the default */
   gboolean fixed_limit; /* all slots are used, however slow the targets are */
   double cold_per_s;  /* requests a second that a cold target is given; 0 for no bound */
+  double cold_burst;  /* and so many at once */
   gboolean dynamic;   /* the targets register themselves; the configuration names none */
   gsize answer_max;   /* bytes */
   GPtrArray *targets; /* of Target, by name */
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -36,6 +36,8 @@
   double retry_burst;     /* and so many more; small fleets are given fractions */
   gint64 retry_window_us; /* in any span of that length */
   double floor_share;     /* of the slots, which ejections leave */
+  double cold_overage;    /* of the rate that a cold target bears, what it may get */
+  double cold_slack;      /* and so many more in a second */
   Detection detection;
   guint queue; /* requests that may wait at one target */
 } ServiceDefaults;
@@ -64,7 +66,7 @@
   guint connections_max;
   gsize header_max;
   gsize body_max;
-  gsize held_max; /* bytes that are held for all callers' requests together */
+  gsize held_max;  /* bytes that are held for all callers' requests together */
   gint64 stall_us; /* who takes nothing of an answer for so long is let go */
   gint64 read_us;
   gint64 idle_us;   /* a caller's connection that rests longer is closed */
--- a/core/include/core/warmup.h
+++ b/core/include/core/warmup.h
@@ -21,8 +21,9 @@
 Warmup *warmup_create (Clock *clock);
 void warmup_destroy (Warmup *warmup);
 
-/* Requests a second that the target bears while it is cold; 0 for no bound. */
-void warmup_set_rate (Warmup *warmup, double per_s);
+/* Requests a second that the target is given while it is cold, 0 for no bound, and how
+   many at once; at least one. */
+void warmup_set_rate (Warmup *warmup, double per_s, double burst);
 
 /* The target says that it stays cold for so long; 0 for warm. */
 void warmup_note (Warmup *warmup, gint64 cold_us);
--- a/core/src/config/service.c
+++ b/core/src/config/service.c
@@ -119,6 +119,7 @@
       (guint)json_view_int (view, "retry_percent", 0, 100, RETRY_DEFAULT);
   service->retry_burst = (guint)json_view_int (view, "retry_burst", 0, G_MAXINT, 0);
   service->cold_per_s = json_view_double (view, "cold_per_s", 0, COLD_PER_S_MAX, 0);
+  service->cold_burst = json_view_double (view, "cold_burst", 0, COLD_PER_S_MAX, 0);
   service->fixed_limit = json_view_bool (view, "fixed_limit", FALSE);
   service->dynamic = json_view_bool (view, "dynamic", FALSE);
   service->floor_percent = (guint)json_view_int (view, "floor_percent", 0, 100, 0);
@@ -188,6 +189,8 @@
   json_write_int (builder, "floor_percent", service->floor_percent);
   if (service->cold_per_s > 0)
     json_write_double (builder, "cold_per_s", service->cold_per_s);
+  if (service->cold_burst > 0)
+    json_write_double (builder, "cold_burst", service->cold_burst);
   json_write_bool (builder, "fixed_limit", service->fixed_limit);
   json_write_bool (builder, "dynamic", service->dynamic);
   json_write_int (builder, "answer_max", (gint64)service->answer_max);
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -25,6 +25,8 @@
 #define RETRY_WINDOW_DEFAULT_S 10.0
 #define RETRY_WINDOW_MAX_S 3600.0
 /* More retries for each request than anybody means to allow. */
+/* Much more than its rate no cold target is given. */
+#define COLD_OVERAGE_MAX 100
 #define RETRY_RATIO_MAX 100.0
 
 /* The users' span over which an account's requests are counted, and what is taken. */
@@ -105,6 +107,9 @@
       (gint64)(1e6 * json_view_double (object, "retry_window_s", 0.1, RETRY_WINDOW_MAX_S,
                                        RETRY_WINDOW_DEFAULT_S));
   defaults->floor_share = json_view_double (object, "floor_share", 0, 1, 0.5);
+  defaults->cold_overage =
+      json_view_double (object, "cold_overage", 1, COLD_OVERAGE_MAX, 1);
+  defaults->cold_slack = json_view_double (object, "cold_slack", 0, G_MAXINT, 0);
   defaults->detection =
       json_view_choice (object, "detection", detection_names, DETECTION_CAREFUL);
   defaults->queue = (guint)json_view_int (object, "queue", 0, 100000, 0);
--- a/core/src/request/warmup.c
+++ b/core/src/request/warmup.c
@@ -1,7 +1,5 @@
 #include <core/warmup.h>
 
-/* Of a second's starts, so many may be made at once. */
-#define BURST_SHARE 0.2
 /* Starts made while the target was warm weigh on it for no longer than this. */
 #define DEBT_MAX_S 1.0
 
@@ -9,6 +7,7 @@
 {
   Clock *clock;
   double per_s;
+  double burst;
   double saved; /* starts that may be made at once, at `counted_us`; below 0 for a debt */
   gint64 counted_us;
   gint64 cold_until_us;
@@ -32,12 +31,6 @@
   g_free (warmup);
 }
 
-static double
-burst_of (const Warmup *warmup)
-{
-  return MAX (1, warmup->per_s * BURST_SHARE);
-}
-
 /* What may start at once, now. */
 static double
 saved_now (const Warmup *warmup)
@@ -45,16 +38,17 @@
   double seconds =
       (double)(clock_now (warmup->clock) - warmup->counted_us) / (double)SECOND_US;
 
-  return MIN (burst_of (warmup), warmup->saved + seconds * warmup->per_s);
+  return MIN (warmup->burst, warmup->saved + seconds * warmup->per_s);
 }
 
 void
-warmup_set_rate (Warmup *warmup, double per_s)
+warmup_set_rate (Warmup *warmup, double per_s, double burst)
 {
-  if (per_s == warmup->per_s)
+  if (per_s == warmup->per_s && MAX (burst, 1) == warmup->burst)
     return;
   warmup->per_s = per_s;
-  warmup->saved = burst_of (warmup);
+  warmup->burst = MAX (burst, 1);
+  warmup->saved = warmup->burst;
   warmup->counted_us = clock_now (warmup->clock);
 }
 
--- a/core/tests/test-warmup.c
+++ b/core/tests/test-warmup.c
@@ -7,6 +7,7 @@
 #include <core/admission.h>
 
 #define PER_S 13.0
+#define BURST 4.0
 /* What a cold target bears in any second, as the users state it: 1.5 times its rate, and
    8 more. */
 #define BEARS_IN_A_SECOND (guint) (PER_S * 1.5 + 8)
@@ -23,7 +24,7 @@
   Fixture fixture = { clock_create_manual (1000 * SECOND_US), NULL };
 
   fixture.warmup = warmup_create (fixture.clock);
-  warmup_set_rate (fixture.warmup, PER_S);
+  warmup_set_rate (fixture.warmup, PER_S, BURST);
   return fixture;
 }
 
@@ -124,7 +125,7 @@
 {
   Fixture fixture = begin ();
 
-  warmup_set_rate (fixture.warmup, 0);
+  warmup_set_rate (fixture.warmup, 0, 0);
   assert_false (warmup_is_on (fixture.warmup));
   for (guint i = 0; i < 1000; i++)
     {
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -43,7 +43,7 @@
   if (target->state == TARGET_EVACUATED && config->state != TARGET_EVACUATED)
     warmup_assume_cold (target->warmup);
   target->state = config->state;
-  warmup_set_rate (target->warmup, service->cold_per_s);
+  warmup_set_rate (target->warmup, service->cold_per_s, service->cold_burst);
   target->answer_max = service->answer_max;
   target->present = TRUE;
   admission_resize (target->admission, config->slots, service->queue);
