switchmill hall evacuate|back: a data hall's targets, planned and confirmed

The own interface's word for what the platform's operator writes into the store; a node's status names the halls that are evacuated by the platform. Taking a hall back takes back targets there that were drained one by one.

--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -269,7 +269,7 @@
 
 /* An intent with one member, an array of the command's words. */
 static char *
-words_intent (const Options *options, const char *member)
+words_intent (const Options *options, int from, const char *member)
 {
   g_autoptr (JsonBuilder) builder = json_builder_new ();
   g_autoptr (JsonNode) root = NULL;
@@ -277,7 +277,7 @@
   json_builder_begin_object (builder);
   json_builder_set_member_name (builder, member);
   json_builder_begin_array (builder);
-  for (int i = 0; i < options->word_count; i++)
+  for (int i = from; i < options->word_count; i++)
     json_builder_add_string_value (builder, options->words[i]);
   json_builder_end_array (builder);
   json_builder_end_object (builder);
@@ -288,7 +288,7 @@
 static ExitCode
 run_drain (const Options *options)
 {
-  g_autofree char *intent = words_intent (options, "drain");
+  g_autofree char *intent = words_intent (options, 0, "drain");
 
   return plan (options, intent, options->yes);
 }
@@ -296,11 +296,27 @@
 static ExitCode
 run_restore (const Options *options)
 {
-  g_autofree char *intent = words_intent (options, "restore");
+  g_autofree char *intent = words_intent (options, 0, "restore");
 
   return plan (options, intent, options->yes);
 }
 
+/* "hall evacuate HALL..." and "hall back HALL...". */
+static ExitCode
+run_hall (const Options *options)
+{
+  gboolean back = strcmp (options->words[0], "back") == 0;
+  g_autofree char *intent = NULL;
+
+  if (!back && strcmp (options->words[0], "evacuate") != 0)
+    {
+      fprintf (stderr, "usage: switchmill hall evacuate|back HALL...\n");
+      return CODE_USAGE;
+    }
+  intent = words_intent (options, 1, back ? "take_back" : "evacuate");
+  return plan (options, intent, options->yes);
+}
+
 /* "config check SETTINGS". */
 static ExitCode
 run_config (const Options *options)
@@ -349,6 +365,9 @@
     G_MAXINT, run_drain },
   { "restore", "TARGET...", "plan that they take work again; --yes confirms", 1, G_MAXINT,
     run_restore },
+  { "hall", "evacuate|back HALL...",
+    "plan that a data hall's targets take nothing new, or work again; --yes confirms", 2,
+    G_MAXINT, run_hall },
   { "config", "check SETTINGS", "check a node's settings file", 2, 2, run_config },
   { "explain", "ID [LOG...]", "show one request's way out of nodes' logs", 1, G_MAXINT,
     command_explain },
--- a/core/src/config/intent.c
+++ b/core/src/config/intent.c
@@ -103,6 +103,48 @@
     }
 }
 
+/* All targets of a data hall that the base names. */
+static guint
+set_hall (Intent *intent, const char *hall, TargetState state)
+{
+  const GPtrArray *services = snapshot_services (intent->base);
+  guint count = 0;
+
+  for (guint i = 0; i < services->len; i++)
+    {
+      const Service *service = g_ptr_array_index (services, i);
+
+      for (guint j = 0; j < service->targets->len; j++)
+        {
+          const Target *target = g_ptr_array_index (service->targets, j);
+          Service *copy = strcmp (target->hall, hall) == 0
+                              ? service_of_target (intent, target->name)
+                              : NULL;
+
+          if (!copy)
+            continue;
+          ((Target *)service_target (copy, target->name))->state = state;
+          count++;
+        }
+    }
+  return count;
+}
+
+static void
+apply_halls (Intent *intent, const char *key, TargetState state)
+{
+  guint count = json_view_array_length (intent->view, key);
+
+  for (guint i = 0; i < count; i++)
+    {
+      const char *hall = json_view_array_string (intent->view, key, i, NAME_MAX_LEN);
+      g_autofree char *path = g_strdup_printf ("$.%s[%u]", key, i);
+
+      if (hall && set_hall (intent, hall, state) == 0)
+        json_faults_add (intent->faults, path, "no target in a hall \"%s\"", hall);
+    }
+}
+
 static const GPtrArray *
 things_of (const ConfigPart *part)
 {
@@ -329,6 +371,8 @@
   intent.keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)g_ptr_array_unref);
   apply_services (&intent);
+  apply_halls (&intent, "evacuate", TARGET_LEAVING);
+  apply_halls (&intent, "take_back", TARGET_SERVING);
   apply_state (&intent, "drain", TARGET_LEAVING);
   apply_state (&intent, "restore", TARGET_SERVING);
   apply_removed_routes (&intent);
--- a/core/tests/test-config.c
+++ b/core/tests/test-config.c
@@ -237,10 +237,41 @@
   g_string_free (intent, TRUE);
 }
 
+/* All targets of a hall, and no others; taken back alike. */
+static void
+test_a_hall_is_evacuated_and_taken_back (void **state)
+{
+  static const char first[] =
+      "{\"services\":[{\"name\":\"s\",\"tenant\":\"t\",\"floor_slots\":2,\"targets\":["
+      "{\"name\":\"a1\",\"vm\":\"v1\",\"hall\":\"a\",\"address\":\"127.0.0.1:1\","
+      "\"slots\":2},"
+      "{\"name\":\"a2\",\"vm\":\"v2\",\"hall\":\"a\",\"address\":\"127.0.0.1:2\","
+      "\"slots\":2},"
+      "{\"name\":\"b1\",\"vm\":\"v3\",\"hall\":\"b\",\"address\":\"127.0.0.1:3\","
+      "\"slots\":2}"
+      "]}]}";
+  Snapshot *snapshot = apply_intent (snapshot_create_empty (), first);
+  JsonFaults *faults = json_faults_create ();
+
+  assert_int_equal (service_slots (snapshot_service (snapshot, "s")), 6);
+  snapshot = apply_intent (snapshot, "{\"evacuate\":[\"a\"]}");
+  assert_int_equal (service_slots (snapshot_service (snapshot, "s")), 2);
+  assert_int_equal (service_target (snapshot_service (snapshot, "s"), "b1")->state,
+                    TARGET_SERVING);
+  snapshot = apply_intent (snapshot, "{\"take_back\":[\"a\"]}");
+  assert_int_equal (service_slots (snapshot_service (snapshot, "s")), 6);
+  assert_null (
+      plan_create (snapshot, "{\"evacuate\":[\"c\"]}", -1, healthy, NULL, faults));
+  assert_true (g_str_has_prefix (json_faults_get (faults, 0), "$.evacuate[0]"));
+  json_faults_destroy (faults);
+  snapshot_unref (snapshot);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_hall_is_evacuated_and_taken_back),
     cmocka_unit_test (test_faults_name_their_path),
     cmocka_unit_test (test_longest_prefix_by_whole_segments),
     cmocka_unit_test (test_plan_is_named_by_its_result_and_base),
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -106,6 +106,19 @@
   http_request_answer_json (request, HTTP_OK, text);
 }
 
+/* Data halls that take nothing for now, by the platform's word. */
+static void
+write_halls (const Node *node, JsonBuilder *builder)
+{
+  const GPtrArray *halls = evacuations_halls (config_sync_evacuations (node->config));
+
+  json_builder_set_member_name (builder, "halls_evacuated");
+  json_builder_begin_array (builder);
+  for (guint i = 0; i < halls->len; i++)
+    json_builder_add_string_value (builder, g_ptr_array_index (halls, i));
+  json_builder_end_array (builder);
+}
+
 void
 status_answer (Node *node, HttpRequest *request)
 {
@@ -117,6 +130,7 @@
   json_write_string (builder, "hall", node->settings->hall);
   json_write_string (builder, "version", SWITCHMILL_VERSION);
   json_write_int (builder, "generation", (gint64)snapshot_generation (snapshot));
+  write_halls (node, builder);
   json_write_bool (builder, "ready", config_sync_ready (node->config));
   json_write_bool (builder, "stopping", node->stopping);
   json_write_int (builder, "routes", snapshot_route_count (snapshot));
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -231,8 +231,9 @@
 {
   const Settings *settings = node->settings;
   HttpLimits limits = { settings->connections_max, settings->header_max,
-                        settings->body_max, settings->read_us, settings->idle_us,
-                        settings->stall_us, settings->held_max };
+                        settings->body_max,        settings->read_us,
+                        settings->idle_us,         settings->stall_us,
+                        settings->held_max };
   Ingress *ingress = g_new0 (Ingress, 1);
 
   ingress->node = node;
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -18,9 +18,9 @@
   gsize body_max;   /* bytes */
   gint64 read_us;   /* from the first byte's due to the whole request */
   gint64 idle_us;   /* a connection without a request is closed after so long */
-  gint64 stall_us;  /* one whose answer nobody takes is closed after so long; 0 for none */
-  gsize held_max;   /* bytes of bodies and answers of all requests; 0 for no bound. While
-                       they are more, new requests are refused as not run */
+  gint64 stall_us; /* one whose answer nobody takes is closed after so long; 0 for none */
+  gsize held_max;  /* bytes of bodies and answers of all requests; 0 for no bound. While
+                      they are more, new requests are refused as not run */
 } HttpLimits;
 
 typedef void (*HttpHandler) (HttpRequest *request, gpointer data);
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -38,7 +38,7 @@
   gpointer let_go_data;
   HttpFullFunc full;
   gpointer full_data;
-  gsize held; /* bytes of bodies and answers */
+  gsize held;        /* bytes of bodies and answers */
   GHashTable *conns; /* set of Conn */
   guint active;
   gboolean woken; /* a connection was resumed since the daemon last ran */
--- a/io/tests/test-slow-readers.c
+++ b/io/tests/test-slow-readers.c
@@ -1,6 +1,6 @@
 /*
- * Callers that do not read their answers. 300 of them that ask for 500 KB each held 150 MB
- * at one node for as long as they liked, of the 160 MB that it has.
+ * Callers that do not read their answers. 300 of them that ask for 500 KB each held 150
+ * MB at one node for as long as they liked, of the 160 MB that it has.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -137,16 +137,16 @@
 static void
 test_readers_that_take_nothing_cost_a_bound (void **state)
 {
-  HttpLimits limits = { 1000, 32768, 1024, 10 * SECOND_US, 20 * SECOND_US, STALL_US,
-                        HELD_MAX };
+  HttpLimits limits = { 1000,           32768,    1024,    10 * SECOND_US,
+                        20 * SECOND_US, STALL_US, HELD_MAX };
   Fixture fixture = { .body = g_strnfill (ANSWER_BYTES, 'x') };
   g_autoptr (GError) error = NULL;
   g_autofree Seen *seen = NULL;
   GThread *thread;
 
   fixture.loop = loop_create (clock_create_boottime ());
-  fixture.server = http_server_create (fixture.loop, ADDRESS, &limits, on_request,
-                                       &fixture, &error);
+  fixture.server =
+      http_server_create (fixture.loop, ADDRESS, &limits, on_request, &fixture, &error);
   assert_non_null (fixture.server);
   http_server_set_let_go (fixture.server, on_let_go, &fixture);
   http_server_set_full (fixture.server, on_full, &fixture);
