Evacuations over a restore: known halls hold on by the node's own clock

Found by reading: a watcher that had heard of the new era by gossip trusted its own list of the store in the same seconds, which did not name the hall yet; as soon as any other change had raised the revision its reading went before the first one's, and the hall was used again.

--- a/daemon/src/config/platform-era.c
+++ b/daemon/src/config/platform-era.c
@@ -6,6 +6,7 @@
 {
   Node *node;
   guint64 era;
+  gint64 risen_us;
   PlatformEraFunc risen;
   gpointer data;
 };
@@ -38,6 +39,7 @@
   metrics_set (era->node->metrics, METRIC_STORE_ERA, seen);
   if (!known)
     return;
+  era->risen_us = clock_now (era->node->clock);
   events_add (era->node->events, "store-restored", to, from);
   gossip_push (era->node->gossip);
   if (era->risen)
@@ -50,6 +52,12 @@
   return era->era;
 }
 
+gint64
+platform_era_risen_us (const PlatformEra *era)
+{
+  return era->risen_us;
+}
+
 void
 platform_era_set_risen (PlatformEra *era, PlatformEraFunc func, gpointer data)
 {
--- a/daemon/src/config/platform-era.h
+++ b/daemon/src/config/platform-era.h
@@ -17,6 +17,9 @@
 /* The highest that has been heard of; 0 for none. */
 guint64 platform_era_get (const PlatformEra *era);
 
+/* When the era rose above one that was known, by the node's clock; 0 for never. */
+gint64 platform_era_risen_us (const PlatformEra *era);
+
 /* Runs each time the era rises above one that was known. */
 typedef void (*PlatformEraFunc) (gpointer data);
 /* One function in all; NULL for none any more. */
