--- a/tests/proc/fleet-private.h
+++ b/tests/proc/fleet-private.h
@@ -20,6 +20,7 @@
   gboolean objects; /* the users' platform */
   guint linger_ms;  /* of nodes there */
   gboolean first_start;
+  gboolean evacuations;
   gboolean keep_files;
   guint64 hidden; /* nodes (bits) that start without a way to the platform */
   GPid platform;
--- a/tests/proc/fleet-settings.c
+++ b/tests/proc/fleet-settings.c
@@ -49,14 +49,15 @@
       "\"registration\":\"%s\"},\"advertise\":\"%s\",\"platform\":\"%s\",\"platform_"
       "kind\":\"objects\","
       "\"target\":{\"address\":\"%s\",\"service\":\"pay\"},"
-      "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\",\"evacuations\":true,"
+      "\"fleet_token\":\"process-test-fleet\",\"log\":\"debug\",\"evacuations\":%s,"
       "\"first_start\":%s,\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,"
       "\"floor_share\":0.7,"
       "\"detection\":\"strict\",\"queue\":16},"
       "\"limits\":{\"linger_ms\":%u,\"grace_s\":%u},"
       "\"operators\":[{\"name\":\"tester\",\"token\":\"" FLEET_TOKEN "\"}]}",
       i, i % 3, callers, operators, nodes, ready, registrations, advertise, platform,
-      target, fleet->first_start ? "true" : "false", fleet->linger_ms,
+      target, fleet->evacuations ? "true" : "false",
+      fleet->first_start ? "true" : "false", fleet->linger_ms,
       4 * fleet->linger_ms / 1000);
 
   g_file_set_contents (path, text, -1, NULL);
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -116,6 +116,12 @@
   fleet->linger_ms = linger_ms;
 }
 
+void
+fleet_use_evacuations (Fleet *fleet)
+{
+  fleet->evacuations = TRUE;
+}
+
 void
 fleet_set_first_start (Fleet *fleet, gboolean first_start)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -33,6 +33,9 @@
 
 /* The users' platform: the store's stand-in, nodes beside targets that register. */
 void fleet_use_objects (Fleet *fleet);
+/* From their next start on nodes of that kind are told that the platform says which data
+   halls are evacuated: those that watch it then watch two kinds of object. */
+void fleet_use_evacuations (Fleet *fleet);
 /* From here on nodes of that kind are told that their whole fleet starts for the first
    time. */
 void fleet_set_first_start (Fleet *fleet, gboolean first_start);
