--- a/core/src/config/shard.c
+++ b/core/src/config/shard.c
@@ -15,7 +15,7 @@
 static void
 write_route (gconstpointer thing, GString *text)
 {
-  /* Written at once; a comma is for what may be the first. */
+  /* Between two of them; what they are written with puts commas between members only. */
   if (text->str[text->len - 1] != '[')
     g_string_append_c (text, ',');
   route_write (thing, text);
