Core: the limit on starts takes several sources

No change of behaviour. The bucket that paces a cold target was the only limit on the rate of starts, with its source (the cold time) built in. Another source needs the same bucket on the same way of every request. The bucket is now a part of its own, and the module is named after what it does; tests of the cold target pass unchanged, its three safeguards still fail their test when taken out.

--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -8,7 +8,7 @@
 #ifndef CORE_ADMISSION_H
 #define CORE_ADMISSION_H
 
-#include <core/warmup.h>
+#include <core/start-limit.h>
 
 typedef struct Admission Admission;
 
@@ -30,9 +30,9 @@
 /* Sets whether the limit adapts to the target's latency; initially it does. */
 void admission_set_adaptive (Admission *admission, gboolean adaptive);
 
-/* Sets the rate limit on starts while the target is cold; NULL for none. `warmup` is
+/* Sets the rate limit on starts; NULL for none. `start_limit` is
    borrowed. */
-void admission_set_warmup (Admission *admission, Warmup *warmup);
+void admission_set_start_limit (Admission *admission, StartLimit *start_limit);
 
 /* Returns whether a request offered now would start immediately. */
 gboolean admission_is_free (const Admission *admission);
--- a/core/src/request/admission.c
+++ b/core/src/request/admission.c
@@ -21,7 +21,7 @@
   guint limit;
   guint queue_max;
   guint in_use;
-  Warmup *warmup; /* borrowed; NULL for no limit on starts */
+  StartLimit *start_limit; /* borrowed; NULL for no limit on starts */
   AdmissionQueue *queue;
   gpointer displaced;
   gint64 recent_us;
@@ -72,24 +72,24 @@
 }
 
 void
-admission_set_warmup (Admission *admission, Warmup *warmup)
+admission_set_start_limit (Admission *admission, StartLimit *start_limit)
 {
-  admission->warmup = warmup;
+  admission->start_limit = start_limit;
 }
 
-/* Returns whether the warm-up allows one more start. */
+/* Returns whether the limit on starts allows one more start. */
 static gboolean
 may_start (const Admission *admission)
 {
-  return !admission->warmup || warmup_allows (admission->warmup);
+  return !admission->start_limit || start_limit_allows (admission->start_limit);
 }
 
 static void
 take_slot (Admission *admission)
 {
   admission->in_use++;
-  if (admission->warmup)
-    warmup_count_start (admission->warmup);
+  if (admission->start_limit)
+    start_limit_count (admission->start_limit);
 }
 
 static gint64
@@ -113,9 +113,9 @@
 {
   gint64 slots_us = (gint64)(ahead + 1) * took_us (admission) / MAX (admission->limit, 1);
 
-  if (!admission->warmup)
+  if (!admission->start_limit)
     return slots_us;
-  return MAX (slots_us, warmup_wait_us (admission->warmup, ahead));
+  return MAX (slots_us, start_limit_wait_us (admission->start_limit, ahead));
 }
 
 /* Makes room in a full queue by removing an item that would start after the new one. */
--- a/core/tests/test-warmup.c
+++ b/core/tests/test-start-limit.c
@@ -15,7 +15,7 @@
 typedef struct
 {
   Clock *clock;
-  Warmup *warmup;
+  StartLimit *start_limit;
 } Fixture;
 
 static Fixture
@@ -23,15 +23,15 @@
 {
   Fixture fixture = { clock_create_manual (1000 * SECOND_US), NULL };
 
-  fixture.warmup = warmup_create (fixture.clock);
-  warmup_set_rate (fixture.warmup, PER_S, BURST);
+  fixture.start_limit = start_limit_create (fixture.clock);
+  start_limit_set_cold_rate (fixture.start_limit, PER_S, BURST);
   return fixture;
 }
 
 static void
 teardown (Fixture *fixture)
 {
-  warmup_destroy (fixture->warmup);
+  start_limit_destroy (fixture->start_limit);
   clock_destroy (fixture->clock);
 }
 
@@ -46,9 +46,9 @@
 
   for (gint64 at = 0; at < span_us; at += MS_US)
     {
-      while (warmup_allows (fixture->warmup))
+      while (start_limit_allows (fixture->start_limit))
         {
-          warmup_count_start (fixture->warmup);
+          start_limit_count (fixture->start_limit);
           g_array_append_val (starts, at);
           if (starts->len > 10000)
             return G_MAXUINT;
@@ -68,7 +68,7 @@
   Fixture fixture = setup ();
   guint most;
 
-  warmup_note_report (fixture.warmup, 60 * SECOND_US);
+  start_limit_note_cold (fixture.start_limit, 60 * SECOND_US);
   most = max_starts_in_a_second (&fixture, 10 * SECOND_US);
   assert_in_range (most, (guint)PER_S, COLD_STARTS_MAX_PER_S);
   teardown (&fixture);
@@ -79,14 +79,14 @@
 {
   Fixture fixture = setup ();
 
-  assert_true (warmup_is_limiting (fixture.warmup));
+  assert_true (start_limit_is_limiting (fixture.start_limit));
   assert_in_range (max_starts_in_a_second (&fixture, 3 * SECOND_US), 1,
                    COLD_STARTS_MAX_PER_S);
-  warmup_note_report (fixture.warmup, 0);
-  assert_false (warmup_is_limiting (fixture.warmup));
-  assert_true (warmup_allows (fixture.warmup));
-  warmup_assume_cold (fixture.warmup);
-  assert_true (warmup_is_limiting (fixture.warmup));
+  start_limit_note_cold (fixture.start_limit, 0);
+  assert_false (start_limit_is_limiting (fixture.start_limit));
+  assert_true (start_limit_allows (fixture.start_limit));
+  start_limit_assume_cold (fixture.start_limit);
+  assert_true (start_limit_is_limiting (fixture.start_limit));
   teardown (&fixture);
 }
 
@@ -97,15 +97,15 @@
 {
   Fixture fixture = setup ();
 
-  warmup_note_report (fixture.warmup, 0);
+  start_limit_note_cold (fixture.start_limit, 0);
   for (guint i = 0; i < 100; i++)
-    warmup_count_start (fixture.warmup);
-  warmup_note_report (fixture.warmup, 10 * SECOND_US);
-  assert_false (warmup_allows (fixture.warmup));
+    start_limit_count (fixture.start_limit);
+  start_limit_note_cold (fixture.start_limit, 10 * SECOND_US);
+  assert_false (start_limit_allows (fixture.start_limit));
   clock_advance (fixture.clock, SECOND_US / 2);
-  assert_false (warmup_allows (fixture.warmup));
+  assert_false (start_limit_allows (fixture.start_limit));
   clock_advance (fixture.clock, SECOND_US);
-  assert_true (warmup_allows (fixture.warmup));
+  assert_true (start_limit_allows (fixture.start_limit));
   teardown (&fixture);
 }
 
@@ -114,11 +114,11 @@
 {
   Fixture fixture = setup ();
 
-  warmup_note_report (fixture.warmup, 2 * SECOND_US);
+  start_limit_note_cold (fixture.start_limit, 2 * SECOND_US);
   clock_advance (fixture.clock, 2 * SECOND_US - 1);
-  assert_true (warmup_is_limiting (fixture.warmup));
+  assert_true (start_limit_is_limiting (fixture.start_limit));
   clock_advance (fixture.clock, 1);
-  assert_false (warmup_is_limiting (fixture.warmup));
+  assert_false (start_limit_is_limiting (fixture.start_limit));
   teardown (&fixture);
 }
 
@@ -127,12 +127,12 @@
 {
   Fixture fixture = setup ();
 
-  warmup_set_rate (fixture.warmup, 0, 0);
-  assert_false (warmup_is_limiting (fixture.warmup));
+  start_limit_set_cold_rate (fixture.start_limit, 0, 0);
+  assert_false (start_limit_is_limiting (fixture.start_limit));
   for (guint i = 0; i < 1000; i++)
     {
-      assert_true (warmup_allows (fixture.warmup));
-      warmup_count_start (fixture.warmup);
+      assert_true (start_limit_allows (fixture.start_limit));
+      start_limit_count (fixture.start_limit);
     }
   teardown (&fixture);
 }
@@ -150,8 +150,8 @@
   guint queued = 0;
   char items[40];
 
-  admission_set_warmup (admission, fixture.warmup);
-  warmup_note_report (fixture.warmup, 60 * SECOND_US);
+  admission_set_start_limit (admission, fixture.start_limit);
+  start_limit_note_cold (fixture.start_limit, 60 * SECOND_US);
   for (guint i = 0; i < G_N_ELEMENTS (items); i++)
     {
       started += admission_hold (admission);
@@ -190,7 +190,7 @@
   Fixture fixture = setup ();
   Admission *admission = admission_create (50, 100, fixture.clock);
 
-  admission_set_warmup (admission, fixture.warmup);
+  admission_set_start_limit (admission, fixture.start_limit);
   while (admission_hold (admission))
     ;
   assert_in_range (admission_retry_after_us (admission), 50 * MS_US, SECOND_US);
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -110,7 +110,8 @@
 may_force_slot (SidecarTarget *target, const sw_submit_args *args)
 {
   return args->trial && detector_severity (target->detector) > 0 &&
-         !admission_is_free (target->admission) && warmup_allows (target->warmup);
+         !admission_is_free (target->admission) &&
+         start_limit_allows (target->start_limit);
 }
 
 /* Returns why the attempt is refused, or SW_REASON_NONE. `has_slot` says that a slot is
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -7,8 +7,8 @@
 
   target->name = g_strdup (config->name);
   target->admission = admission_create (config->slots, service->queue, clock);
-  target->warmup = warmup_create (clock);
-  admission_set_warmup (target->admission, target->warmup);
+  target->start_limit = start_limit_create (clock);
+  admission_set_start_limit (target->admission, target->start_limit);
   target->detection = service->detection;
   target->detector = detector_create (service->detection, clock);
   target->shedding = shedding_create (clock);
@@ -20,7 +20,7 @@
 sidecar_target_destroy (SidecarTarget *target)
 {
   admission_destroy (target->admission);
-  warmup_destroy (target->warmup);
+  start_limit_destroy (target->start_limit);
   detector_destroy (target->detector);
   shedding_destroy (target->shedding);
   g_free (target->name);
@@ -42,9 +42,10 @@
   /* The target may have become cold while its hall was evacuated. It counts as cold until
      it reports again. */
   if (target->state == TARGET_EVACUATED && config->state != TARGET_EVACUATED)
-    warmup_assume_cold (target->warmup);
+    start_limit_assume_cold (target->start_limit);
   target->state = config->state;
-  warmup_set_rate (target->warmup, service->cold_per_s, service->cold_burst);
+  start_limit_set_cold_rate (target->start_limit, service->cold_per_s,
+                             service->cold_burst);
   target->answer_max = service->answer_max;
   target->present = TRUE;
   admission_resize (target->admission, config->slots, service->queue);
@@ -65,7 +66,7 @@
 void
 sidecar_target_note_cold (SidecarTarget *target, gint64 cold_us)
 {
-  warmup_note_report (target->warmup, cold_us);
+  start_limit_note_cold (target->start_limit, cold_us);
 }
 
 void
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -19,8 +19,8 @@
   TargetState state;
   Detection detection;
   gsize answer_max;
-  Warmup *warmup;
-  Admission *admission; /* bounded by `warmup` */
+  StartLimit *start_limit;
+  Admission *admission; /* bounded by `start_limit` */
   Detector *detector;
   Shedding *shedding;
   Proof proof;
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -228,7 +228,7 @@
 void
 sidecar_count_cold_refusal (const SidecarTarget *target, const Sidecar *sidecar)
 {
-  if (warmup_is_limiting (target->warmup))
+  if (start_limit_is_cold (target->start_limit))
     metrics_add (sidecar->node->metrics, METRIC_COLD_REFUSED, 1);
 }
 
