Sight: what a target states about itself is read, logged and counted

The dialects name the headers, the sidecar reads them from every answer of its target, refusals and broken ones too, and core/named-rate decides which limit is in force and when it ends. It is only observed: the events target-rate-named, -changed and -ended carry the rate, its age, the attempt, and the starts meanwhile with trials and repeats apart; target-announces-leaving and target-notice-bad beside them; the target's status shows the limit in force; switchmill_named_rate_starts_total counts. The target stand-in names rates and says that it leaves. No request is treated differently yet.

--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -37,8 +37,9 @@
   METRIC_CALLERS_NO_ROOM, /* refused, because the memory for requests is used up */
   METRIC_CONFIG_APPLIED,
   METRIC_CONFIG_GENERATION,
-  METRIC_HALLS_EVACUATED, /* current number */
-  METRIC_COLD_REFUSED,    /* because a cold target is at its limit */
+  METRIC_HALLS_EVACUATED,   /* current number */
+  METRIC_COLD_REFUSED,      /* because a cold target is at its limit */
+  METRIC_NAMED_RATE_STARTS, /* at targets that have named a rate */
   METRIC_PLATFORM_CALLS,
   METRIC_STORE_ERA,
   METRIC_STORE_PUT_BACK, /* records written again that a restored store had lost */
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -12,6 +12,8 @@
 #define ATTEMPT_HEADER PREFIX "Attempt"
 #define DEADLINE_HEADER PREFIX "Deadline-Ms"
 #define ACCOUNT_HEADER PREFIX "Account"
+/* In a target's answer: the requests a second that it takes from the whole fleet. */
+#define RATE_HEADER PREFIX "Rate-Limit"
 /* How long after the deadline the fence is still queried before the caller is answered
    "unknown". */
 #define SLACK_US (500 * MS_US)
@@ -158,6 +160,7 @@
   .returns = returns,
   .status = status,
   .add_verdict = add_verdict,
+  .rate_header = RATE_HEADER,
   .account_header = ACCOUNT_HEADER,
   .slack_us = SLACK_US,
   .tickets = TRUE,
--- a/daemon/src/request/dialect.h
+++ b/daemon/src/request/dialect.h
@@ -58,6 +58,10 @@
   guint (*status) (const Verdict *verdict);
   /* Adds the headers that report the result. */
   void (*add_verdict) (const Verdict *verdict, const char *id, GArray *headers);
+  /* In a target's answers: the requests a second that it takes from the whole fleet, and
+     that it leaves. NULL if the dialect has no such header. */
+  const char *rate_header;
+  const char *leaving_header;
   const char *account_header; /* carries the account's id to the target */
   gint64 slack_us;  /* how long after the deadline the caller is answered at most */
   gboolean tickets; /* callers may ask for tickets (ticket.h) */
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -3,7 +3,8 @@
  * target, from its admission to its answer. sidecar.c creates the sidecar, applies
  * configurations and runs the periodic checks, sidecar-calls.c handles the calls of
  * ingresses, submission.c admits, runs and answers submissions, submission-watch.c
- * reports their ends to the target's detector and the route's latency statistics, and
+ * reports their ends to the target's detector and the route's latency statistics,
+ * submission-notices.c takes what targets state about themselves in answers, and
  * submission-fingerprint.c selects the fields that identify their requests.
  */
 #ifndef DAEMON_SIDECAR_PRIVATE_H
@@ -113,6 +114,14 @@
                           const HttpResult *result,
                           gboolean failed);
 
+/* Takes what the target states about itself in the headers of its answer, which need not
+   be complete. Called before the answer is reported to the ingress. */
+void submission_note_notices (const Submission *submission,
+                              const HttpResult *result,
+                              const sw_submit_res *res);
+/* Counts a start at a target that has named a rate. */
+void submission_count_limited_start (const Submission *submission);
+
 /* Notes that the result is no longer needed. This counts against the target if the
    attempt is late. */
 void submission_note_abandoned (Submission *submission);
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -9,6 +9,7 @@
   target->admission = admission_create (config->slots, service->queue, clock);
   target->start_limit = start_limit_create (clock);
   admission_set_start_limit (target->admission, target->start_limit);
+  target->named_rate = named_rate_create (clock);
   target->detection = service->detection;
   target->detector = detector_create (service->detection, clock);
   target->shedding = shedding_create (clock);
@@ -21,6 +22,7 @@
 {
   admission_destroy (target->admission);
   start_limit_destroy (target->start_limit);
+  named_rate_destroy (target->named_rate);
   detector_destroy (target->detector);
   shedding_destroy (target->shedding);
   g_free (target->name);
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -7,10 +7,19 @@
 #include <core/admission.h>
 #include <core/config.h>
 #include <core/detector.h>
+#include <core/named-rate.h>
 #include <core/proof.h>
 #include <core/shedding.h>
 #include <wire/message.h>
 
+/* Starts since the target named a rate. */
+typedef struct
+{
+  guint count;
+  guint trials;
+  guint repeats;
+} LimitedStarts;
+
 typedef struct
 {
   char *name;
@@ -21,6 +30,8 @@
   gsize answer_max;
   StartLimit *start_limit;
   Admission *admission; /* bounded by `start_limit` */
+  NamedRate *named_rate;
+  LimitedStarts limited_starts;
   Detector *detector;
   Shedding *shedding;
   Proof proof;
@@ -30,7 +41,9 @@
   guint published_severity; /* as last published in gossip, like the next two */
   gboolean published_leaving;
   gboolean published_shedding;
-  gboolean present; /* listed in the current configuration */
+  gint64 malformed_logged_us; /* time of the last log line; 0 for none */
+  gboolean announced_leaving; /* in an answer; never taken back */
+  gboolean present;           /* listed in the current configuration */
 } SidecarTarget;
 
 SidecarTarget *
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -217,6 +217,7 @@
     note_target_refusal (submission, result->status, &res);
   failed = res.result != SW_DONE || result->status >= HTTP_SERVER_ERROR;
   submission_note_end (submission, &res, result, failed);
+  submission_note_notices (submission, result, &res);
   if (failed)
     log_failure (submission, result, &res);
   if (failed)
@@ -308,6 +309,7 @@
   order.timeout_us = submission->deadline_us - now;
   order.answer_max = target->answer_max;
   metrics_add (sidecar->node->metrics, METRIC_SIDECAR_STARTED, 1);
+  submission_count_limited_start (submission);
   submission->call =
       http_client_send (sidecar->node->http, &order, on_target_done, submission);
 }
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -105,6 +105,17 @@
   gossip_push (node->gossip);
 }
 
+static void
+write_named_rate (const SidecarTarget *target, JsonBuilder *builder)
+{
+  json_builder_set_member_name (builder, "named_rate");
+  json_builder_begin_object (builder);
+  json_write_double (builder, "per_s", named_rate_per_s (target->named_rate));
+  json_write_int (builder, "age_ms", named_rate_age_us (target->named_rate) / MS_US);
+  json_write_int (builder, "starts", target->limited_starts.count);
+  json_builder_end_object (builder);
+}
+
 void
 verdicts_write (GHashTable *targets, gboolean draining, JsonBuilder *builder)
 {
@@ -130,6 +141,9 @@
       json_write_int (builder, "failures_ppm", state.failures_ppm);
       json_write_bool (builder, "leaving", state.draining);
       json_write_bool (builder, "shedding", state.shedding);
+      if (named_rate_is_in_force (target->named_rate))
+        write_named_rate (target, builder);
+      json_write_bool (builder, "announced_leaving", target->announced_leaving);
       json_builder_end_object (builder);
     }
   json_builder_end_array (builder);
--- a/standins/src/target-conn.c
+++ b/standins/src/target-conn.c
@@ -83,9 +83,9 @@
 {
   const char *echo = conn->signed_answers ? TARGET_DIALECT_ECHO : "Switchmill-Attempt: ";
   g_autofree char *head = g_strdup_printf (
-      "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n%s%s%s\r\n",
+      "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n%s%s%s%s\r\n",
       status, status < 400 ? "OK" : "Error", strlen (body) + extra, attempt ? echo : "",
-      attempt ? attempt : "", attempt ? "\r\n" : "");
+      attempt ? attempt : "", attempt ? "\r\n" : "", conn->notices ? conn->notices : "");
 
   target_conn_put (conn, head);
   target_conn_put (conn, body);
--- a/standins/src/target-conn.h
+++ b/standins/src/target-conn.h
@@ -22,6 +22,7 @@
   char *attempt;
   char *expected;          /* the target that the request is meant for; may be NULL */
   gboolean signed_answers; /* the request is in the users' dialect */
+  const char *notices;     /* header lines added to answers, borrowed; NULL for none */
   gsize body_at;
   gsize body_len;
 } TargetConn;
--- a/standins/src/target-faults.c
+++ b/standins/src/target-faults.c
@@ -30,6 +30,20 @@
   return target_query_number (path, key, fallback_us / MS_US) * MS_US;
 }
 
+/* Replaces a text by an argument: "off" for none; no argument changes nothing. */
+static void
+set_text (char **text, const char *path, const char *key)
+{
+  char *value = target_query_text (path, key);
+
+  if (!value)
+    return;
+  g_free (*text);
+  *text = value;
+  if (strcmp (value, "off") == 0)
+    g_clear_pointer (text, g_free);
+}
+
 void
 target_faults_set (TargetFaults *faults, const char *path)
 {
@@ -43,6 +57,8 @@
       (guint)target_query_number (path, "slow_percent", faults->slow_percent);
   faults->slow_us = milliseconds (path, "slow_ms", faults->slow_us);
   faults->flap_us = milliseconds (path, "flap_ms", faults->flap_us);
+  set_text (&faults->rate, path, "rate");
+  set_text (&faults->leaving, path, "leaving");
   if (deadly)
     {
       g_free (faults->deadly);
--- a/standins/src/target-faults.h
+++ b/standins/src/target-faults.h
@@ -27,7 +27,9 @@
   gint64 slow_us;     /* 0 disables slow requests */
   gint64 flap_us;     /* faults are on and off in turn, for this long; 0 for always on */
   TargetAnswer answer;
-  char *deadly; /* the process exits on a path that contains this text; may be NULL */
+  char *rate;    /* named in answers, may be malformed; NULL for none */
+  char *leaving; /* value of the header that says that the target leaves; NULL for none */
+  char *deadly;  /* the process exits on a path that contains this text; may be NULL */
 } TargetFaults;
 
 gboolean target_faults_on (const TargetFaults *faults, gint64 now_us);
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -9,7 +9,7 @@
  *
  * Control paths:
  *   /_control?latency_ms=N&error_percent=N&slow_percent=N&slow_ms=N&flap_ms=N&answer=TEXT
- *             &deadly=TEXT
+ *             &deadly=TEXT&rate=TEXT&leaving=TEXT
  *     answer=whole: the default.
  *     answer=truncated: closes before the end of the body.
  *     answer=long: sends extra bytes after the answer.
@@ -21,6 +21,8 @@
  *     answer=busy: executes the request and answers with a plain 503.
  *     deadly: a request whose path contains the text ends the process after its service
  *     time; an empty text disables this.
+ *     rate: the answers name this request rate, in one header for each of the values that
+ *     "|" separates; leaving: they say that the target leaves. "off" ends either.
  *     flap_ms: faults are on and off in turn, for this long.
  *   /_health: always answers 200.
  *   /_runs: totals, and the number of ids executed more than once.
@@ -55,8 +57,9 @@
 static TargetRuns *runs;
 static TargetFaults faults = { .latency_us = 2 * MS_US, .slow_percent = 100 };
 static char *name;
-static char *seen; /* answer to /_seen */
-static char *head; /* answer to /_head */
+static char *seen;    /* answer to /_seen */
+static char *head;    /* answer to /_head */
+static char *notices; /* header lines about the target itself */
 
 static void start_queued (void);
 static void take_request (TargetConn *conn);
@@ -100,6 +103,7 @@
   gboolean error = faulty && (guint)g_rand_int_range (rng, 0, 100) < faults.error_percent;
   g_autofree char *body = target_conn_body (conn, name);
 
+  conn->notices = notices;
   if (error)
     {
       target_conn_put_answer (conn, 500, "broken inside\n", conn->attempt, 0);
@@ -202,7 +206,11 @@
   g_autofree char *text = NULL;
 
   if (g_str_has_prefix (conn->path, "/_control"))
-    target_faults_set (&faults, conn->path);
+    {
+      target_faults_set (&faults, conn->path);
+      g_free (notices);
+      notices = target_dialect_notices (faults.rate, faults.leaving);
+    }
   if (g_str_has_prefix (conn->path, "/_runs"))
     text = runs_text (conn->path);
   else if (g_str_has_prefix (conn->path, "/_ids"))
@@ -213,6 +221,7 @@
     text = g_strdup (head ? head : "\n");
   else
     text = g_strdup ("ok\n");
+  conn->notices = NULL;
   target_conn_put_answer (conn, 200, text, NULL, 0);
   target_conn_drop_request (conn);
   target_conn_flush (conn);
@@ -223,6 +232,8 @@
 refuse (TargetConn *conn)
 {
   target_conn_put (conn, TARGET_DIALECT_REFUSAL);
+  target_conn_put (conn, notices ? notices : "");
+  target_conn_put (conn, "\r\n");
   target_conn_flush (conn);
   target_conn_drop_request (conn);
 }
