A target gets no more than the rate it names

Cause: a statement of the target about itself was handed on to callers and read by nobody. Starts at a target follow its free slots; a target in need has free slots.

Change: the sidecar, through which every request to its target passes, limits starts to the named rate with one more bucket of the limiter that paces cold targets. Offers, held slots, trials, hedges, calls of other targets and queued requests all take their start there. The bucket begins empty, a change of the rate does not fill it, and its burst is a quarter of a second of the rate, at least one. What waits when the rate falls is refused as not run. A refusal has a reason of its own (rate-limited), a true delay, and makes others be preferred by the way that targets which shed load take. A sidecar that starts again is told by the ingresses that were told: each request carries the rate that its ingress remembers, which counts until the target's first answer.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -9,6 +9,7 @@
 
 #include <core/clock.h>
 #include <core/config.h>
+#include <core/named-rate.h>
 
 typedef struct Balancer Balancer;
 
@@ -28,6 +29,8 @@
   gboolean slow; /* sick only because it is slow */
   gboolean draining;
   gboolean shedding; /* it recently refused work although it had free slots */
+  NamedRateState rate_state;
+  double rate_per_s; /* that the target has named, if it is in force */
   gboolean abrupt;   /* sick, and it closes connections at once without an answer */
 } TargetReport;
 
@@ -96,6 +99,11 @@
 
 void balancer_note_report (Balancer *balancer, const TargetReport *report);
 
+/* Returns whether the target has named a rate by the last report that knew, also of an
+   earlier incarnation of its sidecar, and stores it in `per_s`. */
+gboolean
+balancer_named_rate (const Balancer *balancer, const char *target, double *per_s);
+
 /* Records a verdict. Verdicts share incarnations and serial numbers with reports. */
 void balancer_note_verdict (Balancer *balancer,
                             const char *target,
--- a/core/include/core/named-rate.h
+++ b/core/include/core/named-rate.h
@@ -9,7 +9,8 @@
  * Rule: a limit is in force from the first answer that names it, and a lower rate from
  * the first answer with that rate. A higher rate, or an answer without one, counts only
  * if its request started after the last answer that confirmed the present limit. A
- * malformed rate changes nothing.
+ * malformed rate changes nothing. A sidecar that has started while its target runs takes
+ * the rate that ingresses remember, until the target's first answer.
  */
 #ifndef CORE_NAMED_RATE_H
 #define CORE_NAMED_RATE_H
@@ -32,6 +33,13 @@
   double per_s; /* requests a second, for RATE_NOTICE_NAMED */
 } RateNotice;
 
+typedef enum
+{
+  NAMED_RATE_UNKNOWN, /* no answer of the target yet, and no ingress remembers a rate */
+  NAMED_RATE_NONE,
+  NAMED_RATE_IN_FORCE
+} NamedRateState;
+
 typedef enum
 {
   NAMED_RATE_UNCHANGED,
@@ -44,7 +52,7 @@
    more digits. Anything else is malformed. */
 RateNotice rate_notice_parse (const char *text);
 
-/* No limit is in force at first. `clock` is borrowed. */
+/* NAMED_RATE_UNKNOWN at first. `clock` is borrowed. */
 NamedRate *named_rate_create (Clock *clock);
 void named_rate_destroy (NamedRate *rate);
 
@@ -52,6 +60,11 @@
 NamedRateChange
 named_rate_note_answer (NamedRate *rate, const RateNotice *notice, gint64 started_us);
 
+/* Takes the rate that an ingress was told before this sidecar started. It has no effect
+   once the target has answered, and the lowest counts until then. */
+NamedRateChange named_rate_note_remembered (NamedRate *rate, double per_s);
+
+NamedRateState named_rate_state (const NamedRate *rate);
 gboolean named_rate_is_in_force (const NamedRate *rate);
 /* The limit in force, in requests a second, and the time since it was first named. */
 double named_rate_per_s (const NamedRate *rate);
--- a/core/include/core/outcome.h
+++ b/core/include/core/outcome.h
@@ -16,7 +16,7 @@
 /* Returns "done", "not-run" or "unknown". */
 const char *outcome_name (Outcome outcome);
 
-/* Values up to REASON_EVACUATED equal those of the wire protocol's sw_reason; the ones
+/* Values up to REASON_RATE_LIMITED equal those of the wire protocol's sw_reason; the ones
    after it arise at the ingress. */
 typedef enum
 {
@@ -42,6 +42,7 @@
   REASON_UNPROVED,       /* the target has not kept a request recently (core/proof.h) */
   REASON_QUARANTINED,    /* targets crashed while they ran this request */
   REASON_EVACUATED,      /* the target's data hall is evacuated */
+  REASON_RATE_LIMITED,   /* the rate that the target has named is used up */
   REASON_LOST,           /* no answer from the sidecar */
   REASON_UNREACHABLE,    /* no connection to the sidecar: nothing was sent */
   REASON_COUNT
--- a/core/include/core/start-limit.h
+++ b/core/include/core/start-limit.h
@@ -35,8 +35,14 @@
 /* Returns whether starts are limited because the target is cold. */
 gboolean start_limit_is_cold (const StartLimit *limit);
 
-/* Returns whether starts are limited now. */
-gboolean start_limit_is_limiting (const StartLimit *limit);
+/* Limits starts to the rate that the target names, from an empty bucket on if it has
+   named none so far. The burst is small: what the target takes in 250 ms, at least
+   one request. Rates under one in 10 s count as that, because only an answer of the
+   target can end the limit. */
+void start_limit_set_named_rate (StartLimit *limit, double per_s);
+void start_limit_end_named_rate (StartLimit *limit);
+/* Returns whether no more may start now because of the named rate. */
+gboolean start_limit_named_is_used_up (const StartLimit *limit);
 
 /* Returns whether one more may start now. */
 gboolean start_limit_allows (const StartLimit *limit);
--- a/core/src/request/balancer-private.h
+++ b/core/src/request/balancer-private.h
@@ -7,6 +7,7 @@
 
 #include <core/balancer.h>
 #include <core/eject.h>
+#include <core/target-statements.h>
 
 #include "path.h"
 
@@ -33,8 +34,9 @@
   char *hall;
   GRand *rand;
   Clock *clock;
-  GHashTable *views; /* target → TargetView */
-  GHashTable *paths; /* node → Path */
+  GHashTable *views;            /* target → TargetView */
+  GHashTable *paths;            /* node → Path */
+  TargetStatements *statements; /* beyond the views' incarnations */
   guint ingresses;
 };
 
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -13,6 +13,7 @@
   balancer->ingresses = 1;
   balancer->views = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   balancer->paths = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  balancer->statements = target_statements_create (clock);
   return balancer;
 }
 
@@ -23,6 +24,7 @@
     return;
   g_hash_table_unref (balancer->views);
   g_hash_table_unref (balancer->paths);
+  target_statements_destroy (balancer->statements);
   g_free (balancer->hall);
   g_free (balancer);
 }
@@ -107,11 +109,19 @@
       report->serial < view->report.serial)
     return;
   note_severity (balancer, view, report->severity);
+  target_statements_note_rate (balancer->statements, report->target, report->rate_state,
+                               report->rate_per_s);
   view->report = *report;
   view->report.target = NULL;
   view->known = TRUE;
 }
 
+gboolean
+balancer_named_rate (const Balancer *balancer, const char *target, double *per_s)
+{
+  return target_statements_rate (balancer->statements, target, per_s);
+}
+
 void
 balancer_note_verdict (Balancer *balancer,
                        const char *target,
--- a/core/src/request/named-rate.c
+++ b/core/src/request/named-rate.c
@@ -9,10 +9,12 @@
 struct NamedRate
 {
   Clock *clock;
-  gboolean in_force;
+  NamedRateState state;
+  gboolean answered; /* the target itself has said whether it names a rate */
   double per_s;
   gint64 begun_us;
-  gint64 confirmed_us; /* time of the last answer that named the present rate */
+  gint64
+      confirmed_us; /* time of the last answer that named the present rate; 0 for none */
 };
 
 RateNotice
@@ -53,42 +55,68 @@
 static NamedRateChange
 set_rate (NamedRate *rate, double per_s)
 {
-  gint64 now = clock_now (rate->clock);
   NamedRateChange change = NAMED_RATE_CHANGED;
 
-  if (!rate->in_force)
+  if (rate->state != NAMED_RATE_IN_FORCE)
     {
       change = NAMED_RATE_BEGUN;
-      rate->begun_us = now;
+      rate->begun_us = clock_now (rate->clock);
     }
   else if (per_s == rate->per_s)
     {
       change = NAMED_RATE_UNCHANGED;
     }
-  rate->in_force = TRUE;
+  rate->state = NAMED_RATE_IN_FORCE;
   rate->per_s = per_s;
-  rate->confirmed_us = now;
   return change;
 }
 
+/* Takes an answer that names no rate. */
+static NamedRateChange
+note_absent (NamedRate *rate, gboolean later)
+{
+  gboolean ends = rate->state == NAMED_RATE_IN_FORCE;
+
+  if (ends && !later)
+    return NAMED_RATE_UNCHANGED;
+  rate->answered = TRUE;
+  rate->state = NAMED_RATE_NONE;
+  return ends ? NAMED_RATE_ENDED : NAMED_RATE_UNCHANGED;
+}
+
 NamedRateChange
 named_rate_note_answer (NamedRate *rate, const RateNotice *notice, gint64 started_us)
 {
   gboolean later = started_us > rate->confirmed_us;
+  gboolean tightens = rate->state != NAMED_RATE_IN_FORCE || notice->per_s <= rate->per_s;
+
+  if (notice->kind == RATE_NOTICE_ABSENT)
+    return note_absent (rate, later);
+  if (notice->kind == RATE_NOTICE_MALFORMED || (!later && !tightens))
+    return NAMED_RATE_UNCHANGED;
+  rate->answered = TRUE;
+  rate->confirmed_us = clock_now (rate->clock);
+  return set_rate (rate, notice->per_s);
+}
 
-  if (notice->kind == RATE_NOTICE_NAMED &&
-      (!rate->in_force || later || notice->per_s <= rate->per_s))
-    return set_rate (rate, notice->per_s);
-  if (notice->kind != RATE_NOTICE_ABSENT || !rate->in_force || !later)
+NamedRateChange
+named_rate_note_remembered (NamedRate *rate, double per_s)
+{
+  if (rate->answered || (rate->state == NAMED_RATE_IN_FORCE && per_s >= rate->per_s))
     return NAMED_RATE_UNCHANGED;
-  rate->in_force = FALSE;
-  return NAMED_RATE_ENDED;
+  return set_rate (rate, per_s);
+}
+
+NamedRateState
+named_rate_state (const NamedRate *rate)
+{
+  return rate->state;
 }
 
 gboolean
 named_rate_is_in_force (const NamedRate *rate)
 {
-  return rate->in_force;
+  return rate->state == NAMED_RATE_IN_FORCE;
 }
 
 double
--- a/core/src/request/placement.c
+++ b/core/src/request/placement.c
@@ -67,7 +67,8 @@
 is_load_refusal (Reason reason)
 {
   return reason == REASON_OVERLOAD || reason == REASON_DEADLINE ||
-         reason == REASON_BUDGET || reason == REASON_TARGET_REFUSED;
+         reason == REASON_BUDGET || reason == REASON_TARGET_REFUSED ||
+         reason == REASON_RATE_LIMITED;
 }
 
 void
--- a/core/src/request/start-limit.c
+++ b/core/src/request/start-limit.c
@@ -2,6 +2,10 @@
 
 /* Limits the negative balance left by starts at a warm target, in seconds of the rate. */
 #define DEBT_MAX_S 1.0
+/* Burst at a named rate, in seconds of it: requests come at random times, and queued ones
+   start in steps of 50 ms. */
+#define NAMED_BURST_S 0.25
+#define NAMED_PER_S_MIN 0.1
 
 typedef struct
 {
@@ -17,6 +21,8 @@
   Bucket cold;
   gint64 cold_until_us;
   gboolean unknown; /* no report since the target may have become cold */
+  Bucket named;
+  gboolean has_named;
 };
 
 /* Returns the tokens in the bucket at `now_us`. */
@@ -95,10 +101,28 @@
   return limit->unknown || clock_now (limit->clock) < limit->cold_until_us;
 }
 
+void
+start_limit_set_named_rate (StartLimit *limit, double per_s)
+{
+  gint64 now = clock_now (limit->clock);
+  Bucket *bucket = &limit->named;
+
+  bucket_set (bucket, limit->has_named ? bucket_tokens (bucket, now) : 0, now);
+  bucket->per_s = MAX (per_s, NAMED_PER_S_MIN);
+  bucket->burst = MAX (bucket->per_s * NAMED_BURST_S, 1);
+  limit->has_named = TRUE;
+}
+
+void
+start_limit_end_named_rate (StartLimit *limit)
+{
+  limit->has_named = FALSE;
+}
+
 gboolean
-start_limit_is_limiting (const StartLimit *limit)
+start_limit_named_is_used_up (const StartLimit *limit)
 {
-  return start_limit_is_cold (limit);
+  return limit->has_named && bucket_tokens (&limit->named, clock_now (limit->clock)) < 1;
 }
 
 gboolean
@@ -106,6 +130,8 @@
 {
   gint64 now = clock_now (limit->clock);
 
+  if (start_limit_named_is_used_up (limit))
+    return FALSE;
   return !start_limit_is_cold (limit) || bucket_tokens (&limit->cold, now) >= 1;
 }
 
@@ -118,12 +144,17 @@
   if (cold->per_s > 0)
     bucket_set (cold, MAX (bucket_tokens (cold, now) - 1, -DEBT_MAX_S * cold->per_s),
                 now);
+  if (limit->has_named)
+    bucket_set (&limit->named, bucket_tokens (&limit->named, now) - 1, now);
 }
 
 gint64
 start_limit_wait_us (const StartLimit *limit, guint ahead)
 {
   gint64 now = clock_now (limit->clock);
+  gint64 cold =
+      start_limit_is_cold (limit) ? bucket_wait_us (&limit->cold, ahead, now) : 0;
+  gint64 named = limit->has_named ? bucket_wait_us (&limit->named, ahead, now) : 0;
 
-  return start_limit_is_cold (limit) ? bucket_wait_us (&limit->cold, ahead, now) : 0;
+  return MAX (cold, named);
 }
--- a/core/tests/test-named-rate.c
+++ b/core/tests/test-named-rate.c
@@ -131,6 +131,37 @@
   assert_true (rate_notice_parse ("99999999999999999999").per_s <= 1e6);
 }
 
+static void
+test_a_remembered_rate_holds_until_the_first_answer (void **state)
+{
+  Fixture fixture = setup ();
+
+  assert_int_equal (named_rate_state (fixture.rate), NAMED_RATE_UNKNOWN);
+  assert_int_equal (named_rate_note_remembered (fixture.rate, 1.4), NAMED_RATE_BEGUN);
+  /* The lowest counts, because an ingress may remember an earlier one. */
+  assert_int_equal (named_rate_note_remembered (fixture.rate, 5), NAMED_RATE_UNCHANGED);
+  assert_int_equal (named_rate_note_remembered (fixture.rate, 1.2), NAMED_RATE_CHANGED);
+  assert_true (named_rate_per_s (fixture.rate) == 1.2);
+  assert_int_equal (note (&fixture, malformed, 0), NAMED_RATE_UNCHANGED);
+  /* Any request of this sidecar started after the rate was remembered. */
+  assert_int_equal (note (&fixture, absent, SECOND_US), NAMED_RATE_ENDED);
+  assert_int_equal (named_rate_state (fixture.rate), NAMED_RATE_NONE);
+  assert_int_equal (named_rate_note_remembered (fixture.rate, 1.4), NAMED_RATE_UNCHANGED);
+  assert_false (named_rate_is_in_force (fixture.rate));
+  teardown (&fixture);
+}
+
+static void
+test_a_remembered_rate_does_not_change_what_the_target_named (void **state)
+{
+  Fixture fixture = setup ();
+
+  name (&fixture, 5, 0);
+  assert_int_equal (named_rate_note_remembered (fixture.rate, 1.4), NAMED_RATE_UNCHANGED);
+  assert_true (named_rate_per_s (fixture.rate) == 5);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -139,6 +170,8 @@
     cmocka_unit_test (test_an_answer_that_began_before_the_limit_does_not_end_it),
     cmocka_unit_test (test_a_lower_rate_counts_at_once_and_a_higher_one_if_it_is_later),
     cmocka_unit_test (test_a_malformed_rate_changes_nothing),
+    cmocka_unit_test (test_a_remembered_rate_holds_until_the_first_answer),
+    cmocka_unit_test (test_a_remembered_rate_does_not_change_what_the_target_named),
     cmocka_unit_test (test_only_decimal_numbers_are_rates),
   };
 
--- /dev/null
+++ b/core/tests/test-target-statements.c
@@ -0,0 +1,94 @@
+/* Tests what an ingress remembers of what targets have stated. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <core/balancer.h>
+#include <core/target-statements.h>
+
+#define HOUR_US (3600 * SECOND_US)
+/* More entries than are kept. */
+#define MANY 17000u
+
+static void
+test_a_rate_is_remembered_until_a_sidecar_knows_better (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  TargetStatements *statements = target_statements_create (clock);
+  double per_s = 0;
+
+  assert_false (target_statements_rate (statements, "i-0", &per_s));
+  target_statements_note_rate (statements, "i-0", NAMED_RATE_IN_FORCE, 1.4);
+  target_statements_note_rate (statements, "i-0", NAMED_RATE_UNKNOWN, 0);
+  assert_true (target_statements_rate (statements, "i-0", &per_s));
+  assert_true (per_s == 1.4);
+  assert_false (target_statements_rate (statements, "i-1", &per_s));
+  target_statements_note_rate (statements, "i-0", NAMED_RATE_NONE, 0);
+  assert_false (target_statements_rate (statements, "i-0", &per_s));
+  target_statements_destroy (statements);
+  clock_destroy (clock);
+}
+
+static void
+test_statements_expire_and_are_bounded (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  TargetStatements *statements = target_statements_create (clock);
+  double per_s = 0;
+
+  target_statements_note_rate (statements, "i-old", NAMED_RATE_IN_FORCE, 1);
+  clock_advance (clock, HOUR_US);
+  assert_true (target_statements_rate (statements, "i-old", &per_s));
+  clock_advance (clock, 1);
+  assert_false (target_statements_rate (statements, "i-old", &per_s));
+  for (guint i = 0; i < MANY; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("i-%u", i);
+
+      target_statements_note_rate (statements, name, NAMED_RATE_IN_FORCE, 1);
+      clock_advance (clock, 1);
+    }
+  assert_false (target_statements_rate (statements, "i-0", &per_s));
+  assert_true (target_statements_rate (statements, "i-16999", &per_s));
+  target_statements_destroy (statements);
+  clock_destroy (clock);
+}
+
+/* A report of the sidecar's next incarnation, which knows nothing yet, does not end it.
+ */
+static void
+test_a_rate_outlives_the_sidecar (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  Balancer *balancer = balancer_create ("h", rand, clock);
+  TargetReport named = { .target = "i-0",
+                         .incarnation = 1,
+                         .serial = 1,
+                         .rate_state = NAMED_RATE_IN_FORCE,
+                         .rate_per_s = 1.4 };
+  TargetReport started = { .target = "i-0", .incarnation = 2, .serial = 1 };
+  TargetVerdict verdict = { .incarnation = 3, .serial = 1 };
+  double per_s = 0;
+
+  balancer_note_report (balancer, &named);
+  balancer_note_report (balancer, &started);
+  balancer_note_verdict (balancer, "i-0", &verdict);
+  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
+  assert_true (per_s == 1.4);
+  balancer_destroy (balancer);
+  clock_destroy (clock);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_rate_is_remembered_until_a_sidecar_knows_better),
+    cmocka_unit_test (test_statements_expire_and_are_bounded),
+    cmocka_unit_test (test_a_rate_outlives_the_sidecar),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "rate-wire.h"
 #include "rumour.h"
 
 /* A clock reading older than this is renewed, well before the fence's window ends. */
@@ -172,6 +173,7 @@
     .abrupt = state->abrupt,
   };
 
+  report.rate_state = rate_wire_unpack (state->rate_milli, &report.rate_per_s);
   if (*state->target)
     balancer_note_report (peers->node->balancer, &report);
 }
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -46,6 +46,7 @@
   "switchmill_halls_evacuated",
   "switchmill_cold_refused_total",
   "switchmill_named_rate_starts_total",
+  "switchmill_named_rate_refused_total",
   "switchmill_platform_calls_total",
   "switchmill_store_era",
   "switchmill_store_put_back_total",
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -37,9 +37,10 @@
   METRIC_CALLERS_NO_ROOM, /* refused, because the memory for requests is used up */
   METRIC_CONFIG_APPLIED,
   METRIC_CONFIG_GENERATION,
-  METRIC_HALLS_EVACUATED,   /* current number */
-  METRIC_COLD_REFUSED,      /* because a cold target is at its limit */
-  METRIC_NAMED_RATE_STARTS, /* at targets that have named a rate */
+  METRIC_HALLS_EVACUATED,    /* current number */
+  METRIC_COLD_REFUSED,       /* because a cold target is at its limit */
+  METRIC_NAMED_RATE_STARTS,  /* at targets that have named a rate */
+  METRIC_NAMED_RATE_REFUSED, /* because the rate that a target has named is used up */
   METRIC_PLATFORM_CALLS,
   METRIC_STORE_ERA,
   METRIC_STORE_PUT_BACK, /* records written again that a restored store had lost */
--- a/daemon/src/operator/status.c
+++ b/daemon/src/operator/status.c
@@ -45,6 +45,8 @@
   json_write_int (builder, "queued", status.report.queued);
   json_write_int (builder, "mean_latency_us", status.report.latency_us);
   json_write_int (builder, "failures_ppm", status.report.failures_ppm);
+  if (status.report.rate_state == NAMED_RATE_IN_FORCE)
+    json_write_double (builder, "named_rate_per_s", status.report.rate_per_s);
   json_builder_end_object (builder);
 }
 
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -1,6 +1,7 @@
 #include "exchange-private.h"
 
 #include "path-probe.h"
+#include "rate-wire.h"
 #include "request-log.h"
 
 /* A connection to a node that is up takes one round trip. 400 ms also cover the first
@@ -111,6 +112,17 @@
                             latency_route_id (exchange->route->class));
 }
 
+/* Returns the rate that the target has named, as this ingress remembers it. */
+static u_int
+remembered_rate (const Attempt *attempt)
+{
+  const Balancer *balancer = attempt->exchange->owner->node->balancer;
+  double per_s = 0;
+  gboolean named = balancer_named_rate (balancer, attempt->target->name, &per_s);
+
+  return rate_wire_pack (named ? NAMED_RATE_IN_FORCE : NAMED_RATE_UNKNOWN, per_s);
+}
+
 /* Fills all arguments except the request itself: method, path, headers and body. */
 static void
 fill_attempt_args (const Attempt *attempt, sw_submit_args *args)
@@ -136,6 +148,7 @@
   args->slack_ms = (u_int)(MAX (exchange_slack_us (exchange), 0) / MS_US);
   args->route = latency_route_id (exchange->route->class);
   args->sibling_fit = latency_fit_pack (&fit);
+  args->rate_milli = remembered_rate (attempt);
   args->sibling_failures_ppm = balancer_failures_ppm (node->balancer, attempt->service);
 }
 
--- a/daemon/src/request/attempt.c
+++ b/daemon/src/request/attempt.c
@@ -185,8 +185,9 @@
 
 /*
  * Lets a target that refused without running the request be chosen again. After
- * REASON_SICK or REASON_UNPROVED it may be chosen at once; after REASON_OVERLOAD or
- * REASON_BUDGET, if the attempt was not allowed to queue, only at PLACEMENT_LAST_QUEUE.
+ * REASON_SICK or REASON_UNPROVED it may be chosen at once; after REASON_OVERLOAD,
+ * REASON_RATE_LIMITED or REASON_BUDGET, if the attempt was not allowed to queue, only at
+ * PLACEMENT_LAST_QUEUE.
  */
 static void
 note_refusal (const Attempt *attempt, Reason reason)
@@ -198,7 +199,7 @@
     placement_refused (&exchange->placement, reason);
   exchange->unproved += reason == REASON_UNPROVED;
   if (reason != REASON_SICK && reason != REASON_OVERLOAD && reason != REASON_BUDGET &&
-      reason != REASON_UNPROVED)
+      reason != REASON_UNPROVED && reason != REASON_RATE_LIMITED)
     return;
   name = remove_tried (exchange, attempt->target->name);
   if (!name)
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -135,10 +135,7 @@
     return SW_REASON_SICK;
   if ((!args->may_queue || sidecar->queues_closed) && !may_force_slot (target, args) &&
       !admission_is_free (target->admission))
-    {
-      sidecar_count_cold_refusal (target, sidecar);
-      return SW_REASON_OVERLOAD;
-    }
+    return sidecar_no_room (target, sidecar);
   if (args->proved_only &&
       !proof_is_fresh (&target->proof, clock_now (sidecar->node->clock)))
     return SW_REASON_UNPROVED;
@@ -175,6 +172,8 @@
   sw_reason reason;
   AttemptId id;
 
+  if (target)
+    sidecar_note_remembered_rate (sidecar, target, args);
   if (args->phase == SW_ASK)
     {
       answer_slot_request (sidecar, conn, xid, args);
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -68,8 +68,12 @@
   gboolean draining;
 };
 
-/* Counts a refused request if its target is cold. */
-void sidecar_count_cold_refusal (const SidecarTarget *target, const Sidecar *sidecar);
+/* Returns why a target has no room for a request now, and counts the refusal. */
+sw_reason sidecar_no_room (SidecarTarget *target, const Sidecar *sidecar);
+
+/* Refuses the requests that wait at a target, so that they go elsewhere. */
+void
+sidecar_refuse_queued (Sidecar *sidecar, const SidecarTarget *target, sw_reason reason);
 
 /* Answers a call without an answer of the target; `target` may be NULL. */
 void sidecar_reply_plain (Sidecar *sidecar,
@@ -114,6 +118,11 @@
                           const HttpResult *result,
                           gboolean failed);
 
+/* Takes the rate that the submission's ingress remembers the target to have named. */
+void sidecar_note_remembered_rate (Sidecar *sidecar,
+                                   SidecarTarget *target,
+                                   const sw_submit_args *args);
+
 /* Takes what the target states about itself in the headers of its answer, which need not
    be complete. Called before the answer is reported to the ingress. */
 void submission_note_notices (const Submission *submission,
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -1,5 +1,7 @@
 #include "sidecar-target.h"
 
+#include "rate-wire.h"
+
 SidecarTarget *
 sidecar_target_create (const Service *service, const Target *config, Clock *clock)
 {
@@ -86,4 +88,6 @@
   state->shedding = shedding_is_on (target->shedding);
   state->abrupt = detector_is_abrupt (target->detector);
   state->draining = sidecar_target_is_leaving (target, draining);
+  state->rate_milli = rate_wire_pack (named_rate_state (target->named_rate),
+                                      named_rate_per_s (target->named_rate));
 }
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -27,8 +27,12 @@
   return target->state == TARGET_EVACUATED ? SW_REASON_EVACUATED : SW_REASON_NONE;
 }
 
+/* Returns why a waiting submission must be refused. */
+typedef sw_reason (*QueueReasonFunc) (const Submission *submission, gconstpointer data);
+
+/* Refuses the waiting submissions for which `reason_of` gives a reason. */
 static void
-refuse_queued (Sidecar *sidecar)
+refuse_where (Sidecar *sidecar, QueueReasonFunc reason_of, gconstpointer data)
 {
   g_autoptr (GPtrArray) waiting = g_ptr_array_new ();
   GHashTableIter iter;
@@ -39,8 +43,7 @@
     {
       const Submission *submission = key;
 
-      if (!submission->running &&
-          queue_refusal_reason (sidecar, submission->target) != SW_REASON_NONE)
+      if (!submission->running && reason_of (submission, data) != SW_REASON_NONE)
         g_ptr_array_add (waiting, key);
     }
   for (guint i = 0; i < waiting->len; i++)
@@ -48,10 +51,45 @@
       Submission *submission = g_ptr_array_index (waiting, i);
 
       admission_withdraw (submission->target->admission, submission);
-      submission_refuse (submission, queue_refusal_reason (sidecar, submission->target));
+      submission_refuse (submission, reason_of (submission, data));
     }
 }
 
+static sw_reason
+reason_of_state (const Submission *submission, gconstpointer data)
+{
+  return queue_refusal_reason (submission->sidecar, submission->target);
+}
+
+static void
+refuse_queued (Sidecar *sidecar)
+{
+  refuse_where (sidecar, reason_of_state, NULL);
+}
+
+/* A target whose queue is refused, and why. */
+typedef struct
+{
+  const SidecarTarget *target;
+  sw_reason reason;
+} QueueRefusal;
+
+static sw_reason
+reason_at_target (const Submission *submission, gconstpointer data)
+{
+  const QueueRefusal *refusal = data;
+
+  return submission->target == refusal->target ? refusal->reason : SW_REASON_NONE;
+}
+
+void
+sidecar_refuse_queued (Sidecar *sidecar, const SidecarTarget *target, sw_reason reason)
+{
+  const QueueRefusal refusal = { target, reason };
+
+  refuse_where (sidecar, reason_at_target, &refusal);
+}
+
 static void
 on_sweep (gpointer data)
 {
@@ -225,11 +263,20 @@
     sidecar_target_note_cold (held, cold_us);
 }
 
-void
-sidecar_count_cold_refusal (const SidecarTarget *target, const Sidecar *sidecar)
+sw_reason
+sidecar_no_room (SidecarTarget *target, const Sidecar *sidecar)
 {
+  Metrics *metrics = sidecar->node->metrics;
+
+  if (start_limit_named_is_used_up (target->start_limit))
+    {
+      shedding_note (target->shedding);
+      metrics_add (metrics, METRIC_NAMED_RATE_REFUSED, 1);
+      return SW_REASON_RATE_LIMITED;
+    }
   if (start_limit_is_cold (target->start_limit))
-    metrics_add (sidecar->node->metrics, METRIC_COLD_REFUSED, 1);
+    metrics_add (metrics, METRIC_COLD_REFUSED, 1);
+  return SW_REASON_OVERLOAD;
 }
 
 /* Returns whether a target may already have received this request, or the request for
--- a/daemon/src/target/submission-notices.c
+++ b/daemon/src/target/submission-notices.c
@@ -5,6 +5,7 @@
 #include "adapter.h"
 #include "attempt-id.h"
 #include "log.h"
+#include "rate-wire.h"
 #include "target-notices.h"
 
 /* Interval between two log lines about malformed notices of one target. */
@@ -12,37 +13,74 @@
 #define MALFORMED_TEXT_MAX 64
 
 static char *
-rate_detail (const SidecarTarget *target, NamedRateChange change, const char *attempt)
+rate_detail (const SidecarTarget *target, NamedRateChange change, const char *source)
 {
   const LimitedStarts *starts = &target->limited_starts;
 
   if (change != NAMED_RATE_ENDED)
-    return g_strdup_printf ("%.3f a second, by the answer to %s",
-                            named_rate_per_s (target->named_rate), attempt);
+    return g_strdup_printf ("%.3f a second, by %s", named_rate_per_s (target->named_rate),
+                            source);
   return g_strdup_printf ("%.3f a second for %.3f s, %u starts of which %u trials and %u "
-                          "repeats, by the answer to %s",
+                          "repeats, by %s",
                           named_rate_per_s (target->named_rate),
                           (double)named_rate_age_us (target->named_rate) / SECOND_US,
-                          starts->count, starts->trials, starts->repeats, attempt);
+                          starts->count, starts->trials, starts->repeats, source);
 }
 
+/* Puts a change of the named rate into force. What waits is refused when the target takes
+   less than before, because it was queued for an earlier start. */
 static void
-note_rate_change (const Submission *submission, NamedRateChange change)
+apply_rate_change (Sidecar *sidecar,
+                   SidecarTarget *target,
+                   NamedRateChange change,
+                   const char *source)
 {
   static const char *const events[] = {
     [NAMED_RATE_BEGUN] = "target-rate-named",
     [NAMED_RATE_CHANGED] = "target-rate-changed",
     [NAMED_RATE_ENDED] = "target-rate-ended",
   };
-  SidecarTarget *target = submission->target;
-  g_autofree char *attempt = attempt_id_text (&submission->args.attempt);
-  g_autofree char *detail = rate_detail (target, change, attempt);
+  g_autofree char *detail = NULL;
 
   if (change == NAMED_RATE_UNCHANGED)
     return;
-  events_add (submission->sidecar->node->events, events[change], target->name, detail);
+  detail = rate_detail (target, change, source);
+  events_add (sidecar->node->events, events[change], target->name, detail);
   if (change == NAMED_RATE_BEGUN)
     target->limited_starts = (LimitedStarts){ 0 };
+  if (change == NAMED_RATE_ENDED)
+    {
+      start_limit_end_named_rate (target->start_limit);
+      return;
+    }
+  start_limit_set_named_rate (target->start_limit, named_rate_per_s (target->named_rate));
+  sidecar_refuse_queued (sidecar, target, SW_REASON_RATE_LIMITED);
+}
+
+void
+sidecar_note_remembered_rate (Sidecar *sidecar,
+                              SidecarTarget *target,
+                              const sw_submit_args *args)
+{
+  double per_s;
+
+  if (rate_wire_unpack (args->rate_milli, &per_s) != NAMED_RATE_IN_FORCE)
+    return;
+  apply_rate_change (sidecar, target,
+                     named_rate_note_remembered (target->named_rate, per_s),
+                     args->attempt.node);
+}
+
+static void
+note_rate (const Submission *submission, const RateNotice *notice)
+{
+  SidecarTarget *target = submission->target;
+  g_autofree char *attempt = attempt_id_text (&submission->args.attempt);
+
+  apply_rate_change (
+      submission->sidecar, target,
+      named_rate_note_answer (target->named_rate, notice, submission->started_us),
+      attempt);
 }
 
 static void
@@ -87,7 +125,6 @@
                          const HttpResult *result,
                          const sw_submit_res *res)
 {
-  SidecarTarget *target = submission->target;
   const Dialect *dialect = submission->sidecar->node->adapter->dialect;
   TargetNotices notices = target_notices_read (dialect, result->headers);
 
@@ -97,9 +134,7 @@
   if (notices.malformed)
     log_malformed (submission, notices.malformed);
   if (notices.rate.kind != RATE_NOTICE_ABSENT || is_own_answer (result, res))
-    note_rate_change (submission,
-                      named_rate_note_answer (target->named_rate, &notices.rate,
-                                              submission->started_us));
+    note_rate (submission, &notices.rate);
   if (notices.leaving)
     note_leaving (submission);
 }
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -354,8 +354,7 @@
         submission_refuse (displaced, SW_REASON_OVERLOAD);
       break;
     default:
-      sidecar_count_cold_refusal (target, submission->sidecar);
-      submission_refuse (submission, SW_REASON_OVERLOAD);
+      submission_refuse (submission, sidecar_no_room (target, submission->sidecar));
       break;
     }
 }
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -29,6 +29,8 @@
 #define SW_ENDS_MAX 6
 #define SW_EVACUATED_MAX 16
 #define SW_NEVER 4294967295
+#define SW_RATE_NONE 4294967295
+#define SW_RATE_UNKNOWN 4294967294
 
 struct sw_attempt {
 	char *node;
@@ -57,6 +59,7 @@
 	bool_t draining;
 	bool_t shedding;
 	bool_t abrupt;
+	u_int rate_milli;
 };
 typedef struct sw_target_state sw_target_state;
 
@@ -183,6 +186,7 @@
 	bool_t proved_only;
 	u_int route;
 	u_int sibling_fit;
+	u_int rate_milli;
 	u_int sibling_failures_ppm;
 	char *method;
 	char *path;
@@ -230,6 +234,7 @@
 	SW_REASON_UNPROVED = 19,
 	SW_REASON_QUARANTINED = 20,
 	SW_REASON_EVACUATED = 21,
+	SW_REASON_RATE_LIMITED = 22,
 };
 typedef enum sw_reason sw_reason;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -40,7 +40,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -66,6 +66,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->abrupt))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->serial);
 			IXDR_PUT_U_LONG(buf, objp->in_use);
@@ -79,12 +81,13 @@
 			IXDR_PUT_BOOL(buf, objp->draining);
 			IXDR_PUT_BOOL(buf, objp->shedding);
 			IXDR_PUT_BOOL(buf, objp->abrupt);
+			IXDR_PUT_U_LONG(buf, objp->rate_milli);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -110,6 +113,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->abrupt))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
 		} else {
 			objp->serial = IXDR_GET_U_LONG(buf);
 			objp->in_use = IXDR_GET_U_LONG(buf);
@@ -123,6 +128,7 @@
 			objp->draining = IXDR_GET_BOOL(buf);
 			objp->shedding = IXDR_GET_BOOL(buf);
 			objp->abrupt = IXDR_GET_BOOL(buf);
+			objp->rate_milli = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -153,6 +159,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->abrupt))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_milli))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -463,7 +471,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 14 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -489,6 +497,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 				 return FALSE;
 
@@ -505,6 +515,7 @@
 		IXDR_PUT_BOOL(buf, objp->proved_only);
 		IXDR_PUT_U_LONG(buf, objp->route);
 		IXDR_PUT_U_LONG(buf, objp->sibling_fit);
+		IXDR_PUT_U_LONG(buf, objp->rate_milli);
 		IXDR_PUT_U_LONG(buf, objp->sibling_failures_ppm);
 		}
 		 if (!xdr_string (xdrs, &objp->method, 32))
@@ -530,7 +541,7 @@
 			 return FALSE;
 		 if (!xdr_sw_phase (xdrs, &objp->phase))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 14 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->remaining_ms))
 				 return FALSE;
@@ -556,6 +567,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate_milli))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 				 return FALSE;
 
@@ -572,6 +585,7 @@
 		objp->proved_only = IXDR_GET_BOOL(buf);
 		objp->route = IXDR_GET_U_LONG(buf);
 		objp->sibling_fit = IXDR_GET_U_LONG(buf);
+		objp->rate_milli = IXDR_GET_U_LONG(buf);
 		objp->sibling_failures_ppm = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_string (xdrs, &objp->method, 32))
@@ -622,6 +636,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_fit))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate_milli))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->sibling_failures_ppm))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->method, 32))
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -21,6 +21,9 @@
 const SW_ENDS_MAX = 6;
 const SW_EVACUATED_MAX = 16;
 const SW_NEVER = 4294967295;
+/* In place of a named rate: the target names none; nothing is known. */
+const SW_RATE_NONE = 4294967295;
+const SW_RATE_UNKNOWN = 4294967294;
 
 /* One attempt at a request. It is unique for ever, because a node never reuses an
    incarnation. */
@@ -51,6 +54,8 @@
   bool draining;
   bool shedding;              /* it has refused requests although it had free slots */
   bool abrupt;                /* sick, and it breaks off requests at once */
+  unsigned int rate_milli;    /* the rate that it has named, in thousandths of a request a
+                                 second, or SW_RATE_NONE or SW_RATE_UNKNOWN */
 };
 
 /* The sidecar's clock and incarnation at the time of the answer. */
@@ -162,6 +167,8 @@
   bool proved_only;            /* refused unless the target lately kept a request; see proof.h */
   unsigned int route;          /* a hash of the route's class */
   unsigned int sibling_fit;    /* the route's fit at the service's targets, packed as in latency.h */
+  unsigned int rate_milli;     /* the rate that the ingress remembers the target to have
+                                  named, or SW_RATE_UNKNOWN */
   unsigned int sibling_failures_ppm; /* median of their failures; 0 for unknown */
   string method<32>;
   string path<SW_TEXT_MAX>;
@@ -200,7 +207,8 @@
   SW_REASON_BUDGET = 18,
   SW_REASON_UNPROVED = 19,
   SW_REASON_QUARANTINED = 20,
-  SW_REASON_EVACUATED = 21
+  SW_REASON_EVACUATED = 21,
+  SW_REASON_RATE_LIMITED = 22
 };
 
 struct sw_answer {
