A target that says in an answer that it leaves gets no more requests

Of a target's two ways to say that it leaves, the heartbeat was read and the answer was not.

It is not taken back by a heartbeat. Its reports say so apart from a drain of the node itself, and the ingress remembers it by the name of the target's start beyond the sidecar's end, its registration and its view of the target; such a target is no last resort either. An answer that the fence has stored is sent with the target's present state, so that the ingress which passes it on is told.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -30,8 +30,9 @@
   gboolean draining;
   gboolean shedding; /* it recently refused work although it had free slots */
   NamedRateState rate_state;
-  double rate_per_s; /* that the target has named, if it is in force */
-  gboolean abrupt;   /* sick, and it closes connections at once without an answer */
+  double rate_per_s;          /* that the target has named, if it is in force */
+  gboolean announced_leaving; /* the target has said in an answer that it leaves */
+  gboolean abrupt; /* sick, and it closes connections at once without an answer */
 } TargetReport;
 
 /* The part of a report that is spread by gossip. */
--- a/core/include/core/target-statements.h
+++ b/core/include/core/target-statements.h
@@ -26,4 +26,10 @@
                                  const char *target,
                                  double *per_s);
 
+/* Notes that the target has said that it leaves. It does not come back under this name.
+ */
+void target_statements_note_leaving (TargetStatements *statements, const char *target);
+gboolean target_statements_is_leaving (const TargetStatements *statements,
+                                       const char *target);
+
 #endif
--- a/core/src/health/target-statements.c
+++ b/core/src/health/target-statements.c
@@ -8,7 +8,9 @@
 
 typedef struct
 {
+  gboolean named;
   double per_s;
+  gboolean leaving;
   gint64 noted_us;
 } Entry;
 
@@ -93,16 +95,34 @@
   return entry;
 }
 
+/* Takes an answer that names no rate. */
+static void
+clear_rate (TargetStatements *statements, const char *target)
+{
+  Entry *entry = g_hash_table_lookup (statements->entries, target);
+
+  if (!entry)
+    return;
+  entry->named = FALSE;
+  if (!entry->leaving)
+    g_hash_table_remove (statements->entries, target);
+}
+
 void
 target_statements_note_rate (TargetStatements *statements,
                              const char *target,
                              NamedRateState state,
                              double per_s)
 {
+  Entry *entry;
+
   if (state == NAMED_RATE_NONE)
-    g_hash_table_remove (statements->entries, target);
-  if (state == NAMED_RATE_IN_FORCE)
-    find_or_add (statements, target)->per_s = per_s;
+    clear_rate (statements, target);
+  if (state != NAMED_RATE_IN_FORCE)
+    return;
+  entry = find_or_add (statements, target);
+  entry->named = TRUE;
+  entry->per_s = per_s;
 }
 
 gboolean
@@ -112,7 +132,22 @@
 {
   const Entry *entry = find (statements, target);
 
-  if (entry)
-    *per_s = entry->per_s;
-  return entry != NULL;
+  if (!entry || !entry->named)
+    return FALSE;
+  *per_s = entry->per_s;
+  return TRUE;
+}
+
+void
+target_statements_note_leaving (TargetStatements *statements, const char *target)
+{
+  find_or_add (statements, target)->leaving = TRUE;
+}
+
+gboolean
+target_statements_is_leaving (const TargetStatements *statements, const char *target)
+{
+  const Entry *entry = find (statements, target);
+
+  return entry && entry->leaving;
 }
--- a/core/src/request/balancer-status.c
+++ b/core/src/request/balancer-status.c
@@ -52,6 +52,8 @@
 
   status.path_open = path_usable (path, clock_now (balancer->clock));
   status.report.target = target->name;
+  status.report.draining |=
+      target_statements_is_leaving (balancer->statements, target->name);
   balancer_apply_ejections (balancer, service, items);
   for (guint i = 0; i < count; i++)
     if (strcmp (items[i].name, target->name) == 0)
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -111,6 +111,8 @@
   note_severity (balancer, view, report->severity);
   target_statements_note_rate (balancer->statements, report->target, report->rate_state,
                                report->rate_per_s);
+  if (report->announced_leaving)
+    target_statements_note_leaving (balancer->statements, report->target);
   view->report = *report;
   view->report.target = NULL;
   view->known = TRUE;
@@ -191,6 +193,15 @@
   return path->incarnation == 0 || view->report.incarnation == path->incarnation;
 }
 
+gboolean
+balancer_is_leaving (const Balancer *balancer, const char *target, const Path *path)
+{
+  const TargetView *view = g_hash_table_lookup (balancer->views, target);
+
+  return (view && balancer_is_current (view, path) && view->report.draining) ||
+         target_statements_is_leaving (balancer->statements, target);
+}
+
 static void
 fill_items (Balancer *balancer, const Service *service, EjectItem *items)
 {
@@ -208,7 +219,8 @@
       items[i].slots = target->slots;
       items[i].severity = use_severity ? view->report.severity : 0;
       items[i].available = target->state == TARGET_SERVING &&
-                           !(current && view->report.draining) && path_usable (path, now);
+                           !balancer_is_leaving (balancer, target->name, path) &&
+                           path_usable (path, now);
     }
 }
 
--- a/core/tests/test-target-statements.c
+++ b/core/tests/test-target-statements.c
@@ -81,6 +81,41 @@
   clock_destroy (clock);
 }
 
+/* The node starts again, and the registration says that the target serves. */
+static void
+test_a_target_that_announced_leaving_is_not_chosen_again (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  Balancer *balancer = balancer_create ("h", rand, clock);
+  Target target = { .name = "i-0", .vm = "vm-0", .hall = "h", .slots = 4 };
+  Service service = { .name = "s", .targets = g_ptr_array_new () };
+  BalancerCriteria criteria = { .halls = BALANCER_BY_LOAD };
+  TargetReport leaving = { .target = "i-0",
+                           .incarnation = 1,
+                           .serial = 1,
+                           .rate_state = NAMED_RATE_IN_FORCE,
+                           .rate_per_s = 1,
+                           .announced_leaving = TRUE };
+  TargetReport serving = {
+    .target = "i-0", .incarnation = 2, .serial = 1, .rate_state = NAMED_RATE_NONE
+  };
+
+  g_ptr_array_add (service.targets, &target);
+  balancer_set_member (balancer, "vm-0", 1, TRUE);
+  assert_ptr_equal (balancer_choose (balancer, &service, &criteria).target, &target);
+  balancer_note_report (balancer, &leaving);
+  assert_null (balancer_choose (balancer, &service, &criteria).target);
+  balancer_set_member (balancer, "vm-0", 1, FALSE);
+  balancer_set_member (balancer, "vm-0", 2, TRUE);
+  balancer_note_report (balancer, &serving);
+  assert_null (balancer_choose (balancer, &service, &criteria).target);
+  assert_true (balancer_status (balancer, &service, &target).report.draining);
+  g_ptr_array_unref (service.targets);
+  balancer_destroy (balancer);
+  clock_destroy (clock);
+}
+
 int
 main (void)
 {
@@ -88,6 +123,7 @@
     cmocka_unit_test (test_a_rate_is_remembered_until_a_sidecar_knows_better),
     cmocka_unit_test (test_statements_expire_and_are_bounded),
     cmocka_unit_test (test_a_rate_outlives_the_sidecar),
+    cmocka_unit_test (test_a_target_that_announced_leaving_is_not_chosen_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -171,6 +171,7 @@
     .draining = state->draining,
     .shedding = state->shedding,
     .abrupt = state->abrupt,
+    .announced_leaving = state->announced_leaving,
   };
 
   report.rate_state = rate_wire_unpack (state->rate_milli, &report.rate_per_s);
--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -12,6 +12,23 @@
   id->counter = attempt->counter;
 }
 
+/* Sends a stored answer with the target's present state: the ingress that passes it on
+   must know what the target has stated in it. */
+static void
+reply_stored (Sidecar *sidecar,
+              RpcConn *conn,
+              guint32 xid,
+              SidecarTarget *target,
+              sw_submit_res *res)
+{
+  char *none = res->state.target;
+
+  if (target)
+    sidecar_target_state (target, sidecar->draining, &res->state);
+  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, res);
+  res->state.target = none;
+}
+
 /* Answers a call about an attempt that the fence already knows, such as a duplicate or a
    reused ticket. Waits until `until_us` for the end of one that has not ended, -1 for no
    time-out. */
@@ -45,7 +62,7 @@
                            SW_REASON_DUPLICATE);
       return;
     }
-  rpc_conn_reply (conn, xid, (xdrproc_t)xdr_sw_submit_res, &res);
+  reply_stored (sidecar, conn, xid, target, &res);
   xdr_free ((xdrproc_t)xdr_sw_submit_res, (char *)&res);
 }
 
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -64,7 +64,8 @@
 gboolean
 sidecar_target_is_leaving (const SidecarTarget *target, gboolean draining)
 {
-  return draining || target->state == TARGET_LEAVING || !target->present;
+  return draining || target->state == TARGET_LEAVING || target->announced_leaving ||
+         !target->present;
 }
 
 void
@@ -90,4 +91,5 @@
   state->draining = sidecar_target_is_leaving (target, draining);
   state->rate_milli = rate_wire_pack (named_rate_state (target->named_rate),
                                       named_rate_per_s (target->named_rate));
+  state->announced_leaving = target->announced_leaving;
 }
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -56,8 +56,9 @@
                             const Target *config,
                             Clock *clock);
 
-/* Returns whether the target takes no new requests because it is leaving, is not in the
-   configuration any more, or its node drains. */
+/* Returns whether the target takes no new requests because it is leaving, by its
+   configuration or its own word, is not in the configuration any more, or its node
+   drains. */
 gboolean sidecar_target_is_leaving (const SidecarTarget *target, gboolean draining);
 
 /* Takes the target's own report of how much longer it stays cold; 0 if it is warm. */
--- a/daemon/src/target/submission-notices.c
+++ b/daemon/src/target/submission-notices.c
@@ -92,6 +92,7 @@
   if (target->announced_leaving)
     return;
   target->announced_leaving = TRUE;
+  sidecar_refuse_queued (submission->sidecar, target, SW_REASON_DRAINING);
   events_add (submission->sidecar->node->events, "target-announces-leaving", target->name,
               attempt);
 }
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -60,6 +60,7 @@
 	bool_t shedding;
 	bool_t abrupt;
 	u_int rate_milli;
+	bool_t announced_leaving;
 };
 typedef struct sw_target_state sw_target_state;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -40,7 +40,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 14 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -68,6 +68,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rate_milli))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->announced_leaving))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->serial);
 			IXDR_PUT_U_LONG(buf, objp->in_use);
@@ -82,12 +84,13 @@
 			IXDR_PUT_BOOL(buf, objp->shedding);
 			IXDR_PUT_BOOL(buf, objp->abrupt);
 			IXDR_PUT_U_LONG(buf, objp->rate_milli);
+			IXDR_PUT_BOOL(buf, objp->announced_leaving);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->target, SW_NAME_MAX))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 14 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->serial))
 				 return FALSE;
@@ -115,6 +118,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->rate_milli))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->announced_leaving))
+				 return FALSE;
 		} else {
 			objp->serial = IXDR_GET_U_LONG(buf);
 			objp->in_use = IXDR_GET_U_LONG(buf);
@@ -129,6 +134,7 @@
 			objp->shedding = IXDR_GET_BOOL(buf);
 			objp->abrupt = IXDR_GET_BOOL(buf);
 			objp->rate_milli = IXDR_GET_U_LONG(buf);
+			objp->announced_leaving = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -161,6 +167,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->rate_milli))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->announced_leaving))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -56,6 +56,7 @@
   bool abrupt;                /* sick, and it breaks off requests at once */
   unsigned int rate_milli;    /* the rate that it has named, in thousandths of a request a
                                  second, or SW_RATE_NONE or SW_RATE_UNKNOWN */
+  bool announced_leaving;     /* it has said in an answer that it leaves */
 };
 
 /* The sidecar's clock and incarnation at the time of the answer. */
