--- a/core/src/health/target-statements.c
+++ b/core/src/health/target-statements.c
@@ -1,8 +1,10 @@
 #include <core/target-statements.h>
 
-/* Entries are confirmed by each report of a target that is used. A start of a target that
-   has not been heard of for so long has ended. */
-#define KEPT_US (3600 * SECOND_US)
+/* Each report of a target in use confirms the rate. An older one would only delay the
+   first requests of a sidecar that starts again. */
+#define RATE_KEPT_US (600 * SECOND_US)
+/* A leaving target is used no more, so that nothing confirms it until it has ended. */
+#define LEAVING_KEPT_US (3600 * SECOND_US)
 /* Bounds the memory; the users have up to 12,000 targets. */
 #define ENTRIES_MAX 16384u
 
@@ -37,6 +39,14 @@
   g_free (statements);
 }
 
+static gboolean
+is_expired (const Entry *entry, gint64 now_us)
+{
+  gint64 kept = entry->leaving ? LEAVING_KEPT_US : RATE_KEPT_US;
+
+  return now_us - entry->noted_us > kept;
+}
+
 /* Removes entries that have expired, and the oldest one if there is still no room. */
 static void
 make_room (TargetStatements *statements)
@@ -53,7 +63,7 @@
     {
       const Entry *entry = value;
 
-      if (now - entry->noted_us > KEPT_US)
+      if (is_expired (entry, now))
         {
           g_hash_table_iter_remove (&iter);
           continue;
@@ -90,9 +100,7 @@
 {
   const Entry *entry = g_hash_table_lookup (statements->entries, target);
 
-  if (!entry || clock_now (statements->clock) - entry->noted_us > KEPT_US)
-    return NULL;
-  return entry;
+  return entry && !is_expired (entry, clock_now (statements->clock)) ? entry : NULL;
 }
 
 /* Takes an answer that names no rate. */
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -99,20 +99,30 @@
                        (gint64)(interval_us * g_rand_double_range (balancer->rand, 0, 1));
 }
 
+/* Remembers what the target has stated. An outdated report may come with an answer that
+   is passed on now, so it counts unless it says that the target names no rate. */
+static void
+note_statements (Balancer *balancer, const TargetReport *report, gboolean outdated)
+{
+  if (!outdated || report->rate_state == NAMED_RATE_IN_FORCE)
+    target_statements_note_rate (balancer->statements, report->target, report->rate_state,
+                                 report->rate_per_s);
+  if (report->announced_leaving)
+    target_statements_note_leaving (balancer->statements, report->target);
+}
+
 void
 balancer_note_report (Balancer *balancer, const TargetReport *report)
 {
   TargetView *view = balancer_view (balancer, report->target);
+  gboolean outdated = view->known && report->incarnation == view->report.incarnation &&
+                      report->serial < view->report.serial;
 
+  note_statements (balancer, report, outdated);
   /* Incarnations have no order, so a report of another incarnation replaces the view. */
-  if (view->known && report->incarnation == view->report.incarnation &&
-      report->serial < view->report.serial)
+  if (outdated)
     return;
   note_severity (balancer, view, report->severity);
-  target_statements_note_rate (balancer->statements, report->target, report->rate_state,
-                               report->rate_per_s);
-  if (report->announced_leaving)
-    target_statements_note_leaving (balancer->statements, report->target);
   view->report = *report;
   view->report.target = NULL;
   view->known = TRUE;
--- a/core/tests/test-target-statements.c
+++ b/core/tests/test-target-statements.c
@@ -7,7 +7,8 @@
 #include <core/balancer.h>
 #include <core/target-statements.h>
 
-#define HOUR_US (3600 * SECOND_US)
+#define RATE_KEPT_US (600 * SECOND_US)
+#define LEAVING_KEPT_US (3600 * SECOND_US)
 /* More entries than are kept. */
 #define MANY 17000u
 
@@ -38,10 +39,15 @@
   double per_s = 0;
 
   target_statements_note_rate (statements, "i-old", NAMED_RATE_IN_FORCE, 1);
-  clock_advance (clock, HOUR_US);
+  target_statements_note_leaving (statements, "i-leaving");
+  clock_advance (clock, RATE_KEPT_US);
   assert_true (target_statements_rate (statements, "i-old", &per_s));
   clock_advance (clock, 1);
   assert_false (target_statements_rate (statements, "i-old", &per_s));
+  clock_advance (clock, LEAVING_KEPT_US - RATE_KEPT_US - 1);
+  assert_true (target_statements_is_leaving (statements, "i-leaving"));
+  clock_advance (clock, 1);
+  assert_false (target_statements_is_leaving (statements, "i-leaving"));
   for (guint i = 0; i < MANY; i++)
     {
       g_autofree char *name = g_strdup_printf ("i-%u", i);
@@ -81,6 +87,39 @@
   clock_destroy (clock);
 }
 
+/* Gossip with a later serial may overtake the answer that carries the report. */
+static void
+test_an_outdated_report_still_counts (void **state)
+{
+  Clock *clock = clock_create_manual (SECOND_US);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
+  Balancer *balancer = balancer_create ("h", rand, clock);
+  TargetReport first = { .target = "i-0", .incarnation = 1, .serial = 1 };
+  TargetVerdict verdict = { .incarnation = 1, .serial = 9 };
+  TargetReport late = { .target = "i-0",
+                        .incarnation = 1,
+                        .serial = 8,
+                        .rate_state = NAMED_RATE_IN_FORCE,
+                        .rate_per_s = 1.4,
+                        .announced_leaving = TRUE };
+  Target target = { .name = "i-0", .vm = "vm-0", .hall = "h", .slots = 4 };
+  Service service = { .name = "s", .targets = g_ptr_array_new () };
+  double per_s = 0;
+
+  balancer_note_report (balancer, &first);
+  balancer_note_verdict (balancer, "i-0", &verdict);
+  balancer_note_report (balancer, &late);
+  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
+  g_ptr_array_add (service.targets, &target);
+  assert_true (balancer_status (balancer, &service, &target).report.draining);
+  late.rate_state = NAMED_RATE_NONE;
+  balancer_note_report (balancer, &late);
+  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
+  g_ptr_array_unref (service.targets);
+  balancer_destroy (balancer);
+  clock_destroy (clock);
+}
+
 /* The node starts again, and the registration says that the target serves. */
 static void
 test_a_target_that_announced_leaving_is_not_chosen_again (void **state)
@@ -123,6 +162,7 @@
     cmocka_unit_test (test_a_rate_is_remembered_until_a_sidecar_knows_better),
     cmocka_unit_test (test_statements_expire_and_are_bounded),
     cmocka_unit_test (test_a_rate_outlives_the_sidecar),
+    cmocka_unit_test (test_an_outdated_report_still_counts),
     cmocka_unit_test (test_a_target_that_announced_leaving_is_not_chosen_again),
   };
 
--- a/daemon/tests/test-target-notices.c
+++ b/daemon/tests/test-target-notices.c
@@ -71,12 +71,21 @@
   assert_false (notices.leaving);
 }
 
+static void
+test_the_own_dialect_reads_a_rate (void **state)
+{
+  const char *const own[] = { "Switchmill-Rate-Limit", "2.5", NULL };
+
+  assert_true (read_notices (&dialect_own, own).rate.per_s == 2.5);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_notices_are_read),
     cmocka_unit_test (test_malformed_notices_are_reported),
+    cmocka_unit_test (test_the_own_dialect_reads_a_rate),
     cmocka_unit_test (test_a_dialect_without_notices_reads_none),
   };
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -170,6 +170,13 @@
 row quarantine-price-full-list "$(awk '/price-full/ { print $2 }' "$dir/quarantine")" us "per request with a full list of the same service"
 row quarantine-price-largest-body "$(awk '/price-largest/ { print $2 }' "$dir/quarantine")" ms "16 MB, for a request whose head matches an entry"
 
+# --- targets that name a rate ------------------------------------------------------------
+"$build/bench/bench-named-rate" > "$dir/rate"
+row named-rate-worst-window "$(awk '$1 == "limited" && $16 > m { m = $16 } END { print m + 0 }' "$dir/rate")" requests "in any 4 s at a target that takes 1.4 a second; one, 6 or all of 24 targets, 31 to 1200 ingresses"
+row named-rate-refused-at-1200 "$(awk '$1 == "limited" && $2 == 1 && $6 == 1200 { print $12 }' "$dir/rate")" 1/s "offers that its sidecar refuses, with the other targets at 87 % of their slots"
+row named-rate-refused-of-all "$(awk '$1 == "limited" && $2 == 24 && $12 > m { m = $12 } END { print m + 0 }' "$dir/rate")" 1/s "the same where every target names a rate and gets nine times as much"
+row named-rate-gossip-bytes "$(awk '$1 == "gossip" { print $7 }' "$dir/rate")" bytes/s "sent by each of 120 nodes, four of them with such a target; idle: $(awk '$1 == "gossip" { print $9 }' "$dir/rate")"
+
 # --- simulated: membership, overload, detection ---------------------------------------
 "$build/bench/bench-members" > "$dir/members"
 row members-join-bytes-sent-at-400 "$(awk '/members-400-join/ { print $3 }' "$dir/members")" bytes/s "per node and direction, the largest rate of bench-members"
