Plan: a service in an evacuated hall is described without reading past the states

Operators who planned a change of a service with targets in an evacuated hall got whatever lay behind the names of the states, or the node ended. Cause: the names lacked the state that an evacuation gives; no intent does. A plan now names it, and lists no change where a target only stays evacuated. test_a_plan_for_a_service_in_an_evacuated_hall failed before.

--- a/core/src/config/plan.c
+++ b/core/src/config/plan.c
@@ -85,10 +85,24 @@
   va_end (args);
 }
 
+/* An evacuation is not part of what an intent describes: a plan that leaves such a target
+   serving changes nothing. */
+static gboolean
+changes_state (const Target *before, const Target *after)
+{
+  if (before->state == TARGET_EVACUATED)
+    return after->state == TARGET_LEAVING;
+  return before->state != after->state;
+}
+
 static void
 describe_targets (Plan *plan, const Service *before, const Service *after)
 {
-  static const char *const states[] = { "serving", "leaving" };
+  static const char *const states[] = {
+    [TARGET_SERVING] = "serving",
+    [TARGET_LEAVING] = "leaving",
+    [TARGET_EVACUATED] = "evacuated",
+  };
 
   for (guint i = 0; i < after->targets->len; i++)
     {
@@ -97,7 +111,7 @@
 
       if (!old)
         note_change (plan, "service %s: adds target %s", after->name, target->name);
-      else if (old->state != target->state)
+      else if (changes_state (old, target))
         note_change (plan, "service %s: state of target %s changes from %s to %s",
                      after->name, target->name, states[old->state],
                      states[target->state]);
--- a/core/tests/test-config.c
+++ b/core/tests/test-config.c
@@ -270,11 +270,46 @@
   snapshot_unref (snapshot);
 }
 
+/* A target in a hall that the platform has evacuated has a state that no intent gives. */
+static void
+test_a_plan_for_a_service_in_an_evacuated_hall (void **state)
+{
+  static const char first[] =
+      "{\"services\":[{\"name\":\"s\",\"tenant\":\"t\",\"targets\":["
+      "{\"name\":\"a1\",\"vm\":\"v1\",\"hall\":\"a\",\"address\":\"127.0.0.1:1\","
+      "\"slots\":2},"
+      "{\"name\":\"a2\",\"vm\":\"v2\",\"hall\":\"a\",\"address\":\"127.0.0.1:2\","
+      "\"slots\":2}]}]}";
+  Snapshot *base = apply_intent (snapshot_create_empty (), first);
+  Evacuations *evacuations = evacuations_create ();
+  g_autoptr (GHashTable) targets = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) halls = g_ptr_array_new ();
+  g_autofree char *text = NULL;
+  Snapshot *snapshot;
+  Plan *plan;
+
+  g_ptr_array_add (halls, (gpointer) "a");
+  evacuations_update (evacuations, 1, 1, halls);
+  snapshot = snapshot_with_targets (base, targets, evacuations);
+  assert_int_equal (service_target (snapshot_service (snapshot, "s"), "a1")->state,
+                    TARGET_EVACUATED);
+  plan = make_plan (snapshot, "{\"drain\":[\"a1\"]}", NULL);
+  text = plan_text (plan);
+  assert_non_null (strstr (text, "state of target a1 changes from evacuated to leaving"));
+  /* The plan leaves the hall as it is. */
+  assert_null (strstr (text, "target a2"));
+  plan_destroy (plan);
+  snapshot_unref (snapshot);
+  snapshot_unref (base);
+  evacuations_destroy (evacuations);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_hall_is_evacuated_and_taken_back),
+    cmocka_unit_test (test_a_plan_for_a_service_in_an_evacuated_hall),
     cmocka_unit_test (test_faults_name_their_path),
     cmocka_unit_test (test_longest_prefix_by_whole_segments),
     cmocka_unit_test (test_plan_id_depends_on_result_and_base),
