Quarantine: updates of an entry that has been held for hours are taken

A request that had been quarantined for more than 4,200 s could be tried at a node that had not heard of the last trial, and be let through as free there: other nodes rejected every update of it, for the ages in it were taken for implausible. The bound on ages is that of an entry which is forgotten; one that is held lasts as long as its trials end targets. Such updates are now bounded by what the protocol carries. test_trials_stay_single_for_hours failed before (the seventh trial was not known to the others).

--- a/core/src/request/quarantine-updates.c
+++ b/core/src/request/quarantine-updates.c
@@ -2,6 +2,9 @@
 
 /* An update with a greater age is rejected as implausible. */
 #define AGE_MAX_US (QUARANTINE_RETENTION_US + QUARANTINE_PAUSE_MAX_US)
+/* Likewise for an entry that is quarantined, which lasts as long as its trials end
+   targets: the greatest age that the protocol carries. */
+#define HELD_AGE_MAX_US ((gint64)G_MAXUINT32 * MS_US)
 
 static void
 fill_update (const Quarantine *quarantine,
@@ -103,11 +106,13 @@
 static gboolean
 is_plausible (const QuarantineUpdate *update)
 {
-  if (update->end_count > QUARANTINE_ENDS_KEPT || update->held_age_us > AGE_MAX_US ||
-      update->cleared_age_us > AGE_MAX_US || ABS (update->due_in_us) > AGE_MAX_US)
+  gint64 age_max = update->held_age_us >= 0 ? HELD_AGE_MAX_US : AGE_MAX_US;
+
+  if (update->end_count > QUARANTINE_ENDS_KEPT || update->held_age_us > age_max ||
+      update->cleared_age_us > age_max || ABS (update->due_in_us) > AGE_MAX_US)
     return FALSE;
   for (guint i = 0; i < update->end_count; i++)
-    if (update->end_ages_us[i] < 0 || update->end_ages_us[i] > AGE_MAX_US)
+    if (update->end_ages_us[i] < 0 || update->end_ages_us[i] > age_max)
       return FALSE;
   return TRUE;
 }
--- a/core/tests/test-quarantine.c
+++ b/core/tests/test-quarantine.c
@@ -353,6 +353,25 @@
   assert_int_equal (state_at (fixture, 0, &deadly), QUARANTINE_TRIAL);
 }
 
+/* An entry that has been quarantined for hours is still exchanged, so that all nodes know
+   of each trial. */
+static void
+test_trials_stay_single_for_hours (void **state)
+{
+  Fixture *fixture = *state;
+
+  quarantine_and_try (fixture, &deadly);
+  for (guint i = 0; i < 12; i++)
+    {
+      advance (fixture, quarantine_check (fixture->nodes[0], &deadly).retry_after_us);
+      assert_true (quarantine_begin_trial (fixture->nodes[1], &deadly));
+      crash_under (fixture, 1, &deadly, 1);
+      exchange_all_updates (fixture);
+      for (guint j = 0; j < NODES; j++)
+        assert_int_equal (state_at (fixture, j, &deadly), QUARANTINE_HELD);
+    }
+}
+
 /* A trial that a target in a bad spell has broken off is soon repeated, but only once,
    because each repetition reaches one more target. */
 static void
@@ -640,6 +659,7 @@
     TEST (test_indistinguishable_requests_are_tried_at_once),
     TEST (test_a_trial_crash_counts_against_the_trial_only),
     TEST (test_trials_are_single_and_back_off),
+    TEST (test_trials_stay_single_for_hours),
     TEST (test_an_undecided_trial_is_repeated_once),
     TEST (test_a_good_trial_ends_the_quarantine_everywhere),
     TEST (test_updates_from_before_an_answer_are_ignored),
