Allowances: a drained bucket is kept until it is full again

An account with a long window got many times its allowance: its bucket was removed after 60 s without a question and came back full, though it would have taken up to the window to refill. It is now removed only when it would be full. test_a_drained_bucket_does_not_come_back_full failed before.

--- a/core/src/request/allowance-buckets.c
+++ b/core/src/request/allowance-buckets.c
@@ -9,7 +9,7 @@
 #define ASKS_PER_S 10.0
 #define RETRY_MIN_US (20 * MS_US)
 #define RETRY_MAX_US (2 * SECOND_US)
-/* A bucket that has not been used for this time is assumed to be full again. */
+/* A bucket that has not been used for this time is removed, if it is full again. */
 #define IDLE_US (60 * SECOND_US)
 
 typedef struct
@@ -17,6 +17,7 @@
   double level;
   double asks; /* recent questions a second */
   gint64 at_us;
+  gint64 full_at_us; /* when it is full, if it is not used before */
 } Bucket;
 
 struct AllowanceBuckets
@@ -78,6 +79,20 @@
   return (gint64)CLAMP (MAX (next, turn) * SECOND_US, RETRY_MIN_US, RETRY_MAX_US);
 }
 
+/* Returns when the bucket will be full; one that is not refilled never is. */
+static gint64
+full_at (const Bucket *bucket, const AllowanceRate *rate)
+{
+  double lacking = rate->depth - bucket->level;
+  double wait_us;
+
+  if (lacking <= 0)
+    return bucket->at_us;
+  wait_us = rate->per_s > 0 ? lacking / rate->per_s * SECOND_US : (double)G_MAXINT64;
+  return wait_us < (double)(G_MAXINT64 - bucket->at_us) ? bucket->at_us + (gint64)wait_us
+                                                        : G_MAXINT64;
+}
+
 AllowanceGrant
 allowance_buckets_lend (AllowanceBuckets *buckets,
                         const char *account,
@@ -93,6 +108,7 @@
   fill (bucket, &rate, clock_now (buckets->clock));
   grant.lent = (guint)MIN ((double)wanted, floor (MAX (bucket->level, 0)));
   bucket->level -= grant.lent;
+  bucket->full_at_us = full_at (bucket, &rate);
   if (grant.lent < wanted)
     grant.retry_after_us = retry_after_us (bucket, &rate);
   return grant;
@@ -106,10 +122,15 @@
   gint64 now = clock_now (buckets->clock);
   GHashTableIter iter;
   gpointer account;
-  gpointer bucket;
+  gpointer value;
 
   g_hash_table_iter_init (&iter, buckets->by_account);
-  while (g_hash_table_iter_next (&iter, &account, &bucket))
-    if (!is_own (account, data) || now - ((Bucket *)bucket)->at_us > IDLE_US)
-      g_hash_table_iter_remove (&iter);
+  while (g_hash_table_iter_next (&iter, &account, &value))
+    {
+      const Bucket *bucket = value;
+
+      if (!is_own (account, data) ||
+          (now - bucket->at_us > IDLE_US && now >= bucket->full_at_us))
+        g_hash_table_iter_remove (&iter);
+    }
 }
--- a/core/tests/test-allowance.c
+++ b/core/tests/test-allowance.c
@@ -43,6 +43,12 @@
   return worst;
 }
 
+static gboolean
+is_always_lender (const char *account, gpointer data)
+{
+  return TRUE;
+}
+
 static void
 test_a_bucket_is_within_the_bound_for_any_terms (void **state)
 {
@@ -88,6 +94,29 @@
   clock_destroy (clock);
 }
 
+/* The account rests for longer than a bucket is kept without use, and its window is far
+   longer than that. */
+static void
+test_a_drained_bucket_does_not_come_back_full (void **state)
+{
+  const AllowanceRule hour = { 3600 * SECOND_US, 0, 0 };
+  const AllowanceTerms terms = { 0.1, 1000 };
+  Clock *clock = clock_create_manual (24 * hour.window_us);
+  AllowanceBuckets *buckets = allowance_buckets_create (&hour, clock);
+  double bound = terms.per_s * 3600 + terms.burst;
+  guint lent = 0;
+
+  for (guint i = 0; i < 3600 / 70; i++)
+    {
+      lent += allowance_buckets_lend (buckets, ACCOUNT, &terms, 1, 0, MANY).lent;
+      clock_advance (clock, 70 * SECOND_US);
+      allowance_buckets_prune (buckets, is_always_lender, NULL);
+    }
+  assert_true (lent <= bound);
+  allowance_buckets_destroy (buckets);
+  clock_destroy (clock);
+}
+
 /* The lender restarts every 0.9 s and must not lend again what it lent before. */
 static void
 test_restarts_lend_nothing_twice (void **state)
@@ -314,6 +343,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_bucket_is_within_the_bound_for_any_terms),
     cmocka_unit_test (test_a_flood_stays_within_the_bound),
+    cmocka_unit_test (test_a_drained_bucket_does_not_come_back_full),
     cmocka_unit_test (test_restarts_lend_nothing_twice),
     cmocka_unit_test (test_a_lowered_allowance_is_in_force_at_once),
     cmocka_unit_test (test_requests_within_the_allowance_are_lent),
