Log: a result that is not expected does not read past the names

The ingress logged a submission that a sidecar answered with "held", or with a result of a later version, by an index past its table of names: bytes from elsewhere in the log line, or the end of the node. test_an_unexpected_result_is_logged failed before (garbage in the field).

--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -46,6 +46,16 @@
              yes_no (attempt->local), NULL);
 }
 
+/* The result comes from another node, which may be of a later version. */
+static const char *
+result_name (sw_result result)
+{
+  static const char *const names[] = { "done",    "refused", "failed",
+                                       "started", "unknown", "held" };
+
+  return (guint)result < G_N_ELEMENTS (names) ? names[result] : "bad";
+}
+
 void
 request_log_attempt_end (const Attempt *attempt,
                          RpcOutcome outcome,
@@ -53,8 +63,6 @@
 {
   static const char *const outcomes[] = { "answered", "denied",  "unsent",
                                           "lost",     "timeout", "bad" };
-  static const char *const results[] = { "done", "refused", "failed", "started",
-                                         "unknown" };
   gboolean answered = outcome == RPC_OK && res;
   g_autofree char *name = NULL;
   g_autofree char *in_use = NULL;
@@ -71,7 +79,7 @@
     }
   log_event (G_LOG_LEVEL_INFO, "attempt-end", "ID", attempt->exchange->id, "ATTEMPT",
              name, "TARGET", attempt->target->name, "CALL", outcomes[outcome], "RESULT",
-             answered ? results[res->result] : NULL, "REASON",
+             answered ? result_name (res->result) : NULL, "REASON",
              answered ? reason_name ((Reason)res->reason) : NULL, "IN_USE", in_use,
              "QUEUED", queued, NULL);
 }
