--- a/client/src/outcomes-private.h
+++ b/client/src/outcomes-private.h
@@ -22,6 +22,7 @@
   CAUSE_NO_TARGET,     /* no target remained */
   CAUSE_LEAVING,       /* the node or the target was leaving */
   CAUSE_CALLER_LEFT,
+  CAUSE_RATE_LIMITED, /* targets have named a rate, and it was used up */
   CAUSE_OTHER,
   CAUSE_COUNT
 } Cause;
--- a/client/src/outcomes-report.c
+++ b/client/src/outcomes-report.c
@@ -7,8 +7,9 @@
 #define CLASSES_MAX 10000u
 
 static const char *const cause_names[CAUSE_COUNT] = {
-  "none",   "target-failed", "hung",        "broken",  "node-lost",   "no-slot", "queue",
-  "budget", "sick",          "nobody-left", "leaving", "caller-left", "other"
+  "none",    "target-failed", "hung",         "broken", "node-lost",
+  "no-slot", "queue",         "budget",       "sick",   "nobody-left",
+  "leaving", "caller-left",   "rate-limited", "other"
 };
 
 static const char *const result_names[RESULT_COUNT] = { "served", "late", "refused",
--- a/client/src/outcomes.c
+++ b/client/src/outcomes.c
@@ -29,6 +29,7 @@
   { "no-target", CAUSE_NO_TARGET },
   { "draining", CAUSE_LEAVING },
   { "cancelled", CAUSE_CALLER_LEFT },
+  { "rate-limited", CAUSE_RATE_LIMITED },
   { NULL, CAUSE_OTHER },
 };
 
--- a/client/tests/test-outcomes.c
+++ b/client/tests/test-outcomes.c
@@ -109,6 +109,25 @@
   request_outcomes_destroy (outcomes);
 }
 
+static void
+test_refusals_for_a_named_rate_have_a_cause (void **state)
+{
+  RequestOutcomes *outcomes = request_outcomes_create (0);
+  g_autoptr (JsonNode) node = NULL;
+
+  request_outcomes_add (
+      outcomes,
+      AT ("01") "\"event\":\"request-failed\",\"id\":\"r\",\"class\":\"pay\","
+                "\"outcome\":\"not-run\",\"reason\":\"rate-limited\",\"took_us\":"
+                "\"4000\"}",
+      -1);
+  node = request_outcomes_json (outcomes);
+  assert_int_equal (
+      cause (row_of (json_node_get_object (node), "pay", -1), "causes", "rate-limited"),
+      1);
+  request_outcomes_destroy (outcomes);
+}
+
 static void
 test_gaps_and_bad_lines_are_counted (void **state)
 {
@@ -152,6 +171,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_outcomes_and_causes_are_reported),
+    cmocka_unit_test (test_refusals_for_a_named_rate_have_a_cause),
     cmocka_unit_test (test_gaps_and_bad_lines_are_counted),
     cmocka_unit_test (test_bytes_are_summed_over_node_restarts),
     cmocka_unit_test (test_requests_are_counted_in_the_span_of_their_start),
