Watchers: a node that has met few others counts the halls by the list

Traced with the line that logs readings of the evacuated halls: the tenth node that watched was the first to start, 2.0 s after its start, when it knew three members. Its rank within its hall was taken from the platform's list, the number of halls from the members that it knew: of one hall, nine nodes of the hall watch instead of three. Where all nodes start at once and gossip is late, up to 27 of 36 would.

The halls are counted by the list as well while a node starts. test_nodes_that_have_met_no_other_do_not_all_watch failed before (27 watchers, 9 allowed).

--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -202,19 +202,21 @@
 config_sync_is_watcher (const ConfigSync *sync)
 {
   const Members *members = sync->node->members;
+  const FleetList *list = sync->node->list;
   guint halls = members_count_halls (members);
-  guint share = (WATCHERS_MIN + halls - 1) / halls;
   guint rank = members_rank_in_hall (members);
 
   if (!has_settled (sync))
     return FALSE;
-  /* When 981 nodes start at once, each of them knows only a few members. A rank by the
-     platform's list as well makes them agree on the watchers. */
+  /* When 981 nodes start at once, each of them knows only a few members. The rank and the
+     halls by the platform's list as well make them agree on the watchers. */
   if (members_is_starting_up (members))
-    rank = MAX (rank,
-                fleet_list_rank_in_hall (sync->node->list, members_self (members)->node,
-                                         members_self (members)->hall));
-  return rank < MAX (WATCHERS_PER_HALL, share);
+    {
+      halls = MAX (halls, fleet_list_count_halls (list));
+      rank = MAX (rank, fleet_list_rank_in_hall (list, members_self (members)->node,
+                                                 members_self (members)->hall));
+    }
+  return rank < MAX (WATCHERS_PER_HALL, (WATCHERS_MIN + halls - 1) / halls);
 }
 
 gint64
--- a/daemon/src/member/fleet-list.c
+++ b/daemon/src/member/fleet-list.c
@@ -92,6 +92,24 @@
   return rank;
 }
 
+guint
+fleet_list_count_halls (const FleetList *list)
+{
+  g_autoptr (GHashTable) halls = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, list->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const FleetListEntry *entry = value;
+
+      if (*entry->hall)
+        g_hash_table_add (halls, entry->hall);
+    }
+  return g_hash_table_size (halls);
+}
+
 void
 fleet_list_all (const FleetList *list, GPtrArray *entries)
 {
--- a/daemon/src/member/fleet-list.h
+++ b/daemon/src/member/fleet-list.h
@@ -35,6 +35,9 @@
    members_rank_in_hall. */
 guint fleet_list_rank_in_hall (const FleetList *list, const char *node, const char *hall);
 
+/* Returns the number of halls of the listed nodes. */
+guint fleet_list_count_halls (const FleetList *list);
+
 /* Appends all entries, which are borrowed from the list. */
 void fleet_list_all (const FleetList *list, GPtrArray *entries);
 
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -1,4 +1,5 @@
-/* Times at which nodes read their configuration, on a manual clock. */
+/* Times at which nodes read their configuration, and which nodes watch the store, on a
+   manual clock. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -167,10 +168,66 @@
   assert_in_range (most, 1, READS_PER_SECOND_MAX);
 }
 
+#define LISTED 36u
+#define HALLS 3u
+/* The watchers of all halls together. */
+#define WATCHERS 9u
+
+/* Returns whether a node that has read the platform's list, but has not met any other
+   node yet, watches the store. */
+static gboolean
+watches_alone (guint i)
+{
+  static const char *const nobody[] = { NULL };
+  g_autofree char *name = g_strdup_printf ("vm-%u", i);
+  g_autofree char *hall = g_strdup_printf ("hall-%u", i % HALLS);
+  Settings settings = { .node = name, .hall = hall };
+  Member self = { .node = name, .hall = hall, .address = "127.0.0.1:1" };
+  Clock *clock = clock_create_manual (SECOND_US);
+  Node node = { .adapter = &adapter, .settings = &settings, .clock = clock };
+  gboolean watches;
+
+  node.list = fleet_list_create ();
+  node.loop = loop_create (clock);
+  node.rand = g_rand_new_with_seed (i);
+  node.members =
+      members_create (&self, nobody, &members_timing_default, node.rand, clock);
+  for (guint j = 0; j < LISTED; j++)
+    {
+      g_autofree char *other = g_strdup_printf ("vm-%u", j);
+      g_autofree char *where = g_strdup_printf ("hall-%u", j % HALLS);
+
+      fleet_list_add (node.list, other, where, "127.0.0.1:2");
+    }
+  fleet_list_note_read (node.list);
+  node.config = config_sync_create (&node);
+  clock_advance (clock, 2 * SECOND_US);
+  watches = config_sync_is_watcher (node.config);
+  config_sync_destroy (node.config);
+  members_destroy (node.members);
+  g_rand_free (node.rand);
+  loop_destroy (node.loop);
+  fleet_list_destroy (node.list);
+  clock_destroy (clock);
+  return watches;
+}
+
+/* All nodes start at once, and gossip is late. */
+static void
+test_nodes_that_have_met_no_other_do_not_all_watch (void **state)
+{
+  guint watchers = 0;
+
+  for (guint i = 0; i < LISTED; i++)
+    watchers += watches_alone (i);
+  assert_int_equal (watchers, WATCHERS);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_nodes_that_have_met_no_other_do_not_all_watch),
     cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
                                      teardown),
   };
