--- a/core/include/core/admission.h
+++ b/core/include/core/admission.h
@@ -53,7 +53,7 @@
 /*
  * Takes a slot for a trial even if none is free, because a target whose slots are all
  * occupied by hanging requests could not prove its recovery otherwise. FALSE if the
- * target is cold and its start rate is used up.
+ * limit on starts is used up.
  */
 gboolean admission_force (Admission *admission);
 
@@ -80,8 +80,8 @@
 
 guint admission_in_use (const Admission *admission);
 guint admission_queued (const Admission *admission);
-/* Returns the concurrency limit; while the start rate of a cold target is used up, the
-   number of slots in use, but at least 1. */
+/* Returns the concurrency limit; while the limit on starts is used up, the number of
+   slots in use, but at least 1. */
 guint admission_limit (const Admission *admission);
 /* Returns a retry delay for the caller: the estimated wait at the end of the queue, at
    least 100 ms. */
--- a/core/include/core/shedding.h
+++ b/core/include/core/shedding.h
@@ -1,5 +1,6 @@
 /*
- * Tracks whether a target refuses requests although it has free slots. The sidecar counts
+ * Tracks whether a target refuses requests although it has free slots, or its sidecar
+ * refuses them because the rate that the target has named is used up. The sidecar counts
  * a target's slots exactly, so that a single such refusal is significant. A refused
  * request has not run, so that a refusal costs no more than a retry; other targets are
  * preferred for a while.
@@ -15,7 +16,7 @@
 Shedding *shedding_create (Clock *clock);
 void shedding_destroy (Shedding *shedding);
 
-/* Records that the target has refused a request. */
+/* Records that the target has refused a request, or its sidecar for the named rate. */
 void shedding_note (Shedding *shedding);
 
 /* Returns whether other targets should be preferred. */
--- a/daemon/src/target/submission-notices.c
+++ b/daemon/src/target/submission-notices.c
@@ -27,8 +27,8 @@
                           starts->count, starts->trials, starts->repeats, source);
 }
 
-/* Puts a change of the named rate into force. What waits is refused when the target takes
-   less than before, because it was queued for an earlier start. */
+/* Puts a change of the named rate into force. While a rate is named, what waits is
+   refused at each change: it was queued for a start at another time. */
 static void
 apply_rate_change (Sidecar *sidecar,
                    SidecarTarget *target,
