--- a/core/tests/test-target-statements.c
+++ b/core/tests/test-target-statements.c
@@ -61,14 +61,58 @@
   clock_destroy (clock);
 }
 
+/* A balancer, and a service with one target. */
+typedef struct
+{
+  Clock *clock;
+  GRand *rand;
+  Balancer *balancer;
+  Target target;
+  Service service;
+} Fixture;
+
+static void
+setup (Fixture *fixture)
+{
+  *fixture = (Fixture){ .clock = clock_create_manual (SECOND_US),
+                        .rand = g_rand_new_with_seed (1) };
+  fixture->balancer = balancer_create ("h", fixture->rand, fixture->clock);
+  fixture->target = (Target){
+    .name = (char *)"i-0", .vm = (char *)"vm-0", .hall = (char *)"h", .slots = 4
+  };
+  fixture->service = (Service){ .name = (char *)"s", .targets = g_ptr_array_new () };
+  g_ptr_array_add (fixture->service.targets, &fixture->target);
+}
+
+static void
+teardown (Fixture *fixture)
+{
+  g_ptr_array_unref (fixture->service.targets);
+  balancer_destroy (fixture->balancer);
+  g_rand_free (fixture->rand);
+  clock_destroy (fixture->clock);
+}
+
+static const Target *
+choice (const Fixture *fixture)
+{
+  const BalancerCriteria criteria = { .halls = BALANCER_BY_LOAD };
+
+  return balancer_choose (fixture->balancer, &fixture->service, &criteria).target;
+}
+
+static gboolean
+is_leaving (const Fixture *fixture)
+{
+  return balancer_status (fixture->balancer, &fixture->service, &fixture->target)
+      .report.draining;
+}
+
 /* A report of the sidecar's next incarnation, which knows nothing yet, does not end it.
  */
 static void
 test_a_rate_outlives_the_sidecar (void **state)
 {
-  Clock *clock = clock_create_manual (SECOND_US);
-  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
-  Balancer *balancer = balancer_create ("h", rand, clock);
   TargetReport named = { .target = "i-0",
                          .incarnation = 1,
                          .serial = 1,
@@ -77,23 +121,21 @@
   TargetReport started = { .target = "i-0", .incarnation = 2, .serial = 1 };
   TargetVerdict verdict = { .incarnation = 3, .serial = 1 };
   double per_s = 0;
+  Fixture fixture;
 
-  balancer_note_report (balancer, &named);
-  balancer_note_report (balancer, &started);
-  balancer_note_verdict (balancer, "i-0", &verdict);
-  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
+  setup (&fixture);
+  balancer_note_report (fixture.balancer, &named);
+  balancer_note_report (fixture.balancer, &started);
+  balancer_note_verdict (fixture.balancer, "i-0", &verdict);
+  assert_true (balancer_named_rate (fixture.balancer, "i-0", &per_s));
   assert_true (per_s == 1.4);
-  balancer_destroy (balancer);
-  clock_destroy (clock);
+  teardown (&fixture);
 }
 
 /* Gossip with a later serial may overtake the answer that carries the report. */
 static void
 test_an_outdated_report_still_counts (void **state)
 {
-  Clock *clock = clock_create_manual (SECOND_US);
-  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
-  Balancer *balancer = balancer_create ("h", rand, clock);
   TargetReport first = { .target = "i-0", .incarnation = 1, .serial = 1 };
   TargetVerdict verdict = { .incarnation = 1, .serial = 9 };
   TargetReport late = { .target = "i-0",
@@ -102,34 +144,25 @@
                         .rate_state = NAMED_RATE_IN_FORCE,
                         .rate_per_s = 1.4,
                         .announced_leaving = TRUE };
-  Target target = { .name = "i-0", .vm = "vm-0", .hall = "h", .slots = 4 };
-  Service service = { .name = "s", .targets = g_ptr_array_new () };
   double per_s = 0;
+  Fixture fixture;
 
-  balancer_note_report (balancer, &first);
-  balancer_note_verdict (balancer, "i-0", &verdict);
-  balancer_note_report (balancer, &late);
-  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
-  g_ptr_array_add (service.targets, &target);
-  assert_true (balancer_status (balancer, &service, &target).report.draining);
+  setup (&fixture);
+  balancer_note_report (fixture.balancer, &first);
+  balancer_note_verdict (fixture.balancer, "i-0", &verdict);
+  balancer_note_report (fixture.balancer, &late);
+  assert_true (balancer_named_rate (fixture.balancer, "i-0", &per_s));
+  assert_true (is_leaving (&fixture));
   late.rate_state = NAMED_RATE_NONE;
-  balancer_note_report (balancer, &late);
-  assert_true (balancer_named_rate (balancer, "i-0", &per_s));
-  g_ptr_array_unref (service.targets);
-  balancer_destroy (balancer);
-  clock_destroy (clock);
+  balancer_note_report (fixture.balancer, &late);
+  assert_true (balancer_named_rate (fixture.balancer, "i-0", &per_s));
+  teardown (&fixture);
 }
 
 /* The node starts again, and the registration says that the target serves. */
 static void
 test_a_target_that_announced_leaving_is_not_chosen_again (void **state)
 {
-  Clock *clock = clock_create_manual (SECOND_US);
-  g_autoptr (GRand) rand = g_rand_new_with_seed (1);
-  Balancer *balancer = balancer_create ("h", rand, clock);
-  Target target = { .name = "i-0", .vm = "vm-0", .hall = "h", .slots = 4 };
-  Service service = { .name = "s", .targets = g_ptr_array_new () };
-  BalancerCriteria criteria = { .halls = BALANCER_BY_LOAD };
   TargetReport leaving = { .target = "i-0",
                            .incarnation = 1,
                            .serial = 1,
@@ -139,20 +172,19 @@
   TargetReport serving = {
     .target = "i-0", .incarnation = 2, .serial = 1, .rate_state = NAMED_RATE_NONE
   };
+  Fixture fixture;
 
-  g_ptr_array_add (service.targets, &target);
-  balancer_set_member (balancer, "vm-0", 1, TRUE);
-  assert_ptr_equal (balancer_choose (balancer, &service, &criteria).target, &target);
-  balancer_note_report (balancer, &leaving);
-  assert_null (balancer_choose (balancer, &service, &criteria).target);
-  balancer_set_member (balancer, "vm-0", 1, FALSE);
-  balancer_set_member (balancer, "vm-0", 2, TRUE);
-  balancer_note_report (balancer, &serving);
-  assert_null (balancer_choose (balancer, &service, &criteria).target);
-  assert_true (balancer_status (balancer, &service, &target).report.draining);
-  g_ptr_array_unref (service.targets);
-  balancer_destroy (balancer);
-  clock_destroy (clock);
+  setup (&fixture);
+  balancer_set_member (fixture.balancer, "vm-0", 1, TRUE);
+  assert_ptr_equal (choice (&fixture), &fixture.target);
+  balancer_note_report (fixture.balancer, &leaving);
+  assert_null (choice (&fixture));
+  balancer_set_member (fixture.balancer, "vm-0", 1, FALSE);
+  balancer_set_member (fixture.balancer, "vm-0", 2, TRUE);
+  balancer_note_report (fixture.balancer, &serving);
+  assert_null (choice (&fixture));
+  assert_true (is_leaving (&fixture));
+  teardown (&fixture);
 }
 
 int
