Sidecar: one way to refuse what waits

The refusal of a target's queue had come with a callback type, two callbacks and a struct for two callers. Both refuse what their reason says and whatever the state of its target demands anyway, so that one function with a target and a reason serves. No change of behaviour.

--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -27,12 +27,20 @@
   return target->state == TARGET_EVACUATED ? SW_REASON_EVACUATED : SW_REASON_NONE;
 }
 
-/* Returns why a waiting submission must be refused. */
-typedef sw_reason (*QueueReasonFunc) (const Submission *submission, gconstpointer data);
+/* Returns why a submission that waits must be refused: `reason` at `target`, elsewhere by
+   the state of its target. */
+static sw_reason
+waiting_refusal_reason (const Submission *submission,
+                        const SidecarTarget *target,
+                        sw_reason reason)
+{
+  return submission->target == target
+             ? reason
+             : queue_refusal_reason (submission->sidecar, submission->target);
+}
 
-/* Refuses the waiting submissions for which `reason_of` gives a reason. */
-static void
-refuse_where (Sidecar *sidecar, QueueReasonFunc reason_of, gconstpointer data)
+void
+sidecar_refuse_queued (Sidecar *sidecar, const SidecarTarget *target, sw_reason reason)
 {
   g_autoptr (GPtrArray) waiting = g_ptr_array_new ();
   GHashTableIter iter;
@@ -43,7 +51,8 @@
     {
       const Submission *submission = key;
 
-      if (!submission->running && reason_of (submission, data) != SW_REASON_NONE)
+      if (!submission->running &&
+          waiting_refusal_reason (submission, target, reason) != SW_REASON_NONE)
         g_ptr_array_add (waiting, key);
     }
   for (guint i = 0; i < waiting->len; i++)
@@ -51,43 +60,14 @@
       Submission *submission = g_ptr_array_index (waiting, i);
 
       admission_withdraw (submission->target->admission, submission);
-      submission_refuse (submission, reason_of (submission, data));
+      submission_refuse (submission, waiting_refusal_reason (submission, target, reason));
     }
 }
 
-static sw_reason
-reason_of_state (const Submission *submission, gconstpointer data)
-{
-  return queue_refusal_reason (submission->sidecar, submission->target);
-}
-
 static void
 refuse_queued (Sidecar *sidecar)
 {
-  refuse_where (sidecar, reason_of_state, NULL);
-}
-
-/* A target whose queue is refused, and why. */
-typedef struct
-{
-  const SidecarTarget *target;
-  sw_reason reason;
-} QueueRefusal;
-
-static sw_reason
-reason_at_target (const Submission *submission, gconstpointer data)
-{
-  const QueueRefusal *refusal = data;
-
-  return submission->target == refusal->target ? refusal->reason : SW_REASON_NONE;
-}
-
-void
-sidecar_refuse_queued (Sidecar *sidecar, const SidecarTarget *target, sw_reason reason)
-{
-  const QueueRefusal refusal = { target, reason };
-
-  refuse_where (sidecar, reason_at_target, &refusal);
+  sidecar_refuse_queued (sidecar, NULL, SW_REASON_NONE);
 }
 
 static void
