Kept connections between a sidecar and its target

What callers and targets saw: each attempt opened a connection and closed it.

Cause: io/http-client.h closes each connection, because libcurl repeats a request by itself when a reused connection breaks, and reads what is left on it as the next answer.

Change: core/connection-pool decides which connection an attempt uses and when one is closed; io/http-link is one connection for several exchanges (libhttp-parser parses), which sends nothing twice, skips an answer that names another request, and tells whether it may be used again; daemon/src/target/target-calls joins both for one start of a target. A setting of the service ("keep_connections"), off unless asked for; the adapter sets it where the platform's contracts name "pool". Deployments without it are called as before.

--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -69,12 +69,13 @@
   guint queue; /* maximum number of requests that wait at one target */
   guint retry_percent;
   guint retry_burst; /* fleet-wide retries per window beyond retry_percent; 0: default */
-  gboolean fixed_limit; /* limit concurrency by slots only, not by latency */
-  double cold_per_s;    /* requests/s that a cold target gets; 0 for no limit */
-  double cold_burst;    /* and the burst in requests beyond that rate */
-  gboolean dynamic;     /* targets register themselves; none are configured */
-  gsize answer_max;     /* maximum size of an answer in bytes */
-  GPtrArray *targets;   /* of Target, sorted by name */
+  gboolean fixed_limit;      /* limit concurrency by slots only, not by latency */
+  double cold_per_s;         /* requests/s that a cold target gets; 0 for no limit */
+  double cold_burst;         /* and the burst in requests beyond that rate */
+  gboolean keep_connections; /* to targets, for more than one request */
+  gboolean dynamic;          /* targets register themselves; none are configured */
+  gsize answer_max;          /* maximum size of an answer in bytes */
+  GPtrArray *targets;        /* of Target, sorted by name */
 } Service;
 
 /* A service's share of the requests of a route. */
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -40,7 +40,8 @@
   double cold_overage;    /* factor (>= 1) of the rate that a cold target can take */
   double cold_slack;      /* and this many requests more in a second */
   Detection detection;
-  guint queue; /* maximum number of requests that wait at one target */
+  gboolean keep_connections; /* to targets, for more than one request */
+  guint queue;               /* maximum number of requests that wait at one target */
 } ServiceDefaults;
 
 typedef struct
@@ -57,6 +58,8 @@
   char *target_address; /* of the local target, which registers itself; NULL for none */
   char *target_service; /* service of the local target; NULL for none */
   char *platform_address;
+  char **platform_contracts; /* NULL-terminated names of the rules that the platform has
+                                put in force; its adapter knows them */
   PlatformKind platform;
   gboolean evacuations; /* read the evacuated data halls from the platform */
   gboolean first_start; /* the whole fleet is starting for the first time */
--- a/core/src/config/service.c
+++ b/core/src/config/service.c
@@ -122,6 +122,7 @@
   service->cold_per_s = json_view_double (view, "cold_per_s", 0, COLD_PER_S_MAX, 0);
   service->cold_burst = json_view_double (view, "cold_burst", 0, COLD_PER_S_MAX, 0);
   service->fixed_limit = json_view_bool (view, "fixed_limit", FALSE);
+  service->keep_connections = json_view_bool (view, "keep_connections", FALSE);
   service->dynamic = json_view_bool (view, "dynamic", FALSE);
   service->floor_percent = (guint)json_view_int (view, "floor_percent", 0, 100, 0);
   service->answer_max =
@@ -193,6 +194,8 @@
   if (service->cold_burst > 0)
     json_write_double (builder, "cold_burst", service->cold_burst);
   json_write_bool (builder, "fixed_limit", service->fixed_limit);
+  if (service->keep_connections)
+    json_write_bool (builder, "keep_connections", TRUE);
   json_write_bool (builder, "dynamic", service->dynamic);
   json_write_int (builder, "answer_max", (gint64)service->answer_max);
   json_builder_set_member_name (builder, "targets");
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -114,6 +114,7 @@
   defaults->cold_slack = json_view_double (object, "cold_slack", 0, G_MAXINT, 0);
   defaults->detection =
       json_view_choice (object, "detection", detection_names, DETECTION_CAREFUL);
+  defaults->keep_connections = json_view_bool (object, "keep_connections", FALSE);
   defaults->queue = (guint)json_view_int (object, "queue", 0, 100000, 0);
   json_view_close (object);
 }
@@ -223,6 +224,24 @@
   settings->peers = (char **)g_ptr_array_free (peers, FALSE);
 }
 
+static void
+read_contracts (Settings *settings, JsonView *view)
+{
+  guint count = json_view_array_length (view, "platform_contracts");
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (guint i = 0; i < count; i++)
+    {
+      const char *name =
+          json_view_array_string (view, "platform_contracts", i, NAME_MAX_LEN);
+
+      if (name)
+        g_ptr_array_add (names, g_strdup (name));
+    }
+  g_ptr_array_add (names, NULL);
+  settings->platform_contracts = (char **)g_ptr_array_free (names, FALSE);
+}
+
 static void
 read_limits (Settings *settings, JsonView *view)
 {
@@ -288,6 +307,7 @@
   settings->fleet_token = read_token (view, "fleet_token");
   settings->fleet_token_digest = token_digest_prefix (settings->fleet_token);
   settings->log = json_view_choice (view, "log", log_names, LOG_INFO);
+  read_contracts (settings, view);
   read_peers (settings, view);
   read_operators (settings, view);
   read_limits (settings, view);
@@ -316,6 +336,7 @@
   g_free (settings->target_address);
   g_free (settings->target_service);
   g_free (settings->fleet_token);
+  g_strfreev (settings->platform_contracts);
   g_strfreev (settings->peers);
   g_ptr_array_unref (settings->operators);
   g_free (settings);
--- a/daemon/src/node/adapter.h
+++ b/daemon/src/node/adapter.h
@@ -19,6 +19,9 @@
      has none. */
   gpointer (*halls_create) (Node *node);
   void (*halls_destroy) (gpointer halls);
+  /* Completes the defaults of services by what the platform's contracts call for; NULL if
+     they call for nothing. */
+  void (*apply_contracts) (const char *const *contracts, ServiceDefaults *defaults);
   gboolean vm_list; /* the platform keeps a list of VMs */
 } Adapter;
 
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -193,12 +193,21 @@
   return NULL;
 }
 
+static void
+apply_defaults (Node *node, const Settings *settings)
+{
+  node->defaults = settings->defaults;
+  if (node->adapter->apply_contracts)
+    node->adapter->apply_contracts ((const char *const *)settings->platform_contracts,
+                                    &node->defaults);
+}
+
 void
 node_run_reload (NodeRun *run, const Settings *settings)
 {
   Node *node = &run->node;
 
-  node->defaults = settings->defaults;
+  apply_defaults (node, settings);
   log_set_threshold (settings->log);
   log_event (G_LOG_LEVEL_INFO, "reload", "NEEDS_RESTART",
              needs_restart (node->settings, settings), NULL);
@@ -305,7 +314,7 @@
 
   node->settings = settings;
   node->adapter = adapter;
-  node->defaults = settings->defaults;
+  apply_defaults (node, settings);
   node->clock = clock;
   node->loop = loop;
   node->rand = g_rand_new ();
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -4,6 +4,7 @@
 #ifndef DAEMON_METRICS_H
 #define DAEMON_METRICS_H
 
+#include <core/connection-pool.h>
 #include <core/outcome.h>
 #include <glib.h>
 
@@ -41,6 +42,11 @@
   METRIC_COLD_REFUSED,       /* because a cold target is at its limit */
   METRIC_NAMED_RATE_STARTS,  /* at targets that have named a rate */
   METRIC_NAMED_RATE_REFUSED, /* because the rate that a target has named is used up */
+  METRIC_CONNECTIONS_OPENED, /* to targets */
+  METRIC_CONNECTIONS_REUSED,
+  METRIC_CONNECTIONS_CLOSED, /* kept ones: one counter for each ConnectionCloseReason */
+  METRIC_CONNECTIONS_CLOSED_LAST =
+      METRIC_CONNECTIONS_CLOSED + CONNECTION_CLOSE_REASONS - 1,
   METRIC_PLATFORM_CALLS,
   METRIC_STORE_ERA,
   METRIC_STORE_PUT_BACK, /* records written again that a restored store had lost */
--- a/daemon/src/request/dialect-own.c
+++ b/daemon/src/request/dialect-own.c
@@ -82,14 +82,14 @@
 /* Whether the answer belongs to another attempt, because the target has echoed that
    attempt's identifier. Targets need not echo any. */
 static gboolean
-is_crossed (const sw_attempt *attempt, const HttpResult *result)
+is_foreign (const sw_submit_args *args, const GArray *headers)
 {
-  const char *echo = http_headers_get (result->headers, ATTEMPT_HEADER);
+  const char *echo = http_headers_get (headers, ATTEMPT_HEADER);
   g_autofree char *own = NULL;
 
   if (!echo)
     return FALSE;
-  own = attempt_text (attempt);
+  own = attempt_text (&args->attempt);
   return strcmp (echo, own) != 0;
 }
 
@@ -106,7 +106,7 @@
   dialect_judge_transport (result, res);
   if (res->result != SW_DONE)
     return;
-  if (is_crossed (&args->attempt, result))
+  if (is_foreign (args, result->headers))
     {
       res->result = SW_FAILED;
       res->reason = SW_REASON_CROSSED;
@@ -156,6 +156,7 @@
   .add_origin = add_origin,
   .add_attempt = add_attempt,
   .carries = carries,
+  .is_foreign = is_foreign,
   .judge = judge,
   .returns = returns,
   .status = status,
--- a/daemon/src/request/dialect.h
+++ b/daemon/src/request/dialect.h
@@ -47,6 +47,8 @@
   void (*add_attempt) (const sw_submit_args *args, gint64 left_us, GArray *headers);
   /* Whether an attempt carries the request with this identifier. */
   gboolean (*carries) (const sw_submit_args *args, const char *id);
+  /* Whether the headers of an answer name another request than the attempt's. */
+  gboolean (*is_foreign) (const sw_submit_args *args, const GArray *headers);
   /* Classifies the target's answer: sets result and reason, and for SW_DONE the answer,
      whose strings and body are borrowed from `result`. */
   void (*judge) (const sw_submit_args *args,
--- a/daemon/src/target/sidecar-private.h
+++ b/daemon/src/target/sidecar-private.h
@@ -46,7 +46,7 @@
   GArray *waiters;
   gint64 deadline_us;
   gint64 started_us;
-  HttpCall *call; /* NULL unless the attempt runs */
+  TargetCall *call; /* NULL unless the attempt runs */
   gboolean running;
   gboolean overdue; /* has already counted as a failure of the target */
   RequestFingerprints print;
--- a/daemon/src/target/sidecar-target.c
+++ b/daemon/src/target/sidecar-target.c
@@ -3,11 +3,13 @@
 #include "rate-wire.h"
 
 SidecarTarget *
-sidecar_target_create (const Service *service, const Target *config, Clock *clock)
+sidecar_target_create (Node *node, const Service *service, const Target *config)
 {
+  Clock *clock = node->clock;
   SidecarTarget *target = g_new0 (SidecarTarget, 1);
 
   target->name = g_strdup (config->name);
+  target->calls = target_calls_create (node, target->name);
   target->admission = admission_create (config->slots, service->queue, clock);
   target->start_limit = start_limit_create (clock);
   admission_set_start_limit (target->admission, target->start_limit);
@@ -22,6 +24,7 @@
 void
 sidecar_target_destroy (SidecarTarget *target)
 {
+  target_calls_destroy (target->calls);
   admission_destroy (target->admission);
   start_limit_destroy (target->start_limit);
   named_rate_destroy (target->named_rate);
@@ -43,6 +46,8 @@
   target->service = g_strdup (service->name);
   g_free (target->address);
   target->address = g_strdup (config->address);
+  target_calls_update (target->calls, config->address, service->keep_connections,
+                       MAX (config->connections, config->slots));
   /* The target may have become cold while its hall was evacuated. It counts as cold until
      it reports again. */
   if (target->state == TARGET_EVACUATED && config->state != TARGET_EVACUATED)
--- a/daemon/src/target/sidecar-target.h
+++ b/daemon/src/target/sidecar-target.h
@@ -12,6 +12,8 @@
 #include <core/shedding.h>
 #include <wire/message.h>
 
+#include "target-calls.h"
+
 /* Starts since the target named a rate. */
 typedef struct
 {
@@ -28,6 +30,7 @@
   TargetState state;
   Detection detection;
   gsize answer_max;
+  TargetCalls *calls;
   StartLimit *start_limit;
   Admission *admission; /* bounded by `start_limit` */
   NamedRate *named_rate;
@@ -47,7 +50,7 @@
 } SidecarTarget;
 
 SidecarTarget *
-sidecar_target_create (const Service *service, const Target *target, Clock *clock);
+sidecar_target_create (Node *node, const Service *service, const Target *target);
 void sidecar_target_destroy (SidecarTarget *target);
 
 /* Applies new settings. */
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -93,7 +93,11 @@
   g_hash_table_iter_init (&iter, sidecar->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      submission_start_queued (value);
+      SidecarTarget *target = value;
+
+      submission_start_queued (target);
+      target_calls_tick (target->calls,
+                         sidecar_target_is_leaving (target, sidecar->draining));
     }
   verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
   loop_timer_start (sidecar->sweep, SWEEP_US);
@@ -194,7 +198,7 @@
       sidecar_target_update (target, service, config, sidecar->node->clock);
       return;
     }
-  target = sidecar_target_create (service, config, sidecar->node->clock);
+  target = sidecar_target_create (sidecar->node, service, config);
   g_hash_table_insert (sidecar->targets, target->name, target);
 }
 
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -193,13 +193,14 @@
 {
   g_autofree char *status = g_strdup_printf ("%u", result->status);
   g_autofree char *took = g_strdup_printf ("%" G_GINT64_FORMAT, result->took_us);
+  g_autofree char *rested = g_strdup_printf ("%" G_GINT64_FORMAT, result->rested_us);
   g_autofree char *attempt = attempt_id_text (&submission->args.attempt);
 
   log_event (G_LOG_LEVEL_INFO, "target-failed", "ATTEMPT", attempt, "TARGET",
              submission->target->name, "EVEN_SICK",
              submission->args.even_sick ? "yes" : "no", "REASON",
              reason_name ((Reason)res->reason), "STATUS", status, "TOOK_US", took,
-             "DETAIL", result->detail, NULL);
+             "RESTED_US", rested, "DETAIL", result->detail, NULL);
 }
 
 static void
@@ -230,6 +231,23 @@
   submission_start_queued (target);
 }
 
+static gboolean
+is_foreign (guint status, const GArray *headers, gpointer data)
+{
+  const Submission *submission = data;
+
+  return submission->sidecar->node->adapter->dialect->is_foreign (&submission->args,
+                                                                  headers);
+}
+
+/* Whether another attempt may follow this one. Routes allow two attempts by default, so
+   that a further one counts as the last. */
+static gboolean
+may_be_followed (const sw_submit_args *args)
+{
+  return args->repeatable && args->retry != RETRY_FURTHER_ATTEMPT;
+}
+
 static GArray *
 request_headers (const Submission *submission, gint64 left_us)
 {
@@ -274,8 +292,7 @@
   const sw_submit_args *args = &submission->args;
   gint64 now = clock_now (sidecar->node->clock);
   g_autoptr (GArray) headers = NULL;
-  g_autofree char *url = NULL;
-  HttpCallParams order = { .method = args->method };
+  HttpLinkRequest order = { .method = args->method };
 
   if (now >= submission->deadline_us)
     {
@@ -298,8 +315,7 @@
   proof_note_start (&target->proof, now);
   sidecar_budgets_note (sidecar->budgets, target->service, args->retry);
   headers = request_headers (submission, submission->deadline_us - now);
-  url = g_strdup_printf ("http://%s%s", target->address, args->path);
-  order.url = url;
+  order.path = args->path;
   order.headers = headers;
   order.body = args->body.body_val;
   order.body_len = args->body.body_len;
@@ -308,10 +324,11 @@
                    strcmp (args->method, "PATCH") == 0;
   order.timeout_us = submission->deadline_us - now;
   order.answer_max = target->answer_max;
+  order.is_foreign = is_foreign;
   metrics_add (sidecar->node->metrics, METRIC_SIDECAR_STARTED, 1);
   submission_count_limited_start (submission);
-  submission->call =
-      http_client_send (sidecar->node->http, &order, on_target_done, submission);
+  submission->call = target_calls_send (target->calls, &order, may_be_followed (args),
+                                        on_target_done, submission);
 }
 
 Submission *
@@ -365,7 +382,7 @@
   SidecarTarget *target = submission->target;
   sw_submit_res res = { .result = SW_FAILED, .reason = reason };
 
-  http_call_cancel (submission->call);
+  target_call_cancel (submission->call);
   if (submission->quarantine_trial)
     quarantine_node_trial_undecided (submission->sidecar->node->quarantine,
                                      &submission->print.prints);
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -143,6 +143,7 @@
       json_write_bool (builder, "shedding", state.shedding);
       if (named_rate_is_in_force (target->named_rate))
         write_named_rate (target, builder);
+      target_calls_write_status (target->calls, builder);
       json_write_bool (builder, "announced_leaving", target->announced_leaving);
       json_builder_end_object (builder);
     }
--- a/daemon/tests/test-holds.c
+++ b/daemon/tests/test-holds.c
@@ -12,6 +12,7 @@
 typedef struct
 {
   Clock *clock;
+  Node node;
   SidecarTarget *target;
   SidecarHolds *holds;
 } Fixture;
@@ -23,7 +24,8 @@
   static const Target config = { .name = "t", .address = "127.0.0.1:1", .slots = SLOTS };
   Fixture fixture = { .clock = clock_create_manual (SECOND_US) };
 
-  fixture.target = sidecar_target_create (&service, &config, fixture.clock);
+  fixture.node.clock = fixture.clock;
+  fixture.target = sidecar_target_create (&fixture.node, &service, &config);
   fixture.holds = sidecar_holds_create (fixture.clock);
   return fixture;
 }
--- a/io/include/io/http-client.h
+++ b/io/include/io/http-client.h
@@ -31,7 +31,8 @@
   GArray *headers; /* of HttpHeader */
   GByteArray *body;
   gint64 took_us;
-  const char *detail; /* libcurl's error text for a failed call, else "" */
+  const char *detail; /* error text of a failed call, else "" */
+  gint64 rested_us;   /* how long the connection had rested before; 0 for a new one */
 } HttpResult;
 
 typedef struct
--- /dev/null
+++ b/io/src/http-link.c
@@ -0,0 +1,452 @@
+#include <io/http-link.h>
+
+#include <errno.h>
+#include <http_parser.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <io/socket.h>
+
+#define READ_CHUNK 16384u
+/* A server may answer a longer request before it has read it, which the sockets' buffers
+   hide. */
+#define EARLY_ANSWER_BODY_MIN 16384u
+
+struct HttpLink
+{
+  Loop *loop;
+  char *address;
+  int fd;
+  LoopFd *watch;
+  LoopTimer *timer;
+  http_parser parser;
+  guint exchanges;
+  gboolean connected;
+  HttpLinkLostFunc lost; /* set at rest */
+  gpointer lost_data;
+  /* The present exchange, or the last one. */
+  HttpDoneFunc done; /* NULL when it has ended */
+  gpointer data;
+  HttpLinkForeignFunc is_foreign;
+  GByteArray *out;
+  gsize sent;
+  gsize body_len;
+  gsize answer_max;
+  gboolean no_body; /* answers to this method have none */
+  gint64 began_us;
+  HttpResult result;
+  GString *field; /* header line that is being parsed */
+  GString *value;
+  gboolean in_value;
+  gboolean heard;
+  gboolean skips; /* the answer that is being read belongs to another request */
+  gboolean surplus;
+  gboolean complete;
+  gboolean too_large;
+  gboolean reusable;
+};
+
+static void
+add_header (HttpLink *link)
+{
+  if (link->in_value)
+    http_headers_add (link->result.headers, link->field->str, link->value->str);
+  link->in_value = FALSE;
+  g_string_truncate (link->field, 0);
+  g_string_truncate (link->value, 0);
+}
+
+static int
+on_message_begin (http_parser *parser)
+{
+  HttpLink *link = parser->data;
+
+  g_array_set_size (link->result.headers, 0);
+  link->in_value = FALSE;
+  g_string_truncate (link->field, 0);
+  g_string_truncate (link->value, 0);
+  link->skips = FALSE;
+  return 0;
+}
+
+static int
+on_header_field (http_parser *parser, const char *text, size_t len)
+{
+  HttpLink *link = parser->data;
+
+  if (link->in_value)
+    add_header (link);
+  g_string_append_len (link->field, text, (gssize)len);
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *text, size_t len)
+{
+  HttpLink *link = parser->data;
+
+  link->in_value = TRUE;
+  g_string_append_len (link->value, text, (gssize)len);
+  return 0;
+}
+
+static gboolean
+is_interim (const http_parser *parser)
+{
+  return parser->status_code < 200;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  HttpLink *link = parser->data;
+
+  add_header (link);
+  link->result.status = parser->status_code;
+  if (!is_interim (parser) && link->exchanges > 1 && link->is_foreign)
+    link->skips =
+        link->is_foreign (parser->status_code, link->result.headers, link->data);
+  link->surplus |= link->skips;
+  return link->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *bytes, size_t len)
+{
+  HttpLink *link = parser->data;
+
+  if (link->skips)
+    return 0;
+  if (link->result.body->len + len > link->answer_max)
+    {
+      link->too_large = TRUE;
+      return 1;
+    }
+  g_byte_array_append (link->result.body, (const guint8 *)bytes, (guint)len);
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  HttpLink *link = parser->data;
+
+  if (is_interim (parser) || link->skips)
+    return 0;
+  link->complete = TRUE;
+  link->reusable = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Ends the exchange. The link may have been destroyed on return. */
+static void
+end (HttpLink *link, HttpCallOutcome outcome, const char *detail)
+{
+  HttpDoneFunc done = link->done;
+  HttpResult result = link->result;
+
+  loop_timer_stop (link->timer);
+  loop_fd_set (link->watch, 0);
+  result.outcome = outcome;
+  result.detail = detail;
+  result.took_us = clock_now (loop_clock (link->loop)) - link->began_us;
+  link->reusable &= outcome == HTTP_CALL_OK;
+  link->result.headers = NULL;
+  link->result.body = NULL;
+  link->done = NULL;
+  g_byte_array_set_size (link->out, 0);
+  done (&result, link->data);
+  g_array_unref (result.headers);
+  g_byte_array_unref (result.body);
+}
+
+/* Checks, as the answer is complete, that the request was sent before it and was most
+   probably read. */
+static gboolean
+is_in_step (const HttpLink *link)
+{
+  return link->sent == link->out->len &&
+         (link->body_len < EARLY_ANSWER_BODY_MIN || link->result.status < 300);
+}
+
+static void
+end_complete (HttpLink *link, gboolean surplus)
+{
+  link->surplus |= surplus;
+  link->reusable &= !link->surplus && is_in_step (link);
+  end (link, HTTP_CALL_OK, "");
+}
+
+/* Feeds bytes to the parser; none at the end of the connection. Returns FALSE if the
+   exchange has ended. */
+static gboolean
+parse (HttpLink *link, const char *bytes, gsize len)
+{
+  gsize used = http_parser_execute (&link->parser, &parser_settings, bytes, len);
+
+  if (link->complete)
+    end_complete (link, used < len);
+  else if (link->too_large)
+    end (link, HTTP_CALL_TOO_LARGE, "the answer is too large");
+  else if (HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade)
+    end (link, HTTP_CALL_BROKEN, "the answer is malformed");
+  else if (len == 0)
+    end (link, HTTP_CALL_BROKEN, "the connection ended before the answer");
+  else
+    return TRUE;
+  return FALSE;
+}
+
+static void
+receive (HttpLink *link)
+{
+  char buffer[READ_CHUNK];
+  gssize n;
+
+  do
+    {
+      n = recv (link->fd, buffer, sizeof buffer, 0);
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+      if (n < 0)
+        {
+          end (link, HTTP_CALL_BROKEN, "the connection was reset");
+          return;
+        }
+      link->heard |= n > 0;
+    }
+  while (parse (link, buffer, (gsize)n));
+}
+
+/* Sends what the socket takes. */
+static void
+transmit (HttpLink *link)
+{
+  while (link->sent < link->out->len)
+    {
+      gssize n = send (link->fd, link->out->data + link->sent,
+                       link->out->len - link->sent, MSG_NOSIGNAL);
+
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        break;
+      if (n < 0)
+        {
+          /* The server may have answered before it closed. */
+          link->sent = link->out->len;
+          link->reusable = FALSE;
+          break;
+        }
+      link->sent += (gsize)n;
+    }
+  loop_fd_set (link->watch, LOOP_READ | (link->sent < link->out->len ? LOOP_WRITE : 0));
+}
+
+static gboolean
+check_connected (HttpLink *link)
+{
+  if (link->connected)
+    return TRUE;
+  if (socket_error (link->fd) != 0)
+    {
+      end (link, HTTP_CALL_UNSENT, "cannot connect");
+      return FALSE;
+    }
+  link->connected = TRUE;
+  return TRUE;
+}
+
+static void
+on_rest_event (HttpLink *link)
+{
+  HttpLinkState state;
+  HttpLinkLostFunc lost = link->lost;
+  gpointer data = link->lost_data;
+
+  state = http_link_wake (link);
+  if (state == HTTP_LINK_QUIET)
+    http_link_rest (link, lost, data);
+  else
+    lost (link, state, data);
+}
+
+static void
+on_ready (int fd, LoopEvents ready, gpointer data)
+{
+  HttpLink *link = data;
+
+  if (link->lost)
+    {
+      on_rest_event (link);
+      return;
+    }
+  if (!link->done || !check_connected (link))
+    return;
+  if (ready & LOOP_WRITE)
+    transmit (link);
+  if (ready & LOOP_READ)
+    receive (link);
+}
+
+static void
+on_timeout (gpointer data)
+{
+  end (data, HTTP_CALL_TIMEOUT, "no answer in time");
+}
+
+HttpLink *
+http_link_create (Loop *loop, const char *address)
+{
+  int fd = socket_connect (address);
+  HttpLink *link;
+
+  if (fd < 0)
+    return NULL;
+  link = g_new0 (HttpLink, 1);
+  link->loop = loop;
+  link->address = g_strdup (address);
+  link->fd = fd;
+  link->watch = loop_fd_create (loop, fd, 0, on_ready, link);
+  link->timer = loop_timer_create (loop, on_timeout, link);
+  link->out = g_byte_array_new ();
+  link->field = g_string_new (NULL);
+  link->value = g_string_new (NULL);
+  return link;
+}
+
+void
+http_link_destroy (HttpLink *link)
+{
+  if (!link)
+    return;
+  loop_fd_destroy (link->watch);
+  loop_timer_destroy (link->timer);
+  close (link->fd);
+  g_byte_array_unref (link->out);
+  g_clear_pointer (&link->result.headers, g_array_unref);
+  g_clear_pointer (&link->result.body, g_byte_array_unref);
+  g_string_free (link->field, TRUE);
+  g_string_free (link->value, TRUE);
+  g_free (link->address);
+  g_free (link);
+}
+
+static void
+put (HttpLink *link, const char *text)
+{
+  g_byte_array_append (link->out, (const guint8 *)text, (guint)strlen (text));
+}
+
+static void
+put_header (HttpLink *link, const char *name, const char *value)
+{
+  put (link, name);
+  put (link, ": ");
+  put (link, value);
+  put (link, "\r\n");
+}
+
+static void
+put_request (HttpLink *link, const HttpLinkRequest *request)
+{
+  g_autofree char *length = g_strdup_printf ("%" G_GSIZE_FORMAT, request->body_len);
+
+  put (link, request->method);
+  put (link, " ");
+  put (link, request->path);
+  put (link, " HTTP/1.1\r\n");
+  if (!request->headers || !http_headers_get (request->headers, "Host"))
+    put_header (link, "Host", link->address);
+  for (guint i = 0; request->headers && i < request->headers->len; i++)
+    {
+      const HttpHeader *header = &g_array_index (request->headers, HttpHeader, i);
+
+      if (!http_header_is_hop (header->name))
+        put_header (link, header->name, header->value);
+    }
+  if (request->has_body)
+    put_header (link, "Content-Length", length);
+  put (link, "\r\n");
+  if (request->has_body)
+    g_byte_array_append (link->out, request->body, (guint)request->body_len);
+}
+
+void
+http_link_send (HttpLink *link,
+                const HttpLinkRequest *request,
+                HttpDoneFunc done,
+                gpointer data)
+{
+  link->exchanges++;
+  link->done = done;
+  link->data = data;
+  link->is_foreign = request->is_foreign;
+  link->answer_max = request->answer_max;
+  link->no_body = strcmp (request->method, "HEAD") == 0;
+  link->body_len = request->has_body ? request->body_len : 0;
+  link->began_us = clock_now (loop_clock (link->loop));
+  link->result =
+      (HttpResult){ .headers = http_headers_new (), .body = g_byte_array_new () };
+  link->heard = link->surplus = link->complete = link->too_large = FALSE;
+  link->reusable = TRUE;
+  http_parser_init (&link->parser, HTTP_RESPONSE);
+  link->parser.data = link;
+  g_byte_array_set_size (link->out, 0);
+  link->sent = 0;
+  put_request (link, request);
+  loop_timer_start (link->timer, MAX (request->timeout_us, MS_US));
+  if (link->connected)
+    transmit (link);
+  else
+    loop_fd_set (link->watch, LOOP_WRITE);
+}
+
+gboolean
+http_link_is_reusable (const HttpLink *link)
+{
+  return link->reusable;
+}
+
+gboolean
+http_link_has_heard (const HttpLink *link)
+{
+  return link->heard;
+}
+
+gboolean
+http_link_had_surplus (const HttpLink *link)
+{
+  return link->surplus;
+}
+
+void
+http_link_rest (HttpLink *link, HttpLinkLostFunc lost, gpointer data)
+{
+  link->lost = lost;
+  link->lost_data = data;
+  loop_fd_set (link->watch, LOOP_READ);
+}
+
+HttpLinkState
+http_link_wake (HttpLink *link)
+{
+  char byte;
+  gssize n = recv (link->fd, &byte, sizeof byte, MSG_PEEK);
+
+  link->lost = NULL;
+  loop_fd_set (link->watch, 0);
+  if (n > 0)
+    return HTTP_LINK_SURPLUS;
+  return n < 0 && (errno == EAGAIN || errno == EINTR) ? HTTP_LINK_QUIET
+                                                      : HTTP_LINK_CLOSED;
+}
--- a/standins/src/target-conn.c
+++ b/standins/src/target-conn.c
@@ -29,6 +29,7 @@
   close (conn->fd);
   g_byte_array_unref (conn->in);
   g_byte_array_unref (conn->out);
+  g_free (conn->repeat);
   g_free (conn->path);
   g_free (conn->id);
   g_free (conn->attempt);
@@ -101,6 +102,14 @@
                           digest, name);
 }
 
+void
+target_conn_reset (TargetConn *conn)
+{
+  struct linger at_once = { .l_onoff = 1 };
+
+  setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void
 target_conn_close_after (TargetConn *conn)
 {
--- a/standins/src/target-conn.h
+++ b/standins/src/target-conn.h
@@ -17,6 +17,8 @@
   gboolean busy;   /* its request holds a slot */
   gboolean queued; /* its request waits for a slot */
   gboolean closing;
+  gint64 rests_since_us; /* when the last answer was sent; 0 before the first */
+  char *repeat;          /* an answer that comes once more before the next; may be NULL */
   char *path;
   char *id;
   char *attempt;
@@ -53,6 +55,8 @@
 void target_conn_put_answer (
     TargetConn *conn, guint status, const char *body, const char *attempt, gsize extra);
 void target_conn_flush (TargetConn *conn);
+/* Resets the connection when it is closed. */
+void target_conn_reset (TargetConn *conn);
 /* Sends the buffered output and shuts the connection down. */
 void target_conn_close_after (TargetConn *conn);
 
--- a/standins/src/target-faults.c
+++ b/standins/src/target-faults.c
@@ -8,7 +8,7 @@
 
 static const char *const answer_names[] = { "whole",  "truncated", "long", "crossed",
                                             "silent", "hangup",    "half", "refused",
-                                            "busy",   NULL };
+                                            "busy",   "again",     NULL };
 
 gboolean
 target_faults_on (const TargetFaults *faults, gint64 now_us)
@@ -57,6 +57,7 @@
       (guint)target_query_number (path, "slow_percent", faults->slow_percent);
   faults->slow_us = milliseconds (path, "slow_ms", faults->slow_us);
   faults->flap_us = milliseconds (path, "flap_ms", faults->flap_us);
+  faults->forget_us = milliseconds (path, "forget_ms", faults->forget_us);
   set_text (&faults->rate, path, "rate");
   set_text (&faults->leaving, path, "leaving");
   if (deadly)
--- a/standins/src/target-faults.h
+++ b/standins/src/target-faults.h
@@ -16,7 +16,8 @@
   TARGET_HANGUP,
   TARGET_HALF,
   TARGET_REFUSED,
-  TARGET_BUSY
+  TARGET_BUSY,
+  TARGET_AGAIN
 } TargetAnswer;
 
 typedef struct
@@ -26,6 +27,8 @@
   guint slow_percent; /* share of the requests that take slow_us */
   gint64 slow_us;     /* 0 disables slow requests */
   gint64 flap_us;     /* faults are on and off in turn, for this long; 0 for always on */
+  gint64 forget_us; /* connections that rested longer are reset at the next request, which
+                       is not executed; 0 for never */
   TargetAnswer answer;
   char *rate;    /* named in answers, may be malformed; NULL for none */
   char *leaving; /* value of the header that says that the target leaves; NULL for none */
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -19,12 +19,17 @@
  *     answer=half: sends less than the announced length and stays open.
  *     answer=refused: sends a 503 that states that the request was not executed.
  *     answer=busy: executes the request and answers with a plain 503.
+ *     answer=again: sends each answer a second time as the connection's next request
+ *     comes.
  *     deadly: a request whose path contains the text ends the process after its service
  *     time; an empty text disables this.
  *     rate: the answers name this request rate, in one header for each of the values that
  *     "|" separates; leaving: they say that the target leaves. "off" ends either.
+ *     forget_ms: connections that rested longer are reset at the next request, which is
+ *     not executed; 0 for never.
  *     flap_ms: faults are on and off in turn, for this long.
  *   /_health: always answers 200.
+ *   /_connections: the number of connections accepted so far.
  *   /_runs: totals, and the number of ids executed more than once.
  *   /_runs?id=ID: the number of executions of one id.
  *   /_ids: all ids with their number of executions.
@@ -57,6 +62,7 @@
 static GQueue waiting = G_QUEUE_INIT;
 static TargetRuns *runs;
 static TargetFaults faults = { .latency_us = 2 * MS_US, .slow_percent = 100 };
+static guint accepted_total;
 static char *name;
 static char *seen;    /* answer to /_seen */
 static char *head;    /* answer to /_head */
@@ -135,6 +141,11 @@
       break;
     case TARGET_SILENT:
       break;
+    case TARGET_AGAIN:
+      target_conn_put_answer (conn, 200, body, conn->attempt, 0);
+      conn->repeat = g_strndup ((const char *)conn->out->data, conn->out->len);
+      target_conn_flush (conn);
+      break;
     case TARGET_BUSY:
       target_conn_put_answer (conn, 503, "busy\n", conn->attempt, 0);
       target_conn_flush (conn);
@@ -159,6 +170,7 @@
     return;
   release (conn);
   target_conn_drop_request (conn);
+  conn->rests_since_us = now ();
   start_queued ();
   if (!conn->closing && conn->in->len > 0)
     take_request (conn);
@@ -172,6 +184,12 @@
   if (faults_on () && faults.slow_us > 0 &&
       (guint)g_rand_int_range (rng, 0, 100) < faults.slow_percent)
     span = faults.slow_us;
+  if (conn->repeat)
+    {
+      target_conn_put (conn, conn->repeat);
+      target_conn_flush (conn);
+      g_clear_pointer (&conn->repeat, g_free);
+    }
   busy++;
   peak = MAX (peak, busy);
   conn->busy = TRUE;
@@ -214,6 +232,8 @@
     }
   if (g_str_has_prefix (conn->path, "/_runs"))
     text = runs_text (conn->path);
+  else if (g_str_has_prefix (conn->path, "/_connections"))
+    text = g_strdup_printf ("%u\n", accepted_total);
   else if (g_str_has_prefix (conn->path, "/_ids"))
     text = target_runs_ids (runs);
   else if (g_str_has_prefix (conn->path, "/_seen"))
@@ -237,6 +257,7 @@
   target_conn_put (conn, "\r\n");
   target_conn_flush (conn);
   target_conn_drop_request (conn);
+  conn->rests_since_us = now ();
 }
 
 static void
@@ -267,6 +288,14 @@
     }
 }
 
+/* Whether the target has forgotten the connection, which rested until now. */
+static gboolean
+is_forgotten (const TargetConn *conn)
+{
+  return faults_on () && faults.forget_us > 0 && !conn->busy && !conn->queued &&
+         conn->rests_since_us > 0 && now () - conn->rests_since_us > faults.forget_us;
+}
+
 static void
 on_ready (int fd, LoopEvents ready, gpointer data)
 {
@@ -277,6 +306,12 @@
     target_conn_flush (conn);
   if (!(ready & LOOP_READ))
     return;
+  if (is_forgotten (conn))
+    {
+      target_conn_reset (conn);
+      end (conn);
+      return;
+    }
   if (!target_conn_read (conn))
     {
       end (conn);
@@ -295,6 +330,7 @@
     {
       TargetConn *conn = target_conn_create (accepted);
 
+      accepted_total++;
       conn->timer = loop_timer_create (loop, on_served, conn);
       conn->watch = loop_fd_create (loop, accepted, LOOP_READ, on_ready, conn);
     }
--- a/tests/proc/fleet-private.h
+++ b/tests/proc/fleet-private.h
@@ -22,6 +22,7 @@
   guint linger_ms;  /* of nodes on the users' platform */
   gboolean first_start;
   gboolean evacuations;
+  gboolean keep_connections;
   gboolean keep_files;
   guint64 hidden; /* nodes (bits) that cannot reach the platform */
   GPid platform;
--- a/tests/proc/fleet-standins.c
+++ b/tests/proc/fleet-standins.c
@@ -50,6 +50,15 @@
   return (guint)g_ascii_strtoull (answer->body, NULL, 10);
 }
 
+guint
+fleet_connections (Fleet *fleet, guint target)
+{
+  g_autofree char *address = fleet_address ("targets", target);
+  g_autoptr (Answer) answer = fleet_http (address, "GET", "/_connections", NULL, NULL);
+
+  return (guint)g_ascii_strtoull (answer->body, NULL, 10) - 1;
+}
+
 char *
 fleet_ids (Fleet *fleet, guint target)
 {
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -116,6 +116,12 @@
   fleet->linger_ms = linger_ms;
 }
 
+void
+fleet_use_kept_connections (Fleet *fleet)
+{
+  fleet->keep_connections = TRUE;
+}
+
 void
 fleet_use_evacuations (Fleet *fleet)
 {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -38,6 +38,9 @@
 /* Enables the platform's evacuations in the settings of nodes on the users' platform,
    from their next start on. Nodes that watch the store then watch two kinds of object. */
 void fleet_use_evacuations (Fleet *fleet);
+/* Lets the services of the users' platform keep connections to their targets, by the
+   settings of nodes from their next start on. */
+void fleet_use_kept_connections (Fleet *fleet);
 /* Sets "first_start" in the settings of nodes on the users' platform, from their next
    start on: the whole fleet starts for the first time. */
 void fleet_set_first_start (Fleet *fleet, gboolean first_start);
@@ -111,6 +114,8 @@
 
 /* Returns how often a target ran a request. */
 guint fleet_runs (Fleet *fleet, guint target, const char *id);
+/* Returns the number of connections that a target has accepted, less this call's. */
+guint fleet_connections (Fleet *fleet, guint target);
 /* Returns all requests that a target ran, as "ID COUNT" lines. The caller frees them. */
 char *fleet_ids (Fleet *fleet, guint target);
 
