Rested connections are probed by an empty line before what may not be repeated

Change: such a request takes the connection that rested the shortest, and after 90 ms of rest an empty line goes first, which servers ignore before a request. A connection that the target has forgotten is reset by it, and the request goes on another one; nothing of it was sent. The request follows after 2 ms.

--- a/core/include/core/connection-pool.h
+++ b/core/include/core/connection-pool.h
@@ -8,14 +8,15 @@
  * without a word; what is sent next on it is then reset, and nobody knows whether it ran.
  *
  * Rule: an attempt that may be followed by another takes the connection that rested the
- * shortest among those that only such an attempt may take, and else the one that rested
- * longest. An unrepeatable request, or the last attempt of another, takes the connection
- * that rested the shortest, and only within UNREPEATABLE_REST_MAX_US; a lost connection
- * would leave its caller without an answer. When a connection turns out to have died at
- * rest, all that rested half as long or longer are closed, and none is used after so long
- * a rest for LEARNED_US; unless the target also resets new connections at that time,
- * which explains the death. No more connections are kept than attempts have needed at a
- * time within NEED_WINDOW_US, nor than the target accepts.
+ * shortest among those that only need no probe for such an attempt, and else the one that
+ * rested longest. An unrepeatable request, or the last attempt of another, takes the
+ * connection that rested the shortest; a lost one would leave its caller without an
+ * answer. So after UNPROBED_REST_MAX_US the connection is probed first: an empty line,
+ * which is no request, is reset as the request would be. When a connection turns out to
+ * have died at rest, all that rested half as long or longer are closed, and none is used
+ * after so long a rest for LEARNED_US; unless the target also resets new connections at
+ * that time, which explains the death. No more connections are kept than attempts have
+ * needed at a time within NEED_WINDOW_US, nor than the target accepts.
  */
 #ifndef CORE_CONNECTION_POOL_H
 #define CORE_CONNECTION_POOL_H
@@ -55,11 +56,17 @@
 /* Sets how many connections the target accepts from this node; 0 keeps none. */
 void connection_pool_set_limit (ConnectionPool *pool, guint limit);
 
-/* Takes a connection at rest for an attempt, and stores how long it rested; `repeatable`
-   says that the attempt may be followed by another. Returns NULL if the attempt needs a
-   new one, which is counted as opened. */
+typedef struct
+{
+  gint64 rested_us; /* 0 for a new connection */
+  gboolean probe;   /* the connection must be probed before the request is sent */
+} ConnectionRest;
+
+/* Takes a connection at rest for an attempt, and describes its rest; `repeatable` says
+   that the attempt may be followed by another. Returns NULL if the attempt needs a new
+   one, which is counted as opened. */
 gpointer
-connection_pool_take (ConnectionPool *pool, gboolean repeatable, gint64 *rested_us);
+connection_pool_take (ConnectionPool *pool, gboolean repeatable, ConnectionRest *rest);
 
 /* Puts a connection that was in use to rest. `keep_us` is how long the target says that
    it keeps it; 0 if it does not say. */
--- a/core/src/request/connection-pool.c
+++ b/core/src/request/connection-pool.c
@@ -2,7 +2,7 @@
 
 /* A target that forgets connections at rest does so after some hundred milliseconds at
    the earliest. A request sent after less reaches it before. */
-#define UNREPEATABLE_REST_MAX_US (90 * MS_US)
+#define UNPROBED_REST_MAX_US (90 * MS_US)
 /* Longest rest if the target does not say how long it keeps a connection. */
 #define REST_DEFAULT_US (4 * SECOND_US)
 #define REST_MAX_US (60 * SECOND_US)
@@ -101,13 +101,9 @@
 
 /* Returns the longest rest after which a connection may be used. */
 static gint64
-rest_max_us (const ConnectionPool *pool, gboolean repeatable, gint64 now)
+rest_max_us (const ConnectionPool *pool, gint64 now)
 {
-  gint64 max = repeatable ? REST_MAX_US : UNREPEATABLE_REST_MAX_US;
-
-  if (!repeatable && now < pool->distrust_us)
-    return -1;
-  return now < pool->learned_us ? MIN (max, pool->bearable_us) : max;
+  return now < pool->learned_us ? MIN (REST_MAX_US, pool->bearable_us) : REST_MAX_US;
 }
 
 /* Moves the window of the connections needed on to the present. */
@@ -126,10 +122,11 @@
 static gint
 choose (const ConnectionPool *pool, gboolean repeatable, gint64 now)
 {
-  gint64 own_max = rest_max_us (pool, FALSE, now);
-  gint64 max = rest_max_us (pool, repeatable, now);
+  gint64 max = rest_max_us (pool, now);
   gint longest = -1;
 
+  if (!repeatable && now < pool->distrust_us)
+    return -1;
   for (guint i = pool->resting->len; i-- > 0;)
     {
       const Resting *resting = at (pool, i);
@@ -139,7 +136,7 @@
         break;
       if (now >= resting->until_us)
         continue;
-      if (!repeatable || rested > own_max)
+      if (!repeatable || rested > UNPROBED_REST_MAX_US)
         return (gint)i;
       longest = (gint)i;
     }
@@ -147,7 +144,7 @@
 }
 
 gpointer
-connection_pool_take (ConnectionPool *pool, gboolean repeatable, gint64 *rested_us)
+connection_pool_take (ConnectionPool *pool, gboolean repeatable, ConnectionRest *rest)
 {
   gint64 now = clock_now (pool->clock);
   gint i = choose (pool, repeatable, now);
@@ -155,15 +152,16 @@
   move_window (pool, now);
   pool->in_use++;
   pool->needed = MAX (pool->needed, pool->in_use);
-  *rested_us = 0;
+  *rest = (ConnectionRest){ 0 };
   if (i < 0)
     {
       pool->stats.opened++;
       return NULL;
     }
-  *rested_us = now - at (pool, (guint)i)->since_us;
+  rest->rested_us = now - at (pool, (guint)i)->since_us;
+  rest->probe = !repeatable && rest->rested_us > UNPROBED_REST_MAX_US;
   pool->stats.reused++;
-  pool->stats.rest_us = MAX (pool->stats.rest_us, *rested_us);
+  pool->stats.rest_us = MAX (pool->stats.rest_us, rest->rested_us);
   return steal (pool, (guint)i);
 }
 
@@ -236,7 +234,7 @@
 connection_pool_excess (ConnectionPool *pool, ConnectionCloseReason *reason)
 {
   gint64 now = clock_now (pool->clock);
-  gint64 max = rest_max_us (pool, TRUE, now);
+  gint64 max = rest_max_us (pool, now);
   guint kept;
 
   move_window (pool, now);
--- a/daemon/src/target/target-calls.c
+++ b/daemon/src/target/target-calls.c
@@ -7,6 +7,9 @@
 
 #include "log.h"
 
+/* A connection that the target has forgotten is reset within a round trip on the VM. The
+   target may forget it until the request follows, so the wait is short. */
+#define PROBE_US (2 * MS_US)
 /* Interval between two log lines about one target, and the new connections in it that
    make one worthwhile. */
 #define LOG_US (30 * SECOND_US)
@@ -33,8 +36,9 @@
   HttpLink *link; /* NULL for a call on a new connection of the HTTP client */
   HttpCall *http;
   gboolean kept; /* the link had carried an earlier call */
-  gint64 rested_us;
-  HttpLinkForeignFunc is_foreign;
+  ConnectionRest rest;
+  HttpLinkRequest request;
+  gboolean repeatable;
   HttpDoneFunc done;
   gpointer data;
 };
@@ -55,6 +59,7 @@
 static void
 call_free (TargetCall *call)
 {
+  g_array_unref ((GArray *)call->request.headers);
   g_hash_table_remove (call->calls->running, call);
   g_free (call);
 }
@@ -141,12 +146,12 @@
 
 /* Takes a link at rest whose state is still good, or returns NULL. */
 static HttpLink *
-take_kept (TargetCall *call, gboolean repeatable)
+take_kept (TargetCall *call)
 {
   TargetCalls *calls = call->calls;
   HttpLink *link;
 
-  while ((link = connection_pool_take (calls->pool, repeatable, &call->rested_us)))
+  while ((link = connection_pool_take (calls->pool, call->repeatable, &call->rest)))
     {
       HttpLinkState state = http_link_wake (link);
 
@@ -172,22 +177,32 @@
   call->link = NULL;
 }
 
+/* Whether the target had forgotten the connection before anything of the request was
+   sent. */
+static gboolean
+is_unsent_by_probe (const TargetCall *call, const HttpResult *result)
+{
+  return call->rest.probe && result->outcome == HTTP_CALL_UNSENT;
+}
+
 /* Puts the link of an ended call to rest, or closes it. */
 static void
 settle_link (TargetCall *call, const HttpResult *result)
 {
   TargetCalls *calls = call->calls;
   ConnectionPool *pool = calls->pool;
-  gboolean foreign = result->outcome == HTTP_CALL_OK && call->is_foreign &&
-                     call->is_foreign (result->status, result->headers, call->data);
+  gboolean foreign =
+      result->outcome == HTTP_CALL_OK && call->request.is_foreign &&
+      call->request.is_foreign (result->status, result->headers, call->data);
 
   if (foreign || http_link_had_surplus (call->link))
     connection_pool_note_surplus (pool);
   if (result->status == HTTP_MISDIRECTED)
     close_resting (calls);
-  if (result->outcome == HTTP_CALL_BROKEN && !http_link_has_heard (call->link))
+  if ((result->outcome == HTTP_CALL_BROKEN && !http_link_has_heard (call->link)) ||
+      is_unsent_by_probe (call, result))
     {
-      connection_pool_note_died (pool, call->rested_us);
+      connection_pool_note_died (pool, call->rest.rested_us);
       close_link (call, CONNECTION_DIED);
     }
   else if (!http_link_is_reusable (call->link) || foreign || !calls->keep ||
@@ -203,20 +218,6 @@
     }
 }
 
-static void
-on_link_done (const HttpResult *result, gpointer data)
-{
-  TargetCall *call = data;
-  HttpDoneFunc done = call->done;
-  gpointer user = call->data;
-  HttpResult judged = *result;
-
-  judged.rested_us = call->rested_us;
-  settle_link (call, result);
-  call_free (call);
-  done (&judged, user);
-}
-
 static void
 on_http_done (const HttpResult *result, gpointer data)
 {
@@ -240,16 +241,34 @@
 {
   const TargetCall *call = data;
 
-  return call->is_foreign (status, headers, call->data);
+  return call->request.is_foreign (status, headers, call->data);
+}
+
+static gboolean send_on_link (TargetCall *call);
+
+static void
+on_link_done (const HttpResult *result, gpointer data)
+{
+  TargetCall *call = data;
+  HttpDoneFunc done = call->done;
+  gpointer user = call->data;
+  HttpResult judged = *result;
+
+  judged.rested_us = call->rest.rested_us;
+  settle_link (call, result);
+  if (is_unsent_by_probe (call, result) && send_on_link (call))
+    return;
+  call_free (call);
+  done (&judged, user);
 }
 
 static gboolean
-send_on_link (TargetCall *call, const HttpLinkRequest *request, gboolean repeatable)
+send_on_link (TargetCall *call)
 {
   TargetCalls *calls = call->calls;
-  HttpLinkRequest order = *request;
+  HttpLinkRequest order = call->request;
 
-  call->link = take_kept (call, repeatable);
+  call->link = take_kept (call);
   call->kept = call->link != NULL;
   if (!call->link)
     call->link = http_link_create (calls->node->loop, calls->address);
@@ -260,7 +279,8 @@
     }
   metrics_add (calls->node->metrics,
                call->kept ? METRIC_CONNECTIONS_REUSED : METRIC_CONNECTIONS_OPENED, 1);
-  order.is_foreign = request->is_foreign ? is_foreign : NULL;
+  order.is_foreign = order.is_foreign ? is_foreign : NULL;
+  order.probe_us = call->rest.probe ? PROBE_US : 0;
   http_link_send (call->link, &order, on_link_done, call);
   return TRUE;
 }
@@ -294,11 +314,13 @@
   TargetCall *call = g_new0 (TargetCall, 1);
 
   call->calls = calls;
-  call->is_foreign = request->is_foreign;
+  call->request = *request;
+  call->request.headers = g_array_ref ((GArray *)request->headers);
+  call->repeatable = repeatable;
   call->done = done;
   call->data = data;
   g_hash_table_add (calls->running, call);
-  if (!calls->keep || !send_on_link (call, request, repeatable))
+  if (!calls->keep || !send_on_link (call))
     send_by_client (call, request);
   return call;
 }
--- a/daemon/src/target/target-calls.h
+++ b/daemon/src/target/target-calls.h
@@ -25,7 +25,8 @@
 
 /* Starts a call; `repeatable` says that another attempt may follow it. `done` is called
    exactly once, from the loop, unless the call is cancelled or the calls are destroyed
-   before. Everything in `request` is copied, and `data` is passed to its function too. */
+   before. The texts and the body of
+   `request` must stay valid until the call ends; `data` is passed to its function too. */
 TargetCall *target_calls_send (TargetCalls *calls,
                                const HttpLinkRequest *request,
                                gboolean repeatable,
--- a/io/include/io/http-link.h
+++ b/io/include/io/http-link.h
@@ -24,6 +24,11 @@
   gsize body_len;
   gboolean has_body;
   gint64 timeout_us;
+  gint64
+      probe_us; /* above 0, on a link that was used before: an empty line is sent first,
+                   which servers ignore before a request (RFC 9112, section 2.2). The
+                   request follows after this time, unless the server has closed or
+                   reset the connection: then the outcome is HTTP_CALL_UNSENT. */
   gsize answer_max;
   HttpLinkForeignFunc is_foreign; /* NULL if answers do not tell */
 } HttpLinkRequest;
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -31,6 +31,8 @@
   HttpLinkForeignFunc is_foreign;
   GByteArray *out;
   gsize sent;
+  gboolean probing; /* nothing of `out` is sent yet */
+  gint64 timeout_us;
   gsize body_len;
   gsize answer_max;
   gboolean no_body; /* answers to this method have none */
@@ -266,6 +268,36 @@
   return TRUE;
 }
 
+/* Returns the state of a link on which no answer is due. */
+static HttpLinkState
+look (const HttpLink *link)
+{
+  char byte;
+  gssize n = recv (link->fd, &byte, sizeof byte, MSG_PEEK);
+
+  if (n > 0)
+    return HTTP_LINK_SURPLUS;
+  return n < 0 && (errno == EAGAIN || errno == EINTR) ? HTTP_LINK_QUIET
+                                                      : HTTP_LINK_CLOSED;
+}
+
+/* Sends the request if the server has kept the connection. */
+static void
+end_probe (HttpLink *link)
+{
+  HttpLinkState state = look (link);
+
+  link->probing = FALSE;
+  link->surplus = state == HTTP_LINK_SURPLUS;
+  if (state != HTTP_LINK_QUIET)
+    {
+      end (link, HTTP_CALL_UNSENT, "the connection was closed at rest");
+      return;
+    }
+  loop_timer_start (link->timer, link->timeout_us);
+  transmit (link);
+}
+
 static void
 on_rest_event (HttpLink *link)
 {
@@ -292,6 +324,11 @@
     }
   if (!link->done || !check_connected (link))
     return;
+  if (link->probing)
+    {
+      end_probe (link);
+      return;
+    }
   if (ready & LOOP_WRITE)
     transmit (link);
   if (ready & LOOP_READ)
@@ -301,7 +338,12 @@
 static void
 on_timeout (gpointer data)
 {
-  end (data, HTTP_CALL_TIMEOUT, "no answer in time");
+  HttpLink *link = data;
+
+  if (link->probing)
+    end_probe (link);
+  else
+    end (link, HTTP_CALL_TIMEOUT, "no answer in time");
 }
 
 HttpLink *
@@ -381,6 +423,15 @@
     g_byte_array_append (link->out, request->body, (guint)request->body_len);
 }
 
+static void
+send_probe (HttpLink *link)
+{
+  static const char empty_line[] = "\r\n";
+
+  send (link->fd, empty_line, strlen (empty_line), MSG_NOSIGNAL);
+  loop_fd_set (link->watch, LOOP_READ);
+}
+
 void
 http_link_send (HttpLink *link,
                 const HttpLinkRequest *request,
@@ -404,8 +455,12 @@
   g_byte_array_set_size (link->out, 0);
   link->sent = 0;
   put_request (link, request);
-  loop_timer_start (link->timer, MAX (request->timeout_us, MS_US));
-  if (link->connected)
+  link->timeout_us = MAX (request->timeout_us, MS_US);
+  link->probing = link->connected && request->probe_us > 0;
+  loop_timer_start (link->timer, link->probing ? request->probe_us : link->timeout_us);
+  if (link->probing)
+    send_probe (link);
+  else if (link->connected)
     transmit (link);
   else
     loop_fd_set (link->watch, LOOP_WRITE);
@@ -440,13 +495,7 @@
 HttpLinkState
 http_link_wake (HttpLink *link)
 {
-  char byte;
-  gssize n = recv (link->fd, &byte, sizeof byte, MSG_PEEK);
-
   link->lost = NULL;
   loop_fd_set (link->watch, 0);
-  if (n > 0)
-    return HTTP_LINK_SURPLUS;
-  return n < 0 && (errno == EAGAIN || errno == EINTR) ? HTTP_LINK_QUIET
-                                                      : HTTP_LINK_CLOSED;
+  return look (link);
 }
