The connection that looks for a crash is kept for the next attempt

Change: where connections are kept, the check's connection is put to rest for the next attempt, which is mostly the trial that follows.

--- a/core/include/core/connection-pool.h
+++ b/core/include/core/connection-pool.h
@@ -72,6 +72,9 @@
    it keeps it; 0 if it does not say. */
 void connection_pool_rest (ConnectionPool *pool, gpointer connection, gint64 keep_us);
 
+/* Puts a connection to rest that the owner has opened for another purpose. */
+void connection_pool_adopt (ConnectionPool *pool, gpointer connection);
+
 /* Records that a connection in use was closed. */
 void connection_pool_note_closed (ConnectionPool *pool, ConnectionCloseReason reason);
 
--- a/core/src/request/connection-pool.c
+++ b/core/src/request/connection-pool.c
@@ -176,6 +176,14 @@
   g_array_append_val (pool->resting, resting);
 }
 
+void
+connection_pool_adopt (ConnectionPool *pool, gpointer connection)
+{
+  pool->stats.opened++;
+  pool->in_use++;
+  connection_pool_rest (pool, connection, 0);
+}
+
 void
 connection_pool_note_closed (ConnectionPool *pool, ConnectionCloseReason reason)
 {
--- a/daemon/src/target/crash-watch.c
+++ b/daemon/src/target/crash-watch.c
@@ -150,10 +150,13 @@
 }
 
 static void
-on_checked (ConnectAnswer answer, gpointer data)
+on_checked (ConnectAnswer answer, int fd, gpointer data)
 {
   CrashWatch *watch = data;
+  const CrashWatches *watches = watch->owner;
 
+  if (answer == CONNECT_ACCEPTED)
+    watches->owner->connected (watch->target, fd, watches->data);
   if (answer == CONNECT_REFUSED)
     report (watch);
   else
--- a/daemon/src/target/crash-watch.h
+++ b/daemon/src/target/crash-watch.h
@@ -33,6 +33,8 @@
   /* Returns whether a request that was sent to the target before `before_us` still runs
      there. */
   gboolean (*has_older_request) (const char *target, gint64 before_us, gpointer data);
+  /* The target still accepts connections; the owner closes `fd`, which is one. */
+  void (*connected) (const char *target, int fd, gpointer data);
   /* A target has crashed while it ran these requests: an array of Fingerprint without
      duplicates. */
   void (*ended) (const char *service, const GArray *requests, gpointer data);
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -1,6 +1,7 @@
 #include "sidecar-private.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include "adapter.h"
 #include "registry.h"
@@ -137,8 +138,20 @@
   quarantine_node_trial_undecided (((Sidecar *)data)->node->quarantine, prints);
 }
 
-static const CrashWatchOwner crash_watch_owner = { has_older_request, on_target_crashed,
-                                                   on_trial_broken };
+static void
+on_connected (const char *target, int fd, gpointer data)
+{
+  const Sidecar *sidecar = data;
+  const SidecarTarget *held = g_hash_table_lookup (sidecar->targets, target);
+
+  if (held)
+    target_calls_adopt (held->calls, fd);
+  else
+    close (fd);
+}
+
+static const CrashWatchOwner crash_watch_owner = { has_older_request, on_connected,
+                                                   on_target_crashed, on_trial_broken };
 
 Sidecar *
 sidecar_create (Node *node)
--- a/daemon/src/target/target-calls.c
+++ b/daemon/src/target/target-calls.c
@@ -1,6 +1,7 @@
 #include "target-calls.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include <core/http-status.h>
 #include <core/json-write.h>
@@ -338,6 +339,21 @@
   call_free (call);
 }
 
+void
+target_calls_adopt (TargetCalls *calls, int fd)
+{
+  HttpLink *link;
+
+  if (!calls->keep || calls->leaving)
+    {
+      close (fd);
+      return;
+    }
+  link = http_link_adopt (calls->node->loop, calls->address, fd);
+  connection_pool_adopt (calls->pool, link);
+  http_link_rest (link, on_lost, calls);
+}
+
 /* Returns the totals as one line; the caller frees it. */
 static char *
 describe (const TargetCalls *calls)
--- a/daemon/src/target/target-calls.h
+++ b/daemon/src/target/target-calls.h
@@ -36,6 +36,9 @@
 /* Closes the call's connection at once and frees the call. */
 void target_call_cancel (TargetCall *call);
 
+/* Keeps a connection to the target that was opened for another purpose, or closes it. */
+void target_calls_adopt (TargetCalls *calls, int fd);
+
 /* Called periodically. Closes what need not be kept; everything at rest if the target
    leaves. */
 void target_calls_tick (TargetCalls *calls, gboolean leaving);
--- a/io/include/io/connect-check.h
+++ b/io/include/io/connect-check.h
@@ -1,6 +1,6 @@
 /*
- * Checks whether a process listens at an address: opens a connection and closes it again
- * without sending a byte.
+ * Checks whether a process listens at an address: opens a connection without sending a
+ * byte.
  */
 #ifndef IO_CONNECT_CHECK_H
 #define IO_CONNECT_CHECK_H
@@ -16,8 +16,9 @@
   CONNECT_UNKNOWN  /* no answer in time, or a network error */
 } ConnectAnswer;
 
-/* Called once, from the loop, unless the check is destroyed first. */
-typedef void (*ConnectCheckFunc) (ConnectAnswer answer, gpointer data);
+/* Called once, from the loop, unless the check is destroyed first. After CONNECT_ACCEPTED
+   `fd` is the connection, which the function owns; else it is -1. */
+typedef void (*ConnectCheckFunc) (ConnectAnswer answer, int fd, gpointer data);
 
 /* Starts a check of `address` ("IP:port"). Its function is called after `timeout_us` at
    the latest. */
--- a/io/include/io/http-link.h
+++ b/io/include/io/http-link.h
@@ -47,6 +47,9 @@
 
 /* Starts to connect to `address`. Returns NULL if that fails at once. */
 HttpLink *http_link_create (Loop *loop, const char *address);
+/* Creates a link of a connected socket, which has carried no request; takes ownership of
+   `fd`. */
+HttpLink *http_link_adopt (Loop *loop, const char *address, int fd);
 /* Closes the connection at once; the function of an exchange in progress is not called.
  */
 void http_link_destroy (HttpLink *link);
--- a/io/src/connect-check.c
+++ b/io/src/connect-check.c
@@ -15,22 +15,27 @@
   gpointer data;
 };
 
-static void
-close_socket (ConnectCheck *check)
+/* Ends the watch, and returns the socket. */
+static int
+release_socket (ConnectCheck *check)
 {
+  int fd = check->fd;
+
   loop_fd_destroy (check->watch);
   check->watch = NULL;
-  if (check->fd >= 0)
-    close (check->fd);
   check->fd = -1;
+  return fd;
 }
 
 static void
 finish (ConnectCheck *check, ConnectAnswer answer)
 {
-  close_socket (check);
+  int fd = release_socket (check);
+
+  if (fd >= 0 && answer != CONNECT_ACCEPTED)
+    close (fd);
   loop_timer_stop (check->timer);
-  check->func (answer, check->data);
+  check->func (answer, answer == CONNECT_ACCEPTED ? fd : -1, check->data);
 }
 
 static void
@@ -84,9 +89,13 @@
 void
 connect_check_destroy (ConnectCheck *check)
 {
+  int fd;
+
   if (!check)
     return;
-  close_socket (check);
+  fd = release_socket (check);
+  if (fd >= 0)
+    close (fd);
   loop_timer_destroy (check->timer);
   g_free (check);
 }
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -346,15 +346,11 @@
     end (link, HTTP_CALL_TIMEOUT, "no answer in time");
 }
 
-HttpLink *
-http_link_create (Loop *loop, const char *address)
+static HttpLink *
+create (Loop *loop, const char *address, int fd)
 {
-  int fd = socket_connect (address);
-  HttpLink *link;
+  HttpLink *link = g_new0 (HttpLink, 1);
 
-  if (fd < 0)
-    return NULL;
-  link = g_new0 (HttpLink, 1);
   link->loop = loop;
   link->address = g_strdup (address);
   link->fd = fd;
@@ -366,6 +362,23 @@
   return link;
 }
 
+HttpLink *
+http_link_create (Loop *loop, const char *address)
+{
+  int fd = socket_connect (address);
+
+  return fd >= 0 ? create (loop, address, fd) : NULL;
+}
+
+HttpLink *
+http_link_adopt (Loop *loop, const char *address, int fd)
+{
+  HttpLink *link = create (loop, address, fd);
+
+  link->connected = TRUE;
+  return link;
+}
+
 void
 http_link_destroy (HttpLink *link)
 {
