--- a/core/tests/test-connection-pool.c
+++ b/core/tests/test-connection-pool.c
@@ -328,6 +328,17 @@
   teardown (&replay);
 }
 
+static void
+test_a_connection_opened_for_another_purpose_is_used (void **state)
+{
+  Replay replay = setup ();
+
+  connection_pool_adopt (replay.pool, GUINT_TO_POINTER (7));
+  assert_int_equal (connection_pool_in_use (replay.pool), 0);
+  assert_ptr_equal (take (&replay, TRUE), GUINT_TO_POINTER (7));
+  teardown (&replay);
+}
+
 static void
 test_a_target_that_is_gone_keeps_none (void **state)
 {
@@ -357,6 +368,7 @@
     cmocka_unit_test (test_surplus_bytes_send_unrepeatable_requests_to_new_connections),
     cmocka_unit_test (test_a_connection_ends_before_the_target_closes_it),
     cmocka_unit_test (test_a_gap_in_time_closes_all),
+    cmocka_unit_test (test_a_connection_opened_for_another_purpose_is_used),
     cmocka_unit_test (test_a_target_that_is_gone_keeps_none),
   };
 
--- a/io/tests/test-http-link.c
+++ b/io/tests/test-http-link.c
@@ -12,7 +12,6 @@
 #include <io/http-link.h>
 #include <io/socket.h>
 
-#define ADDRESS "127.0.0.1:7991"
 #define ANSWER_MAX 10000
 #define TIMEOUT_US (5 * SECOND_US)
 #define WHOLE(id) "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nId: " id "\r\n\r\nhello"
@@ -22,6 +21,7 @@
   Clock *clock;
   Loop *loop;
   int listener;
+  char *address;
   int server; /* the accepted connection; -1 for none */
   HttpLink *link;
   HttpCallOutcome outcome;
@@ -36,15 +36,19 @@
 setup (void)
 {
   Fixture *fixture = g_new0 (Fixture, 1);
+  struct sockaddr_in address = { 0 };
+  socklen_t len = sizeof address;
 
   fixture->clock = clock_create_boottime ();
   fixture->loop = loop_create (fixture->clock);
-  fixture->listener = socket_listen (ADDRESS, NULL);
+  fixture->listener = socket_listen ("127.0.0.1:0", NULL);
   assert_true (fixture->listener >= 0);
+  getsockname (fixture->listener, (struct sockaddr *)&address, &len);
+  fixture->address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
   fixture->server = -1;
   fixture->body = g_string_new (NULL);
   fixture->id = g_string_new (NULL);
-  fixture->link = http_link_create (fixture->loop, ADDRESS);
+  fixture->link = http_link_create (fixture->loop, fixture->address);
   return fixture;
 }
 
@@ -55,6 +59,7 @@
   if (fixture->server >= 0)
     close (fixture->server);
   close (fixture->listener);
+  g_free (fixture->address);
   loop_destroy (fixture->loop);
   clock_destroy (fixture->clock);
   g_string_free (fixture->body, TRUE);
@@ -92,9 +97,19 @@
   guint next;
   gboolean closes;
   gboolean resets;
+  gboolean forgets; /* resets the connection as any byte comes, and plays nothing */
+  GString *heard;
   LoopTimer *timer;
 } Script;
 
+static void
+set_reset (int fd)
+{
+  struct linger at_once = { .l_onoff = 1 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 static void
 play (gpointer data)
 {
@@ -111,11 +126,7 @@
       return;
     }
   if (script->resets)
-    {
-      struct linger at_once = { .l_onoff = 1 };
-
-      setsockopt (fixture->server, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    }
+    set_reset (fixture->server);
   if (script->closes || script->resets)
     {
       close (fixture->server);
@@ -126,10 +137,23 @@
 static void
 on_request (int fd, LoopEvents ready, gpointer data)
 {
+  Script *script = data;
   char buffer[65536];
+  gssize n;
 
-  if (recv (fd, buffer, sizeof buffer, 0) > 0 && ((Script *)data)->next == 0)
-    play (data);
+  if (script->forgets)
+    {
+      set_reset (fd);
+      close (fd);
+      script->fixture->server = -1;
+      return;
+    }
+  n = recv (fd, buffer, sizeof buffer, 0);
+  if (n <= 0)
+    return;
+  g_string_append_len (script->heard, buffer, n);
+  if (script->next == 0 && strstr (script->heard->str, " HTTP/1.1"))
+    play (script);
 }
 
 /* Sends a request and plays the script. */
@@ -139,6 +163,7 @@
   LoopFd *watch;
 
   script->fixture = fixture;
+  script->heard = g_string_new (NULL);
   script->timer = loop_timer_create (fixture->loop, play, script);
   while (fixture->server < 0)
     fixture->server = socket_accept (fixture->listener);
@@ -149,6 +174,7 @@
   assert_true (fixture->ended);
   loop_fd_destroy (watch);
   loop_timer_destroy (script->timer);
+  g_string_free (script->heard, TRUE);
 }
 
 static void
@@ -348,6 +374,39 @@
   teardown (fixture);
 }
 
+/* Plays a script after a first exchange; the request waits for a probe. */
+static void
+exchange_probed (Fixture *fixture, Script *script)
+{
+  HttpLinkRequest request = { .method = "POST",
+                              .path = "/",
+                              .timeout_us = TIMEOUT_US,
+                              .probe_us = 5 * MS_US,
+                              .answer_max = ANSWER_MAX };
+
+  assert_true (exchange_one (fixture, WHOLE ("own")));
+  exchange_request (fixture, script, &request);
+}
+
+static void
+test_a_probe_finds_a_forgotten_connection_before_the_request (void **state)
+{
+  Fixture *fixture = setup ();
+  const char *const whole[] = { WHOLE ("own"), NULL };
+  Script forgets = { .forgets = TRUE };
+  Script script = { .parts = whole };
+
+  exchange_probed (fixture, &forgets);
+  assert_int_equal (fixture->outcome, HTTP_CALL_UNSENT);
+  assert_false (http_link_is_reusable (fixture->link));
+  teardown (fixture);
+  fixture = setup ();
+  exchange_probed (fixture, &script);
+  expect_whole (fixture, "hello");
+  assert_true (http_link_is_reusable (fixture->link));
+  teardown (fixture);
+}
+
 static void
 on_lost (HttpLink *link, HttpLinkState now, gpointer data)
 {
@@ -390,6 +449,7 @@
     cmocka_unit_test (test_a_silent_server_ends_in_a_timeout),
     cmocka_unit_test (test_a_too_large_answer_is_not_held),
     cmocka_unit_test (test_a_refused_connection_sends_nothing),
+    cmocka_unit_test (test_a_probe_finds_a_forgotten_connection_before_the_request),
     cmocka_unit_test (test_a_link_at_rest_tells_its_end),
   };
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -65,6 +65,28 @@
 row one-megabyte-and-200-callers-foreign $(($(field "$big" m foreign) + $(field "$big" s foreign))) answers "30 s, $(($(field "$big" m asked) + $(field "$big" s asked))) asked"
 row one-megabyte-done "$(calc "$(field "$big" m done) / $(field "$big" m asked)")" share "of $(field "$big" m asked)"
 
+# --- connections to a target: a new one for each request, and kept ones -----------------
+cat > "$dir/kept.json" <<J
+{"services":[{"name":"k","tenant":"t","queue":500,"detection":"off","keep_connections":true,"targets":[$(target_json k-0 vm-1 hall-1 0 64)]}],
+"routes":[{"prefix":"/k","service":"k"}]}
+J
+"$mill" --yes --json plan "$dir/kept.json" >/dev/null
+await_generation 2 0 1
+connections () { curl -s http://127.0.0.1:7300/_connections; }
+load -u 127.0.0.1:7000 -c k:GET:/k:1:0 -r 175 -t 1 >/dev/null
+pairs_50=(); opened=0; asked=0
+for _ in 1 2 3 4 5; do
+  new=$(load -u 127.0.0.1:7000 -c r:GET:/r:1:0 -r 175 -t 2)
+  c0=$(connections)
+  kept=$(load -u 127.0.0.1:7000 -c k:GET:/k:1:0 -r 175 -t 2)
+  opened=$((opened + $(connections) - c0 - 1)); asked=$((asked + $(field "$kept" k asked)))
+  pairs_50+=("$(calc "$(field "$kept" k p50_us) / $(field "$new" r p50_us)")")
+done
+row connections-per-request-kept "$(calc "$opened / $asked" 3)" new "$asked requests, 175 a second"
+row kept-over-new-p50 "$(median "${pairs_50[@]}")" times "median of 5 pairs"
+load -u 127.0.0.1:7000 -c k:GET:/k:1:0 -n 64 -t 3 >/dev/null
+row memory-connections-kept "$(calc "$(rss_of "$(pid_of 1)") / 1024" 1)" MB "resident, the sidecar, 64 requests at once"
+
 # --- memory by size of the configuration, on fresh nodes --------------------------------
 row memory-after-that "$(calc "$(rss_of "$(pid_of 1)") / 1024" 1)" MB "resident, the sidecar that received those bodies"
 stop_all
