A connection at rest does not hold the memory of a long request

Found by reading: the bytes of a request stayed allocated with its connection, so that each kept connection could hold the longest body that it had carried (some MB for uploads, on VMs of 160 MB). The buffer is given back after a request of over 16 KB.

--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -12,6 +12,8 @@
 /* A server may answer a longer request before it has read it, which the sockets' buffers
    hide. */
 #define EARLY_ANSWER_BODY_MIN 16384u
+/* A link at rest does not hold the memory of a longer request. */
+#define OUT_KEPT_MAX 16384u
 
 struct HttpLink
 {
@@ -151,6 +153,17 @@
   .on_message_complete = on_message_complete,
 };
 
+static void
+clear_out (HttpLink *link)
+{
+  if (link->out->len > OUT_KEPT_MAX)
+    {
+      g_byte_array_unref (link->out);
+      link->out = g_byte_array_new ();
+    }
+  g_byte_array_set_size (link->out, 0);
+}
+
 /* Ends the exchange. The link may have been destroyed on return. */
 static void
 end (HttpLink *link, HttpCallOutcome outcome, const char *detail)
@@ -167,7 +180,7 @@
   link->result.headers = NULL;
   link->result.body = NULL;
   link->done = NULL;
-  g_byte_array_set_size (link->out, 0);
+  clear_out (link);
   done (&result, link->data);
   g_array_unref (result.headers);
   g_byte_array_unref (result.body);
