--- a/standins/src/target-conn.h
+++ b/standins/src/target-conn.h
@@ -17,7 +17,7 @@
   gboolean busy;   /* its request holds a slot */
   gboolean queued; /* its request waits for a slot */
   gboolean closing;
-  gint64 rests_since_us; /* when the last answer was sent, or bytes came; 0 before */
+  gint64 rests_since_us; /* when the last answer was sent; 0 before */
   char *repeat;          /* an answer that comes once more before the next; may be NULL */
   char *path;
   char *id;
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -26,7 +26,7 @@
  *     rate: the answers name this request rate, in one header for each of the values that
  *     "|" separates; leaving: they say that the target leaves. "off" ends either.
  *     forget_ms: connections that rested longer are reset as the next bytes come, which
- *     are not read; 0 for never.
+ *     are not read; an empty line does not end the rest; 0 for never.
  *     flap_ms: faults are on and off in turn, for this long.
  *   /_health: always answers 200.
  *   /_connections: the number of connections accepted so far.
@@ -317,11 +317,8 @@
       end (conn);
       return;
     }
-  if (conn->in->len == old)
-    return;
-  if (!conn->busy && !conn->queued)
-    conn->rests_since_us = now ();
-  take_request (conn);
+  if (conn->in->len > old)
+    take_request (conn);
 }
 
 static void
