Unrepeatable requests use a new connection after 50 ms of rest, as the kernel counts it

What callers saw: a POST that never ran ended unknown (502) on a connection that its target had forgotten.

Cause: the rest was judged by the node's clock when the connection was taken. An answer read late looked fresh, the target reads the request later than it is sent, and an empty line that is not reset within 2 ms proves neither.

Change: the rest counts from the kernel's receipt of the last answer; unrepeatable requests take what rested 50 ms at most, none for ten seconds after a death at rest, and need no probe. Last attempts of repeatable requests keep the probe; its unit test is the same with that kind of request, and the stricter rule has tests of its own.

--- a/core/include/core/connection-pool.h
+++ b/core/include/core/connection-pool.h
@@ -7,16 +7,22 @@
  * Between two requests a connection rests, and the target may close it, or forget it
  * without a word; what is sent next on it is then reset, and nobody knows whether it ran.
  *
- * Rule: an attempt that may be followed by another takes the connection that rested the
- * shortest among those that only need no probe for such an attempt, and else the one that
- * rested longest. An unrepeatable request, or the last attempt of another, takes the
- * connection that rested the shortest; a lost one would leave its caller without an
- * answer. So after UNPROBED_REST_MAX_US the connection is probed first: an empty line,
+ * Rule: what is sent on a connection that the target has dropped is reset, and nobody can
+ * tell then whether it ran. The rest counts from the arrival of the last answer to the
+ * moment at which the target reads the request, which is later than the moment at which
+ * it was sent. No probe can prove that a connection will still be there. So an
+ * unrepeatable request uses a connection that rested for UNREPEATABLE_REST_MAX_US at
+ * most, far less than targets keep connections, and else a new one. An attempt that may
+ * be followed by another takes the connection that rested the shortest among those that
+ * the last attempt of a request could not use without a probe, and else the one that
+ * rested longest. The last attempt of a repeatable request takes the connection that
+ * rested the shortest; after UNPROBED_REST_MAX_US it is probed first: an empty line,
  * which is no request, is reset as the request would be. When a connection turns out to
- * have died at rest, all that rested half as long or longer are closed, and none is used
- * after so long a rest for LEARNED_US; unless the target also resets new connections at
- * that time, which explains the death. No more connections are kept than attempts have
- * needed at a time within NEED_WINDOW_US, nor than the target accepts.
+ * have died at rest, all that rested half as long or longer are closed, none is used
+ * after so long a rest for LEARNED_US, and unrepeatable requests use new connections for
+ * that time; unless the target also resets new connections at that time, which explains
+ * the death. No more connections are kept than attempts have needed at a time within
+ * NEED_WINDOW_US, nor than the target accepts.
  */
 #ifndef CORE_CONNECTION_POOL_H
 #define CORE_CONNECTION_POOL_H
@@ -40,6 +46,14 @@
 
 const char *connection_close_reason_name (ConnectionCloseReason reason);
 
+/* What depends on the answer to an attempt. */
+typedef enum
+{
+  CONNECTION_USE_REPEATABLE, /* another attempt may follow */
+  CONNECTION_USE_LAST, /* the request may be repeated, but no other attempt may follow */
+  CONNECTION_USE_UNREPEATABLE
+} ConnectionUse;
+
 /* Totals since the pool was created. */
 typedef struct
 {
@@ -62,15 +76,18 @@
   gboolean probe;   /* the connection must be probed before the request is sent */
 } ConnectionRest;
 
-/* Takes a connection at rest for an attempt, and describes its rest; `repeatable` says
-   that the attempt may be followed by another. Returns NULL if the attempt needs a new
-   one, which is counted as opened. */
+/* Takes a connection at rest for an attempt, and describes its rest. Returns NULL if the
+   attempt needs a new one, which is counted as opened. */
 gpointer
-connection_pool_take (ConnectionPool *pool, gboolean repeatable, ConnectionRest *rest);
-
-/* Puts a connection that was in use to rest. `keep_us` is how long the target says that
-   it keeps it; 0 if it does not say. */
-void connection_pool_rest (ConnectionPool *pool, gpointer connection, gint64 keep_us);
+connection_pool_take (ConnectionPool *pool, ConnectionUse use, ConnectionRest *rest);
+
+/* Puts a connection that was in use to rest. `rested_us` is the time since the last
+   answer arrived on it, which may have been read late. `keep_us` is how long the target
+   says that it keeps the connection; 0 if it does not say. */
+void connection_pool_rest (ConnectionPool *pool,
+                           gpointer connection,
+                           gint64 rested_us,
+                           gint64 keep_us);
 
 /* Puts a connection to rest that the owner has opened for another purpose. */
 void connection_pool_adopt (ConnectionPool *pool, gpointer connection);
--- a/core/src/request/connection-pool.c
+++ b/core/src/request/connection-pool.c
@@ -1,7 +1,8 @@
 #include <core/connection-pool.h>
 
-/* A target that forgets connections at rest does so after some hundred milliseconds at
-   the earliest. A request sent after less reaches it before. */
+/* Half of the least rest after which targets drop connections: the other half is for a
+   target that reads the request late. */
+#define UNREPEATABLE_REST_MAX_US (50 * MS_US)
 #define UNPROBED_REST_MAX_US (90 * MS_US)
 /* Longest rest if the target does not say how long it keeps a connection. */
 #define REST_DEFAULT_US (4 * SECOND_US)
@@ -120,13 +121,19 @@
 
 /* Returns the number of the connection to use, or -1. */
 static gint
-choose (const ConnectionPool *pool, gboolean repeatable, gint64 now)
+choose (const ConnectionPool *pool, ConnectionUse use, gint64 now)
 {
   gint64 max = rest_max_us (pool, now);
   gint longest = -1;
 
-  if (!repeatable && now < pool->distrust_us)
+  if (use != CONNECTION_USE_REPEATABLE && now < pool->distrust_us)
     return -1;
+  if (use == CONNECTION_USE_UNREPEATABLE)
+    {
+      if (now < pool->learned_us)
+        return -1;
+      max = MIN (max, UNREPEATABLE_REST_MAX_US);
+    }
   for (guint i = pool->resting->len; i-- > 0;)
     {
       const Resting *resting = at (pool, i);
@@ -136,7 +143,7 @@
         break;
       if (now >= resting->until_us)
         continue;
-      if (!repeatable || rested > UNPROBED_REST_MAX_US)
+      if (use != CONNECTION_USE_REPEATABLE || rested > UNPROBED_REST_MAX_US)
         return (gint)i;
       longest = (gint)i;
     }
@@ -144,10 +151,10 @@
 }
 
 gpointer
-connection_pool_take (ConnectionPool *pool, gboolean repeatable, ConnectionRest *rest)
+connection_pool_take (ConnectionPool *pool, ConnectionUse use, ConnectionRest *rest)
 {
   gint64 now = clock_now (pool->clock);
-  gint i = choose (pool, repeatable, now);
+  gint i = choose (pool, use, now);
 
   move_window (pool, now);
   pool->in_use++;
@@ -159,21 +166,27 @@
       return NULL;
     }
   rest->rested_us = now - at (pool, (guint)i)->since_us;
-  rest->probe = !repeatable && rest->rested_us > UNPROBED_REST_MAX_US;
+  rest->probe = use == CONNECTION_USE_LAST && rest->rested_us > UNPROBED_REST_MAX_US;
   pool->stats.reused++;
   pool->stats.rest_us = MAX (pool->stats.rest_us, rest->rested_us);
   return steal (pool, (guint)i);
 }
 
 void
-connection_pool_rest (ConnectionPool *pool, gpointer connection, gint64 keep_us)
+connection_pool_rest (ConnectionPool *pool,
+                      gpointer connection,
+                      gint64 rested_us,
+                      gint64 keep_us)
 {
-  gint64 now = clock_now (pool->clock);
+  gint64 since = clock_now (pool->clock) - rested_us;
   gint64 keep = keep_us > 0 ? keep_us / 100 * REST_SHARE_PERCENT : REST_DEFAULT_US;
-  Resting resting = { connection, now, now + MIN (keep, REST_MAX_US) };
+  Resting resting = { connection, since, since + MIN (keep, REST_MAX_US) };
+  guint i = pool->resting->len;
 
+  while (i > 0 && at (pool, i - 1)->since_us > since)
+    i--;
   pool->in_use--;
-  g_array_append_val (pool->resting, resting);
+  g_array_insert_val (pool->resting, i, resting);
 }
 
 void
@@ -181,7 +194,7 @@
 {
   pool->stats.opened++;
   pool->in_use++;
-  connection_pool_rest (pool, connection, 0);
+  connection_pool_rest (pool, connection, 0, 0);
 }
 
 void
--- a/core/tests/test-connection-pool.c
+++ b/core/tests/test-connection-pool.c
@@ -69,7 +69,7 @@
 
       clock_advance (replay->clock, MAX (0, end - clock_now (replay->clock)));
       g_array_remove_index (replay->ends, 0);
-      connection_pool_rest (replay->pool, GUINT_TO_POINTER (++replay->next), 0);
+      connection_pool_rest (replay->pool, GUINT_TO_POINTER (++replay->next), 0, 0);
       close_excess (replay);
     }
   clock_advance (replay->clock, MAX (0, until - clock_now (replay->clock)));
@@ -87,11 +87,11 @@
 }
 
 static void
-request (Replay *replay, gboolean repeatable)
+request (Replay *replay, ConnectionUse use)
 {
   gint64 now = clock_now (replay->clock);
   ConnectionRest rest;
-  gpointer taken = connection_pool_take (replay->pool, repeatable, &rest);
+  gpointer taken = connection_pool_take (replay->pool, use, &rest);
   gboolean forgotten =
       taken && replay->forget_us > 0 && rest.rested_us >= replay->forget_us;
 
@@ -100,12 +100,12 @@
     {
       connection_pool_note_died (replay->pool, rest.rested_us);
       close_excess (replay);
-      request (replay, repeatable);
+      request (replay, use);
       return;
     }
   replay->requests++;
   if (forgotten)
-    replay->died[repeatable ? 1 : 0]++;
+    replay->died[use == CONNECTION_USE_REPEATABLE ? 1 : 0]++;
   if (forgotten || (guint)g_rand_int_range (replay->rand, 0, 100) < replay->reset_percent)
     {
       connection_pool_note_died (replay->pool, rest.rested_us);
@@ -126,8 +126,10 @@
     {
       advance (replay, clock_now (replay->clock) +
                            (gint64)(gap_us * g_rand_double_range (replay->rand, 0, 2)));
-      request (replay, !unrepeatable_in ||
-                           g_rand_int_range (replay->rand, 0, (gint)unrepeatable_in) > 0);
+      request (replay, !unrepeatable_in || g_rand_int_range (replay->rand, 0,
+                                                             (gint)unrepeatable_in) > 0
+                           ? CONNECTION_USE_REPEATABLE
+                           : CONNECTION_USE_UNREPEATABLE);
     }
 }
 
@@ -223,7 +225,7 @@
   for (guint i = 0; i < 200; i++)
     {
       advance (&replay, clock_now (replay.clock) + GAP_US / 8);
-      request (&replay, TRUE);
+      request (&replay, CONNECTION_USE_REPEATABLE);
       assert_in_range (connection_pool_resting (replay.pool), 0, 3);
       if (connection_pool_in_use (replay.pool) > 3)
         assert_int_equal (connection_pool_resting (replay.pool), 0);
@@ -232,11 +234,11 @@
 }
 
 static gpointer
-take (Replay *replay, gboolean repeatable)
+take (Replay *replay, ConnectionUse use)
 {
   ConnectionRest rest;
 
-  return connection_pool_take (replay->pool, repeatable, &rest);
+  return connection_pool_take (replay->pool, use, &rest);
 }
 
 /* Takes `count` new connections and puts them to rest, `step_us` after one another. */
@@ -244,10 +246,10 @@
 rest_several (Replay *replay, guint count, gint64 step_us)
 {
   for (guint i = 0; i < count; i++)
-    assert_null (take (replay, FALSE));
+    assert_null (take (replay, CONNECTION_USE_UNREPEATABLE));
   for (guint i = 1; i <= count; i++)
     {
-      connection_pool_rest (replay->pool, GUINT_TO_POINTER (i), 0);
+      connection_pool_rest (replay->pool, GUINT_TO_POINTER (i), 0, 0);
       clock_advance (replay->clock, step_us);
     }
 }
@@ -259,30 +261,78 @@
 
   /* They rested 250, 200, 150, 100 and 50 ms. */
   rest_several (&replay, 5, 50 * MS_US);
-  assert_ptr_equal (take (&replay, TRUE), GUINT_TO_POINTER (4));
-  assert_ptr_equal (take (&replay, FALSE), GUINT_TO_POINTER (5));
-  assert_ptr_equal (take (&replay, TRUE), GUINT_TO_POINTER (3));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_REPEATABLE), GUINT_TO_POINTER (4));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_LAST), GUINT_TO_POINTER (5));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_REPEATABLE), GUINT_TO_POINTER (3));
   teardown (&replay);
 }
 
 static void
-test_unrepeatable_requests_need_a_probe_after_a_rest (void **state)
+test_last_attempts_need_a_probe_after_a_rest (void **state)
 {
   Replay replay = setup ();
   ConnectionRest rest;
 
   rest_several (&replay, 2, 60 * MS_US);
-  connection_pool_take (replay.pool, FALSE, &rest);
+  connection_pool_take (replay.pool, CONNECTION_USE_LAST, &rest);
   assert_false (rest.probe);
-  connection_pool_take (replay.pool, FALSE, &rest);
+  connection_pool_take (replay.pool, CONNECTION_USE_LAST, &rest);
   assert_int_equal (rest.rested_us, 120 * MS_US);
   assert_true (rest.probe);
   rest_several (&replay, 1, 120 * MS_US);
-  connection_pool_take (replay.pool, TRUE, &rest);
+  connection_pool_take (replay.pool, CONNECTION_USE_REPEATABLE, &rest);
   assert_false (rest.probe);
   teardown (&replay);
 }
 
+/* The target may drop the connection before it reads the request. */
+static void
+test_an_unrepeatable_request_is_sent_after_a_rest (void **state)
+{
+  Replay replay = setup ();
+
+  rest_several (&replay, 2, 35 * MS_US);
+  assert_ptr_equal (take (&replay, CONNECTION_USE_UNREPEATABLE), GUINT_TO_POINTER (2));
+  assert_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  connection_pool_rest (replay.pool, GUINT_TO_POINTER (3), 0, 0);
+  clock_advance (replay.clock, 51 * MS_US);
+  assert_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_LAST), GUINT_TO_POINTER (3));
+  teardown (&replay);
+}
+
+/* The rest began when the answer arrived. */
+static void
+test_an_answer_that_is_read_late_shortens_the_rest (void **state)
+{
+  Replay replay = setup ();
+
+  assert_null (take (&replay, CONNECTION_USE_REPEATABLE));
+  assert_null (take (&replay, CONNECTION_USE_REPEATABLE));
+  connection_pool_rest (replay.pool, GUINT_TO_POINTER (2), 60 * MS_US, 0);
+  connection_pool_rest (replay.pool, GUINT_TO_POINTER (3), 120 * MS_US, 0);
+  assert_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_LAST), GUINT_TO_POINTER (2));
+  teardown (&replay);
+}
+
+/* The rest that the target bears is not known for some time. */
+static void
+test_a_lost_connection_sends_unrepeatable_requests_to_kept_ones (void **state)
+{
+  Replay replay = setup ();
+
+  rest_several (&replay, 1, 120 * MS_US);
+  assert_non_null (take (&replay, CONNECTION_USE_REPEATABLE));
+  connection_pool_note_died (replay.pool, 120 * MS_US);
+  rest_several (&replay, 1, MS_US);
+  assert_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  clock_advance (replay.clock, 10 * SECOND_US);
+  rest_several (&replay, 1, MS_US);
+  assert_non_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  teardown (&replay);
+}
+
 static void
 test_surplus_bytes_send_unrepeatable_requests_to_new_connections (void **state)
 {
@@ -290,11 +340,11 @@
 
   rest_several (&replay, 2, MS_US);
   connection_pool_note_surplus (replay.pool);
-  assert_null (take (&replay, FALSE));
-  assert_non_null (take (&replay, TRUE));
+  assert_null (take (&replay, CONNECTION_USE_UNREPEATABLE));
+  assert_non_null (take (&replay, CONNECTION_USE_REPEATABLE));
   clock_advance (replay.clock, 10 * SECOND_US);
-  connection_pool_rest (replay.pool, GUINT_TO_POINTER (9), 0);
-  assert_ptr_equal (take (&replay, FALSE), GUINT_TO_POINTER (9));
+  connection_pool_rest (replay.pool, GUINT_TO_POINTER (9), 0, 0);
+  assert_ptr_equal (take (&replay, CONNECTION_USE_UNREPEATABLE), GUINT_TO_POINTER (9));
   teardown (&replay);
 }
 
@@ -304,10 +354,10 @@
   Replay replay = setup ();
   ConnectionCloseReason reason;
 
-  assert_null (take (&replay, TRUE));
-  connection_pool_rest (replay.pool, GUINT_TO_POINTER (1), SECOND_US);
+  assert_null (take (&replay, CONNECTION_USE_REPEATABLE));
+  connection_pool_rest (replay.pool, GUINT_TO_POINTER (1), 0, SECOND_US);
   clock_advance (replay.clock, 900 * MS_US);
-  assert_null (take (&replay, TRUE));
+  assert_null (take (&replay, CONNECTION_USE_REPEATABLE));
   assert_ptr_equal (connection_pool_excess (replay.pool, &reason), GUINT_TO_POINTER (1));
   assert_int_equal (reason, CONNECTION_RESTED);
   teardown (&replay);
@@ -321,7 +371,7 @@
 
   rest_several (&replay, 3, MS_US);
   clock_advance (replay.clock, 3600 * SECOND_US);
-  assert_null (take (&replay, TRUE));
+  assert_null (take (&replay, CONNECTION_USE_REPEATABLE));
   for (guint i = 0; i < 3; i++)
     assert_non_null (connection_pool_excess (replay.pool, &reason));
   assert_null (connection_pool_excess (replay.pool, &reason));
@@ -335,7 +385,7 @@
 
   connection_pool_adopt (replay.pool, GUINT_TO_POINTER (7));
   assert_int_equal (connection_pool_in_use (replay.pool), 0);
-  assert_ptr_equal (take (&replay, TRUE), GUINT_TO_POINTER (7));
+  assert_ptr_equal (take (&replay, CONNECTION_USE_REPEATABLE), GUINT_TO_POINTER (7));
   teardown (&replay);
 }
 
@@ -364,7 +414,10 @@
     cmocka_unit_test (test_connections_that_a_burst_needed_are_closed_after_it),
     cmocka_unit_test (test_the_limit_holds_with_those_in_use),
     cmocka_unit_test (test_repeatable_requests_leave_fresh_connections_to_others),
-    cmocka_unit_test (test_unrepeatable_requests_need_a_probe_after_a_rest),
+    cmocka_unit_test (test_last_attempts_need_a_probe_after_a_rest),
+    cmocka_unit_test (test_an_unrepeatable_request_is_sent_after_a_rest),
+    cmocka_unit_test (test_an_answer_that_is_read_late_shortens_the_rest),
+    cmocka_unit_test (test_a_lost_connection_sends_unrepeatable_requests_to_kept_ones),
     cmocka_unit_test (test_surplus_bytes_send_unrepeatable_requests_to_new_connections),
     cmocka_unit_test (test_a_connection_ends_before_the_target_closes_it),
     cmocka_unit_test (test_a_gap_in_time_closes_all),
--- a/daemon/src/target/submission.c
+++ b/daemon/src/target/submission.c
@@ -240,12 +240,14 @@
                                                                   headers);
 }
 
-/* Whether another attempt may follow this one. Routes allow two attempts by default, so
-   that a further one counts as the last. */
-static gboolean
-may_be_followed (const sw_submit_args *args)
+/* Routes allow two attempts by default, so that a further one counts as the last. */
+static ConnectionUse
+connection_use (const sw_submit_args *args)
 {
-  return args->repeatable && args->retry != RETRY_FURTHER_ATTEMPT;
+  if (!args->repeatable)
+    return CONNECTION_USE_UNREPEATABLE;
+  return args->retry == RETRY_FURTHER_ATTEMPT ? CONNECTION_USE_LAST
+                                              : CONNECTION_USE_REPEATABLE;
 }
 
 static GArray *
@@ -327,7 +329,7 @@
   order.is_foreign = is_foreign;
   metrics_add (sidecar->node->metrics, METRIC_SIDECAR_STARTED, 1);
   submission_count_limited_start (submission);
-  submission->call = target_calls_send (target->calls, &order, may_be_followed (args),
+  submission->call = target_calls_send (target->calls, &order, connection_use (args),
                                         on_target_done, submission);
 }
 
--- a/daemon/src/target/target-calls.c
+++ b/daemon/src/target/target-calls.c
@@ -39,7 +39,7 @@
   gboolean kept; /* the link had carried an earlier call */
   ConnectionRest rest;
   HttpLinkRequest request;
-  gboolean repeatable;
+  ConnectionUse use;
   HttpDoneFunc done;
   gpointer data;
 };
@@ -152,7 +152,7 @@
   TargetCalls *calls = call->calls;
   HttpLink *link;
 
-  while ((link = connection_pool_take (calls->pool, call->repeatable, &call->rest)))
+  while ((link = connection_pool_take (calls->pool, call->use, &call->rest)))
     {
       HttpLinkState state = http_link_wake (link);
 
@@ -214,7 +214,8 @@
     }
   else
     {
-      connection_pool_rest (pool, call->link, keep_alive_us (result->headers));
+      connection_pool_rest (pool, call->link, http_link_quiet_us (call->link),
+                            keep_alive_us (result->headers));
       http_link_rest (call->link, on_lost, calls);
     }
 }
@@ -308,7 +309,7 @@
 TargetCall *
 target_calls_send (TargetCalls *calls,
                    const HttpLinkRequest *request,
-                   gboolean repeatable,
+                   ConnectionUse use,
                    HttpDoneFunc done,
                    gpointer data)
 {
@@ -317,7 +318,7 @@
   call->calls = calls;
   call->request = *request;
   call->request.headers = g_array_ref ((GArray *)request->headers);
-  call->repeatable = repeatable;
+  call->use = use;
   call->done = done;
   call->data = data;
   g_hash_table_add (calls->running, call);
--- a/daemon/src/target/target-calls.h
+++ b/daemon/src/target/target-calls.h
@@ -23,13 +23,12 @@
 void
 target_calls_update (TargetCalls *calls, const char *address, gboolean keep, guint limit);
 
-/* Starts a call; `repeatable` says that another attempt may follow it. `done` is called
-   exactly once, from the loop, unless the call is cancelled or the calls are destroyed
-   before. The texts and the body of
-   `request` must stay valid until the call ends; `data` is passed to its function too. */
+/* Starts a call. `done` is called exactly once, from the loop, unless the call is
+   cancelled or the calls are destroyed before. The texts and the body of `request` must
+   stay valid until the call ends; `data` is passed to its function too. */
 TargetCall *target_calls_send (TargetCalls *calls,
                                const HttpLinkRequest *request,
-                               gboolean repeatable,
+                               ConnectionUse use,
                                HttpDoneFunc done,
                                gpointer data);
 
--- a/io/include/io/http-link.h
+++ b/io/include/io/http-link.h
@@ -68,6 +68,9 @@
 gboolean http_link_is_reusable (const HttpLink *link);
 /* Whether any byte came from the server in the last exchange. */
 gboolean http_link_has_heard (const HttpLink *link);
+/* Returns the time since the kernel received the last bytes from the server, also if they
+   were read later. */
+gint64 http_link_quiet_us (const HttpLink *link);
 /* Whether the server sent bytes that belong to no request, or an answer to another one,
    in the last exchange. */
 gboolean http_link_had_surplus (const HttpLink *link);
--- a/io/include/io/socket.h
+++ b/io/include/io/socket.h
@@ -25,4 +25,9 @@
    none. */
 int socket_error (int fd);
 
+/* Returns the time since the kernel received the last data of a connection (TCP_INFO), in
+   steps of some milliseconds; since it was established, if there was none. Returns
+   G_MAXINT32 if the kernel cannot tell. */
+gint64 socket_quiet_us (int fd);
+
 #endif
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -504,6 +504,12 @@
   return link->heard;
 }
 
+gint64
+http_link_quiet_us (const HttpLink *link)
+{
+  return socket_quiet_us (link->fd);
+}
+
 gboolean
 http_link_had_surplus (const HttpLink *link)
 {
--- a/io/src/socket.c
+++ b/io/src/socket.c
@@ -1,5 +1,7 @@
 #include <io/socket.h>
 
+#include <core/clock.h>
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <gio/gio.h>
@@ -101,3 +103,14 @@
     return errno;
   return value;
 }
+
+gint64
+socket_quiet_us (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t len = sizeof info;
+
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
+    return G_MAXINT32;
+  return (gint64)info.tcpi_last_data_recv * MS_US;
+}
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -98,8 +98,14 @@
 int
 fleet_teardown (void **state)
 {
-  if (current)
-    fleet_destroy (current);
+  if (!current)
+    return 0;
+  if (g_getenv ("FLEET_KEEP_FILES"))
+    {
+      fleet_keep_files (current);
+      g_message ("files are kept in %s", current->dir);
+    }
+  fleet_destroy (current);
   return 0;
 }
 
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -48,7 +48,8 @@
    on. Their grace period is four times that. */
 void fleet_set_linger (Fleet *fleet, guint linger_ms);
 
-/* A cmocka teardown that destroys the fleet of a test that failed before its end. */
+/* A cmocka teardown that destroys the fleet of a test that failed before its end. Its
+   files are kept if FLEET_KEEP_FILES is set. */
 int fleet_teardown (void **state);
 
 /* Makes the platform unreachable for these nodes (bits), from their next start on. */
