Log which nodes begin and cease to watch the store, with their view of the members

Which node took a watch, and on what view, could not be told from the logs: two nodes that take the place of one that they hold for dead, a node whose view of the halls is incomplete, and a late node that was not told that it is not needed looked alike. Each change of that duty is one line.

--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -27,7 +27,8 @@
   LoopTimer *watch;
   LoopTimer *start;
   LoopTimer *fetch;
-  LoopTimer *compose; /* started while registrations are not in the snapshot yet */
+  LoopTimer *compose;  /* started while registrations are not in the snapshot yet */
+  gboolean is_watcher; /* at the last check */
   gboolean watching;
   guint watch_failures; /* in a row */
   gboolean polling;
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -196,18 +196,23 @@
   config_sync_poll (sync);
 }
 
+/* What decides whether this node watches, in its view of the members. */
+typedef struct
+{
+  guint rank;  /* of this node in its hall */
+  guint halls; /* in the fleet */
+} WatchRank;
+
 /* Nodes are ranked by a hash of their names (rendezvous hashing), so that those with the
    same view of the members agree on the watchers of each hall. */
-gboolean
-config_sync_is_watcher (const ConfigSync *sync)
+static WatchRank
+watch_rank (const ConfigSync *sync)
 {
   const Members *members = sync->node->members;
   const FleetList *list = sync->node->list;
   guint halls = members_count_halls (members);
   guint rank = members_rank_in_hall (members);
 
-  if (!has_settled (sync))
-    return FALSE;
   /* When 981 nodes start at once, each of them knows only a few members. The rank and the
      halls by the platform's list as well make them agree on the watchers. */
   if (members_is_starting_up (members))
@@ -216,7 +221,34 @@
       rank = MAX (rank, fleet_list_rank_in_hall (list, members_self (members)->node,
                                                  members_self (members)->hall));
     }
-  return rank < MAX (WATCHERS_PER_HALL, (WATCHERS_MIN + halls - 1) / halls);
+  return (WatchRank){ rank, halls };
+}
+
+static gboolean
+is_among_watchers (WatchRank own)
+{
+  return own.rank < MAX (WATCHERS_PER_HALL, (WATCHERS_MIN + own.halls - 1) / own.halls);
+}
+
+gboolean
+config_sync_is_watcher (const ConfigSync *sync)
+{
+  return has_settled (sync) && is_among_watchers (watch_rank (sync));
+}
+
+/* Logs when this node begins or ceases to be a watcher, and what its view of the members
+   was. */
+static void
+log_watcher (const ConfigSync *sync, gboolean is_watcher)
+{
+  WatchRank own = watch_rank (sync);
+  g_autofree char *rank = g_strdup_printf ("%u", own.rank);
+  g_autofree char *halls = g_strdup_printf ("%u", own.halls);
+  g_autofree char *alive =
+      g_strdup_printf ("%u", members_count_alive (sync->node->members));
+
+  log_event (G_LOG_LEVEL_INFO, is_watcher ? "watcher-begins" : "watcher-ends", "RANK",
+             rank, "HALLS", halls, "ALIVE", alive, NULL);
 }
 
 gint64
@@ -251,8 +283,12 @@
 on_watch_timer (gpointer data)
 {
   ConfigSync *sync = data;
+  gboolean is_watcher = config_sync_is_watcher (sync);
 
-  if (!config_sync_is_watcher (sync))
+  if (is_watcher != sync->is_watcher)
+    log_watcher (sync, is_watcher);
+  sync->is_watcher = is_watcher;
+  if (!is_watcher)
     {
       loop_timer_start (sync->watch, WATCHER_CHECK_INTERVAL_US);
       return;
