A node that is outranked ends its watch of the store

What was seen: ten or eleven watches were told of a change where nine are meant; each brings the whole configuration, at the moment at which the store is slowest.

Cause: a node looked at its rank only between two calls to the store, which last up to 4 s (20 s with our own). Outranked during one, it went on beside its successor.

--- a/daemon/src/config/config-source-own.c
+++ b/daemon/src/config/config-source-own.c
@@ -6,7 +6,9 @@
 typedef struct
 {
   Node *node;
-  char *version; /* of the head read last; "" before the first read */
+  char *version;       /* of the head read last; "" before the first read */
+  PlatformCall *watch; /* in progress, or NULL */
+  gpointer watched;    /* its Read */
 } Source;
 
 typedef struct
@@ -63,6 +65,11 @@
   Read *read = data;
   ConfigReading reading = { .outcome = outcome_of (result->outcome) };
 
+  if (read == read->source->watched)
+    {
+      read->source->watch = NULL;
+      read->source->watched = NULL;
+    }
   if (reading.outcome == CONFIG_READ_HEAD)
     {
       g_free (read->source->version);
@@ -98,8 +105,22 @@
 {
   Source *source = data;
 
-  platform_watch (source->node, CONFIG_HEAD_KEY, source->version, on_head,
-                  read_create (source, done, user));
+  source->watched = read_create (source, done, user);
+  source->watch = platform_watch (source->node, CONFIG_HEAD_KEY, source->version, on_head,
+                                  source->watched);
+}
+
+static gboolean
+unwatch_head (gpointer data)
+{
+  Source *source = data;
+
+  if (!source->watch)
+    return FALSE;
+  platform_call_cancel (source->watch);
+  source->watch = NULL;
+  g_clear_pointer (&source->watched, g_free);
+  return TRUE;
 }
 
 static void
@@ -131,6 +152,7 @@
   .destroy = destroy,
   .read = read_head,
   .watch = watch_head,
+  .unwatch = unwatch_head,
   .part = read_part,
   .serves_empty = TRUE,
 };
--- a/daemon/src/config/config-source.h
+++ b/daemon/src/config/config-source.h
@@ -37,6 +37,9 @@
   void (*read) (gpointer source, ConfigReadDone done, gpointer data);
   /* Calls `done` once the store has something newer than the last read, or on timeout. */
   void (*watch) (gpointer source, ConfigReadDone done, gpointer data);
+  /* Ends a watch whose `done` has not been called, and will not be then. Returns FALSE if
+     the store has already answered: `done` follows. */
+  gboolean (*unwatch) (gpointer source);
   /* Reads one part by its digest. */
   void (*part) (gpointer source, const char *digest, ConfigPartDone done, gpointer data);
   /* Whether a node may serve, refusing every request, while nothing is configured. */
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -8,6 +8,9 @@
 
 /* Interval at which a node that does not watch checks whether it has to. */
 #define WATCHER_CHECK_INTERVAL_US (1 * SECOND_US)
+/* Interval at which a node that watches checks whether it still has to. A node that takes
+   its place begins WATCH_SETTLE_US after its start: until then this one has ended. */
+#define WATCHING_CHECK_INTERVAL_US (200 * MS_US)
 /* A starting node knows no other members and would rank itself as a watcher; after this
    time gossip has named the members of its hall. Changes made meanwhile are not missed,
    because the watch starts after the revision that the node has read. */
@@ -290,9 +293,12 @@
   sync->is_watcher = is_watcher;
   if (!is_watcher)
     {
+      if (sync->watching && sync->kind->unwatch (sync->source_data))
+        sync->watching = FALSE;
       loop_timer_start (sync->watch, WATCHER_CHECK_INTERVAL_US);
       return;
     }
+  loop_timer_start (sync->watch, WATCHING_CHECK_INTERVAL_US);
   if (sync->watching)
     return;
   sync->watching = TRUE;
--- a/daemon/src/config/platform.c
+++ b/daemon/src/config/platform.c
@@ -8,11 +8,12 @@
 #define WATCH_MS 20000
 #define ANSWER_MAX (2u * 1024 * 1024)
 
-typedef struct
+struct PlatformCall
 {
+  HttpCall *http;
   PlatformDone done;
   gpointer data;
-} Call;
+};
 
 static PlatformOutcome
 outcome_of (const HttpResult *result)
@@ -39,7 +40,7 @@
 static void
 on_done (const HttpResult *http, gpointer data)
 {
-  Call *call = data;
+  PlatformCall *call = data;
   PlatformResult result = { outcome_of (http), NULL, http->body };
 
   result.version = http_headers_get (http->headers, "ETag");
@@ -49,10 +50,10 @@
   g_free (call);
 }
 
-static void
+static PlatformCall *
 send_http_call (Node *node, HttpCallParams *order, PlatformDone done, gpointer data)
 {
-  Call *call = g_new0 (Call, 1);
+  PlatformCall *call = g_new0 (PlatformCall, 1);
 
   call->done = done;
   call->data = data;
@@ -61,7 +62,15 @@
   if (!order->timeout_us)
     order->timeout_us = CALL_TIMEOUT_US;
   metrics_add (node->metrics, METRIC_PLATFORM_CALLS, 1);
-  http_client_send (node->http, order, on_done, call);
+  call->http = http_client_send (node->http, order, on_done, call);
+  return call;
+}
+
+void
+platform_call_cancel (PlatformCall *call)
+{
+  http_call_cancel (call->http);
+  g_free (call);
 }
 
 static char *
@@ -80,7 +89,7 @@
   send_http_call (node, &order, done, data);
 }
 
-void
+PlatformCall *
 platform_watch (
     Node *node, const char *key, const char *version, PlatformDone done, gpointer data)
 {
@@ -91,7 +100,7 @@
   HttpCallParams order = { .method = "GET", .url = url };
 
   order.timeout_us = WATCH_MS * MS_US + CALL_TIMEOUT_US;
-  send_http_call (node, &order, done, data);
+  return send_http_call (node, &order, done, data);
 }
 
 void
--- a/daemon/src/config/platform.h
+++ b/daemon/src/config/platform.h
@@ -32,10 +32,15 @@
 
 typedef void (*PlatformDone) (const PlatformResult *result, gpointer data);
 
+typedef struct PlatformCall PlatformCall;
+
 void platform_get (Node *node, const char *key, PlatformDone done, gpointer data);
-/* Waits for a version other than `version`, which is "" for a missing object. */
-void platform_watch (
+/* Waits for a version other than `version`, which is "" for a missing object. The call is
+   valid until `done` is called. */
+PlatformCall *platform_watch (
     Node *node, const char *key, const char *version, PlatformDone done, gpointer data);
+/* Closes the call's connection; `done` is not called. */
+void platform_call_cancel (PlatformCall *call);
 /* Writes the object only if its version is `version`; "" creates it. */
 void platform_put (Node *node,
                    const char *key,
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -74,14 +74,25 @@
 {
 }
 
+static gboolean
+source_unwatch (gpointer source)
+{
+  return TRUE;
+}
+
 static void
 source_part (gpointer source, const char *digest, ConfigPartDone done, gpointer data)
 {
   done (NULL, data);
 }
 
-static const ConfigSource source = { source_create, source_destroy, source_read,
-                                     source_watch,  source_part,    TRUE };
+static const ConfigSource source = { .create = source_create,
+                                     .destroy = source_destroy,
+                                     .read = source_read,
+                                     .watch = source_watch,
+                                     .unwatch = source_unwatch,
+                                     .part = source_part,
+                                     .serves_empty = TRUE };
 static const Adapter adapter = { .config = &source };
 
 /* Advances the clock instead of letting the loop wait. */
@@ -223,11 +234,116 @@
   assert_int_equal (watchers, WATCHERS);
 }
 
+/* A watch in progress, and the clock of the node that makes it. */
+static gboolean watching;
+static Clock *watch_clock;
+static gint64 watch_until_us;
+static Loop *watch_loop;
+
+static void
+read_nothing (gpointer source, ConfigReadDone done, gpointer data)
+{
+  static const ConfigReading nothing = { .outcome = CONFIG_READ_NONE };
+
+  done (&nothing, data);
+}
+
+static void
+begin_watch (gpointer source, ConfigReadDone done, gpointer data)
+{
+  assert_false (watching);
+  watching = TRUE;
+}
+
+static gboolean
+end_watch (gpointer source)
+{
+  assert_true (watching);
+  watching = FALSE;
+  return TRUE;
+}
+
+static gint64
+pass_watch_time (gpointer data)
+{
+  clock_advance (watch_clock, STEP_US);
+  if (clock_now (watch_clock) >= watch_until_us)
+    loop_quit (watch_loop);
+  return 0;
+}
+
+static void
+run_for (gint64 span_us)
+{
+  watch_until_us = clock_now (watch_clock) + span_us;
+  loop_run (watch_loop);
+}
+
+/* Adds members of the own hall, or lets them die. */
+static void
+merge_members (Members *members, MemberStatus status)
+{
+  for (guint i = 0; i < LISTED; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("other-%u", i);
+      Member other = { .node = name,
+                       .hall = "hall",
+                       .address = "127.0.0.1:2",
+                       .incarnation = 1,
+                       .status = status };
+
+      members_merge (members, &other);
+    }
+}
+
+/* Others take its place; its call to the store would last for seconds. */
+static void
+test_a_node_that_is_outranked_goes_on_watching (void **state)
+{
+  static const char *const nobody[] = { NULL };
+  static const Settings settings = { .node = "self", .hall = "hall" };
+  static const Member self = { .node = "self", .hall = "hall", .address = "127.0.0.1:1" };
+  static const ConfigSource long_source = { .create = source_create,
+                                            .destroy = source_destroy,
+                                            .read = read_nothing,
+                                            .watch = begin_watch,
+                                            .unwatch = end_watch,
+                                            .part = source_part,
+                                            .serves_empty = TRUE };
+  static const Adapter long_adapter = { .config = &long_source };
+  Node node = { .adapter = &long_adapter, .settings = &settings };
+
+  watching = FALSE;
+  node.clock = watch_clock = clock_create_manual (SECOND_US);
+  node.loop = watch_loop = loop_create (watch_clock);
+  loop_add_prepare (watch_loop, pass_watch_time, NULL);
+  node.list = fleet_list_create ();
+  node.rand = g_rand_new_with_seed (1);
+  node.members =
+      members_create (&self, nobody, &members_timing_default, node.rand, watch_clock);
+  node.config = config_sync_create (&node);
+  run_for (3 * SECOND_US);
+  assert_true (watching);
+  merge_members (node.members, MEMBER_ALIVE);
+  run_for (500 * MS_US);
+  assert_false (watching);
+  merge_members (node.members, MEMBER_DEAD);
+  run_for (2 * SECOND_US);
+  assert_true (watching);
+  config_sync_destroy (node.config);
+  members_destroy (node.members);
+  g_rand_free (node.rand);
+  fleet_list_destroy (node.list);
+  loop_destroy (watch_loop);
+  clock_destroy (watch_clock);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_nodes_that_have_met_no_other_do_not_all_watch),
+    cmocka_unit_test (test_a_node_that_is_outranked_goes_on_watching),
     cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
                                      teardown),
   };
