A node tells its own balancer that its target takes requests again

What callers saw: a target that refused once (here: that named a rate of 0) was never used again by the node beside it while others had room, so that the others of its hall carried its share.

Cause: 'shedding', 'draining' and 'abrupt' reach other nodes by gossip, and every node in the report of an answer. Gossip does not tell a node its own verdicts, and a target that is passed over brings no answer.

Evidence: beside 60 busy processes 10 requests a second at this target and 39 at the other one of its hall, on a quiet machine 11 to 17 and 48 to 60; 33 to 44 and 24 to 39 without a named rate. The sidecar's limit is 4, the view of its own node is that of ten seconds ago, the view of the other node of the hall is up to date. Reports that lose weight with age were tried and changed nothing (13 to 21).

--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -66,6 +66,21 @@
   return verdict;
 }
 
+/* Tells this node's own balancer, which gossip does not. Reports alone would not: none
+   comes from a target that is passed over because of the verdict. */
+static void
+apply_verdict (Node *node, const SidecarTarget *target, const sw_verdict *said)
+{
+  TargetVerdict verdict = { node->incarnation,
+                            said->serial,
+                            said->severity,
+                            (said->flags & SW_VERDICT_DRAINING) != 0,
+                            (said->flags & SW_VERDICT_SHEDDING) != 0,
+                            (said->flags & SW_VERDICT_ABRUPT) != 0 };
+
+  balancer_note_verdict (node->balancer, target->name, &verdict);
+}
+
 void
 verdicts_publish (Node *node, GHashTable *targets, gboolean draining)
 {
@@ -85,12 +100,16 @@
   names = g_new0 (sw_target_name, SW_VERDICTS_MAX);
   verdicts = g_new0 (sw_verdict, SW_VERDICTS_MAX);
   g_hash_table_iter_init (&iter, targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && count < SW_VERDICTS_MAX)
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       SidecarTarget *target = value;
+      sw_verdict verdict = verdict_on (target);
 
+      apply_verdict (node, target, &verdict);
+      if (count == SW_VERDICTS_MAX)
+        continue;
       names[count] = target->name;
-      verdicts[count++] = verdict_on (target);
+      verdicts[count++] = verdict;
     }
   payload_words.targets.targets_val = names;
   payload_words.targets.targets_len = count;
