A stop that comes late to its check reads what arrived meanwhile

Cause: after the freeze the check of the stop ran before the loop had read its sockets, found no request in flight and the time over, and the node ended.

Change: a check that is more than 50 ms late is put off by 50 ms; past the end of the stop's time once only.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -27,6 +27,8 @@
 /* Shortest duration of a planned stop, so that gossip can announce it to the fleet. */
 #define STOP_LINGER_US (1500 * MS_US)
 #define STOP_CHECK_US (50 * MS_US)
+/* A check that comes this late finds requests that arrived meanwhile still unread. */
+#define STOP_LATE_US (50 * MS_US)
 /* The sidecar stops accepting work this long before the lingering ends, so that gossip
    can announce this. Until then its target, which is healthy and stays, is useful to the
    fleet. */
@@ -40,6 +42,8 @@
   RpcServer *rpc;
   LoopTimer *stop;
   gint64 stop_began_us;
+  gint64 check_due_us; /* of the stop */
+  gboolean check_late; /* the last one was */
   guint cut;
   gboolean leaving_before_stop; /* the target was leaving before the stop began */
   gboolean callers_aborted;     /* callers' requests were aborted as the target leaves */
@@ -124,6 +128,24 @@
   return until_abort > 0 ? MIN (until_abort, STOP_CHECK_US) : STOP_CHECK_US;
 }
 
+static void
+start_check_timer (NodeRun *run, gint64 wait_us)
+{
+  run->check_due_us = clock_now (run->node.clock) + wait_us;
+  loop_timer_start (run->stop, wait_us);
+}
+
+/* Returns whether the check has to wait until the loop has read what arrived while the
+   process did not run. Past the end of the stop that is granted once. */
+static gboolean
+defers_check (NodeRun *run)
+{
+  gboolean was_late = run->check_late;
+
+  run->check_late = clock_now (run->node.clock) - run->check_due_us > STOP_LATE_US;
+  return run->check_late && !(was_late && stop_age (run) >= run->node.settings->stop_us);
+}
+
 static void
 on_stop_check (gpointer data)
 {
@@ -132,6 +154,11 @@
   gboolean quiet =
       in_flight (run) == 0 && stop_age (run) >= MAX (STOP_LINGER_US, settings->linger_us);
 
+  if (!run->ending && defers_check (run))
+    {
+      start_check_timer (run, STOP_CHECK_US);
+      return;
+    }
   if (stop_age (run) >= settings->linger_us - STOP_DRAIN_LEAD_US && !run->drained)
     drain_sidecar (run);
   if (stop_age (run) >= settings->linger_us)
@@ -143,7 +170,7 @@
   else if (quiet || run->stop_at_once || stop_age (run) >= run->node.settings->stop_us)
     abort_remaining (run);
   else
-    loop_timer_start (run->stop, next_check_us (run));
+    start_check_timer (run, next_check_us (run));
 }
 
 void
@@ -166,7 +193,7 @@
   ingress_close_connections (node->ingress);
   if (node->settings->linger_us == 0)
     ingress_drain (node->ingress);
-  loop_timer_start (run->stop, STOP_CHECK_US);
+  start_check_timer (run, STOP_CHECK_US);
 }
 
 void
