A node that has been answering late is not lost after 540 ms

Cause: 540 ms without an answer to a ping end all calls to a node and cancel what runs there, however long its pings have taken lately.

--- a/daemon/src/member/peer-watch.c
+++ b/daemon/src/member/peer-watch.c
@@ -8,12 +8,13 @@
 /* A ping takes about 4 ms between halls, and 20 ms on a slow node. Without an answer in
    three times that, the path is marked as doubtful. */
 #define DOUBT_US (60 * MS_US)
-/* Long enough for a lost packet to be sent again twice (200 ms each) and answered. */
+/* Least time-out: a lost packet is sent again twice (200 ms each) and answered. */
 #define PING_TIMEOUT_US (540 * MS_US)
 
 typedef struct
 {
   PeerWatch *watch; /* NULL once the watch has been destroyed */
+  gint64 began_us;
 } Ping;
 
 struct PeerWatch
@@ -31,11 +32,13 @@
 {
   Ping *ping = data;
   PeerWatch *watch = ping->watch;
+  gint64 began = ping->began_us;
 
   g_free (ping);
   if (!watch)
     return;
   watch->ping = NULL;
+  peers_note_ping (watch->node->peers, watch->vm, clock_now (watch->node->clock) - began);
   loop_timer_stop (watch->timer);
   /* A refusal shows that the node is reachable, too. */
   if (outcome == RPC_OK || outcome == RPC_DENIED)
@@ -73,7 +76,10 @@
   loop_timer_start (watch->timer, DOUBT_US);
   watch->ping = g_new0 (Ping, 1);
   watch->ping->watch = watch;
-  peers_ping (watch->node->peers, watch->vm, PING_TIMEOUT_US, on_pinged, watch->ping);
+  watch->ping->began_us = clock_now (watch->node->clock);
+  peers_ping (watch->node->peers, watch->vm,
+              peers_ping_timeout_us (watch->node->peers, watch->vm, PING_TIMEOUT_US),
+              on_pinged, watch->ping);
 }
 
 PeerWatch *
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <core/ping-time.h>
+
 #include "log.h"
 #include "rate-wire.h"
 #include "rumour.h"
@@ -21,6 +23,7 @@
   guint connection;  /* number of the connection that the session is on */
   PeerStamp stamp;
   gint64 stamped_us; /* when the stamp was received, on this node's clock */
+  PingTime ping_time;
 } Peer;
 
 typedef struct
@@ -328,6 +331,24 @@
   return peer ? rpc_peer_heard_us (peer->rpc) : 0;
 }
 
+void
+peers_note_ping (Peers *peers, const char *vm, gint64 took_us)
+{
+  Peer *peer = find_peer (peers, vm);
+
+  if (peer)
+    ping_time_note (&peer->ping_time, took_us);
+}
+
+gint64
+peers_ping_timeout_us (const Peers *peers, const char *vm, gint64 least_us)
+{
+  const Peer *peer = find_peer (peers, vm);
+  const PingTime unknown = { 0 };
+
+  return ping_time_timeout_us (peer ? &peer->ping_time : &unknown, least_us);
+}
+
 void
 peers_ping (
     Peers *peers, const char *vm, gint64 timeout_us, RpcDoneFunc done, gpointer data)
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -45,6 +45,11 @@
    or until it answers, it gets only work that no other node can take. */
 void peers_doubt (Peers *peers, const char *vm);
 
+/* Records how long a ping of a node took, answered or not. */
+void peers_note_ping (Peers *peers, const char *vm, gint64 took_us);
+/* Returns how long a ping of a node may take (core/ping-time.h), at least `least_us`. */
+gint64 peers_ping_timeout_us (const Peers *peers, const char *vm, gint64 least_us);
+
 /* Calls a node's empty procedure, as peers_call does. */
 void peers_ping (
     Peers *peers, const char *vm, gint64 timeout_us, RpcDoneFunc done, gpointer data);
