Full targets are not asked for a free slot again at once

Cause: an ingress asked targets for a free slot whose last report said that all slots were taken and 16 requests waited: 118,788 of 177,701 attempts were refused so. Nodes with a tenth of a core had no processor time left: those asked over 4,000 times in 30 s answered in 200 ms, the others in 1.2 ms.

Change: where an attempt needs a free slot, a target that was full by its last report is left out until half of the time has passed that the work before it takes, a second at most. Queues are asked as before.

--- a/core/include/core/balancer.h
+++ b/core/include/core/balancer.h
@@ -78,6 +78,7 @@
   BalancerHalls halls;
   BalancerShedding shedding;
   const GPtrArray *tried; /* names of targets to leave out; may be NULL */
+  gboolean needs_slot;    /* leaves out targets that can hardly have a free slot yet */
 } BalancerCriteria;
 
 typedef struct
--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -10,6 +10,8 @@
    may be chosen instead. */
 #define FULL_LOAD 1.5
 #define RETRY_AFTER_US SECOND_US
+/* Longest time for which a target counts as full after a report. */
+#define FULL_MAX_US SECOND_US
 /* Minimum number of targets that fail abruptly for a conclusion about the service. */
 #define ABRUPT_MIN 3u
 
@@ -242,6 +244,25 @@
   g_array_unref (pools->sick);
 }
 
+/*
+ * Returns whether a target that was full by its last report may have a free slot by now.
+ * Each request that was at work or waiting there takes the mean latency, divided by the
+ * slots; half of that must have passed. While most requests are refused, asking full
+ * targets again would take the processor time of the nodes beside them.
+ */
+static gboolean
+may_have_slot (const Balancer *balancer, const TargetView *view)
+{
+  const TargetReport *report = &view->report;
+  gint64 age = clock_now (balancer->clock) - view->reported_us;
+  gint64 full;
+
+  if (!view->known || report->limit == 0 || report->in_use < report->limit)
+    return TRUE;
+  full = (gint64)(report->queued + 1) * report->latency_us / report->limit / 2;
+  return age >= MIN (full, FULL_MAX_US);
+}
+
 static void
 pools_add (Balancer *balancer, Pools *pools, const Target *target, const EjectItem *item)
 {
@@ -327,7 +348,9 @@
       any_healthy |= items[i].available && items[i].severity == 0;
       if (!items[i].available || was_tried (criteria->tried, target->name))
         continue;
-      pools_add (balancer, &pools, target, &items[i]);
+      if (!criteria->needs_slot ||
+          may_have_slot (balancer, balancer_view (balancer, target->name)))
+        pools_add (balancer, &pools, target, &items[i]);
       if (items[i].severity > 0 && criteria->trial != BALANCER_NO_TRIAL &&
           !criteria->tried &&
           trial_is_due (balancer, target, balancer_view (balancer, target->name)))
--- a/core/src/request/balancer-private.h
+++ b/core/src/request/balancer-private.h
@@ -25,6 +25,7 @@
 {
   TargetReport report; /* `target` is unused */
   gboolean known;      /* a report has been received */
+  gint64 reported_us;  /* when the last one was */
   guint outstanding;   /* this ingress's attempts in flight */
   gint64 trial_due_us; /* earliest time of the next trial */
 } TargetView;
--- a/core/src/request/balancer.c
+++ b/core/src/request/balancer.c
@@ -126,6 +126,7 @@
   view->report = *report;
   view->report.target = NULL;
   view->known = TRUE;
+  view->reported_us = clock_now (balancer->clock);
 }
 
 gboolean
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -358,10 +358,71 @@
     }
 }
 
+/* All slots are taken and three requests wait: the first slot is free for another one
+   after some 100 ms. */
+static void
+test_full_targets_are_asked_over_and_over (void **state)
+{
+  Fixture fixture = setup ();
+  BalancerCriteria criteria = { .needs_slot = TRUE };
+
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("t%u", i);
+      TargetReport words = { .target = name,
+                             .incarnation = 1,
+                             .serial = 1,
+                             .in_use = 4,
+                             .limit = 4,
+                             .queued = 3,
+                             .latency_us = 100000 };
+
+      balancer_note_report (fixture.balancer, &words);
+    }
+  assert_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  /* A place in a queue is another matter. */
+  criteria.needs_slot = FALSE;
+  assert_non_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  criteria.needs_slot = TRUE;
+  clock_advance (fixture.clock, 49 * MS_US);
+  assert_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  clock_advance (fixture.clock, 51 * MS_US);
+  assert_non_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  teardown (&fixture);
+}
+
+/* It was full once, with so many waiting that they take minutes. */
+static void
+test_a_full_target_is_not_asked_for_minutes (void **state)
+{
+  Fixture fixture = setup ();
+  BalancerCriteria criteria = { .needs_slot = TRUE };
+
+  for (guint i = 0; i < TARGETS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("t%u", i);
+      TargetReport words = { .target = name,
+                             .incarnation = 1,
+                             .serial = 1,
+                             .in_use = 4,
+                             .limit = 4,
+                             .queued = 100,
+                             .latency_us = 10000000 };
+
+      balancer_note_report (fixture.balancer, &words);
+    }
+  assert_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  clock_advance (fixture.clock, SECOND_US);
+  assert_non_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_full_targets_are_asked_over_and_over),
+    cmocka_unit_test (test_a_full_target_is_not_asked_for_minutes),
     cmocka_unit_test (test_a_failing_target_kept_for_the_floor_gets_no_overflow),
     cmocka_unit_test (test_a_slow_target_kept_for_the_floor_gets_overflow),
     cmocka_unit_test (test_a_failing_target_is_not_chosen_after_healthy_ones),
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -57,11 +57,13 @@
 choose_once (const Attempt *attempt,
              BalancerTrial trial,
              BalancerHalls halls,
-             BalancerShedding shedding)
+             BalancerShedding shedding,
+             gboolean needs_slot)
 {
   const Exchange *exchange = attempt->exchange;
   g_autoptr (GPtrArray) names = excluded_targets (exchange);
-  BalancerCriteria criteria = { trial, halls, shedding, names->len ? names : NULL };
+  BalancerCriteria criteria = { trial, halls, shedding, names->len ? names : NULL,
+                                needs_slot };
 
   return balancer_choose (exchange->owner->node->balancer, attempt->service, &criteria);
 }
@@ -92,18 +94,20 @@
   switch (step)
     {
     case PLACEMENT_OWN_FREE:
-      return choose_once (attempt, trial, BALANCER_OWN_FIRST, BALANCER_SHEDDING_NEVER);
+      return choose_once (attempt, trial, BALANCER_OWN_FIRST, BALANCER_SHEDDING_NEVER,
+                          TRUE);
     case PLACEMENT_OWN_QUEUE:
       return choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_OWN_BEST,
-                          BALANCER_SHEDDING_NEVER);
+                          BALANCER_SHEDDING_NEVER, FALSE);
     case PLACEMENT_OTHER_FREE:
-      return choose_once (attempt, trial, BALANCER_OTHERS_FIRST, BALANCER_SHEDDING_NEVER);
+      return choose_once (attempt, trial, BALANCER_OTHERS_FIRST, BALANCER_SHEDDING_NEVER,
+                          TRUE);
     case PLACEMENT_SHEDDING:
       return choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_OWN_FIRST,
-                          BALANCER_SHEDDING_ONLY);
+                          BALANCER_SHEDDING_ONLY, FALSE);
     default:
       return choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_SHORTEST_WAIT,
-                          BALANCER_SHEDDING_LAST);
+                          BALANCER_SHEDDING_LAST, FALSE);
     }
 }
 
@@ -253,7 +257,7 @@
 
   refresh_service (attempt);
   choice = choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_OWN_FIRST,
-                        BALANCER_SHEDDING_NEVER);
+                        BALANCER_SHEDDING_NEVER, TRUE);
   /* A hedge is meant to avoid a slow target, so it is not sent to a sick one. */
   if (choice.sick)
     return FALSE;
