Balancer: one look-up of a target's view for each choice; tests: one report of full targets

The check for a free slot looked the view of each target up once more on the path of every request, two tests wrote the same loop of reports, and two comments told how a value was chosen.

Change: pools_add makes the check with the view that it has; report_all_full serves both tests, whose assertions are the same.

--- a/core/src/request/balancer-choose.c
+++ b/core/src/request/balancer-choose.c
@@ -264,13 +264,17 @@
 }
 
 static void
-pools_add (Balancer *balancer, Pools *pools, const Target *target, const EjectItem *item)
+pools_add (Balancer *balancer,
+           Pools *pools,
+           const Target *target,
+           const EjectItem *item,
+           gboolean needs_slot)
 {
   const TargetView *view = balancer_view (balancer, target->name);
   const Path *path = balancer_path (balancer, target->vm);
   GArray *pool = pools->steady;
 
-  if (item->ejected)
+  if (item->ejected || (needs_slot && !may_have_slot (balancer, view)))
     return;
   if (item->severity > 0)
     pool = pools->sick;
@@ -348,9 +352,7 @@
       any_healthy |= items[i].available && items[i].severity == 0;
       if (!items[i].available || was_tried (criteria->tried, target->name))
         continue;
-      if (!criteria->needs_slot ||
-          may_have_slot (balancer, balancer_view (balancer, target->name)))
-        pools_add (balancer, &pools, target, &items[i]);
+      pools_add (balancer, &pools, target, &items[i], criteria->needs_slot);
       if (items[i].severity > 0 && criteria->trial != BALANCER_NO_TRIAL &&
           !criteria->tried &&
           trial_is_due (balancer, target, balancer_view (balancer, target->name)))
--- a/core/src/request/connection-pool.c
+++ b/core/src/request/connection-pool.c
@@ -1,7 +1,7 @@
 #include <core/connection-pool.h>
 
-/* Half of the least rest after which targets drop connections: the other half is for a
-   target that reads the request late. */
+/* Shorter than the rest after which targets drop connections, because a target may read
+   the request late. */
 #define UNREPEATABLE_REST_MAX_US (50 * MS_US)
 #define UNPROBED_REST_MAX_US (90 * MS_US)
 /* Longest rest if the target does not say how long it keeps a connection. */
--- a/core/tests/test-balancer.c
+++ b/core/tests/test-balancer.c
@@ -358,14 +358,10 @@
     }
 }
 
-/* All slots are taken and three requests wait: the first slot is free for another one
-   after some 100 ms. */
+/* Reports of all targets that every slot is taken and that `queued` requests wait. */
 static void
-test_full_targets_are_asked_over_and_over (void **state)
+report_all_full (Fixture *fixture, guint queued, guint latency_us)
 {
-  Fixture fixture = setup ();
-  BalancerCriteria criteria = { .needs_slot = TRUE };
-
   for (guint i = 0; i < TARGETS; i++)
     {
       g_autofree char *name = g_strdup_printf ("t%u", i);
@@ -374,11 +370,21 @@
                              .serial = 1,
                              .in_use = 4,
                              .limit = 4,
-                             .queued = 3,
-                             .latency_us = 100000 };
+                             .queued = queued,
+                             .latency_us = latency_us };
 
-      balancer_note_report (fixture.balancer, &words);
+      balancer_note_report (fixture->balancer, &words);
     }
+}
+
+/* Four requests start before another one, at 25 ms each. */
+static void
+test_full_targets_are_asked_over_and_over (void **state)
+{
+  Fixture fixture = setup ();
+  BalancerCriteria criteria = { .needs_slot = TRUE };
+
+  report_all_full (&fixture, 3, 100000);
   assert_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
   /* A place in a queue is another matter. */
   criteria.needs_slot = FALSE;
@@ -398,19 +404,7 @@
   Fixture fixture = setup ();
   BalancerCriteria criteria = { .needs_slot = TRUE };
 
-  for (guint i = 0; i < TARGETS; i++)
-    {
-      g_autofree char *name = g_strdup_printf ("t%u", i);
-      TargetReport words = { .target = name,
-                             .incarnation = 1,
-                             .serial = 1,
-                             .in_use = 4,
-                             .limit = 4,
-                             .queued = 100,
-                             .latency_us = 10000000 };
-
-      balancer_note_report (fixture.balancer, &words);
-    }
+  report_all_full (&fixture, 100, 10000000);
   assert_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
   clock_advance (fixture.clock, SECOND_US);
   assert_non_null (balancer_choose (fixture.balancer, fixture.service, &criteria).target);
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -8,8 +8,8 @@
 
 /* Interval at which a node that does not watch checks whether it has to. */
 #define WATCHER_CHECK_INTERVAL_US (1 * SECOND_US)
-/* Interval at which a node that watches checks whether it still has to. A node that takes
-   its place begins WATCH_SETTLE_US after its start: until then this one has ended. */
+/* Interval at which a node that watches checks whether it still has to. It must end
+   before a newly started node, which waits for WATCH_SETTLE_US, takes its place. */
 #define WATCHING_CHECK_INTERVAL_US (200 * MS_US)
 /* A starting node knows no other members and would rank itself as a watcher; after this
    time gossip has named the members of its hall. Changes made meanwhile are not missed,
