Log how requests relate to the stop of their node, cancellations, and what an end cuts

The logs could not tell whether the request came before or after the stop order, whether the sidecar beside the target ended, or whether the ingress had given the attempt up for another reason.

While a node stops, request and request-failed say when request and answer came, counted from the order; attempt-cancel says why an attempt is cancelled; attempt-cut names each attempt at the node's own target that its end aborts; callers-aborted marks the earlier end of callers' requests; stopped gives the age of the stop and the answers that are not whole in the socket. No decision changes.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -41,7 +41,6 @@
   Node node;
   RpcServer *rpc;
   LoopTimer *stop;
-  gint64 stop_began_us;
   gint64 check_due_us; /* of the stop */
   gboolean check_late; /* the last one was */
   guint cut;
@@ -55,7 +54,7 @@
 static gint64
 stop_age (const NodeRun *run)
 {
-  return clock_now (run->node.clock) - run->stop_began_us;
+  return clock_now (run->node.clock) - run->node.stop_began_us;
 }
 
 static guint
@@ -71,7 +70,7 @@
 {
   members_leave (run->node.members);
   gossip_push (run->node.gossip);
-  run->cut += ingress_abort (run->node.ingress) + sidecar_active (run->node.sidecar);
+  run->cut += ingress_abort (run->node.ingress) + sidecar_log_cut (run->node.sidecar);
   run->ending = TRUE;
   loop_timer_start (run->stop, run->cut ? STOP_FLUSH_US : 0);
 }
@@ -80,10 +79,12 @@
 end (NodeRun *run)
 {
   g_autofree char *cut = g_strdup_printf ("%u", run->cut);
+  g_autofree char *unsent = g_strdup_printf ("%u", ingress_active (run->node.ingress));
+  g_autofree char *age = g_strdup_printf ("%" G_GINT64_FORMAT, stop_age (run) / MS_US);
 
   traffic_log (run->node.traffic);
   log_event (run->cut ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, "stopped", "REQUESTS_CUT",
-             cut, NULL);
+             cut, "ANSWERS_UNSENT", unsent, "STOP_MS", age, NULL);
   loop_quit (run->node.loop);
 }
 
@@ -114,6 +115,7 @@
 static void
 abort_callers (NodeRun *run)
 {
+  log_event (G_LOG_LEVEL_INFO, "callers-aborted", NULL);
   run->callers_aborted = TRUE;
   run->cut += ingress_abort (run->node.ingress);
 }
@@ -184,9 +186,10 @@
       return;
     }
   node->stopping = TRUE;
-  run->stop_began_us = clock_now (node->clock);
+  node->stop_began_us = clock_now (node->clock);
   run->leaving_before_stop = registry_is_leaving (node->registry);
-  log_event (G_LOG_LEVEL_INFO, "stopping", NULL);
+  log_event (G_LOG_LEVEL_INFO, "stopping", "TARGET_LEAVING",
+             run->leaving_before_stop ? "yes" : "no", NULL);
   sidecar_close_queues (node->sidecar);
   if (node->settings->linger_us <= STOP_DRAIN_LEAD_US)
     drain_sidecar (run);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -72,6 +72,7 @@
   gpointer discovery;                /* the adapter's; NULL for none */
   gpointer halls;                    /* the adapter's; NULL for none */
   gboolean stopping;
+  gint64 stop_began_us; /* while `stopping` */
 } Node;
 
 #endif
--- a/daemon/src/request/attempt.c
+++ b/daemon/src/request/attempt.c
@@ -90,7 +90,7 @@
 }
 
 void
-attempt_cancel (Attempt *attempt)
+attempt_cancel (Attempt *attempt, const char *why)
 {
   Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
@@ -99,6 +99,7 @@
   if (!attempt->submitted || exchange->ticket)
     return;
   attempt->submitted = FALSE;
+  request_log_attempt_cancel (attempt, why);
   attempt_fill_id (attempt, &args.attempt);
   args.sidecar = attempt->stamp.incarnation;
   args.clock_us = (guint64)attempt->stamp.reading_us;
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -224,7 +224,7 @@
     return;
   attempt = attempt_create (exchange);
   if (exchange->attempt)
-    attempt_cancel (exchange->attempt);
+    attempt_cancel (exchange->attempt, "next-attempt");
   attempt_destroy (exchange->attempt);
   exchange->attempt = attempt;
   refresh_service (attempt);
--- a/daemon/src/request/exchange-hedge.c
+++ b/daemon/src/request/exchange-hedge.c
@@ -35,7 +35,7 @@
   loop_timer_stop (exchange->hedge_timer);
   if (!exchange->hedge)
     return;
-  attempt_cancel (exchange->hedge);
+  attempt_cancel (exchange->hedge, "hedge-not-needed");
   attempt_destroy (exchange->hedge);
   exchange->hedge = NULL;
 }
@@ -83,7 +83,7 @@
   DispatchStep step;
 
   dispatch_hedge_over (exchange->dispatch, DISPATCH_LOST, REASON_TIMEOUT);
-  attempt_cancel (exchange->attempt);
+  attempt_cancel (exchange->attempt, "hedge-answered");
   attempt_destroy (exchange->attempt);
   exchange->attempt = exchange->hedge;
   exchange->hedge = NULL;
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -127,9 +127,9 @@
 /* Frees the attempt, and ignores the result of a call in flight. NULL is allowed. */
 void attempt_destroy (Attempt *attempt);
 
-/* Tells the sidecar to cancel the attempt if it may have it. An attempt with a ticket is
-   not cancelled, because other requests may carry the same ticket. */
-void attempt_cancel (Attempt *attempt);
+/* Tells the sidecar to cancel the attempt if it may have it, and logs `why`. An attempt
+   with a ticket is not cancelled, because other requests may carry the same ticket. */
+void attempt_cancel (Attempt *attempt, const char *why);
 
 /* Ignores the result of a call in flight, and ends the attempt at the balancer. */
 void attempt_detach (Attempt *attempt);
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -37,7 +37,8 @@
 {
   exchange_cancel_hedge (exchange);
   if (exchange->attempt)
-    attempt_cancel (exchange->attempt);
+    attempt_cancel (exchange->attempt,
+                    exchange->abandoned ? "caller-gone" : "request-over");
 }
 
 /* Counts, logs and sends the final answer to the caller. */
--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -84,6 +84,25 @@
              "QUEUED", queued, NULL);
 }
 
+void
+request_log_attempt_cancel (const Attempt *attempt, const char *why)
+{
+  g_autofree char *name = own_attempt_id_text (attempt);
+
+  log_event (G_LOG_LEVEL_INFO, "attempt-cancel", "ID", attempt->exchange->id, "ATTEMPT",
+             name, "TARGET", attempt->target->name, "WHY", why, NULL);
+}
+
+/* Returns the time from the node's stop order until `then_us` in milliseconds, negative
+   before the order; NULL if the node is not stopping. */
+static char *
+stop_age_text (const Node *node, gint64 then_us)
+{
+  if (!node->stopping)
+    return NULL;
+  return g_strdup_printf ("%" G_GINT64_FORMAT, (then_us - node->stop_began_us) / MS_US);
+}
+
 void
 request_log_caller_gone (const Exchange *exchange)
 {
@@ -103,6 +122,9 @@
       g_strdup_printf ("%u", dispatch_refusals (exchange->dispatch) - answered);
   g_autofree char *arrivals =
       g_strdup_printf ("%u", dispatch_arrivals (exchange->dispatch) + answered);
+  const Node *node = exchange->owner->node;
+  g_autofree char *came = stop_age_text (node, exchange->began_us);
+  g_autofree char *answered_at = stop_age_text (node, clock_now (node->clock));
   g_autofree char *status = done ? g_strdup_printf ("%u", exchange->answer.status) : NULL;
 
   gboolean late =
@@ -116,5 +138,6 @@
                  ? exchange->attempt->target->name
                  : NULL,
              "REFUSALS", refusals, "ARRIVALS", arrivals, "TOOK_US", took, "LATE",
-             done ? yes_no (late) : NULL, NULL);
+             done ? yes_no (late) : NULL, "STOP_MS_AT_ARRIVAL", came, "STOP_MS",
+             answered_at, NULL);
 }
--- a/daemon/src/request/request-log.h
+++ b/daemon/src/request/request-log.h
@@ -15,9 +15,12 @@
 void request_log_attempt_end (const Attempt *attempt,
                               RpcOutcome outcome,
                               const sw_submit_res *res);
+/* Logs that the attempt is cancelled, and why. */
+void request_log_attempt_cancel (const Attempt *attempt, const char *why);
 /* Logs that the caller has hung up. */
 void request_log_caller_gone (const Exchange *exchange);
-/* Logs the final answer. */
+/* Logs the final answer, and where the node is stopping, when request and answer came
+   relative to the stop order. */
 void request_log_end (const Exchange *exchange, const DispatchStep *step, gint64 took_us);
 
 #endif
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include "adapter.h"
+#include "attempt-id.h"
+#include "log.h"
 #include "registry.h"
 #include "verdicts.h"
 
@@ -342,6 +344,29 @@
   return g_hash_table_size (sidecar->submissions);
 }
 
+guint
+sidecar_log_cut (const Sidecar *sidecar)
+{
+  gint64 now = clock_now (sidecar->node->clock);
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, sidecar->submissions);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Submission *submission = key;
+      g_autofree char *attempt = attempt_id_text (&submission->args.attempt);
+      g_autofree char *ran =
+          submission->running
+              ? g_strdup_printf ("%" G_GINT64_FORMAT, now - submission->started_us)
+              : NULL;
+
+      log_event (G_LOG_LEVEL_WARNING, "attempt-cut", "ATTEMPT", attempt, "TARGET",
+                 submission->target->name, "RAN_US", ran, NULL);
+    }
+  return sidecar_active (sidecar);
+}
+
 void
 sidecar_write_status (Sidecar *sidecar, JsonBuilder *builder)
 {
--- a/daemon/src/target/sidecar.h
+++ b/daemon/src/target/sidecar.h
@@ -58,6 +58,10 @@
 /* Returns the number of requests that run or wait at this VM's targets. */
 guint sidecar_active (const Sidecar *sidecar);
 
+/* Logs each request that the end of the process aborts at this VM's targets. Returns
+   their number. */
+guint sidecar_log_cut (const Sidecar *sidecar);
+
 /* Appends an array of the targets with their verdicts and the reasons for them. */
 void sidecar_write_status (Sidecar *sidecar, JsonBuilder *builder);
 
