A short turn of the loop is not reported for processor time of others

Where the thread's time is accounted in ticks, the turn in which a tick falls was charged for all of it. The charge is bounded by the turn's duration now, in the log and in the metric.

--- a/io/src/loop.c
+++ b/io/src/loop.c
@@ -189,8 +189,9 @@
   if (!loop->iteration_func)
     return;
   cpu_us = clock_thread_cpu ();
-  turn.cpu_us = cpu_us - loop->iteration_began_cpu_us;
   turn.took_us = clock_now (loop->clock) - loop->iteration_began_us;
+  /* Where processor time is accounted in ticks, one turn is charged for many. */
+  turn.cpu_us = MIN (cpu_us - loop->iteration_began_cpu_us, turn.took_us);
   loop->iteration_began_cpu_us = cpu_us;
   if (turn.cpu_us >= LOOP_ITERATION_LONG_CPU_US || turn.took_us >= LOOP_ITERATION_LONG_US)
     loop->iteration_func (&turn, loop->iteration_data);
