--- a/standins/src/target-faults.c
+++ b/standins/src/target-faults.c
@@ -51,6 +51,7 @@
   char *deadly = target_query_text (path, "deadly");
 
   faults->latency_us = milliseconds (path, "latency_ms", faults->latency_us);
+  faults->body_kb = (guint)target_query_number (path, "body_kb", faults->body_kb);
   faults->error_percent =
       (guint)target_query_number (path, "error_percent", faults->error_percent);
   faults->slow_percent =
--- a/standins/src/target-faults.h
+++ b/standins/src/target-faults.h
@@ -29,6 +29,7 @@
   gint64 flap_us;     /* faults are on and off in turn, for this long; 0 for always on */
   gint64 forget_us;   /* connections that rested longer are reset as the next bytes come,
                          which are not read; 0 for never */
+  guint body_kb;      /* padding of each whole answer */
   TargetAnswer answer;
   char *rate;    /* named in answers, may be malformed; NULL for none */
   char *leaving; /* value of the header that says that the target leaves; NULL for none */
--- a/standins/src/target.c
+++ b/standins/src/target.c
@@ -9,7 +9,7 @@
  *
  * Control paths:
  *   /_control?latency_ms=N&error_percent=N&slow_percent=N&slow_ms=N&flap_ms=N&answer=TEXT
- *             &deadly=TEXT&rate=TEXT&leaving=TEXT
+ *             &deadly=TEXT&rate=TEXT&leaving=TEXT&body_kb=N
  *     answer=whole: the default.
  *     answer=truncated: closes before the end of the body.
  *     answer=long: sends extra bytes after the answer.
@@ -27,6 +27,7 @@
  *     "|" separates; leaving: they say that the target leaves. "off" ends either.
  *     forget_ms: connections that rested longer are reset as the next bytes come, which
  *     are not read; an empty line does not end the rest; 0 for never.
+ *     body_kb: each answer is longer by this.
  *     flap_ms: faults are on and off in turn, for this long.
  *   /_health: always answers 200.
  *   /_connections: the number of connections accepted so far.
@@ -102,13 +103,23 @@
   start_queued ();
 }
 
+/* Returns the body of a whole answer. */
+static char *
+whole_body (const TargetConn *conn)
+{
+  g_autofree char *body = target_conn_body (conn, name);
+  g_autofree char *padding = g_strnfill (1024 * (gsize)faults.body_kb, '.');
+
+  return g_strconcat (body, padding, NULL);
+}
+
 static void
 send_answer (TargetConn *conn)
 {
   gboolean faulty = faults_on ();
   TargetAnswer kind = faulty ? faults.answer : TARGET_WHOLE;
   gboolean error = faulty && (guint)g_rand_int_range (rng, 0, 100) < faults.error_percent;
-  g_autofree char *body = target_conn_body (conn, name);
+  g_autofree char *body = whole_body (conn);
 
   conn->notices = notices;
   if (error)
