Work that comes during a stop gets no more time than the stop has

Cause: a stopping node admitted work as if it went on. It lingers for 2.5 s, so that callers can leave, and gave each request the whole time of its route and caller, 4 to 5 s, in a stop that ends 3 to 5 s later. Its class: work accepted for longer than its acceptor lives.

The deadline of what comes during a stop, and of further attempts of what was there, ends 0.15 s before the stop does, and travels to the target like any deadline. A request starts if the mean latency of its route is left, and waits in a queue as long as 98 in 100 would still end in time (core/stop); otherwise it is refused at once, which is true.

--- a/core/src/request/dispatch.c
+++ b/core/src/request/dispatch.c
@@ -67,6 +67,12 @@
   return dispatch->policy.deadline_us - clock_now (dispatch->clock);
 }
 
+void
+dispatch_set_end (Dispatch *dispatch, gint64 end_us)
+{
+  dispatch->policy.deadline_us = MIN (dispatch->policy.deadline_us, end_us);
+}
+
 gint64
 dispatch_remaining_us (const Dispatch *dispatch)
 {
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -1,6 +1,7 @@
 #include "node-run.h"
 
 #include <apr_general.h>
+#include <core/stop.h>
 #include <string.h>
 
 #include "account-stats.h"
@@ -187,13 +188,14 @@
     }
   node->stopping = TRUE;
   node->stop_began_us = clock_now (node->clock);
+  node->work_until_us = node->stop_began_us + node->settings->stop_us - STOP_ANSWER_US;
   run->leaving_before_stop = registry_is_leaving (node->registry);
   log_event (G_LOG_LEVEL_INFO, "stopping", "TARGET_LEAVING",
              run->leaving_before_stop ? "yes" : "no", NULL);
   sidecar_close_queues (node->sidecar);
   if (node->settings->linger_us <= STOP_DRAIN_LEAD_US)
     drain_sidecar (run);
-  ingress_close_connections (node->ingress);
+  ingress_begin_stop (node->ingress);
   if (node->settings->linger_us == 0)
     ingress_drain (node->ingress);
   start_check_timer (run, STOP_CHECK_US);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -72,7 +72,8 @@
   gpointer discovery;                /* the adapter's; NULL for none */
   gpointer halls;                    /* the adapter's; NULL for none */
   gboolean stopping;
-  gint64 stop_began_us; /* while `stopping` */
+  gint64 stop_began_us; /* while `stopping`, as the next */
+  gint64 work_until_us; /* by when work that comes during the stop must have ended */
 } Node;
 
 #endif
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <core/stop.h>
+
 #include "config-sync.h"
 
 /* After this many refusals with REASON_UNPROVED, a target is asked to accept the request
@@ -121,6 +123,31 @@
   return step != PLACEMENT_OWN_FREE || choice->local || choice->trial;
 }
 
+/* Returns how long a request may wait in a queue at this step; 0 for no bound but the
+   deadline, negative if it may not wait. */
+static gint64
+max_wait_us (const Exchange *exchange, PlacementStep step, gint64 slack)
+{
+  gint64 bound = step == PLACEMENT_OWN_QUEUE ? slack : 0;
+  LatencyFit fit;
+  gint64 wait;
+
+  if (!exchange->owner->node->stopping)
+    return bound;
+  fit = exchange_latency_fit (exchange);
+  wait = stop_max_wait_us (&fit, dispatch_remaining_us (exchange->dispatch));
+  /* The wire counts milliseconds, and 0 is no bound. */
+  if (wait < MS_US)
+    return -1;
+  return bound > 0 ? MIN (bound, wait) : wait;
+}
+
+static gboolean
+is_queue (PlacementStep step)
+{
+  return step == PLACEMENT_OWN_QUEUE || step == PLACEMENT_LAST_QUEUE;
+}
+
 static BalancerChoice
 choose_by_placement (Attempt *attempt)
 {
@@ -135,13 +162,16 @@
       step = placement_next (&exchange->placement, slack, arrivals);
       if (step == PLACEMENT_EXHAUSTED)
         break;
-      choice = choose_for_step (attempt, step);
-      if (matches_step (&choice, step))
-        break;
+      attempt->may_queue = is_queue (step);
+      attempt->max_wait_us = attempt->may_queue ? max_wait_us (exchange, step, slack) : 0;
+      if (attempt->max_wait_us >= 0)
+        {
+          choice = choose_for_step (attempt, step);
+          if (matches_step (&choice, step))
+            break;
+        }
       placement_skip (&exchange->placement);
     }
-  attempt->may_queue = step == PLACEMENT_OWN_QUEUE || step == PLACEMENT_LAST_QUEUE;
-  attempt->max_wait_us = step == PLACEMENT_OWN_QUEUE ? slack : 0;
   if (step == PLACEMENT_EXHAUSTED)
     choice.target = NULL;
   return choice;
@@ -164,6 +194,16 @@
          exchange_slack_us (exchange) > RECHECK_INTERVAL_US;
 }
 
+/* Whether the stop of this node is too close for another attempt. */
+static gboolean
+is_too_late_for_stop (const Exchange *exchange)
+{
+  LatencyFit fit = exchange_latency_fit (exchange);
+
+  return exchange->owner->node->stopping && !exchange->ticket &&
+         !stop_may_start (&fit, dispatch_remaining_us (exchange->dispatch));
+}
+
 static void
 choose_later (Exchange *exchange)
 {
@@ -228,7 +268,11 @@
   attempt_destroy (exchange->attempt);
   exchange->attempt = attempt;
   refresh_service (attempt);
-  if (exchange->ticket)
+  if (is_too_late_for_stop (exchange))
+    {
+      found = FALSE;
+    }
+  else if (exchange->ticket)
     {
       found = choose_ticket_target (attempt);
     }
@@ -247,6 +291,8 @@
       return;
     }
   step = dispatch_chosen (exchange->dispatch, found, choice.retry_after_us);
+  if (exchange->owner->node->stopping && step.reason == REASON_NO_TARGET)
+    step.reason = REASON_DRAINING;
   exchange_carry_out (exchange, &step);
 }
 
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -198,6 +198,8 @@
       loop_timer_create (node->loop, exchange_on_hedge_timer, exchange);
   policy.deadline_us = exchange->began_us + order->span_us;
   exchange->dispatch = dispatch_create (&policy, node->rand, node->clock);
+  if (node->stopping)
+    dispatch_set_end (exchange->dispatch, node->work_until_us);
   return exchange;
 }
 
@@ -269,6 +271,17 @@
     on_ticket_session (NULL, exchange);
 }
 
+void
+exchanges_begin_stop (Exchanges *exchanges)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, exchanges->set);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    dispatch_set_end (((Exchange *)key)->dispatch, exchanges->node->work_until_us);
+}
+
 /*
  * Answers the caller and starts nothing more, because the answer may say that nothing
  * ran. A pending session or fence query still calls back with the exchange; the callback
--- a/daemon/src/request/exchange.h
+++ b/daemon/src/request/exchange.h
@@ -38,6 +38,9 @@
 /* Answers with a ticket for the order's service instead of running the request. */
 void exchanges_issue_ticket (Exchanges *exchanges, const ExchangeParams *order);
 
+/* Bounds the time of the exchanges' further attempts by the node's stop. */
+void exchanges_begin_stop (Exchanges *exchanges);
+
 /* Answers all exchanges immediately, for a forced stop; returns their number. */
 guint exchanges_abort (Exchanges *exchanges);
 
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -271,8 +271,9 @@
 }
 
 void
-ingress_close_connections (Ingress *ingress)
+ingress_begin_stop (Ingress *ingress)
 {
+  exchanges_begin_stop (ingress->exchanges);
   http_server_set_closing (ingress->server);
 }
 
--- a/daemon/src/request/ingress.h
+++ b/daemon/src/request/ingress.h
@@ -10,9 +10,9 @@
 Ingress *ingress_create (Node *node, GError **error);
 void ingress_destroy (Ingress *ingress);
 
-/* Continues to serve, but closes each connection with its next answer, so that callers
-   connect to other nodes. */
-void ingress_close_connections (Ingress *ingress);
+/* Continues to serve what can end before the stop does (core/stop.h), but closes each
+   connection with its next answer, so that callers connect to other nodes. */
+void ingress_begin_stop (Ingress *ingress);
 
 /* Answers new requests with "not run" from now on; those in flight continue. */
 void ingress_drain (Ingress *ingress);
