The process ends when its last answers have been acknowledged

The node had answered 1.2 ms before it logged stopped, with no request cut, 0.3 s before its kill.

Cause: a stop counted a request as over once its answer had been handed to the HTTP library, and waited for bytes only when it had cut a request itself. Its class: an end that follows the last answer without asking whether it has left.

The last check now asks whether an answer is unwritten or unacknowledged, or a reply to another node waits for its connection, and waits for it: until 0.2 s after the stop's time, which lies before the kill, or for 2 s where the stop ends early. New requests are refused meanwhile.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -34,8 +34,12 @@
    can announce this. Until then its target, which is healthy and stays, is useful to the
    fleet. */
 #define STOP_DRAIN_LEAD_US (500 * MS_US)
-/* Time for the last answers to go out when a stop aborts requests. */
+/* Time for the last answers to go out when a stop aborts requests; also how long after
+   the end of the stop's time the process may still wait for them. */
 #define STOP_FLUSH_US (200 * MS_US)
+/* Bounds the wait for callers that read their answers slowly. */
+#define STOP_FLUSH_MAX_US (2 * SECOND_US)
+#define STOP_FLUSH_CHECK_US (5 * MS_US)
 
 struct NodeRun
 {
@@ -50,6 +54,7 @@
   gboolean drained;             /* the sidecar accepts no new work */
   gboolean stop_at_once;
   gboolean ending;
+  gint64 flush_until_us; /* while `ending` */
 };
 
 static gint64
@@ -64,18 +69,44 @@
   return ingress_active (run->node.ingress) + sidecar_active (run->node.sidecar);
 }
 
+/* Returns until when the process waits for the last answers to be read: a little longer
+   than the stop may take, but not for long if that is far. */
+static gint64
+flush_end_us (const NodeRun *run)
+{
+  gint64 now = clock_now (run->node.clock);
+  gint64 end = run->node.stop_began_us + run->node.settings->stop_us + STOP_FLUSH_US;
+
+  return CLAMP (end, now + STOP_FLUSH_US, now + STOP_FLUSH_MAX_US);
+}
+
 /* Announces the leave to the fleet, and aborts the remaining requests. The loop keeps
-   running for STOP_FLUSH_US, so that their answers go out. */
+   running, so that the last answers go out. */
 static void
 abort_remaining (NodeRun *run)
 {
   members_leave (run->node.members);
   gossip_push (run->node.gossip);
   run->cut += ingress_abort (run->node.ingress) + sidecar_log_cut (run->node.sidecar);
+  ingress_drain (run->node.ingress);
   run->ending = TRUE;
+  run->flush_until_us = flush_end_us (run);
   loop_timer_start (run->stop, run->cut ? STOP_FLUSH_US : 0);
 }
 
+/* Whether an answer to a caller or to another node is still to be sent. */
+static gboolean
+is_sending (const NodeRun *run)
+{
+  return ingress_is_sending (run->node.ingress) || rpc_server_is_sending (run->rpc);
+}
+
+static gboolean
+waits_for_answers (const NodeRun *run)
+{
+  return is_sending (run) && clock_now (run->node.clock) < run->flush_until_us;
+}
+
 static void
 end (NodeRun *run)
 {
@@ -168,7 +199,9 @@
     ingress_drain (run->node.ingress);
   if (may_abort_callers (run))
     abort_callers (run);
-  if (run->ending)
+  if (run->ending && waits_for_answers (run))
+    loop_timer_start (run->stop, STOP_FLUSH_CHECK_US);
+  else if (run->ending)
     end (run);
   else if (quiet || run->stop_at_once || stop_age (run) >= run->node.settings->stop_us)
     abort_remaining (run);
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -303,6 +303,12 @@
          exchanges_abort (ingress->exchanges);
 }
 
+gboolean
+ingress_is_sending (const Ingress *ingress)
+{
+  return http_server_is_sending (ingress->server);
+}
+
 guint
 ingress_active (const Ingress *ingress)
 {
--- a/daemon/src/request/ingress.h
+++ b/daemon/src/request/ingress.h
@@ -23,6 +23,9 @@
  */
 guint ingress_abort (Ingress *ingress);
 
+/* Returns whether an answer is still on its way to its caller. */
+gboolean ingress_is_sending (const Ingress *ingress);
+
 /* Returns the number of requests in flight. */
 guint ingress_active (const Ingress *ingress);
 
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -33,6 +33,9 @@
                               GError **error);
 void rpc_server_destroy (RpcServer *server);
 
+/* Returns whether a reply waits for its connection to take it. */
+gboolean rpc_server_is_sending (const RpcServer *server);
+
 RpcConn *rpc_conn_ref (RpcConn *conn);
 void rpc_conn_unref (RpcConn *conn);
 
--- a/io/src/rpc-server.c
+++ b/io/src/rpc-server.c
@@ -166,6 +166,19 @@
   g_free (server);
 }
 
+gboolean
+rpc_server_is_sending (const RpcServer *server)
+{
+  for (guint i = 0; i < server->conns->len; i++)
+    {
+      const RpcConn *conn = g_ptr_array_index (server->conns, i);
+
+      if (stream_is_sending (conn->stream))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static gsize
 send_message (RpcConn *conn, GByteArray *message)
 {
--- a/io/src/stream.c
+++ b/io/src/stream.c
@@ -206,6 +206,12 @@
     flush (stream);
 }
 
+gboolean
+stream_is_sending (const Stream *stream)
+{
+  return stream->out_at < stream->out->len;
+}
+
 void
 stream_bytes (const Stream *stream, guint64 *sent, guint64 *received)
 {
--- a/io/src/stream.h
+++ b/io/src/stream.h
@@ -31,6 +31,9 @@
 /* Bounds the records that the other side may send, in bytes. */
 void stream_set_record_max (Stream *stream, gsize max);
 
+/* Returns whether bytes wait for the socket to take them. */
+gboolean stream_is_sending (const Stream *stream);
+
 void stream_bytes (const Stream *stream, guint64 *sent, guint64 *received);
 
 #endif
