A stopping sidecar leaves work that may outlast it to other targets

A request that asks for a free slot is refused for want of room if more than 2 in 100 on its route would outlast the sidecar. One that may queue is taken all the same: its ingress has found no room elsewhere, so that nothing is refused that was served before. Tried earlier and dropped was a refusal without that difference.

--- a/daemon/src/target/sidecar-calls.c
+++ b/daemon/src/target/sidecar-calls.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include <core/stop.h>
 #include <wire/convert.h>
 
 static void
@@ -131,6 +132,18 @@
          start_limit_allows (target->start_limit);
 }
 
+/* Returns whether an attempt may last longer than this node, which stops. One that may
+   queue is accepted all the same: its ingress has found no free slot elsewhere. */
+static gboolean
+may_outlast_stop (const Sidecar *sidecar, const sw_submit_args *args)
+{
+  const Node *node = sidecar->node;
+  LatencyFit fit = latency_fit_unpack (args->sibling_fit);
+
+  return node->stopping && !args->may_queue && latency_fit_is_known (&fit) &&
+         stop_max_wait_us (&fit, node->work_until_us - clock_now (node->clock)) == 0;
+}
+
 /* Returns why the attempt is refused, or SW_REASON_NONE. `has_slot` says that a slot is
    held for it. */
 static sw_reason
@@ -153,6 +166,8 @@
   if ((!args->may_queue || sidecar->queues_closed) && !may_force_slot (target, args) &&
       !admission_is_free (target->admission))
     return sidecar_no_room (target, sidecar);
+  if (may_outlast_stop (sidecar, args))
+    return SW_REASON_OVERLOAD;
   if (args->proved_only &&
       !proof_is_fresh (&target->proof, clock_now (sidecar->node->clock)))
     return SW_REASON_UNPROVED;
