A stop forbids attempts, and not arrivals; calls of a leaving target go on

A stopping node whose target leaves refused every arrival, also the calls of that target, which still runs work of other callers: 503 where the linger had served them. And a request that had come before the target's notice could still start late.

The rule moves from the arrival to the attempt: while the target of a stopping node leaves, what came after the stop order starts no further attempt, calls of the target excepted. With it, four edges of the bounds: a wait in a queue is bounded by the stop's time alone, not by the request's own deadline, so that a long stop refuses nothing; trials of quarantined requests are bounded too, and hedges; the time handed to a target is what is left when the request is sent, not when its session was opened.

test_calls_of_a_leaving_target_are_refused_during_a_stop failed before (503) and passes. The test of queued work also expects that what finds a slot is served, and no test waits without a bound.

--- a/core/include/core/dispatch.h
+++ b/core/include/core/dispatch.h
@@ -106,7 +106,8 @@
 /* How the next attempt counts in the service's retry budget, which the sidecars keep. */
 RetryKind dispatch_retry_kind (const Dispatch *dispatch);
 
-/* Moves the deadline to `end_us` if it is later. An attempt in flight keeps its time. */
+/* Brings the deadline forward to `end_us`, unless it is earlier already. An attempt in
+   flight keeps its time. */
 void dispatch_set_end (Dispatch *dispatch, gint64 end_us);
 
 /* Time until the deadline; negative after it. */
--- a/daemon/src/request/attempt-send.c
+++ b/daemon/src/request/attempt-send.c
@@ -130,13 +130,16 @@
   const Exchange *exchange = attempt->exchange;
   Node *node = exchange->owner->node;
   LatencyFit fit = exchange_latency_fit (exchange);
+  /* Opening a session and asking for a slot took time, and a stop may have begun. */
+  gint64 remaining =
+      MIN (attempt->remaining_us, dispatch_remaining_us (exchange->dispatch));
 
   attempt_fill_id (attempt, &args->attempt);
   args->sidecar = attempt->stamp.incarnation;
   args->clock_us = (guint64)attempt->stamp.reading_us;
   args->target = attempt->target->name;
   args->tenant = attempt->service->tenant;
-  args->remaining_ms = (u_int)MAX (1, attempt->remaining_us / MS_US);
+  args->remaining_ms = (u_int)MAX (1, remaining / MS_US);
   args->priority = exchange->priority;
   args->repeatable = exchange->route->repeatable;
   args->retry = attempt->retry;
--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -5,6 +5,7 @@
 #include <core/stop.h>
 
 #include "config-sync.h"
+#include "registry.h"
 
 /* After this many refusals with REASON_UNPROVED, a target is asked to accept the request
    even if it has not kept one lately (core/proof.h). */
@@ -55,6 +56,36 @@
   return names;
 }
 
+/* Returns the time that the node's stop leaves for work; only while it is stopping. */
+static gint64
+stop_left_us (const Exchange *exchange)
+{
+  const Node *node = exchange->owner->node;
+
+  return node->work_until_us - clock_now (node->clock);
+}
+
+/*
+ * Whether the node's stop forbids another attempt: it is too close, or the target beside
+ * the node leaves. For that a supervisor orders the stop again once the target has ended.
+ * It counts the grace period from the last order but kills the node by the first, so that
+ * work that lasts until then is aborted too soon. Calls of the leaving target, which end
+ * with its work, and what came before the stop go on.
+ */
+static gboolean
+stop_forbids_attempt (const Exchange *exchange)
+{
+  const Node *node = exchange->owner->node;
+  LatencyFit fit = exchange_latency_fit (exchange);
+
+  if (!node->stopping || exchange->ticket)
+    return FALSE;
+  if (!exchange->call && exchange->began_us >= node->stop_began_us &&
+      registry_is_leaving (node->registry))
+    return TRUE;
+  return !stop_may_start (&fit, stop_left_us (exchange));
+}
+
 static BalancerChoice
 choose_once (const Attempt *attempt,
              BalancerTrial trial,
@@ -123,23 +154,21 @@
   return step != PLACEMENT_OWN_FREE || choice->local || choice->trial;
 }
 
-/* Returns how long a request may wait in a queue at this step; 0 for no bound but the
-   deadline, negative if it may not wait. */
-static gint64
-max_wait_us (const Exchange *exchange, PlacementStep step, gint64 slack)
+/* Bounds *wait_us, how long a request may wait in a queue (0 for no bound but its
+   deadline), by the node's stop. Returns FALSE if it may not wait. */
+static gboolean
+bound_wait (const Exchange *exchange, gint64 *wait_us)
 {
-  gint64 bound = step == PLACEMENT_OWN_QUEUE ? slack : 0;
   LatencyFit fit;
-  gint64 wait;
+  gint64 bound;
 
   if (!exchange->owner->node->stopping)
-    return bound;
+    return TRUE;
   fit = exchange_latency_fit (exchange);
-  wait = stop_max_wait_us (&fit, dispatch_remaining_us (exchange->dispatch));
-  /* The wire counts milliseconds, and 0 is no bound. */
-  if (wait < MS_US)
-    return -1;
-  return bound > 0 ? MIN (bound, wait) : wait;
+  bound = stop_max_wait_us (&fit, stop_left_us (exchange));
+  *wait_us = *wait_us > 0 ? MIN (*wait_us, bound) : bound;
+  /* The wire counts milliseconds. */
+  return bound >= MS_US;
 }
 
 static gboolean
@@ -163,8 +192,8 @@
       if (step == PLACEMENT_EXHAUSTED)
         break;
       attempt->may_queue = is_queue (step);
-      attempt->max_wait_us = attempt->may_queue ? max_wait_us (exchange, step, slack) : 0;
-      if (attempt->max_wait_us >= 0)
+      attempt->max_wait_us = step == PLACEMENT_OWN_QUEUE ? slack : 0;
+      if (!attempt->may_queue || bound_wait (exchange, &attempt->max_wait_us))
         {
           choice = choose_for_step (attempt, step);
           if (matches_step (&choice, step))
@@ -194,16 +223,6 @@
          exchange_slack_us (exchange) > RECHECK_INTERVAL_US;
 }
 
-/* Whether the stop of this node is too close for another attempt. */
-static gboolean
-is_too_late_for_stop (const Exchange *exchange)
-{
-  LatencyFit fit = exchange_latency_fit (exchange);
-
-  return exchange->owner->node->stopping && !exchange->ticket &&
-         !stop_may_start (&fit, dispatch_remaining_us (exchange->dispatch));
-}
-
 static void
 choose_later (Exchange *exchange)
 {
@@ -242,11 +261,13 @@
   BalancerChoice choice = { .target = exchange_trial_target (attempt->exchange,
                                                              attempt->service) };
 
+  attempt->max_wait_us = 0;
+  if (!bound_wait (attempt->exchange, &attempt->max_wait_us))
+    return FALSE;
   if (!store_choice (attempt, &choice))
     return FALSE;
   attempt->trial = TRUE;
   attempt->may_queue = TRUE;
-  attempt->max_wait_us = 0;
   metrics_add (attempt->exchange->owner->node->metrics, METRIC_QUARANTINE_TRIALS, 1);
   return TRUE;
 }
@@ -256,6 +277,7 @@
 {
   QuarantineVerdict verdict = exchange_quarantine (exchange);
   BalancerChoice choice = { 0 };
+  gboolean forbidden = stop_forbids_attempt (exchange);
   Attempt *attempt;
   gboolean found;
   DispatchStep step;
@@ -268,7 +290,7 @@
   attempt_destroy (exchange->attempt);
   exchange->attempt = attempt;
   refresh_service (attempt);
-  if (is_too_late_for_stop (exchange))
+  if (forbidden)
     {
       found = FALSE;
     }
@@ -291,7 +313,7 @@
       return;
     }
   step = dispatch_chosen (exchange->dispatch, found, choice.retry_after_us);
-  if (exchange->owner->node->stopping && step.reason == REASON_NO_TARGET)
+  if (forbidden && step.reason == REASON_NO_TARGET)
     step.reason = REASON_DRAINING;
   exchange_carry_out (exchange, &step);
 }
@@ -301,6 +323,8 @@
 {
   BalancerChoice choice;
 
+  if (stop_forbids_attempt (exchange))
+    return FALSE;
   refresh_service (attempt);
   choice = choose_once (attempt, BALANCER_NO_TRIAL, BALANCER_OWN_FIRST,
                         BALANCER_SHEDDING_NEVER, TRUE);
--- a/daemon/src/request/exchange-private.h
+++ b/daemon/src/request/exchange-private.h
@@ -76,6 +76,7 @@
   char *service; /* the name; of the service picked, where the route is split */
   char *tenant;
   const Account *account; /* of `snapshot`, also after a new configuration; or NULL */
+  gboolean call;          /* a target makes it for a request that it runs */
   gboolean key_checked;   /* the access key was checked and is not forwarded */
   guint priority;
   Ticket *ticket; /* or NULL */
--- a/daemon/src/request/exchange.c
+++ b/daemon/src/request/exchange.c
@@ -187,6 +187,7 @@
   exchange->service = g_strdup (order->service->name);
   exchange->tenant = g_strdup (order->service->tenant);
   exchange->account = order->account;
+  exchange->call = order->call;
   exchange->key_checked = order->key_checked;
   exchange->priority = order->priority;
   exchange->ticket = order->ticket;
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -13,7 +13,6 @@
 #include "config-sync.h"
 #include "exchange.h"
 #include "identity.h"
-#include "registry.h"
 #include "sidecar.h"
 #include "start-queue.h"
 
@@ -177,23 +176,11 @@
     refuse (ingress, order, verdict);
 }
 
-/*
- * Whether the node stops and its target leaves. A supervisor that removes a VM orders the
- * stop of its node again once the target has ended. It counts the grace period from the
- * last order, but kills the node by the first, so that work which is aborted at the end
- * is aborted too soon. No work is taken on that may last until then.
- */
-static gboolean
-is_removed (const Node *node)
-{
-  return node->stopping && registry_is_leaving (node->registry);
-}
-
 /* Returns why this node accepts no requests at present, or NULL. */
 static const char *
 unavailable_reason (const Ingress *ingress)
 {
-  if (ingress->draining || is_removed (ingress->node))
+  if (ingress->draining)
     return "this node is stopping; ask another";
   if (!config_sync_ready (ingress->node->config))
     return "this node has no configuration yet";
@@ -303,12 +290,6 @@
          exchanges_abort (ingress->exchanges);
 }
 
-gboolean
-ingress_is_sending (const Ingress *ingress)
-{
-  return http_server_is_sending (ingress->server);
-}
-
 guint
 ingress_active (const Ingress *ingress)
 {
--- a/daemon/src/request/ingress.h
+++ b/daemon/src/request/ingress.h
@@ -23,10 +23,7 @@
  */
 guint ingress_abort (Ingress *ingress);
 
-/* Returns whether an answer is still on its way to its caller. */
-gboolean ingress_is_sending (const Ingress *ingress);
-
-/* Returns the number of requests in flight. */
+/* Returns the number of requests whose answers have not been written whole. */
 guint ingress_active (const Ingress *ingress);
 
 #endif
