An end waits for answers, and for nothing longer than the kill

Found in review. The end of a stop could overrun: a late check deferred once, and 0.2 s after it. It now keeps to the stop's time and 0.2 s, or 50 ms after a late check. While it waits, the sidecar accepts no work either, which it would not have counted as cut.

What is waited for is that the answer has been written.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -69,15 +69,28 @@
   return ingress_active (run->node.ingress) + sidecar_active (run->node.sidecar);
 }
 
-/* Returns until when the process waits for the last answers to be read: a little longer
-   than the stop may take, but not for long if that is far. */
+/* Returns until when the process waits for the last answers to be written: a little
+   longer than the stop may take, but not for long if that is far. */
 static gint64
 flush_end_us (const NodeRun *run)
 {
   gint64 now = clock_now (run->node.clock);
   gint64 end = run->node.stop_began_us + run->node.settings->stop_us + STOP_FLUSH_US;
 
-  return CLAMP (end, now + STOP_FLUSH_US, now + STOP_FLUSH_MAX_US);
+  return CLAMP (end, now + STOP_CHECK_US, now + STOP_FLUSH_MAX_US);
+}
+
+static void
+drain_sidecar (NodeRun *run)
+{
+  run->drained = TRUE;
+  sidecar_drain (run->node.sidecar);
+}
+
+static gint64
+flush_left_us (const NodeRun *run)
+{
+  return run->flush_until_us - clock_now (run->node.clock);
 }
 
 /* Announces the leave to the fleet, and aborts the remaining requests. The loop keeps
@@ -89,22 +102,24 @@
   gossip_push (run->node.gossip);
   run->cut += ingress_abort (run->node.ingress) + sidecar_log_cut (run->node.sidecar);
   ingress_drain (run->node.ingress);
+  if (!run->drained)
+    drain_sidecar (run);
   run->ending = TRUE;
   run->flush_until_us = flush_end_us (run);
-  loop_timer_start (run->stop, run->cut ? STOP_FLUSH_US : 0);
+  loop_timer_start (run->stop, run->cut ? MIN (STOP_FLUSH_US, flush_left_us (run)) : 0);
 }
 
 /* Whether an answer to a caller or to another node is still to be sent. */
 static gboolean
 is_sending (const NodeRun *run)
 {
-  return ingress_is_sending (run->node.ingress) || rpc_server_is_sending (run->rpc);
+  return ingress_active (run->node.ingress) > 0 || rpc_server_is_sending (run->rpc);
 }
 
 static gboolean
 waits_for_answers (const NodeRun *run)
 {
-  return is_sending (run) && clock_now (run->node.clock) < run->flush_until_us;
+  return is_sending (run) && flush_left_us (run) > 0;
 }
 
 static void
@@ -120,13 +135,6 @@
   loop_quit (run->node.loop);
 }
 
-static void
-drain_sidecar (NodeRun *run)
-{
-  run->drained = TRUE;
-  sidecar_drain (run->node.sidecar);
-}
-
 /*
  * A supervisor that removes a VM stops the VM's node once the target there has ended,
  * even if an earlier order is stopping the node already. It kills the node by the
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -54,10 +54,6 @@
 /* Returns the number of requests that were accepted and are not yet answered in full. */
 guint http_server_active (const HttpServer *server);
 
-/* Returns whether an answer has not reached its caller yet: it is not written whole, or
-   the kernel has not seen all of it acknowledged. */
-gboolean http_server_is_sending (const HttpServer *server);
-
 HttpRequest *http_request_ref (HttpRequest *request);
 void http_request_unref (HttpRequest *request);
 
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -2,9 +2,7 @@
 #include "http-server-private.h"
 
 #include <gio/gio.h>
-#include <linux/sockios.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -423,29 +421,6 @@
   server->closing = TRUE;
 }
 
-static gboolean
-has_unacknowledged (const Conn *conn)
-{
-  int bytes = 0;
-
-  return ioctl (conn->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
-
-gboolean
-http_server_is_sending (const HttpServer *server)
-{
-  GHashTableIter iter;
-  gpointer key;
-
-  if (server->active > 0)
-    return TRUE;
-  g_hash_table_iter_init (&iter, server->conns);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (has_unacknowledged (key))
-      return TRUE;
-  return FALSE;
-}
-
 guint
 http_server_active (const HttpServer *server)
 {
