--- a/core/tests/test-dispatch.c
+++ b/core/tests/test-dispatch.c
@@ -330,6 +330,47 @@
   clock_destroy (clock);
 }
 
+/* A stop bounds what is at work, and leaves alone what would have ended before it. */
+static void
+test_the_end_of_a_stop_gives_a_request_more_time (void **state)
+{
+  Fixture fixture = setup (TRUE, 2);
+
+  dispatch_set_end (fixture.dispatch, SECOND_US + 2 * DEADLINE_US);
+  assert_int_equal (dispatch_remaining_us (fixture.dispatch), DEADLINE_US);
+  dispatch_set_end (fixture.dispatch, SECOND_US + 300 * MS_US);
+  assert_int_equal (dispatch_remaining_us (fixture.dispatch), 300 * MS_US);
+  dispatch_set_end (fixture.dispatch, SECOND_US + 400 * MS_US);
+  assert_int_equal (dispatch_remaining_us (fixture.dispatch), 300 * MS_US);
+  teardown (&fixture);
+}
+
+/* The target that a refusal leads to is handed what the stop has left, or nothing. */
+static void
+test_a_request_is_tried_again_after_the_end_of_a_stop (void **state)
+{
+  Fixture before = setup (TRUE, 2);
+  Fixture after = setup (TRUE, 2);
+  DispatchStep step;
+
+  dispatch_set_end (before.dispatch, SECOND_US + 300 * MS_US);
+  clock_advance (before.clock, 200 * MS_US);
+  step = dispatch_sent (before.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
+  assert_int_equal (step.kind, DISPATCH_CHOOSE);
+  step = dispatch_chosen (before.dispatch, TRUE, 0);
+  assert_int_equal (step.kind, DISPATCH_SEND);
+  assert_int_equal (step.remaining_us, 100 * MS_US);
+  dispatch_set_end (after.dispatch, SECOND_US + 300 * MS_US);
+  clock_advance (after.clock, 300 * MS_US);
+  assert_false (dispatch_may_hedge (after.dispatch));
+  step = dispatch_sent (after.dispatch, DISPATCH_REFUSED, REASON_OVERLOAD, 0);
+  assert_int_equal (step.kind, DISPATCH_ANSWER);
+  assert_int_equal (step.outcome, OUTCOME_NOT_RUN);
+  assert_int_equal (dispatch_attempts (after.dispatch), 1);
+  teardown (&before);
+  teardown (&after);
+}
+
 int
 main (void)
 {
@@ -348,6 +389,8 @@
     cmocka_unit_test (test_calls_add_nothing_to_the_retry_budget),
     cmocka_unit_test (test_a_burst_is_bounded_in_each_window),
     cmocka_unit_test (test_a_burst_of_failures_may_use_the_whole_window),
+    cmocka_unit_test (test_the_end_of_a_stop_gives_a_request_more_time),
+    cmocka_unit_test (test_a_request_is_tried_again_after_the_end_of_a_stop),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
