The end of a stop resets no connection that it has not read

A stop looked at its sockets for the last time, ended the loop, and closed the listening socket well down in its destruction: what the kernel had accepted meanwhile was reset. Closing right after a last accept still reset up to 12 (the library accepts ten at a time, and a handshake is completed within the 0.1 ms until the close).

At the end of a stop the node drops new SYN segments by a filter on the listening socket, accepts what the kernel has, closes the socket, so that new callers are refused at once, and gives the last connections 50 ms to send their requests, which are refused as not run.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -37,6 +37,8 @@
 /* Time for the last answers to go out when a stop aborts requests; also how long after
    the end of the stop's time the process may still wait for them. */
 #define STOP_FLUSH_US (200 * MS_US)
+/* Time for requests to arrive on the last connections that were accepted. */
+#define STOP_LAST_READ_US (50 * MS_US)
 /* Bounds the wait for callers that read their answers slowly. */
 #define STOP_FLUSH_MAX_US (2 * SECOND_US)
 #define STOP_FLUSH_CHECK_US (5 * MS_US)
@@ -102,11 +104,13 @@
   gossip_push (run->node.gossip);
   run->cut += ingress_abort (run->node.ingress) + sidecar_log_cut (run->node.sidecar);
   ingress_drain (run->node.ingress);
+  ingress_stop_listening (run->node.ingress);
   if (!run->drained)
     drain_sidecar (run);
   run->ending = TRUE;
   run->flush_until_us = flush_end_us (run);
-  loop_timer_start (run->stop, run->cut ? MIN (STOP_FLUSH_US, flush_left_us (run)) : 0);
+  loop_timer_start (
+      run->stop, MIN (run->cut ? STOP_FLUSH_US : STOP_LAST_READ_US, flush_left_us (run)));
 }
 
 /* Whether an answer to a caller or to another node is still to be sent. */
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -283,6 +283,12 @@
   ingress->draining = TRUE;
 }
 
+void
+ingress_stop_listening (Ingress *ingress)
+{
+  http_server_quiesce (ingress->server);
+}
+
 guint
 ingress_abort (Ingress *ingress)
 {
--- a/daemon/src/request/ingress.h
+++ b/daemon/src/request/ingress.h
@@ -17,6 +17,9 @@
 /* Answers new requests with "not run" from now on; those in flight continue. */
 void ingress_drain (Ingress *ingress);
 
+/* Stops listening; callers' next connections are refused. */
+void ingress_stop_listening (Ingress *ingress);
+
 /*
  * Answers all requests in flight immediately, for a forced stop: "not run" if no attempt
  * was sent, else "unknown". Returns their number.
