A starting node probes more listed nodes until it has met others

Cause: a node that starts probes 8 of the nodes in the store's list, at random, once, until the next list 2 minutes later. Who misses them all is alone, and hears of no generation. It doesn't watch either: for 8 s after a start, watch_rank ranks it by the same list. Its class: an entry of the list is taken for a live node.

Now a node that has met fewer than 8 others probes 8 more listed ones every 250 ms, 8 times at most.

test_a_starting_node_probes_on_while_listed_nodes_are_gone failed before (8 of 41) and passes.

Not changed: the rank by the list. A node whose listed nodes are all gone hears of no change for 8 s still.

--- a/daemon/src/member/gossip-private.h
+++ b/daemon/src/member/gossip-private.h
@@ -18,6 +18,9 @@
   LoopTimer *forward_timer; /* forwards updates from other halls in this one */
   LoopTimer *spread;        /* sends the quarantine's updates */
   gboolean spread_urgent;   /* the timer runs for urgent updates */
+  LoopTimer *join_timer;    /* probes more of the discovered nodes */
+  GArray *join_left;        /* GossipAddress of those not probed yet */
+  guint join_rounds;        /* further rounds of such probes */
   GHashTable *relays;       /* xid → Relay */
   guint32 relay_sequence;
 };
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -16,6 +16,12 @@
    a fleet's start would take a quadratic number of messages. */
 #define JOIN_NEAR 6u
 #define JOIN_FAR 2u
+/* The list may name many nodes that are gone: of 41, six were alive, and two nodes that
+   started and missed these heard of no change for 7.7 s. While a node knows fewer live
+   members than it has probed at first, it probes as many more at this interval. */
+#define JOIN_AGAIN_US (250 * MS_US)
+/* Enough for 72 listed nodes, and 2 s for a node that is cut off. */
+#define JOIN_ROUNDS_MAX 8u
 /* Delay after which updates from other halls are forwarded, so that several messages that
    arrive together are forwarded once. */
 #define FORWARD_DELAY_US (10 * MS_US)
@@ -246,6 +252,59 @@
   send_updates (gossip, NEAR_FANOUT, FAR_FANOUT);
 }
 
+static void
+clear_join_address (gpointer data)
+{
+  g_free (((GossipAddress *)data)->address);
+  g_free (((GossipAddress *)data)->hall);
+}
+
+/* Probes up to `count` random addresses of the list, in this hall or in others, and
+   removes them from it. */
+static void
+probe_random_nodes (Gossip *gossip, gboolean own_hall, guint count)
+{
+  GArray *left = gossip->join_left;
+  const char *hall = gossip->node->settings->hall;
+  g_autoptr (GArray) picked = g_array_new (FALSE, FALSE, sizeof (guint));
+
+  for (guint i = 0; i < left->len; i++)
+    if ((strcmp (g_array_index (left, GossipAddress, i).hall, hall) == 0) == own_hall)
+      g_array_append_val (picked, i);
+  while (picked->len > count)
+    g_array_remove_index (
+        picked, (guint)g_rand_int_range (gossip->node->rand, 0, (gint32)picked->len));
+  /* From the end, so that the earlier indices stay valid. */
+  for (guint i = picked->len; i > 0; i--)
+    {
+      guint at = g_array_index (picked, guint, i - 1);
+
+      gossip_send_call (gossip, g_array_index (left, GossipAddress, at).address, NULL,
+                        SW_PROBE, NULL, RELAY_SEQUENCE_BIT | ++gossip->relay_sequence);
+      g_array_remove_index (left, at);
+    }
+}
+
+static void
+on_join_timer (gpointer data)
+{
+  Gossip *gossip = data;
+  guint before = gossip->join_left->len;
+  guint others = members_count_alive (gossip->node->members) - 1;
+
+  if (others >= JOIN_NEAR + JOIN_FAR || gossip->join_rounds == 0)
+    {
+      g_array_set_size (gossip->join_left, 0);
+      return;
+    }
+  gossip->join_rounds--;
+  probe_random_nodes (gossip, TRUE, JOIN_NEAR);
+  probe_random_nodes (gossip, FALSE,
+                      JOIN_NEAR + JOIN_FAR - (before - gossip->join_left->len));
+  if (gossip->join_left->len > 0)
+    loop_timer_start (gossip->join_timer, JOIN_AGAIN_US);
+}
+
 static void
 on_forward_timer (gpointer data)
 {
@@ -297,6 +356,9 @@
   gossip->relays = g_hash_table_new_full (NULL, NULL, NULL, relay_free);
   gossip->timer = loop_timer_create (node->loop, on_timer, gossip);
   gossip->forward_timer = loop_timer_create (node->loop, on_forward_timer, gossip);
+  gossip->join_timer = loop_timer_create (node->loop, on_join_timer, gossip);
+  gossip->join_left = g_array_new (FALSE, FALSE, sizeof (GossipAddress));
+  g_array_set_clear_func (gossip->join_left, clear_join_address);
   gossip->spread = loop_timer_create (node->loop, on_spread, gossip);
   members_set_changed (node->members, gossip_on_changed, node);
   loop_timer_start (gossip->timer, 0);
@@ -310,38 +372,27 @@
     return;
   loop_timer_destroy (gossip->timer);
   loop_timer_destroy (gossip->forward_timer);
+  loop_timer_destroy (gossip->join_timer);
+  g_array_unref (gossip->join_left);
   loop_timer_destroy (gossip->spread);
   datagram_destroy (gossip->datagram);
   g_hash_table_unref (gossip->relays);
   g_free (gossip);
 }
 
-/* Probes up to `count` random addresses, in this hall or in others. */
-static void
-probe_random_nodes (Gossip *gossip, const GArray *found, gboolean own_hall, guint count)
+void
+gossip_join (Gossip *gossip, const GArray *found)
 {
-  const char *hall = gossip->node->settings->hall;
-  g_autoptr (GPtrArray) picked = g_ptr_array_new ();
-
+  g_array_set_size (gossip->join_left, 0);
   for (guint i = 0; i < found->len; i++)
     {
       const GossipAddress *item = &g_array_index (found, GossipAddress, i);
+      GossipAddress copy = { g_strdup (item->address), g_strdup (item->hall) };
 
-      if ((strcmp (item->hall, hall) == 0) == own_hall)
-        g_ptr_array_add (picked, item->address);
+      g_array_append_val (gossip->join_left, copy);
     }
-  for (; count > 0 && picked->len > 0; count--)
-    {
-      guint i = (guint)g_rand_int_range (gossip->node->rand, 0, (gint32)picked->len);
-
-      gossip_send_call (gossip, g_ptr_array_steal_index_fast (picked, i), NULL, SW_PROBE,
-                        NULL, RELAY_SEQUENCE_BIT | ++gossip->relay_sequence);
-    }
-}
-
-void
-gossip_join (Gossip *gossip, const GArray *found)
-{
-  probe_random_nodes (gossip, found, TRUE, JOIN_NEAR);
-  probe_random_nodes (gossip, found, FALSE, JOIN_FAR);
+  probe_random_nodes (gossip, TRUE, JOIN_NEAR);
+  probe_random_nodes (gossip, FALSE, JOIN_FAR);
+  gossip->join_rounds = JOIN_ROUNDS_MAX;
+  loop_timer_start (gossip->join_timer, JOIN_AGAIN_US);
 }
