--- a/daemon/src/request/exchange-choice.c
+++ b/daemon/src/request/exchange-choice.c
@@ -76,13 +76,14 @@
 stop_forbids_attempt (const Exchange *exchange)
 {
   const Node *node = exchange->owner->node;
-  LatencyFit fit = exchange_latency_fit (exchange);
+  LatencyFit fit;
 
   if (!node->stopping || exchange->ticket)
     return FALSE;
   if (!exchange->call && exchange->began_us >= node->stop_began_us &&
       registry_is_leaving (node->registry))
     return TRUE;
+  fit = exchange_latency_fit (exchange);
   return !stop_may_start (&fit, stop_left_us (exchange));
 }
 
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -1,7 +1,7 @@
 /*
  * Internals of the HTTP server. http-server.c creates the server and reads requests,
- * http-request.c and http-answer.c handle a request and its answer, and http-gone.c
- * detects callers that close their connections.
+ * http-request.c and http-answer.c handle a request and its answer, http-gone.c detects
+ * callers that close their connections, and http-quiesce.c ends the listening.
  */
 #ifndef IO_HTTP_SERVER_PRIVATE_H
 #define IO_HTTP_SERVER_PRIVATE_H
