--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -16,9 +16,8 @@
    a fleet's start would take a quadratic number of messages. */
 #define JOIN_NEAR 6u
 #define JOIN_FAR 2u
-/* The list may name many nodes that are gone: of 41, six were alive, and two nodes that
-   started and missed these heard of no change for 7.7 s. While a node knows fewer live
-   members than it has probed at first, it probes as many more at this interval. */
+/* The list names nodes for some minutes after they have gone. While a node knows fewer
+   live members than it has probed at first, it probes as many more at this interval. */
 #define JOIN_AGAIN_US (250 * MS_US)
 /* Enough for 72 listed nodes, and 2 s for a node that is cut off. */
 #define JOIN_ROUNDS_MAX 8u
