--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -19,6 +19,8 @@
   ConfigSync *sync;
   char *key;
   char *digest;
+  char *source; /* the node that is asked; NULL for the platform */
+  gint64 began_us;
   /* Set once the part has been received. */
   GBytes *bytes;
   gboolean packed;
@@ -63,6 +65,7 @@
   g_clear_pointer (&fetch->bytes, g_bytes_unref);
   g_free (fetch->key);
   g_free (fetch->digest);
+  g_free (fetch->source);
   g_free (fetch);
 }
 
@@ -161,6 +164,11 @@
   Fetch *fetch = data;
   sw_part_res *res = result;
 
+  config_sync_note_read (fetch->sync, &(ConfigPeerRead){ .event = "config-part-late",
+                                                         .subject = fetch->key,
+                                                         .vm = fetch->source,
+                                                         .outcome = outcome,
+                                                         .began_us = fetch->began_us });
   if (outcome == RPC_OK && res->found)
     {
       g_autoptr (GBytes) packed = g_bytes_new (res->part.part_val, res->part.part_len);
@@ -191,11 +199,13 @@
 start_fetch (ConfigSync *sync, const char *key, const char *digest)
 {
   Fetch *fetch = fetch_create (sync, key, digest);
-  g_autofree char *source = g_strdup (sync->source);
 
+  fetch->source = g_strdup (sync->source);
+  fetch->began_us = clock_now (sync->node->clock);
   sync->fetching++;
-  if (source)
-    peers_open (sync->node->peers, source, PART_TIMEOUT_US, on_part_session, fetch);
+  if (fetch->source)
+    peers_open (sync->node->peers, fetch->source, PART_TIMEOUT_US, on_part_session,
+                fetch);
   else
     fetch_from_platform (fetch);
 }
--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -1,5 +1,6 @@
 #include "config-sync-private.h"
 
+#include "log.h"
 #include "peers.h"
 
 /* Number of peers whose answers a starting node awaits before it trusts the highest
@@ -22,6 +23,7 @@
   ConfigSync *sync;
   char *vm;
   guint round; /* of the requests at startup; 0 for an announced generation */
+  gint64 began_us;
 } HeadCall;
 
 static const RpcProcedure head_procedure = { SW_HEAD, wire_void,
@@ -49,6 +51,16 @@
               "serving the highest generation found among peers");
 }
 
+static void
+log_head (const HeadCall *call, RpcOutcome outcome, const char *step)
+{
+  config_sync_note_read (call->sync, &(ConfigPeerRead){ .event = "config-head-late",
+                                                        .subject = step,
+                                                        .vm = call->vm,
+                                                        .outcome = outcome,
+                                                        .began_us = call->began_us });
+}
+
 static void
 head_call_free (HeadCall *call)
 {
@@ -65,6 +77,7 @@
   ConfigSync *sync = call->sync;
   sw_head_res *res = result;
 
+  log_head (call, outcome, "head");
   if (outcome == RPC_OK)
     {
       if (res->head.head_len)
@@ -88,6 +101,7 @@
                   CONFIG_PEER_TIMEOUT_US, on_peer_head, call);
       return;
     }
+  log_head (call, RPC_UNSENT, "session");
   head_call_free (call);
 }
 
@@ -99,6 +113,7 @@
   call->sync = sync;
   call->vm = g_strdup (vm);
   call->round = round;
+  call->began_us = clock_now (sync->node->clock);
   peers_open (sync->node->peers, vm, CONFIG_PEER_TIMEOUT_US, on_peer_open, call);
 }
 
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -54,6 +54,20 @@
   gint64 applied_us; /* when the present configuration came into force */
 };
 
+/* A head or part that was read from another node. */
+typedef struct
+{
+  const char *event;
+  const char *subject;
+  const char *vm;
+  RpcOutcome outcome;
+  gint64 began_us;
+} ConfigPeerRead;
+
+/* Logs a read that has failed or has taken long, with the generation in force and the
+   wanted one. */
+void config_sync_note_read (ConfigSync *sync, const ConfigPeerRead *read);
+
 /* Rebuilds the snapshot in force from the configuration, the directory and the
    evacuations. */
 void config_sync_compose (ConfigSync *sync);
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -6,6 +6,8 @@
 #include "log.h"
 #include "sidecar.h"
 
+/* A read from another node that takes longer is logged. */
+#define READ_LATE_US (250 * MS_US)
 /* Interval at which a node that does not watch checks whether it has to. */
 #define WATCHER_CHECK_INTERVAL_US (1 * SECOND_US)
 /* Interval at which a node that watches checks whether it still has to. It must end
@@ -51,6 +53,26 @@
   return sync->ready;
 }
 
+void
+config_sync_note_read (ConfigSync *sync, const ConfigPeerRead *read)
+{
+  gint64 took_us = clock_now (sync->node->clock) - read->began_us;
+  g_autofree char *took = NULL;
+  g_autofree char *held = NULL;
+  g_autofree char *wanted = NULL;
+
+  if (read->outcome == RPC_OK && took_us < READ_LATE_US)
+    return;
+  took = g_strdup_printf ("%" G_GINT64_FORMAT, took_us);
+  held = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (sync->snapshot));
+  wanted = g_strdup_printf ("%" G_GUINT64_FORMAT,
+                            sync->wanted ? sync->wanted->generation : (guint64)0);
+  metrics_add (sync->node->metrics, METRIC_CONFIG_READS_LATE, 1);
+  log_event (G_LOG_LEVEL_INFO, read->event, "SUBJECT", read->subject, "VM", read->vm,
+             "OUTCOME", rpc_outcome_name (read->outcome), "TOOK_US", took, "HELD", held,
+             "WANTED", wanted, NULL);
+}
+
 void
 config_sync_compose (ConfigSync *sync)
 {
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -38,6 +38,7 @@
   METRIC_CALLERS_NO_ROOM, /* refused, because the memory for requests is used up */
   METRIC_CONFIG_APPLIED,
   METRIC_CONFIG_GENERATION,
+  METRIC_CONFIG_READS_LATE, /* heads and parts that took long or failed */
   METRIC_HALLS_EVACUATED,    /* current number */
   METRIC_COLD_REFUSED,       /* because a cold target is at its limit */
   METRIC_NAMED_RATE_STARTS,  /* at targets that have named a rate */
@@ -48,6 +49,7 @@
   METRIC_CONNECTIONS_CLOSED_LAST =
       METRIC_CONNECTIONS_CLOSED + CONNECTION_CLOSE_REASONS - 1,
   METRIC_PLATFORM_CALLS,
+  METRIC_WATCHES_UNANSWERED,
   METRIC_STORE_ERA,
   METRIC_STORE_PUT_BACK, /* records written again that a restored store had lost */
   METRIC_GOSSIP_SENT_BYTES,
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -63,6 +63,8 @@
   RPC_BAD      /* the answer does not decode */
 } RpcOutcome;
 
+const char *rpc_outcome_name (RpcOutcome outcome);
+
 /* `result` is set for RPC_OK only and is freed after the function returns. */
 typedef void (*RpcDoneFunc) (RpcOutcome outcome, void *result, gpointer data);
 
--- a/io/src/rpc-peer.c
+++ b/io/src/rpc-peer.c
@@ -28,6 +28,16 @@
   guint64 received;
 };
 
+const char *
+rpc_outcome_name (RpcOutcome outcome)
+{
+  static const char *const names[] = {
+    "ok", "denied", "unsent", "lost", "timeout", "bad"
+  };
+
+  return names[outcome];
+}
+
 static void
 call_finish (Call *call, RpcOutcome outcome, void *result)
 {
