--- a/tests/proc/fleet-private.h
+++ b/tests/proc/fleet-private.h
@@ -13,6 +13,8 @@
 #define FLEET_POLL_US 20000
 /* The bound only keeps a broken test from hanging; the tests do not measure waits. */
 #define FLEET_WAIT_TRIES 3000
+/* Index of the platform's relay among the relays' addresses. */
+#define FLEET_PLATFORM_RELAY FLEET_NODES_MAX
 
 struct Fleet
 {
@@ -29,6 +31,7 @@
   GPid targets[FLEET_NODES_MAX];
   GPid node_pids[FLEET_NODES_MAX];
   GPid relays[FLEET_NODES_MAX];
+  GPid platform_relay;
 };
 
 /* Returns the path of a program of the build. The caller frees it. */
--- a/tests/proc/fleet-settings.c
+++ b/tests/proc/fleet-settings.c
@@ -28,7 +28,8 @@
 {
   if (fleet->hidden >> i & 1)
     return g_strdup ("127.0.0.1:1");
-  return fleet_address ("platform", 0);
+  return fleet->platform_relay ? fleet_address ("relays", FLEET_PLATFORM_RELAY)
+                               : fleet_address ("platform", 0);
 }
 
 /* Writes what deploy/node.json becomes on the users' platform, with shorter times. */
--- a/tests/proc/fleet-standins.c
+++ b/tests/proc/fleet-standins.c
@@ -40,6 +40,12 @@
   control (address, query);
 }
 
+void
+fleet_control_platform_relay (Fleet *fleet, const char *query)
+{
+  fleet_control_relay (fleet, FLEET_PLATFORM_RELAY, query);
+}
+
 guint
 fleet_runs (Fleet *fleet, guint target, const char *id)
 {
--- a/tests/proc/fleet-start.c
+++ b/tests/proc/fleet-start.c
@@ -28,17 +28,34 @@
   fleet_await_port (address, "/_runs");
 }
 
-void
-fleet_start_relay (Fleet *fleet, guint i)
+/* Starts relay `i` to an address. */
+static GPid
+start_relay (Fleet *fleet, guint i, char *to)
 {
   g_autofree char *path = fleet_program ("standins/standin-relay");
   g_autofree char *listen = fleet_address ("relays", i);
-  g_autofree char *to = fleet_address ("nodes", i);
   g_autofree char *controls = fleet_address ("controls", i);
   char *words[] = { path, listen, to, controls, NULL };
+  GPid pid = fleet_spawn (fleet, "log", words);
 
-  fleet->relays[i] = fleet_spawn (fleet, "log", words);
   fleet_await_port (controls, "/_control");
+  return pid;
+}
+
+void
+fleet_start_relay (Fleet *fleet, guint i)
+{
+  g_autofree char *to = fleet_address ("nodes", i);
+
+  fleet->relays[i] = start_relay (fleet, i, to);
+}
+
+void
+fleet_start_platform_relay (Fleet *fleet)
+{
+  g_autofree char *to = fleet_address ("platform", 0);
+
+  fleet->platform_relay = start_relay (fleet, FLEET_PLATFORM_RELAY, to);
 }
 
 void
--- a/tests/proc/fleet.c
+++ b/tests/proc/fleet.c
@@ -81,6 +81,7 @@
       fleet_kill_process (&fleet->targets[i]);
       fleet_kill_process (&fleet->relays[i]);
     }
+  fleet_kill_process (&fleet->platform_relay);
   fleet_kill_process (&fleet->platform);
   while (!fleet->keep_files && (name = g_dir_read_name (dir)))
     {
--- a/tests/proc/fleet.h
+++ b/tests/proc/fleet.h
@@ -61,6 +61,9 @@
 /* Starts a relay through which the other nodes reach node `i`. Call this before the node
    starts. */
 void fleet_start_relay (Fleet *fleet, guint i);
+/* Starts a relay through which nodes on the users' platform reach it, from their next
+   start on. */
+void fleet_start_platform_relay (Fleet *fleet);
 /* Starts the platform, all targets and all nodes, and waits until every node is ready. */
 void fleet_start (Fleet *fleet, guint slots, guint latency_ms);
 
@@ -112,6 +115,7 @@
 void fleet_control_target (Fleet *fleet, guint i, const char *query);
 void fleet_control_platform (Fleet *fleet, const char *query);
 void fleet_control_relay (Fleet *fleet, guint i, const char *query);
+void fleet_control_platform_relay (Fleet *fleet, const char *query);
 
 /* Returns how often a target ran a request. */
 guint fleet_runs (Fleet *fleet, guint target, const char *id);
