--- a/core/include/core/members.h
+++ b/core/include/core/members.h
@@ -180,6 +180,9 @@
 /* Counts the data halls that have a live member, including self's. */
 guint members_count_halls (const Members *members);
 
+/* Counts the data halls that have a live member and precede self's by name. */
+guint members_count_halls_before (const Members *members);
+
 gboolean members_in_own_hall (const Members *members, const Member *member);
 
 /* Replaces self's payload and state, of which it takes references, and schedules an
--- a/core/include/core/settings.h
+++ b/core/include/core/settings.h
@@ -76,6 +76,7 @@
   gint64 idle_us;      /* timeout for connections without a request */
   gint64 stop_us;      /* longest duration of a planned stop */
   gint64 cut_after_us; /* time after which it may cut running requests; <= stop_us */
+  gint64 apply_us;     /* within which a change of the configuration has to be in force */
   gint64 linger_us;    /* time after SIGTERM in which callers are still served */
   gint64 fence_window_us;
   guint fence_entries_max;
--- a/core/src/config/settings.c
+++ b/core/src/config/settings.c
@@ -21,6 +21,10 @@
 /* Running requests may be cut in the last sixth of the grace period, but not earlier. */
 #define STOP_ABORT_DIVISOR 6
 #define GRACE_MAX_S 3600.0
+/* Within which a change of the configuration has to be in force everywhere. */
+#define APPLY_MIN_MS 100
+#define APPLY_DEFAULT_MS 10000
+#define APPLY_MAX_MS 600000
 /* Default window over which retries are counted, as the requirements set it, and the
    longest allowed. */
 #define RETRY_WINDOW_DEFAULT_S 10.0
@@ -256,6 +260,8 @@
   settings->stall_us = 1000 * json_view_int (limits, "stall_ms", 100, 600000, 8000);
   settings->read_us = 1000 * json_view_int (limits, "read_ms", 100, 600000, 10000);
   settings->idle_us = 1000 * json_view_int (limits, "idle_ms", 1000, 3600000, 80000);
+  settings->apply_us = 1000 * json_view_int (limits, "apply_ms", APPLY_MIN_MS,
+                                             APPLY_MAX_MS, APPLY_DEFAULT_MS);
   read_stop (settings, limits);
   settings->fence_window_us =
       1000 * json_view_int (limits, "fence_window_ms", 2 * CONFIG_DEADLINE_MAX_MS,
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -287,11 +287,12 @@
   return rank;
 }
 
-guint
-members_count_halls (const Members *members)
+/* Returns the set of halls that have a live member, including self's. */
+static GHashTable *
+live_halls (const Members *members)
 {
   g_autoptr (GPtrArray) all = g_ptr_array_new ();
-  g_autoptr (GHashTable) halls = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *halls = g_hash_table_new (g_str_hash, g_str_equal);
 
   members_table_all (members->table, all);
   g_hash_table_add (halls, (gpointer)members->self->member.hall);
@@ -302,9 +303,31 @@
       if (members_is_alive (member))
         g_hash_table_add (halls, (gpointer)member->hall);
     }
+  return halls;
+}
+
+guint
+members_count_halls (const Members *members)
+{
+  g_autoptr (GHashTable) halls = live_halls (members);
+
   return g_hash_table_size (halls);
 }
 
+guint
+members_count_halls_before (const Members *members)
+{
+  g_autoptr (GHashTable) halls = live_halls (members);
+  GHashTableIter iter;
+  gpointer hall;
+  guint before = 0;
+
+  g_hash_table_iter_init (&iter, halls);
+  while (g_hash_table_iter_next (&iter, &hall, NULL))
+    before += strcmp (hall, members->self->member.hall) < 0;
+  return before;
+}
+
 gboolean
 members_in_own_hall (const Members *members, const Member *member)
 {
--- a/daemon/src/config/config-source-own.c
+++ b/daemon/src/config/config-source-own.c
@@ -101,13 +101,13 @@
 }
 
 static void
-watch_head (gpointer data, ConfigReadDone done, gpointer user)
+watch_head (gpointer data, const WatchTimes *times, ConfigReadDone done, gpointer user)
 {
   Source *source = data;
 
   source->watched = read_create (source, done, user);
-  source->watch = platform_watch (source->node, CONFIG_HEAD_KEY, source->version, on_head,
-                                  source->watched);
+  source->watch = platform_watch (source->node, CONFIG_HEAD_KEY, source->version,
+                                  times->wait_us, on_head, source->watched);
 }
 
 static gboolean
@@ -154,5 +154,6 @@
   .watch = watch_head,
   .unwatch = unwatch_head,
   .part = read_part,
+  .watch_most_us = PLATFORM_WATCH_MOST_US,
   .serves_empty = TRUE,
 };
--- a/daemon/src/config/config-source.h
+++ b/daemon/src/config/config-source.h
@@ -5,6 +5,8 @@
 #ifndef DAEMON_CONFIG_SOURCE_H
 #define DAEMON_CONFIG_SOURCE_H
 
+#include <core/watch-times.h>
+
 #include "node.h"
 
 typedef enum
@@ -35,13 +37,18 @@
   void (*destroy) (gpointer source);
   /* Reads the present configuration. */
   void (*read) (gpointer source, ConfigReadDone done, gpointer data);
-  /* Calls `done` once the store has something newer than the last read, or on timeout. */
-  void (*watch) (gpointer source, ConfigReadDone done, gpointer data);
+  /* Calls `done` once the store has something newer than the last read, or when the times
+     of the watch have passed. */
+  void (*watch) (gpointer source,
+                 const WatchTimes *times,
+                 ConfigReadDone done,
+                 gpointer data);
   /* Ends a watch whose `done` has not been called, and will not be then. Returns FALSE if
      the store has already answered: `done` follows. */
   gboolean (*unwatch) (gpointer source);
   /* Reads one part by its digest. */
   void (*part) (gpointer source, const char *digest, ConfigPartDone done, gpointer data);
+  gint64 watch_most_us; /* the longest watch */
   /* Whether a node may serve, refusing every request, while nothing is configured. */
   gboolean serves_empty;
 } ConfigSource;
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -249,10 +249,16 @@
   return (WatchRank){ rank, halls };
 }
 
+static guint
+watchers_per_hall (WatchRank own)
+{
+  return MAX (WATCHERS_PER_HALL, (WATCHERS_MIN + own.halls - 1) / own.halls);
+}
+
 static gboolean
 is_among_watchers (WatchRank own)
 {
-  return own.rank < MAX (WATCHERS_PER_HALL, (WATCHERS_MIN + own.halls - 1) / own.halls);
+  return own.rank < watchers_per_hall (own);
 }
 
 gboolean
@@ -261,6 +267,24 @@
   return has_settled (sync) && is_among_watchers (watch_rank (sync));
 }
 
+/* The watchers take turns hall by hall: first the first of each hall, then the second. A
+   change is in force at all nodes at about the same time, which is their common moment.
+ */
+WatchTimes
+config_sync_watch_times (const ConfigSync *sync)
+{
+  const Node *node = sync->node;
+  WatchRank own = watch_rank (sync);
+  WatchBounds bounds = { node->settings->apply_us, sync->kind->watch_most_us };
+  WatchPlace place = { .watchers = MIN (watchers_per_hall (own) * own.halls,
+                                        members_count_alive (node->members)),
+                       .place = own.rank * own.halls +
+                                members_count_halls_before (node->members),
+                       .since_us = sync->applied_us };
+
+  return watch_times_next (&place, &bounds, clock_now (node->clock));
+}
+
 /* Logs when this node begins or ceases to be a watcher, and what its view of the members
    was. */
 static void
@@ -304,19 +328,26 @@
                     config_sync_watch_backoff_us (sync, sync->watch_failures));
 }
 
+void
+config_sync_unwatch (ConfigSync *sync)
+{
+  if (sync->watching && sync->kind->unwatch (sync->source_data))
+    sync->watching = FALSE;
+}
+
 static void
 on_watch_timer (gpointer data)
 {
   ConfigSync *sync = data;
   gboolean is_watcher = config_sync_is_watcher (sync);
+  WatchTimes times;
 
   if (is_watcher != sync->is_watcher)
     log_watcher (sync, is_watcher);
   sync->is_watcher = is_watcher;
   if (!is_watcher)
     {
-      if (sync->watching && sync->kind->unwatch (sync->source_data))
-        sync->watching = FALSE;
+      config_sync_unwatch (sync);
       loop_timer_start (sync->watch, WATCHER_CHECK_INTERVAL_US);
       return;
     }
@@ -324,7 +355,8 @@
   if (sync->watching)
     return;
   sync->watching = TRUE;
-  sync->kind->watch (sync->source_data, on_watched, sync);
+  times = config_sync_watch_times (sync);
+  sync->kind->watch (sync->source_data, &times, on_watched, sync);
 }
 
 ConfigSync *
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -6,6 +6,7 @@
 #define DAEMON_CONFIG_SYNC_H
 
 #include <core/directory.h>
+#include <core/watch-times.h>
 #include <wire/message.h>
 
 #include "node.h"
@@ -49,6 +50,12 @@
    behalf of the others. */
 gboolean config_sync_is_watcher (const ConfigSync *sync);
 
+/* Returns the times of a watch of the platform that begins now. */
+WatchTimes config_sync_watch_times (const ConfigSync *sync);
+
+/* Ends the watch in progress. Called before the HTTP client is destroyed. */
+void config_sync_unwatch (ConfigSync *sync);
+
 /* Returns the delay in microseconds before a watch is repeated after `failures` failures
    in a row. The first retry comes soon, because changes may have been missed; the delay
    grows to about a second for a store that remains unreachable. */
--- a/daemon/src/config/platform.c
+++ b/daemon/src/config/platform.c
@@ -5,7 +5,6 @@
 #include <core/http-status.h>
 
 #define CALL_TIMEOUT_US (3 * SECOND_US)
-#define WATCH_MS 20000
 #define ANSWER_MAX (2u * 1024 * 1024)
 
 struct PlatformCall
@@ -90,16 +89,20 @@
 }
 
 PlatformCall *
-platform_watch (
-    Node *node, const char *key, const char *version, PlatformDone done, gpointer data)
+platform_watch (Node *node,
+                const char *key,
+                const char *version,
+                gint64 wait_us,
+                PlatformDone done,
+                gpointer data)
 {
   g_autofree char *base = object_url (node, key);
   g_autofree char *escaped = g_uri_escape_string (version, NULL, FALSE);
-  g_autofree char *url =
-      g_strdup_printf ("%s?after=%s&wait_ms=%d", base, escaped, WATCH_MS);
+  g_autofree char *url = g_strdup_printf ("%s?after=%s&wait_ms=%" G_GINT64_FORMAT, base,
+                                          escaped, wait_us / MS_US);
   HttpCallParams order = { .method = "GET", .url = url };
 
-  order.timeout_us = WATCH_MS * MS_US + CALL_TIMEOUT_US;
+  order.timeout_us = wait_us + CALL_TIMEOUT_US;
   return send_http_call (node, &order, done, data);
 }
 
--- a/daemon/src/config/platform.h
+++ b/daemon/src/config/platform.h
@@ -34,11 +34,18 @@
 
 typedef struct PlatformCall PlatformCall;
 
+/* The longest watch. */
+#define PLATFORM_WATCH_MOST_US (20 * SECOND_US)
+
 void platform_get (Node *node, const char *key, PlatformDone done, gpointer data);
-/* Waits for a version other than `version`, which is "" for a missing object. The call is
-   valid until `done` is called. */
-PlatformCall *platform_watch (
-    Node *node, const char *key, const char *version, PlatformDone done, gpointer data);
+/* Waits up to `wait_us` for a version other than `version`, which is "" for a missing
+   object. The call is valid until `done` is called. */
+PlatformCall *platform_watch (Node *node,
+                              const char *key,
+                              const char *version,
+                              gint64 wait_us,
+                              PlatformDone done,
+                              gpointer data);
 /* Closes the call's connection; `done` is not called. */
 void platform_call_cancel (PlatformCall *call);
 /* Writes the object only if its version is `version`; "" creates it. */
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -444,6 +444,8 @@
   operators_destroy (node->operators);
   rpc_server_destroy (run->rpc);
   peers_destroy (node->peers);
+  if (node->config)
+    config_sync_unwatch (node->config);
   /* Calls that end when their peers are destroyed may still call the platform. */
   http_client_destroy (node->http);
   path_probes_destroy (node->paths);
--- a/daemon/src/operator/metrics.h
+++ b/daemon/src/operator/metrics.h
@@ -38,7 +38,7 @@
   METRIC_CALLERS_NO_ROOM, /* refused, because the memory for requests is used up */
   METRIC_CONFIG_APPLIED,
   METRIC_CONFIG_GENERATION,
-  METRIC_CONFIG_READS_LATE, /* heads and parts that took long or failed */
+  METRIC_CONFIG_READS_LATE,  /* heads and parts that took long or failed */
   METRIC_HALLS_EVACUATED,    /* current number */
   METRIC_COLD_REFUSED,       /* because a cold target is at its limit */
   METRIC_NAMED_RATE_STARTS,  /* at targets that have named a rate */
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -70,7 +70,10 @@
 
 /* Never answers, because the configuration never changes. */
 static void
-source_watch (gpointer source, ConfigReadDone done, gpointer data)
+source_watch (gpointer source,
+              const WatchTimes *times,
+              ConfigReadDone done,
+              gpointer data)
 {
 }
 
@@ -249,7 +252,10 @@
 }
 
 static void
-begin_watch (gpointer source, ConfigReadDone done, gpointer data)
+begin_watch (gpointer source,
+             const WatchTimes *times,
+             ConfigReadDone done,
+             gpointer data)
 {
   assert_false (watching);
   watching = TRUE;
--- a/daemon/tests/test-gossip-join.c
+++ b/daemon/tests/test-gossip-join.c
@@ -55,7 +55,10 @@
 }
 
 static void
-source_watch (gpointer source, ConfigReadDone done, gpointer data)
+source_watch (gpointer source,
+              const WatchTimes *times,
+              ConfigReadDone done,
+              gpointer data)
 {
 }
 
--- a/tests/proc/fleet-settings.c
+++ b/tests/proc/fleet-settings.c
@@ -54,7 +54,7 @@
       "\"first_start\":%s,\"service_defaults\":{\"retry_ratio\":0.2,\"retry_burst\":200,"
       "\"floor_share\":0.7,"
       "\"keep_connections\":%s,\"detection\":\"strict\",\"queue\":16},"
-      "\"limits\":{\"linger_ms\":%u,\"grace_s\":%u},"
+      "\"limits\":{\"apply_ms\":2000,\"linger_ms\":%u,\"grace_s\":%u},"
       "\"operators\":[{\"name\":\"tester\",\"token\":\"" FLEET_TOKEN "\"}]}",
       i, i % 3, callers, operators, nodes, ready, registrations, advertise, platform,
       target, fleet->evacuations ? "true" : "false",
