Nodes read the configuration from each other on connections of their own, replaced when silent

Cause: heads and parts were asked for on the sessions that carry requests. A silent one is found there only by a ping of a request in flight; a head was waited for 3 s, a part 1 s for the session and 1 s for the answer. A session cannot be dropped on suspicion, because work that must not be repeated runs on it. Four requests for a head were allowed at a time, and the same silent node could take all of them (seen in the logs: node vm-4 asked vm-13 twice).

Change: reads, which may be repeated, have connections of their own (peer-reads). A head and a part are waited for no longer than half of limits.apply_ms. A node is asked for a head once at a time. A part that fails takes the source only of its own head away. Comparisons of views (5 s on the session) go the same way.

--- a/core/tests/test-watch-times.c
+++ b/core/tests/test-watch-times.c
@@ -67,7 +67,8 @@
 }
 
 /* Up to the store's longest watch, more watchers make no more calls together: 8 in the
-   time in which a change has to be in force, but for a first and a last short one each. */
+   time in which a change has to be in force, but for a first and a last short one each.
+ */
 static void
 test_many_watchers_make_many_calls (void **state)
 {
--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -3,14 +3,14 @@
 #include <string.h>
 
 #include "log.h"
+#include "peer-reads.h"
 #include "peers.h"
 
 /* Parts fetched concurrently. While 79 nodes loaded 4,200 routes, 43 of 1,143 requests
    were late with eight fetches at a time, and 75 with all at once (means of two runs). */
 #define FETCHES_MAX 8u
-/* A part that another node has not delivered by then is fetched from the platform: a
-   change has to be in force within 2.5 s even if the first node asked is stalled. */
-#define PART_TIMEOUT_US (1 * SECOND_US)
+/* A part that another node has not delivered by then is fetched from the platform. */
+#define PART_TIMEOUT_MAX_US (1 * SECOND_US)
 /* Pause after a batch that has brought no part. */
 #define FETCH_PAUSE_US (250 * MS_US)
 
@@ -19,6 +19,7 @@
   ConfigSync *sync;
   char *key;
   char *digest;
+  sw_part_args args;
   char *source; /* the node that is asked; NULL for the platform */
   gint64 began_us;
   /* Set once the part has been received. */
@@ -52,6 +53,7 @@
   fetch->sync = sync;
   fetch->key = g_strdup (key);
   fetch->digest = g_strdup (digest);
+  fetch->args.digest = fetch->digest;
   return fetch;
 }
 
@@ -176,25 +178,12 @@
       parse_on_worker (fetch, packed, TRUE);
       return;
     }
-  if (outcome != RPC_OK)
+  /* A newer head may have brought another source meanwhile. */
+  if (outcome != RPC_OK && g_strcmp0 (fetch->source, fetch->sync->source) == 0)
     g_clear_pointer (&fetch->sync->source, g_free);
   fetch_from_platform (fetch);
 }
 
-static void
-on_part_session (const PeerStamp *stamp, gpointer data)
-{
-  Fetch *fetch = data;
-  ConfigSync *sync = fetch->sync;
-  sw_part_args args = { .digest = fetch->digest };
-
-  if (stamp && sync->source)
-    peers_call (sync->node->peers, sync->source, &part_procedure, &args, PART_TIMEOUT_US,
-                on_peer_part, fetch);
-  else
-    on_peer_part (RPC_UNSENT, NULL, fetch);
-}
-
 static void
 start_fetch (ConfigSync *sync, const char *key, const char *digest)
 {
@@ -204,8 +193,9 @@
   fetch->began_us = clock_now (sync->node->clock);
   sync->fetching++;
   if (fetch->source)
-    peers_open (sync->node->peers, fetch->source, PART_TIMEOUT_US, on_part_session,
-                fetch);
+    peer_reads_call (sync->node->reads, fetch->source, &part_procedure, &fetch->args,
+                     config_sync_patience_us (sync, PART_TIMEOUT_MAX_US), on_peer_part,
+                     fetch);
   else
     fetch_from_platform (fetch);
 }
--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -1,6 +1,7 @@
 #include "config-sync-private.h"
 
 #include "log.h"
+#include "peer-reads.h"
 #include "peers.h"
 
 /* Number of peers whose answers a starting node awaits before it trusts the highest
@@ -9,8 +10,11 @@
 #define START_RETRY_US (500 * MS_US)
 /* After this time the answer of one peer is enough. */
 #define START_WAIT_MAX_US (10 * SECOND_US)
+/* A head that a node has not delivered by then is requested from another one. */
+#define HEAD_TIMEOUT_MAX_US (3 * SECOND_US)
 /* Maximum number of head requests in flight for announced generations. Many nodes
-   announce a change at once, and several of them are asked because one may be gone. */
+   announce a change at once, and several of them are asked, each once at a time, because
+   one may be gone. */
 #define ANNOUNCED_REQUESTS_MAX 4u
 /* Delay before a generation that was announced from another hall is requested there.
    Within it a node of the own hall announces it too, because each hall has nodes that
@@ -52,10 +56,10 @@
 }
 
 static void
-log_head (const HeadCall *call, RpcOutcome outcome, const char *step)
+log_head (const HeadCall *call, RpcOutcome outcome)
 {
   config_sync_note_read (call->sync, &(ConfigPeerRead){ .event = "config-head-late",
-                                                        .subject = step,
+                                                        .subject = "head",
                                                         .vm = call->vm,
                                                         .outcome = outcome,
                                                         .began_us = call->began_us });
@@ -65,7 +69,7 @@
 head_call_free (HeadCall *call)
 {
   if (call->round == 0)
-    call->sync->announced_requests--;
+    g_hash_table_remove (call->sync->announcers, call->vm);
   g_free (call->vm);
   g_free (call);
 }
@@ -77,7 +81,7 @@
   ConfigSync *sync = call->sync;
   sw_head_res *res = result;
 
-  log_head (call, outcome, "head");
+  log_head (call, outcome);
   if (outcome == RPC_OK)
     {
       if (res->head.head_len)
@@ -90,21 +94,6 @@
   head_call_free (call);
 }
 
-static void
-on_peer_open (const PeerStamp *stamp, gpointer data)
-{
-  HeadCall *call = data;
-
-  if (stamp)
-    {
-      peers_call (call->sync->node->peers, call->vm, &head_procedure, NULL,
-                  CONFIG_PEER_TIMEOUT_US, on_peer_head, call);
-      return;
-    }
-  log_head (call, RPC_UNSENT, "session");
-  head_call_free (call);
-}
-
 static void
 request_head (ConfigSync *sync, const char *vm, guint round)
 {
@@ -114,7 +103,9 @@
   call->vm = g_strdup (vm);
   call->round = round;
   call->began_us = clock_now (sync->node->clock);
-  peers_open (sync->node->peers, vm, CONFIG_PEER_TIMEOUT_US, on_peer_open, call);
+  peer_reads_call (sync->node->reads, vm, &head_procedure, NULL,
+                   config_sync_patience_us (sync, HEAD_TIMEOUT_MAX_US), on_peer_head,
+                   call);
 }
 
 static gboolean
@@ -127,9 +118,9 @@
 static void
 request_announced_head (ConfigSync *sync, const char *vm)
 {
-  if (sync->announced_requests >= ANNOUNCED_REQUESTS_MAX)
+  if (g_hash_table_size (sync->announcers) >= ANNOUNCED_REQUESTS_MAX ||
+      !g_hash_table_add (sync->announcers, g_strdup (vm)))
     return;
-  sync->announced_requests++;
   request_head (sync, vm, 0);
 }
 
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -9,9 +9,6 @@
 #include "adapter.h"
 #include "config-sync.h"
 
-/* Timeout of a session with another node, and of the head request on it. */
-#define CONFIG_PEER_TIMEOUT_US (3 * SECOND_US)
-
 struct ConfigSync
 {
   Node *node;
@@ -41,9 +38,10 @@
   guint missing_before; /* number of missing parts before the last batch */
   /* The rounds of head requests at startup. */
   guint round;
-  guint asked;              /* requests of the present round */
-  guint answered;           /* answers in the present round */
-  guint announced_requests; /* requests in flight for a head that gossip has announced */
+  guint asked;    /* requests of the present round */
+  guint answered; /* answers in the present round */
+  /* Set of nodes from which a head is being requested that they have announced. */
+  GHashTable *announcers;
   /* A newer generation announced from another hall. Its head is requested after a delay,
      in which a node of the own hall may announce it. */
   LoopTimer *far;
@@ -68,6 +66,10 @@
    wanted one. */
 void config_sync_note_read (ConfigSync *sync, const ConfigPeerRead *read);
 
+/* Returns how long another node may take for a read: at most `most_us`, and half of the
+   time in which a change has to be in force, so that there is time for another try. */
+gint64 config_sync_patience_us (const ConfigSync *sync, gint64 most_us);
+
 /* Rebuilds the snapshot in force from the configuration, the directory and the
    evacuations. */
 void config_sync_compose (ConfigSync *sync);
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -73,6 +73,12 @@
              "WANTED", wanted, NULL);
 }
 
+gint64
+config_sync_patience_us (const ConfigSync *sync, gint64 most_us)
+{
+  return MIN (most_us, sync->node->settings->apply_us / 2);
+}
+
 void
 config_sync_compose (ConfigSync *sync)
 {
@@ -375,6 +381,7 @@
   sync->polled_us = sync->created_us;
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
+  sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
   sync->watch = loop_timer_create (node->loop, on_watch_timer, sync);
   sync->far = loop_timer_create (node->loop, config_request_far_head, sync);
@@ -401,6 +408,7 @@
   loop_timer_destroy (sync->compose);
   config_fetch_reset (sync);
   g_hash_table_unref (sync->parts);
+  g_hash_table_unref (sync->announcers);
   snapshot_unref (sync->snapshot);
   snapshot_unref (sync->base);
   directory_destroy (sync->directory);
--- a/daemon/src/member/gossip-repair.c
+++ b/daemon/src/member/gossip-repair.c
@@ -1,15 +1,16 @@
 #include "gossip-private.h"
 
-#include "peers.h"
+#include "peer-reads.h"
 #include "rumour.h"
 
 #define REPAIR_TIMEOUT_US (5 * SECOND_US)
 
-/* A comparison of views that waits for a session. */
+/* A comparison of views in progress. */
 typedef struct
 {
   Gossip *gossip;
-  char *vm;
+  guint64 buckets[MEMBERS_BUCKETS];
+  sw_view_args args;
 } Repair;
 
 static const RpcProcedure view = { SW_VIEW, (xdrproc_t)xdr_sw_view_args,
@@ -17,34 +18,12 @@
 
 static void
 on_view (RpcOutcome outcome, void *result, gpointer data)
-{
-  Gossip *gossip = data;
-  sw_view_res *res = result;
-
-  if (outcome != RPC_OK)
-    return;
-  for (guint i = 0; i < res->rumours.rumours_len; i++)
-    rumour_merge (gossip->node->members, &res->rumours.rumours_val[i]);
-}
-
-/* Sends the digests of this node's buckets once the session has been opened. */
-static void
-request_view (const PeerStamp *stamp, gpointer data)
 {
   Repair *repair = data;
-  Node *node = repair->gossip->node;
-  guint64 buckets[MEMBERS_BUCKETS];
-  sw_view_args args = { 0 };
+  sw_view_res *res = result;
 
-  if (stamp)
-    {
-      members_buckets (node->members, buckets);
-      args.buckets.buckets_val = buckets;
-      args.buckets.buckets_len = MEMBERS_BUCKETS;
-      peers_call (node->peers, repair->vm, &view, &args, REPAIR_TIMEOUT_US, on_view,
-                  repair->gossip);
-    }
-  g_free (repair->vm);
+  for (guint i = 0; outcome == RPC_OK && i < res->rumours.rumours_len; i++)
+    rumour_merge (repair->gossip->node->members, &res->rumours.rumours_val[i]);
   g_free (repair);
 }
 
@@ -58,8 +37,11 @@
     return;
   repair = g_new0 (Repair, 1);
   repair->gossip = gossip;
-  repair->vm = g_strdup (from);
-  peers_open (node->peers, from, REPAIR_TIMEOUT_US, request_view, repair);
+  members_buckets (node->members, repair->buckets);
+  repair->args.buckets.buckets_val = repair->buckets;
+  repair->args.buckets.buckets_len = MEMBERS_BUCKETS;
+  peer_reads_call (node->reads, from, &view, &repair->args, REPAIR_TIMEOUT_US, on_view,
+                   repair);
 }
 
 void
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -91,10 +91,8 @@
   return peers->closing ? NULL : g_hash_table_lookup (peers->table, vm);
 }
 
-/* Returns a node's address from the membership or, until it is known there, from the
-   platform's list; NULL if it is unknown. */
-static const char *
-address_of (const Node *node, const char *vm)
+const char *
+peers_address (const Node *node, const char *vm)
 {
   const Member *member = members_find (node->members, vm);
   const FleetListEntry *entry = member ? NULL : fleet_list_find (node->list, vm);
@@ -109,7 +107,7 @@
 static Peer *
 ensure_peer (Peers *peers, const char *vm)
 {
-  const char *address = address_of (peers->node, vm);
+  const char *address = peers_address (peers->node, vm);
   Peer *peer = find_peer (peers, vm);
 
   if (!address || peers->closing)
@@ -261,8 +259,8 @@
   return member && strcmp (member->hall, node->settings->hall) == 0;
 }
 
-static gsize
-count_sent (Node *node, const char *vm, const RpcProcedure *procedure, gsize bytes)
+gsize
+peers_count_sent (Node *node, const char *vm, const RpcProcedure *procedure, gsize bytes)
 {
   traffic_add (node->traffic, traffic_of (procedure), peers_in_own_hall (node, vm),
                bytes);
@@ -281,8 +279,9 @@
   opening->opened = opened;
   opening->data = data;
   rumour_fill (members_self (peers->node->members), &args.from);
-  count_sent (peers->node, peer->vm, &hello,
-              rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening));
+  peers_count_sent (
+      peers->node, peer->vm, &hello,
+      rpc_peer_call (peer->rpc, &hello, &args, timeout_us, on_hello, opening));
 }
 
 gboolean
@@ -387,7 +386,7 @@
   Peer *peer = ensure_peer (peers, vm);
 
   if (peer)
-    return count_sent (
+    return peers_count_sent (
         peers->node, vm, procedure,
         rpc_peer_call (peer->rpc, procedure, args, timeout_us, done, data));
   done (RPC_UNSENT, NULL, data);
--- a/daemon/src/member/peers.h
+++ b/daemon/src/member/peers.h
@@ -64,6 +64,14 @@
                   RpcDoneFunc done,
                   gpointer data);
 
+/* Returns a node's address from the membership or, until it is known there, from the
+   platform's list; NULL if it is unknown. */
+const char *peers_address (const Node *node, const char *vm);
+
+/* Counts a call of `bytes` that was sent to a node. Returns `bytes`. */
+gsize
+peers_count_sent (Node *node, const char *vm, const RpcProcedure *procedure, gsize bytes);
+
 /* Returns whether a node is in this node's data hall; FALSE for an unknown node. */
 gboolean peers_in_own_hall (const Node *node, const char *vm);
 
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -15,6 +15,7 @@
 #include "metrics-listener.h"
 #include "operators.h"
 #include "path-probe.h"
+#include "peer-reads.h"
 #include "peers.h"
 #include "platform-era.h"
 #include "quarantine-node.h"
@@ -411,6 +412,7 @@
   node->allowances = allowances_create (node);
   node->balancer = balancer_create (settings->hall, node->rand, clock);
   node->peers = peers_create (node);
+  node->reads = peer_reads_create (node);
   node->paths = path_probes_create (node);
   node->quarantine = quarantine_node_create (node);
   node->sidecar = sidecar_create (node);
@@ -443,6 +445,7 @@
   metrics_listener_destroy (node->metrics_listener);
   operators_destroy (node->operators);
   rpc_server_destroy (run->rpc);
+  peer_reads_destroy (node->reads);
   peers_destroy (node->peers);
   if (node->config)
     config_sync_unwatch (node->config);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -19,6 +19,7 @@
 #include "traffic.h"
 
 typedef struct Peers Peers;
+typedef struct PeerReads PeerReads;
 typedef struct Gossip Gossip;
 typedef struct ConfigSync ConfigSync;
 typedef struct Sidecar Sidecar;
@@ -55,6 +56,7 @@
   FleetList *list; /* the platform's list of the fleet's nodes */
   Balancer *balancer;
   Peers *peers;
+  PeerReads *reads;
   PathProbes *paths;
   Gossip *gossip;
   ConfigSync *config;
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -252,10 +252,7 @@
 }
 
 static void
-begin_watch (gpointer source,
-             const WatchTimes *times,
-             ConfigReadDone done,
-             gpointer data)
+begin_watch (gpointer source, const WatchTimes *times, ConfigReadDone done, gpointer data)
 {
   assert_false (watching);
   watching = TRUE;
