--- a/daemon/tests/test-gossip-join.c
+++ b/daemon/tests/test-gossip-join.c
@@ -10,6 +10,7 @@
 #include "adapter.h"
 #include "config-sync.h"
 #include "gossip.h"
+#include "peer-reads.h"
 #include "peers.h"
 #include "platform-era.h"
 #include "quarantine-node.h"
@@ -161,6 +162,7 @@
   node->members =
       members_create (&self, nobody, &members_timing_default, node->rand, node->clock);
   node->peers = peers_create (node);
+  node->reads = peer_reads_create (node);
   node->quarantine = quarantine_node_create (node);
   node->era = platform_era_create (node);
   node->gossip = gossip_create (node, NULL);
@@ -178,6 +180,7 @@
   gossip_destroy (node->gossip);
   platform_era_destroy (node->era);
   quarantine_node_destroy (node->quarantine);
+  peer_reads_destroy (node->reads);
   peers_destroy (node->peers);
   members_destroy (node->members);
   balancer_destroy (node->balancer);
