A late answer to a probe of an earlier start marks no live member gone

Probes were numbered from 1 at each start, so that it can match a probe of another node, which then counts as replaced: this node sends it nothing more until it refutes that.

Cause: an answer is told by its number alone, and the numbers of two starts are alike. They begin at a random number now; those of relayed probes, which have the same fault, too.

test_a_late_answer_to_a_predecessor_marks_a_live_member_gone failed before (status 2, dead).

--- a/core/src/member/members-private.h
+++ b/core/src/member/members-private.h
@@ -9,6 +9,9 @@
 
 #include "table.h"
 
+/* The sequence of probes begins below this number, at random. */
+#define MEMBERS_FIRST_SEQUENCE_MAX 0x40000000u
+
 /* A pending probe. */
 typedef struct
 {
--- a/core/src/member/members.c
+++ b/core/src/member/members.c
@@ -46,6 +46,8 @@
   members->timing = *timing;
   members->rand = rand;
   members->clock = clock;
+  /* A late answer to a probe of an earlier start matches none of these. */
+  members->sequence = g_rand_int (rand) % MEMBERS_FIRST_SEQUENCE_MAX;
   members->round = g_ptr_array_new_with_free_func (g_free);
   members->remote_round = g_ptr_array_new_with_free_func (g_free);
   members->updates = g_array_new (FALSE, FALSE, sizeof (MemberUpdate));
--- a/core/tests/test-members.c
+++ b/core/tests/test-members.c
@@ -16,7 +16,7 @@
 
 /* Creates node "a", which knows node "b" of the same hall. */
 static Fixture
-setup (void)
+setup_seeded (guint32 seed)
 {
   static const char *const no_seeds[] = { NULL };
   Member self = { .node = "a", .hall = "h", .address = "127.0.0.1:1", .incarnation = 1 };
@@ -26,7 +26,8 @@
                    .incarnation = 2,
                    .epoch = 1,
                    .status = MEMBER_ALIVE };
-  Fixture fixture = { clock_create_manual (SECOND_US), g_rand_new_with_seed (1), NULL };
+  Fixture fixture = { clock_create_manual (SECOND_US), g_rand_new_with_seed (seed),
+                      NULL };
 
   fixture.members = members_create (&self, no_seeds, &members_timing_default,
                                     fixture.rand, fixture.clock);
@@ -34,6 +35,12 @@
   return fixture;
 }
 
+static Fixture
+setup (void)
+{
+  return setup_seeded (1);
+}
+
 static void
 teardown (Fixture *fixture)
 {
@@ -114,10 +121,26 @@
   teardown (&fixture);
 }
 
+/* The node that had asked has crashed, and its successor probes another node. */
+static void
+test_a_late_answer_to_a_predecessor_marks_a_live_member_gone (void **state)
+{
+  Fixture before = setup_seeded (1);
+  Fixture after = setup_seeded (2);
+  guint late = probe (&before);
+
+  probe (&after);
+  members_answered (after.members, late, "c");
+  assert_int_equal (status_of_b (&after), MEMBER_ALIVE);
+  teardown (&before);
+  teardown (&after);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_late_answer_to_a_predecessor_marks_a_live_member_gone),
     cmocka_unit_test (test_an_own_answer_keeps_a_member_alive),
     cmocka_unit_test (test_an_answer_under_another_name_means_death),
     cmocka_unit_test (test_an_answer_through_a_helper_keeps_a_member_alive),
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -44,6 +44,9 @@
    membership's own probes are below it. */
 #define RELAY_SEQUENCE_BIT 0x80000000u
 #define RELAY_LIFE_US (2 * SECOND_US)
+/* They begin below this number, at random, so that a late answer to an earlier start of
+   this node matches none of them. */
+#define FIRST_RELAY_SEQUENCE_MAX 0x40000000u
 
 /* A probe sent on behalf of another node. */
 typedef struct
@@ -352,6 +355,7 @@
       g_free (gossip);
       return NULL;
     }
+  gossip->relay_sequence = g_rand_int (node->rand) % FIRST_RELAY_SEQUENCE_MAX;
   gossip->relays = g_hash_table_new_full (NULL, NULL, NULL, relay_free);
   gossip->timer = loop_timer_create (node->loop, on_timer, gossip);
   gossip->forward_timer = loop_timer_create (node->loop, on_forward_timer, gossip);
