A node that hears of no other watches the store

A node that has heard no message of another for 2 s (nodes hear others every second) watches now whatever its rank is, and ceases when it hears one. While the list of a first start is not read, the time does not run, so that a whole fleet's start has no more watchers (test_nodes_that_have_met_no_other_do_not_all_watch, unchanged).

test_a_node_that_hears_of_no_other_does_not_watch failed before.

--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -137,6 +137,7 @@
 void
 config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation)
 {
+  sync->heard_us = clock_now (sync->node->clock);
   if (!is_newer_generation (sync, generation))
     return;
   if (peers_in_own_hall (sync->node, vm))
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -49,6 +49,7 @@
   guint64 far_generation;
   gint64 created_us;
   gint64 polled_us;  /* last poll by the timer */
+  gint64 heard_us;   /* last message of another node, or when it could first come */
   gint64 applied_us; /* when the present configuration came into force */
 };
 
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -19,6 +19,9 @@
 #define WATCH_SETTLE_US (1500 * MS_US)
 /* The same for a fleet's first start, until the platform's list names the other nodes. */
 #define WATCH_SETTLE_FIRST_US (10 * SECOND_US)
+/* A node that has heard no other for this time watches whatever its rank is: nodes hear
+   others every second, and those that outrank it by the platform's list may be gone. */
+#define UNHEARD_US (2 * SECOND_US)
 /* Minimum numbers of nodes that watch the store, in each hall and in the whole fleet.
    If a third of the nodes lose the store, all of nine watchers are among them in one of
    12,000 cases. The other nodes hear of changes by gossip, within a second at 30 nodes.
@@ -267,10 +270,17 @@
   return own.rank < watchers_per_hall (own);
 }
 
+static gboolean
+hears_no_other (const ConfigSync *sync)
+{
+  return clock_now (sync->node->clock) - sync->heard_us > UNHEARD_US;
+}
+
 gboolean
 config_sync_is_watcher (const ConfigSync *sync)
 {
-  return has_settled (sync) && is_among_watchers (watch_rank (sync));
+  return has_settled (sync) &&
+         (is_among_watchers (watch_rank (sync)) || hears_no_other (sync));
 }
 
 /* The watchers take turns hall by hall: first the first of each hall, then the second. A
@@ -348,6 +358,9 @@
   gboolean is_watcher = config_sync_is_watcher (sync);
   WatchTimes times;
 
+  /* Until the others are known, nobody can be heard. */
+  if (!has_settled (sync))
+    sync->heard_us = clock_now (sync->node->clock);
   if (is_watcher != sync->is_watcher)
     log_watcher (sync, is_watcher);
   sync->is_watcher = is_watcher;
@@ -379,6 +392,7 @@
   sync->evacuations = evacuations_create ();
   sync->created_us = clock_now (node->clock);
   sync->polled_us = sync->created_us;
+  sync->heard_us = sync->created_us;
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
   sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -37,9 +37,9 @@
                                    const char *hall,
                                    const Registration *registration);
 
-/* Notes the generation that is in force at node `vm`. If it is higher than the one here,
-   the head is requested from that node: at once in the own hall, after a delay in another
-   (FAR_HEAD_DELAY_US). */
+/* Notes that node `vm` has been heard, and the generation that is in force there. If it
+   is higher than the one here, the head is requested from that node: at once in the own
+   hall, after a delay in another (FAR_HEAD_DELAY_US). */
 void config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation);
 
 /* Reads the head from the platform now instead of at the next poll. Does nothing while
