A fetch that has begun is finished before a newer head takes its place

Cause: each newer head took the place of the wanted one, and the nodes that have a head in force no longer give the parts that the next one has replaced. A node whose fetch takes longer than the pause between two changes puts none in force, however long the series lasts.

Change: while a fetch is in progress, the newest head that comes waits and is next when the fetch ends, also when it fails; a head of which nothing is missing is put in force at once. Nodes keep the packed parts that they have replaced for limits.apply_ms, 2 MB at most (core/part-history). A fetch of a head that is no longer wanted holds nothing up any more.

The relay's stand-in can delay what it forwards.

--- a/core/include/core/config.h
+++ b/core/include/core/config.h
@@ -194,6 +194,8 @@
 const GPtrArray *snapshot_services (const Snapshot *snapshot);
 ConfigPart *snapshot_part (const Snapshot *snapshot, const char *key);
 ConfigPart *snapshot_part_by_digest (const Snapshot *snapshot, const char *digest);
+/* Returns the parts of `snapshot` that `fresh` does not have, borrowed from it. */
+GPtrArray *snapshot_replaced_parts (const Snapshot *snapshot, const Snapshot *fresh);
 guint snapshot_route_count (const Snapshot *snapshot);
 guint snapshot_account_count (const Snapshot *snapshot);
 /* Returns whether any account is or was configured: shards that a plan has emptied are
--- a/core/src/config/snapshot.c
+++ b/core/src/config/snapshot.c
@@ -203,6 +203,21 @@
   return g_hash_table_lookup (snapshot->by_digest, digest);
 }
 
+GPtrArray *
+snapshot_replaced_parts (const Snapshot *snapshot, const Snapshot *fresh)
+{
+  GPtrArray *replaced = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer digest;
+  gpointer part;
+
+  g_hash_table_iter_init (&iter, snapshot->by_digest);
+  while (g_hash_table_iter_next (&iter, &digest, &part))
+    if (!g_hash_table_contains (fresh->by_digest, digest))
+      g_ptr_array_add (replaced, part);
+  return replaced;
+}
+
 const Service *
 snapshot_service (const Snapshot *snapshot, const char *name)
 {
--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -22,6 +22,7 @@
   sw_part_args args;
   char *source; /* the node that is asked; NULL for the platform */
   gint64 began_us;
+  guint head; /* number of the head that it was begun for */
   /* Set once the part has been received. */
   GBytes *bytes;
   gboolean packed;
@@ -43,6 +44,23 @@
   g_clear_pointer (&sync->wanted_text, g_free);
   g_clear_pointer (&sync->source, g_free);
   sync->missing_before = 0;
+  sync->fetching = 0;
+  sync->heads++;
+}
+
+static void
+forget_next (ConfigSync *sync)
+{
+  g_clear_pointer (&sync->next, config_head_destroy);
+  g_clear_pointer (&sync->next_text, g_free);
+  g_clear_pointer (&sync->next_source, g_free);
+}
+
+void
+config_fetch_destroy (ConfigSync *sync)
+{
+  config_fetch_reset (sync);
+  forget_next (sync);
 }
 
 static Fetch *
@@ -54,6 +72,7 @@
   fetch->key = g_strdup (key);
   fetch->digest = g_strdup (digest);
   fetch->args.digest = fetch->digest;
+  fetch->head = sync->heads;
   return fetch;
 }
 
@@ -71,15 +90,25 @@
   g_free (fetch);
 }
 
+/* Continues after the end of a fetch, unless its head is no longer wanted. */
+static void
+note_fetch_ended (ConfigSync *sync, guint head)
+{
+  if (head != sync->heads)
+    return;
+  sync->fetching--;
+  fetch_more (sync);
+}
+
 /* Ends a fetch that has brought no part. */
 static void
 fetch_failed (Fetch *fetch)
 {
   ConfigSync *sync = fetch->sync;
+  guint head = fetch->head;
 
-  sync->fetching--;
   fetch_free (fetch);
-  fetch_more (sync);
+  note_fetch_ended (sync, head);
 }
 
 static void
@@ -123,11 +152,13 @@
   /* The part from another node is invalid; the platform may have a valid one. */
   if (!wanted && fetch->packed)
     {
-      fetch_from_platform (fetch_create (sync, fetch->key, fetch->digest));
+      Fetch *again = fetch_create (sync, fetch->key, fetch->digest);
+
+      again->head = fetch->head;
+      fetch_from_platform (again);
       return;
     }
-  sync->fetching--;
-  fetch_more (sync);
+  note_fetch_ended (sync, fetch->head);
 }
 
 /* Parses a part on the worker thread. A change of all parts of 4,200 routes takes 36 ms
@@ -200,17 +231,17 @@
     fetch_from_platform (fetch);
 }
 
-/* Returns the parts of the wanted head that are still missing, as key → digest, borrowed
-   from the head. Adds those that the snapshot has to sync->parts. */
+/* Returns the parts of a head that are still missing, as key → digest, borrowed from the
+   head. Adds those that the snapshot has to sync->parts. */
 static GHashTable *
-missing_parts (ConfigSync *sync)
+missing_parts (ConfigSync *sync, const ConfigHead *head)
 {
   GHashTable *missing = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer key;
   gpointer digest;
 
-  g_hash_table_iter_init (&iter, sync->wanted->parts);
+  g_hash_table_iter_init (&iter, head->parts);
   while (g_hash_table_iter_next (&iter, &key, &digest))
     {
       ConfigPart *held = snapshot_part_by_digest (sync->snapshot, digest);
@@ -262,13 +293,18 @@
   /* With one batch at a time the parts in flight need no bookkeeping. */
   if (!sync->wanted || sync->fetching > 0)
     return;
-  missing = missing_parts (sync);
+  missing = missing_parts (sync, sync->wanted);
   if (g_hash_table_size (missing) == 0)
     {
       config_sync_apply (sync);
       return;
     }
   progress = g_hash_table_size (missing) != sync->missing_before;
+  if (!progress && sync->next)
+    {
+      config_fetch_next (sync);
+      return;
+    }
   /* The source and the platform had none of the missing parts; another node may. */
   if (!progress)
     {
@@ -287,10 +323,11 @@
   g_autoptr (GPtrArray) keys = NULL;
   GHashTableIter iter;
   gpointer key;
+  guint head = sync->heads;
 
   if (!sync->wanted || sync->fetching > 0)
     return;
-  missing = missing_parts (sync);
+  missing = missing_parts (sync, sync->wanted);
   if (g_hash_table_size (missing) == 0)
     {
       /* All parts have become available since this batch was scheduled. */
@@ -301,7 +338,8 @@
   g_hash_table_iter_init (&iter, missing);
   while (g_hash_table_iter_next (&iter, &key, NULL) && keys->len < FETCHES_MAX)
     g_ptr_array_add (keys, key);
-  for (guint i = 0; i < keys->len; i++)
+  /* A fetch that fails at once may end in another wanted head, which has other keys. */
+  for (guint i = 0; i < keys->len && head == sync->heads; i++)
     {
       const char *name = g_ptr_array_index (keys, i);
 
@@ -309,6 +347,56 @@
     }
 }
 
+/* Makes a head the wanted one, and takes it over with its text and its source. */
+static void
+want (ConfigSync *sync, ConfigHead *head, char *text, char *source)
+{
+  config_fetch_reset (sync);
+  sync->wanted = head;
+  sync->wanted_text = text;
+  sync->source = source;
+  fetch_more (sync);
+}
+
+void
+config_fetch_next (ConfigSync *sync)
+{
+  ConfigHead *head = g_steal_pointer (&sync->next);
+  char *text = g_steal_pointer (&sync->next_text);
+  char *source = g_steal_pointer (&sync->next_source);
+
+  if (head && head->generation > snapshot_generation (sync->snapshot))
+    {
+      want (sync, head, text, source);
+      return;
+    }
+  g_clear_pointer (&head, config_head_destroy);
+  g_free (text);
+  g_free (source);
+}
+
+static gboolean
+is_newest (const ConfigSync *sync, const ConfigHead *head)
+{
+  return head->generation > snapshot_generation (sync->snapshot) &&
+         !(sync->wanted && head->generation <= sync->wanted->generation) &&
+         !(sync->next && head->generation <= sync->next->generation);
+}
+
+/* Whether the wanted head is to be put in force before this newer one: its fetch is in
+   progress, and parts of the newer one would have to be fetched as well. Otherwise
+   changes that follow each other faster than a fetch takes would keep all of them out. */
+static gboolean
+must_wait (ConfigSync *sync, const ConfigHead *head)
+{
+  g_autoptr (GHashTable) missing = NULL;
+
+  if (!sync->wanted || sync->fetching == 0)
+    return FALSE;
+  missing = missing_parts (sync, head);
+  return g_hash_table_size (missing) > 0;
+}
+
 void
 config_fetch_start_if_newer (ConfigSync *sync,
                              const char *text,
@@ -317,6 +405,7 @@
 {
   JsonFaults *faults = json_faults_create ();
   ConfigHead *head = config_head_parse (text, (gssize)len, faults);
+  char *from;
 
   if (!head)
     log_event (G_LOG_LEVEL_WARNING, "config-head-bad", "DETAIL",
@@ -324,15 +413,19 @@
   json_faults_destroy (faults);
   if (!head)
     return;
-  if (head->generation <= snapshot_generation (sync->snapshot) ||
-      (sync->wanted && head->generation <= sync->wanted->generation))
+  if (!is_newest (sync, head))
     {
       config_head_destroy (head);
       return;
     }
-  config_fetch_reset (sync);
-  sync->wanted = head;
-  sync->wanted_text = g_strndup (text, len);
-  sync->source = source ? g_strdup (source) : choose_source (sync);
-  fetch_more (sync);
+  forget_next (sync);
+  from = source ? g_strdup (source) : choose_source (sync);
+  if (!must_wait (sync, head))
+    {
+      want (sync, head, g_strndup (text, len), from);
+      return;
+    }
+  sync->next = head;
+  sync->next_text = g_strndup (text, len);
+  sync->next_source = from;
 }
--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -112,7 +112,8 @@
 is_newer_generation (const ConfigSync *sync, guint64 generation)
 {
   return generation > snapshot_generation (sync->snapshot) &&
-         !(sync->wanted && generation <= sync->wanted->generation);
+         !(sync->wanted && generation <= sync->wanted->generation) &&
+         !(sync->next && generation <= sync->next->generation);
 }
 
 static void
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -6,6 +6,8 @@
 #ifndef DAEMON_CONFIG_SYNC_PRIVATE_H
 #define DAEMON_CONFIG_SYNC_PRIVATE_H
 
+#include <core/part-history.h>
+
 #include "adapter.h"
 #include "config-sync.h"
 
@@ -34,8 +36,15 @@
   char *wanted_text;
   char *source;         /* the node to fetch from, or NULL for the platform */
   GHashTable *parts;    /* digest → ConfigPart */
-  guint fetching;       /* fetches in flight */
+  guint fetching;       /* fetches of the wanted head in flight */
+  guint heads;          /* that have been wanted, to tell fetches of earlier ones */
   guint missing_before; /* number of missing parts before the last batch */
+  /* The newest head that came during that fetch, and takes its place when it ends; NULL
+     for none. */
+  ConfigHead *next;
+  char *next_text;
+  char *next_source;
+  PartHistory *history; /* of parts that were in force */
   /* The rounds of head requests at startup. */
   guint round;
   guint asked;    /* requests of the present round */
@@ -86,6 +95,9 @@
                                   const char *source);
 /* Forgets the wanted head. Parts that have been received are kept. */
 void config_fetch_reset (ConfigSync *sync);
+/* Starts to fetch the head that has come meanwhile, if any. */
+void config_fetch_next (ConfigSync *sync);
+void config_fetch_destroy (ConfigSync *sync);
 /* Timer function: fetches a batch of the parts that are still missing. */
 void config_fetch_batch (gpointer data);
 
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -8,6 +8,8 @@
 
 /* A read from another node that takes longer is logged. */
 #define READ_LATE_US (250 * MS_US)
+/* Bytes of replaced parts that are kept for nodes which still fetch them. */
+#define HISTORY_BYTES_MAX (2u * 1024 * 1024)
 /* Interval at which a node that does not watch checks whether it has to. */
 #define WATCHER_CHECK_INTERVAL_US (1 * SECOND_US)
 /* Interval at which a node that watches checks whether it still has to. It must end
@@ -118,6 +120,20 @@
   config_sync_compose (data);
 }
 
+static void
+keep_replaced_parts (ConfigSync *sync, const Snapshot *fresh)
+{
+  g_autoptr (GPtrArray) replaced = snapshot_replaced_parts (sync->base, fresh);
+
+  for (guint i = 0; i < replaced->len; i++)
+    {
+      ConfigPart *part = g_ptr_array_index (replaced, i);
+
+      part_history_add (sync->history, config_part_digest (part),
+                        config_part_packed (part));
+    }
+}
+
 void
 config_sync_apply (ConfigSync *sync)
 {
@@ -127,6 +143,7 @@
 
   if (!base)
     return;
+  keep_replaced_parts (sync, base);
   snapshot_unref (sync->base);
   sync->base = base;
   g_free (sync->head_text);
@@ -141,6 +158,7 @@
   generation = g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (base));
   events_add (node->events, "config-applied", generation, NULL);
   gossip_push (node->gossip);
+  config_fetch_next (sync);
 }
 
 static gboolean
@@ -395,6 +413,8 @@
   sync->heard_us = sync->created_us;
   sync->parts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        (GDestroyNotify)config_part_unref);
+  sync->history =
+      part_history_create (node->clock, node->settings->apply_us, HISTORY_BYTES_MAX);
   sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
   sync->watch = loop_timer_create (node->loop, on_watch_timer, sync);
@@ -420,7 +440,8 @@
   g_free (sync->far_source);
   loop_timer_destroy (sync->fetch);
   loop_timer_destroy (sync->compose);
-  config_fetch_reset (sync);
+  config_fetch_destroy (sync);
+  part_history_destroy (sync->history);
   g_hash_table_unref (sync->parts);
   g_hash_table_unref (sync->announcers);
   snapshot_unref (sync->snapshot);
@@ -444,11 +465,13 @@
 config_sync_answer_part (ConfigSync *sync, const sw_part_args *args, sw_part_res *res)
 {
   ConfigPart *part = snapshot_part_by_digest (sync->snapshot, args->digest);
+  GBytes *packed =
+      part ? config_part_packed (part) : part_history_find (sync->history, args->digest);
   gsize len = 0;
 
-  if (!part)
+  if (!packed)
     return;
   res->found = TRUE;
-  res->part.part_val = (char *)g_bytes_get_data (config_part_packed (part), &len);
+  res->part.part_val = (char *)g_bytes_get_data (packed, &len);
   res->part.part_len = (u_int)len;
 }
--- a/standins/src/relay.c
+++ b/standins/src/relay.c
@@ -8,6 +8,7 @@
  *   reset=1: resets all connections, which loses data in flight.
  *   hush=1: stops forwarding on all present connections without closing them; new ones
  *     work.
+ *   delay_ms=N: forwards what arrives on connections from now on N ms later.
  */
 #include <io/http-server.h>
 #include <io/loop.h>
@@ -28,7 +29,8 @@
 {
   int fd;
   LoopFd *watch;
-  GByteArray *out; /* data to send to this side */
+  GByteArray *out;  /* data to send to this side */
+  LoopTimer *delay; /* started while data from this side waits to be read */
   gboolean ended;
 } Side;
 
@@ -49,6 +51,7 @@
 static const char *target;
 static gboolean forth = TRUE;
 static gboolean back = TRUE;
+static gint64 delay_us;
 static GPtrArray *pairs;
 static GPtrArray *flows;
 static int udp;
@@ -59,6 +62,8 @@
   g_ptr_array_remove_fast (pairs, pair);
   loop_fd_destroy (pair->near.watch);
   loop_fd_destroy (pair->far.watch);
+  loop_timer_destroy (pair->near.delay);
+  loop_timer_destroy (pair->far.delay);
   close (pair->near.fd);
   close (pair->far.fd);
   g_byte_array_unref (pair->near.out);
@@ -78,7 +83,8 @@
       g_byte_array_remove_range (side->out, 0, (guint)n);
     }
   loop_fd_set (side->watch,
-               (side->ended ? 0 : LOOP_READ) | (open && side->out->len ? LOOP_WRITE : 0));
+               (side->ended || loop_timer_is_started (side->delay) ? 0 : LOOP_READ) |
+                   (open && side->out->len ? LOOP_WRITE : 0));
 }
 
 /* Forwards buffered data in the open directions. After the end of a stream the pair is
@@ -109,26 +115,55 @@
   settle (pair);
 }
 
+/* Reads what has arrived on one side, now or after the delay. */
 static void
-on_near (int fd, LoopEvents ready, gpointer data)
+on_side_ready (Pair *pair, Side *from, Side *to, LoopEvents ready)
 {
-  Pair *pair = data;
+  gboolean readable = ready & LOOP_READ && !from->ended;
 
-  if (ready & LOOP_READ && !pair->near.ended)
-    read_side (pair, &pair->near, &pair->far);
+  if (readable && delay_us > 0)
+    {
+      loop_timer_start (from->delay, delay_us);
+      settle (pair);
+    }
+  else if (readable)
+    read_side (pair, from, to);
   else
     settle (pair);
 }
 
+static void
+on_near (int fd, LoopEvents ready, gpointer data)
+{
+  Pair *pair = data;
+
+  on_side_ready (pair, &pair->near, &pair->far, ready);
+}
+
 static void
 on_far (int fd, LoopEvents ready, gpointer data)
 {
   Pair *pair = data;
 
-  if (ready & LOOP_READ && !pair->far.ended)
+  on_side_ready (pair, &pair->far, &pair->near, ready);
+}
+
+static void
+on_near_delayed (gpointer data)
+{
+  Pair *pair = data;
+
+  if (!pair->silent)
+    read_side (pair, &pair->near, &pair->far);
+}
+
+static void
+on_far_delayed (gpointer data)
+{
+  Pair *pair = data;
+
+  if (!pair->silent)
     read_side (pair, &pair->far, &pair->near);
-  else
-    settle (pair);
 }
 
 static void
@@ -144,6 +179,8 @@
       pair->far.fd = socket_connect (target);
       pair->near.out = g_byte_array_new ();
       pair->far.out = g_byte_array_new ();
+      pair->near.delay = loop_timer_create (loop, on_near_delayed, pair);
+      pair->far.delay = loop_timer_create (loop, on_far_delayed, pair);
       pair->near.watch = loop_fd_create (loop, accepted, LOOP_READ, on_near, pair);
       pair->far.watch = loop_fd_create (loop, pair->far.fd, LOOP_READ, on_far, pair);
       g_ptr_array_add (pairs, pair);
@@ -231,11 +268,14 @@
 {
   const char *f = http_request_argument (request, "forth");
   const char *b = http_request_argument (request, "back");
+  const char *delay = http_request_argument (request, "delay_ms");
 
   if (f)
     forth = *f == '1';
   if (b)
     back = *b == '1';
+  if (delay)
+    delay_us = g_ascii_strtoll (delay, NULL, 10) * MS_US;
   if (http_request_argument (request, "reset"))
     reset_all ();
   if (http_request_argument (request, "hush"))
