--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -1,7 +1,8 @@
 /*
  * Shared by the files of the sync: config-sync.c keeps the configuration in force,
- * config-fetch.c fetches the parts of a newer head, config-start.c requests heads from
- * other nodes, and config-halls.c handles evacuated data halls.
+ * config-watch.c watches the platform, config-fetch.c fetches the parts of a newer head,
+ * config-start.c requests heads from other nodes, and config-halls.c handles evacuated
+ * data halls.
  */
 #ifndef DAEMON_CONFIG_SYNC_PRIVATE_H
 #define DAEMON_CONFIG_SYNC_PRIVATE_H
@@ -84,6 +85,16 @@
    evacuations. */
 void config_sync_compose (ConfigSync *sync);
 
+/* Applies what the platform has answered to a read or a watch. */
+void config_sync_apply_reading (ConfigSync *sync, const ConfigReading *reading);
+
+/* Whether this node knows enough of the others to decide whether it watches. */
+gboolean config_watch_has_settled (const ConfigSync *sync);
+/* Schedules the first check. */
+void config_watch_start (ConfigSync *sync);
+/* Timer function: begins a watch, or ends the one of a node that is no watcher. */
+void config_watch_check (gpointer data);
+
 /* Puts the wanted head in force; does nothing while one of its parts is missing. */
 void config_sync_apply (ConfigSync *sync);
 
