--- a/daemon/src/config/config-watch.c
+++ b/daemon/src/config/config-watch.c
@@ -92,8 +92,8 @@
          (is_among_watchers (watch_rank (sync)) || hears_no_other (sync));
 }
 
-/* The watchers take turns hall by hall: first the first of each hall, then the second. A
-   change is in force at all nodes at about the same time, which is their common moment.
+/* The watchers take turns: first the first of each hall, then the second of each. A
+   change is in force at all of them at about the same time, which is their common moment.
  */
 WatchTimes
 config_sync_watch_times (const ConfigSync *sync)
