A node that announces a change while it is asked for the one before is asked again

The highest generation that it has announced is kept, and asked for when the answer has come.

test_a_node_that_announces_a_change_while_asked_is_not_asked_again fails without (1 request where 2 are due).

--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -26,7 +26,8 @@
 {
   ConfigSync *sync;
   char *vm;
-  guint round; /* of the requests at startup; 0 for an announced generation */
+  guint round;        /* of the requests at startup; 0 for an announced generation */
+  guint64 generation; /* that was announced; 0 at startup */
   gint64 began_us;
 } HeadCall;
 
@@ -34,6 +35,8 @@
                                              (xdrproc_t)xdr_sw_head_res,
                                              sizeof (sw_head_res) };
 
+static void request_announced_head (ConfigSync *sync, const char *vm, guint64 generation);
+
 /*
  * Without the platform a node may serve once all peers asked in one round have answered
  * or, START_WAIT_MAX_US after its start, once any of them has. Its configuration then
@@ -65,11 +68,31 @@
                                                         .began_us = call->began_us });
 }
 
+static gboolean
+is_newer_generation (const ConfigSync *sync, guint64 generation)
+{
+  return generation > snapshot_generation (sync->snapshot) &&
+         !(sync->wanted && generation <= sync->wanted->generation) &&
+         !(sync->next && generation <= sync->next->generation);
+}
+
+/* Ends the request of an announced head. If the node has announced a higher generation
+   meanwhile, its answer may be from before that, and it is asked again. */
+static void
+end_announced_request (ConfigSync *sync, const HeadCall *call)
+{
+  guint64 announced = *(guint64 *)g_hash_table_lookup (sync->announcers, call->vm);
+
+  g_hash_table_remove (sync->announcers, call->vm);
+  if (announced > call->generation && is_newer_generation (sync, announced))
+    request_announced_head (sync, call->vm, announced);
+}
+
 static void
 head_call_free (HeadCall *call)
 {
   if (call->round == 0)
-    g_hash_table_remove (call->sync->announcers, call->vm);
+    end_announced_request (call->sync, call);
   g_free (call->vm);
   g_free (call);
 }
@@ -95,34 +118,36 @@
 }
 
 static void
-request_head (ConfigSync *sync, const char *vm, guint round)
+request_head (ConfigSync *sync, const char *vm, guint round, guint64 generation)
 {
   HeadCall *call = g_new0 (HeadCall, 1);
 
   call->sync = sync;
   call->vm = g_strdup (vm);
   call->round = round;
+  call->generation = generation;
   call->began_us = clock_now (sync->node->clock);
   peer_reads_call (sync->node->reads, vm, &head_procedure, NULL,
                    config_sync_patience_us (sync, HEAD_TIMEOUT_MAX_US), on_peer_head,
                    call);
 }
 
-static gboolean
-is_newer_generation (const ConfigSync *sync, guint64 generation)
-{
-  return generation > snapshot_generation (sync->snapshot) &&
-         !(sync->wanted && generation <= sync->wanted->generation) &&
-         !(sync->next && generation <= sync->next->generation);
-}
-
 static void
-request_announced_head (ConfigSync *sync, const char *vm)
+request_announced_head (ConfigSync *sync, const char *vm, guint64 generation)
 {
-  if (g_hash_table_size (sync->announcers) >= ANNOUNCED_REQUESTS_MAX ||
-      !g_hash_table_add (sync->announcers, g_strdup (vm)))
+  guint64 *announced = g_hash_table_lookup (sync->announcers, vm);
+
+  if (announced)
+    {
+      *announced = MAX (*announced, generation);
+      return;
+    }
+  if (g_hash_table_size (sync->announcers) >= ANNOUNCED_REQUESTS_MAX)
     return;
-  request_head (sync, vm, 0);
+  announced = g_new (guint64, 1);
+  *announced = generation;
+  g_hash_table_insert (sync->announcers, g_strdup (vm), announced);
+  request_head (sync, vm, 0, generation);
 }
 
 void
@@ -132,7 +157,7 @@
   g_autofree char *vm = g_steal_pointer (&sync->far_source);
 
   if (vm && is_newer_generation (sync, sync->far_generation))
-    request_announced_head (sync, vm);
+    request_announced_head (sync, vm, sync->far_generation);
 }
 
 void
@@ -143,7 +168,7 @@
     return;
   if (peers_in_own_hall (sync->node, vm))
     {
-      request_announced_head (sync, vm);
+      request_announced_head (sync, vm, generation);
       return;
     }
   if (sync->far_source && generation <= sync->far_generation)
@@ -181,6 +206,6 @@
       if (member == members_self (node->members) || !members_is_alive (member))
         continue;
       sync->asked++;
-      request_head (sync, member->node, sync->round);
+      request_head (sync, member->node, sync->round, 0);
     }
 }
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -50,7 +50,8 @@
   guint round;
   guint asked;    /* requests of the present round */
   guint answered; /* answers in the present round */
-  /* Set of nodes from which a head is being requested that they have announced. */
+  /* The nodes from which a head is being requested that they have announced: name → the
+     highest generation (guint64) that each has announced. */
   GHashTable *announcers;
   /* A newer generation announced from another hall. Its head is requested after a delay,
      in which a node of the own hall may announce it. */
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -231,7 +231,7 @@
                                        (GDestroyNotify)config_part_unref);
   sync->history =
       part_history_create (node->clock, node->settings->apply_us, HISTORY_BYTES_MAX);
-  sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
   sync->watch = loop_timer_create (node->loop, config_watch_check, sync);
   sync->far = loop_timer_create (node->loop, config_request_far_head, sync);
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -7,6 +7,7 @@
 
 #include "adapter.h"
 #include "config-sync.h"
+#include "peer-reads.h"
 
 #define NODES 100u
 #define SPAN_S 120u
@@ -183,6 +184,8 @@
 }
 
 #define LISTED 36u
+/* Turns of the loop in which calls between two nodes are answered. */
+#define TURNS 100u
 #define HALLS 3u
 /* The watchers of all halls together. */
 #define WATCHERS 9u
@@ -266,9 +269,18 @@
   return TRUE;
 }
 
+static guint turns_left;
+
 static gint64
 pass_watch_time (gpointer data)
 {
+  /* The clock stands while messages pass. */
+  if (turns_left > 0)
+    {
+      if (--turns_left == 0)
+        loop_quit (watch_loop);
+      return MS_US;
+    }
   clock_advance (watch_clock, STEP_US);
   if (clock_now (watch_clock) >= watch_until_us)
     loop_quit (watch_loop);
@@ -282,6 +294,13 @@
   loop_run (watch_loop);
 }
 
+static void
+pass_messages (void)
+{
+  turns_left = TURNS;
+  loop_run (watch_loop);
+}
+
 /* Adds members of the own hall, or lets them die. */
 static void
 merge_members (Members *members, MemberStatus status)
@@ -299,7 +318,9 @@
     }
 }
 
-static const Settings lone_settings = { .node = "self", .hall = "hall" };
+static const Settings lone_settings = {
+  .node = "self", .hall = "hall", .fleet_token = "token", .apply_us = 2 * SECOND_US
+};
 static const Member lone_self = { .node = "self",
                                   .hall = "hall",
                                   .address = "127.0.0.1:1" };
@@ -384,6 +405,75 @@
   lone_node_clear (&node);
 }
 
+#define OTHER_ADDRESS "127.0.0.1:18298"
+
+/* The requests for a head that another node has received, and the last one. */
+typedef struct
+{
+  guint count;
+  RpcConn *conn;
+  guint32 xid;
+} HeadRequests;
+
+/* Plays the other node: welcomes this one, and keeps its requests for a head. */
+static void
+on_other_called (RpcConn *conn, const WireCall *call, XDR *in, gpointer data)
+{
+  HeadRequests *requests = data;
+  sw_hello_res res = { .welcome = TRUE, .stamp = { .node = (char *)"other" } };
+
+  if (call->procedure == SW_HELLO)
+    {
+      rpc_conn_reply (conn, call->xid, (xdrproc_t)xdr_sw_hello_res, &res);
+      return;
+    }
+  requests->count++;
+  requests->conn = conn;
+  requests->xid = call->xid;
+}
+
+/* It was being asked for the one before, and is heard next only a second later. */
+static void
+test_a_node_that_announces_a_change_while_asked_is_not_asked_again (void **state)
+{
+  static const RpcLimits limits = { 4, 60 * SECOND_US };
+  HeadRequests requests = { 0 };
+  sw_head_res res = { .generation = 5, .head.head_val = (char *)"" };
+  Node node = lone_node (0);
+  RpcServer *server = rpc_server_create (node.loop, OTHER_ADDRESS, &limits,
+                                         on_other_called, &requests, NULL);
+  Member other = { .node = "other",
+                   .hall = "hall",
+                   .address = OTHER_ADDRESS,
+                   .incarnation = 1,
+                   .status = MEMBER_ALIVE };
+
+  assert_non_null (server);
+  node.traffic = traffic_create (node.loop);
+  node.metrics = metrics_create ();
+  node.reads = peer_reads_create (&node);
+  node.config = config_sync_create (&node);
+  /* The requests of a starting node do not count. */
+  run_for (STEP_US);
+  members_merge (node.members, &other);
+  config_sync_note_generation (node.config, "other", 5);
+  pass_messages ();
+  assert_int_equal (requests.count, 1);
+  config_sync_note_generation (node.config, "other", 6);
+  rpc_conn_reply (requests.conn, requests.xid, (xdrproc_t)xdr_sw_head_res, &res);
+  pass_messages ();
+  assert_int_equal (requests.count, 2);
+  /* It announces nothing more, whatever it answers. */
+  rpc_conn_reply (requests.conn, requests.xid, (xdrproc_t)xdr_sw_head_res, &res);
+  pass_messages ();
+  assert_int_equal (requests.count, 2);
+  peer_reads_destroy (node.reads);
+  rpc_server_destroy (server);
+  traffic_destroy (node.traffic);
+  metrics_destroy (node.metrics);
+  lone_node_clear (&node);
+}
+
 int
 main (void)
 {
@@ -391,6 +481,7 @@
     cmocka_unit_test (test_nodes_that_have_met_no_other_do_not_all_watch),
     cmocka_unit_test (test_a_node_that_is_outranked_goes_on_watching),
     cmocka_unit_test (test_a_node_that_hears_of_no_other_does_not_watch),
+    cmocka_unit_test (test_a_node_that_announces_a_change_while_asked_is_not_asked_again),
     cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
                                      teardown),
   };
