--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,117 +1,96 @@
-"""One of six machines is cut off from all others, and its node is killed and starts again;
-a tenant sends more than its allowance at four of them."""
+"""Clients have sent two requests each on one connection; their node gets SIGTERM."""
 import asyncio
 import os
 import signal
+import socket
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import fleet as fleets
 
-# The bounds and contracts of "Stall bookings mesh for Welsh markets, some months on".
-WINDOW_S = 5.0
-OVERAGE = 0.1
-SLACK = 20
-PER_S = 40
-BURST = 40
-BOUND = (PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-KEY = "a828m82thhkmgjqnirth"
-CUT_S = 12.0
-RESTART_S = 0.5
-EACH_PER_S = 45       # requests of the tenant at each of four machines
-AT = [0, 1, 2, 3]
+LINK_BYTES_PER_S = 10e6 / 8  # the narrowest link of the sheets, 10 Mbit/s
+ANSWER_BYTES = 400000        # of a download; the sheets have up to 540,000
+CLIENTS = 12
 
 
-def prepare(fleet):
-    fleet.links = fleets.Links(fleet)
-    fleet.contracts = ["base", "drain", "config", "cost", "retry", "recover", "health",
-                       "pool", "tenants", "quota", "platform"]
-    fleet.bounds = {**fleets.BOUNDS, "quota_window": WINDOW_S, "quota_overage": OVERAGE,
-                    "quota_slack": SLACK}
+def request(request_id):
+    return (f"GET /lohu930/2f HTTP/1.1\r\nHost: {fleets.HOST}\r\n"
+            f"Request-Attempt-Id: {request_id}\r\n"
+            f"Deadline-Milliseconds: 4000\r\n\r\n").encode()
 
 
-class Clients:
-    """The tenant's clients at one machine."""
+class Client:
+    """Sends a second request before the first is answered, as some clients do."""
 
-    def __init__(self, fleet, node):
+    def __init__(self, fleet, node, number):
         self.fleet = fleet
         self.node = node
-        self.sent = {}
-        self.statuses = {}
-        self.tasks = set()
+        self.number = number
 
-    async def one(self, request_id):
-        answer = await fleets.call(
-            self.node.at("outbound"), "GET", "/lohu930/2f",
-            [("Request-Attempt-Id", request_id), ("Deadline-Milliseconds", "1200"),
-             ("Authorization", f"Bearer {KEY}")])
-        status = answer[0] if answer else None
-        self.statuses[status] = self.statuses.get(status, 0) + 1
-        self.fleet.record.line(f"{request_id} at {self.node.name} is answered {status}")
+    async def connect(self):
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setblocking(False)
+        host, port = self.node.at("outbound").rsplit(":", 1)
+        await loop.sock_connect(sock, (host, int(port)))
+        return sock
 
-    async def press(self):
+    async def play(self):
+        """Returns whether the first answer came whole, and what was seen."""
+        loop = asyncio.get_running_loop()
+        sock = await self.connect()
+        ids = [fleets.new_id(), fleets.new_id()]
+        record = self.fleet.record
+        await loop.sock_sendall(sock, request(ids[0]))
+        record.line(f"client {self.number} sends {ids[0]} to {self.node.name}")
+        await asyncio.sleep(0.05)
+        await loop.sock_sendall(sock, request(ids[1]))
+        record.line(f"client {self.number} sends {ids[1]} behind it")
+        data = b""
+        end = "whole"
         while True:
-            request_id = fleets.new_id()
-            self.sent[request_id] = self.fleet.record.now()
-            self.tasks.add(asyncio.ensure_future(self.one(request_id)))
-            await asyncio.sleep(1 / EACH_PER_S)
-
-
-def most_in_window(spans):
-    """Returns the most requests that were sent and ran within one span of WINDOW_S, and
-    when that began."""
-    most, at = 0, 0.0
-    for begin, _ in spans:
-        count = sum(begin <= sent and ran <= begin + WINDOW_S for sent, ran in spans)
-        if count > most:
-            most, at = count, begin
-    return most, at
+            try:
+                piece = await loop.sock_recv(sock, 16384)
+            except ConnectionError as error:
+                end = f"reset ({error})"
+                break
+            if not piece:
+                end = "closed"
+                break
+            data += piece
+            head, mark, body = data.partition(b"\r\n\r\n")
+            if mark:
+                lengths = [int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                           if line.lower().startswith(b"content-length")]
+                if lengths and len(body) >= lengths[0]:
+                    break
+            await asyncio.sleep(len(piece) / LINK_BYTES_PER_S)
+        sock.close()
+        head, _, body = data.partition(b"\r\n\r\n")
+        first = head.split(b"\r\n")[0].decode()
+        record.line(f"client {self.number} has for {ids[0]}: {first}, {len(body)} bytes "
+                    f"of the body; {end}")
+        return ids[0], end == "whole", f"{first}, {len(body)} bytes, then {end}"
 
 
 async def play(fleet, trouble):
-    record = fleet.record
+    await fleet.start([fleets.route("r-archive", "/lohu930/", "download", "stats")])
     for node in fleet.nodes:
-        node.worker.work_s = 0.05
-    await fleet.start(
-        [fleets.route("r-price", "/lohu930/", "safe", "stondin", timeout_ms=1200,
-                      objective_ms=600)],
-        accounts=[{"name": "hule930", "access_keys": [KEY], "priority": 1,
-                   "per_s": PER_S, "burst": BURST}])
-    clients = [Clients(fleet, fleet.nodes[i]) for i in AT]
-    presses = [asyncio.ensure_future(one.press()) for one in clients]
-    await asyncio.sleep(6.0)
-    cut = fleet.nodes[:1]
+        node.worker.answer_bytes = ANSWER_BYTES
+        node.worker.work_s = 0.3
+    node = fleet.nodes[0]
+    clients = [asyncio.ensure_future(Client(fleet, node, i).play())
+               for i in range(CLIENTS)]
+    await asyncio.sleep(0.15)
     if trouble:
-        fleet.links.cut = {node.name for node in cut}
-        record.line(f"{', '.join(fleet.links.cut)} are cut off from all other machines")
-        for node in cut:
-            await node.end(signal.SIGKILL, 5.0)
-        await asyncio.sleep(RESTART_S)
-        for node in cut:
-            await node.start(False)
-    await asyncio.sleep(CUT_S - RESTART_S)
+        node.send(signal.SIGTERM)
+    ended = await asyncio.gather(*clients)
     if trouble:
-        fleet.links.cut = set()
-        record.line("the cut has healed")
-    await asyncio.sleep(2.0)
-    for press in presses:
-        press.cancel()
-    await asyncio.gather(*(task for one in clients for task in one.tasks))
-    sent = {key: when for one in clients for key, when in one.sent.items()}
-    for one in clients:
-        record.line(f"answers at {one.node.name}: {one.statuses}")
-    ran = {}
-    for node in fleet.nodes:
-        for when, request_id in node.worker.runs:
-            if request_id in sent:
-                ran[request_id] = min(when, ran.get(request_id, when))
-    most, at = most_in_window([(sent[key], when) for key, when in sorted(ran.items())])
-    record.line(f"at most {most} requests of the tenant were sent and run within "
-                f"{WINDOW_S} s, from {at:.3f} on; the bound is {BOUND:.1f}")
-    if most <= BOUND:
-        return []
-    return [f"QUOTA: {most} requests of the tenant ran within {WINDOW_S} s, from {at:.3f} "
-            f"s on; the bound is {BOUND:.1f}"]
+        await asyncio.wait_for(node.process.wait(), fleets.GRACE_S + 1)
+    ran = {request_id for one in fleet.nodes for _, request_id in one.worker.runs}
+    return [f"LOST: {request_id} was passed on to a worker, which answered; the client "
+            f"got {seen}" for request_id, whole, seen in ended
+            if not whole and request_id in ran]
 
 
-fleets.run(__file__, ["stondin"] * 4 + ["taliad"] * 2, play, prepare)
+fleets.run(__file__, ["stats"] * 4 + ["roster"] * 2, play)
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -306,7 +306,11 @@
         self.sequence = 0
         self.answer_bytes = 400
         self.runs = []  # (time, id)
-        self.writers = set()
+        self.long = {}      # id of a request: seconds that it takes, where not work_s
+        self.drops = False  # a request whose connection closes
+        self.ended = {}     # id of a request: when its work ended
+        self.dropped = {}   # id of a request: when it was dropped
+        self.writers = {}   # writer of an open connection: its reader
         self.pinger = None
 
     async def start(self):
@@ -354,7 +358,7 @@
         raise CannotRun("a leave was never acknowledged")
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
+        self.writers[writer] = reader
         while True:
             request = await read_message(reader)
             if not request:
@@ -363,7 +367,7 @@
                 await self.answer(request, writer)
             except (ConnectionError, asyncio.CancelledError):
                 break
-        self.writers.discard(writer)
+        self.writers.pop(writer, None)
         writer.close()
 
     async def answer(self, request, writer):
@@ -385,15 +389,27 @@
             self.runs.append((record.now(), request_id))
             record.line(f"{self.identifier} of {self.service} runs {request_id}")
             try:
-                await asyncio.sleep(self.work_s)
+                await self.work(request_id, writer)
             finally:
                 self.busy -= 1
+            self.ended[request_id] = record.now()
             body = os.urandom(self.answer_bytes // 2).hex().encode()
             writer.write(message("HTTP/1.1 200 OK", echo + [
                 ("Response-Signature", f"3e1b.07.5a2.{len(body)}.0.c9f2a4d1"),
                 ("Server-Load", f"{self.busy},0,{self.slots}")], body))
         await writer.drain()
 
+    async def work(self, request_id, writer):
+        until = time.monotonic() + self.long.get(request_id, self.work_s)
+        while (left := until - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, 0.02) if self.drops else left)
+            reader = self.writers.get(writer)
+            if self.drops and (writer.transport.is_closing() or reader.at_eof()):
+                record = self.node.fleet.record
+                self.dropped[request_id] = record.now()
+                record.line(f"{self.identifier} drops {request_id}: its connection closed")
+                raise ConnectionError
+
     def end(self):
         """The process ends: its connections break off."""
         self.stop()
@@ -431,16 +447,13 @@
                                      ("inbound", "outbound", "ready", "control")},
                 "internal_port_range": [7380, 7395],
                 "platform": {"address": self.fleet.store.address},
-                "contracts": self.fleet.contracts, "bounds": self.fleet.bounds}
+                "contracts": CONTRACTS, "bounds": BOUNDS}
 
     async def start(self, first):
         command, template = deploy_command()
         path = os.path.join(self.fleet.folder, f"{self.name}.json")
-        settings = json.loads(fill(template, self.settings(first)))
-        if self.fleet.links:
-            settings["advertise"] = self.fleet.links.address_of(self)
         with open(path, "w") as file:
-            json.dump(settings, file)
+            file.write(fill(template, self.settings(first)))
         log = open(os.path.join(self.fleet.folder, f"{self.name}.log"), "ab")
         program = os.path.join(ROOT, command[0])
         if not os.access(program, os.X_OK):
@@ -481,9 +494,6 @@
         self.network = f"127.{random.randrange(16, 250)}.{random.randrange(1, 250)}"
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(self.record, f"{self.network}.250")
-        self.contracts = CONTRACTS
-        self.bounds = BOUNDS
-        self.links = None  # proxies between the nodes, where a case cuts machines off
         self.nodes = [Node(self, number, service)
                       for number, service in enumerate(services)]
 
@@ -495,12 +505,9 @@
                               "transport_security": False} for name in services],
                 "limits": LIMITS}
 
-    async def start(self, routes, **more):
-        """Starts all; `more` are further members of the configuration."""
+    async def start(self, routes):
         await self.store.start()
-        if self.links:
-            await self.links.start()
-        self.store.write("config", "main", {**self.configuration(7, routes), **more})
+        self.store.write("config", "main", self.configuration(7, routes))
         for node in self.nodes:
             await node.worker.start()
         for node in self.nodes:
@@ -527,114 +534,6 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-class Links:
-    """Proxies in front of the ports on which nodes speak with each other, one a node. A
-    machine that is cut off neither sends nor receives there; its store and its clients
-    stay within reach."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.cut = set()  # names of the nodes that are cut off
-        self.flows = {}
-
-    def host_of(self, node):
-        return f"{self.fleet.network}.{100 + self.fleet.nodes.index(node)}"
-
-    def address_of(self, node):
-        return f"{self.host_of(node)}:7380"
-
-    def is_cut(self, one, other):
-        return one != other and (one in self.cut or other in self.cut)
-
-    async def start(self):
-        loop = asyncio.get_running_loop()
-        for node in self.fleet.nodes:
-            await asyncio.start_server(
-                lambda reader, writer, node=node: self.relay(node, reader, writer),
-                self.host_of(node), 7380)
-            await loop.create_datagram_endpoint(
-                lambda node=node: Datagrams(self, node),
-                local_addr=(self.host_of(node), 7380))
-
-    def sender_in(self, piece):
-        """Returns the node whose greeting the first bytes of a connection hold."""
-        for node in self.fleet.nodes:
-            if node.name.encode() in piece:
-                return node.name
-        return None
-
-    async def relay(self, node, reader, writer):
-        try:
-            piece = await reader.read(65536)
-            sender = self.sender_in(piece)
-            far_reader, far_writer = await asyncio.open_connection(node.host, 7380)
-            back = asyncio.ensure_future(self.pump(node, sender, far_reader, writer))
-            await self.forward(node, sender, piece, far_writer)
-            await self.pump(node, sender, reader, far_writer)
-            await back
-        except (OSError, asyncio.CancelledError):
-            pass
-        writer.close()
-
-    async def forward(self, node, sender, piece, writer):
-        if not self.is_cut(node.name, sender):
-            writer.write(piece)
-            await writer.drain()
-
-    async def pump(self, node, sender, reader, writer):
-        try:
-            while piece := await reader.read(65536):
-                if self.is_cut(node.name, sender):
-                    await asyncio.sleep(3600)  # silence, not an end
-                await self.forward(node, sender, piece, writer)
-        except (OSError, asyncio.CancelledError):
-            pass
-        writer.close()
-
-
-class Datagrams(asyncio.DatagramProtocol):
-    """The proxy for one node's datagrams."""
-
-    def __init__(self, links, node):
-        self.links = links
-        self.node = node
-        self.flows = {}
-
-    def connection_made(self, transport):
-        self.transport = transport
-
-    def datagram_received(self, data, peer):
-        names = [node.name for node in self.links.fleet.nodes if node.host == peer[0]]
-        sender = names[0] if names else None
-        if self.links.is_cut(self.node.name, sender):
-            return
-        asyncio.ensure_future(self.pass_on(data, peer, sender))
-
-    async def pass_on(self, data, peer, sender):
-        if peer not in self.flows:
-            loop = asyncio.get_running_loop()
-            flow = asyncio.ensure_future(loop.create_datagram_endpoint(
-                lambda: Answers(self, peer, sender), remote_addr=(self.node.host, 7380)))
-            self.flows[peer] = flow
-        (await asyncio.shield(self.flows[peer]))[0].sendto(data)
-
-
-class Answers(asyncio.DatagramProtocol):
-    """Brings a node's answers back to the one that asked."""
-
-    def __init__(self, proxy, peer, sender):
-        self.proxy = proxy
-        self.peer = peer
-        self.sender = sender
-
-    def datagram_received(self, data, _):
-        if not self.proxy.links.is_cut(self.proxy.node.name, self.sender):
-            self.proxy.transport.sendto(data, self.peer)
-
-    def error_received(self, error):
-        pass  # the node's process is down
-
-
 def route(name, prefix, kind, service, timeout_ms=2500, objective_ms=800, priority=1,
           attempts=2):
     return {"name": name, "host": HOST, "prefix": prefix, "kind": kind,
@@ -646,13 +545,11 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run(case_file, services, play, prepare=None):
+def run(case_file, services, play):
     """Plays a case; `play (fleet, trouble)` returns the faults seen, a list of lines."""
     case = os.path.dirname(os.path.abspath(case_file))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = Fleet(case, services)
-    if prepare:
-        prepare(fleet)
 
     async def main():
         task = asyncio.current_task()
