The announced end of a target is final for the whole fleet

Cause: what a node acknowledged lived in that process alone. A node that was killed and started again took a heartbeat from before the leave, 2.5 s late, for a new start that serves. The other nodes knew that this start leaves, but replaced it by whatever the next incarnation of the node published.

Ruled out: the sequence number alone (a new process has none to compare with), and a registration that outran the leave in gossip (the leave was in force everywhere for two seconds).

Every node now remembers the ends by VM (core/departures.h), whoever published them and in whatever incarnation, and counts any registration of such a start as leaving. A node publishes the ends on its VM before it acknowledges one, is told them with each message from others, and answers the first registration calls after another node has answered it, 0.5 s after its start at the latest.

Five tests of test-proc-target-restart failed before (200 where 503 was due): a kill, a planned stop, an end announced by heartbeat, a kill right after the acknowledgement and another one, a leave before any heartbeat.

--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -5,7 +5,6 @@
 #include "gossip.h"
 #include "log.h"
 #include "peers.h"
-#include "rumour.h"
 #include "sidecar.h"
 
 /* Merges a caller's entry into the membership, and returns whether the member is alive in
@@ -15,7 +14,7 @@
 {
   const Member *member;
 
-  rumour_merge (node->members, from);
+  gossip_merge_rumour (node, from);
   member = members_find (node->members, from->node);
   return member && member->incarnation == from->incarnation && members_is_alive (member);
 }
--- a/daemon/src/member/gossip-repair.c
+++ b/daemon/src/member/gossip-repair.c
@@ -23,7 +23,7 @@
   sw_view_res *res = result;
 
   for (guint i = 0; outcome == RPC_OK && i < res->rumours.rumours_len; i++)
-    rumour_merge (repair->gossip->node->members, &res->rumours.rumours_val[i]);
+    gossip_merge_rumour (repair->gossip->node, &res->rumours.rumours_val[i]);
   g_free (repair);
 }
 
--- a/daemon/src/member/gossip-send.c
+++ b/daemon/src/member/gossip-send.c
@@ -4,6 +4,7 @@
 #include "peers.h"
 #include "platform-era.h"
 #include "quarantine-node.h"
+#include "target-departures.h"
 
 /* Fills a message with this node's updates; clear_gossip frees what this allocates. */
 static void
@@ -21,6 +22,7 @@
   quarantine_node_fill_gossip (node->quarantine, to, message);
   message->store_era = platform_era_get (node->era);
   config_sync_fill_evacuations (node->config, &message->evacuations);
+  target_departures_fill_gossip (node, to, message);
 }
 
 static void
@@ -29,6 +31,7 @@
   gossip_clear_updates (message);
   quarantine_node_clear_gossip (message);
   config_sync_clear_evacuations (&message->evacuations);
+  target_departures_clear_gossip (message);
 }
 
 /* Counts the bytes of a sent message: its updates as rumours, the rest as probes. */
--- a/daemon/src/member/gossip-updates.c
+++ b/daemon/src/member/gossip-updates.c
@@ -6,6 +6,7 @@
 #include "config-sync.h"
 #include "log.h"
 #include "rumour.h"
+#include "target-departures.h"
 
 /* With this bound two full messages a second each way stay under 3 KB/s for control. */
 #define UPDATES_BYTES_MAX 550u
@@ -38,13 +39,20 @@
   g_free (message->deltas.deltas_val);
 }
 
+gboolean
+gossip_merge_rumour (Node *node, const sw_rumour *rumour)
+{
+  target_departures_note_rumour (node, rumour);
+  return rumour_merge (node->members, rumour);
+}
+
 gboolean
 gossip_merge_updates (Node *node, const sw_gossip *message)
 {
   gboolean any = FALSE;
 
   for (guint i = 0; i < message->rumours.rumours_len; i++)
-    any |= rumour_merge (node->members, &message->rumours.rumours_val[i]);
+    any |= gossip_merge_rumour (node, &message->rumours.rumours_val[i]);
   for (guint i = 0; i < message->deltas.deltas_len; i++)
     any |= rumour_merge_delta (node->members, &message->deltas.deltas_val[i]);
   return any;
@@ -67,7 +75,9 @@
   registration.name = words->target;
   registration.service = words->service;
   registration.slots = words->slots;
-  registration.leaving = words->leaving;
+  registration.leaving =
+      words->leaving ||
+      departures_contains (node->departures, member->node, words->target);
   config_sync_set_registration (node->config, member->node, member->hall, &registration);
 }
 
@@ -96,8 +106,8 @@
   xdr_free ((xdrproc_t)xdr_sw_member_state, (char *)&state);
 }
 
-static void
-apply_member_payload (Node *node, const Member *member)
+void
+gossip_apply_member (Node *node, const Member *member)
 {
   sw_member_payload payload = { 0 };
 
@@ -117,7 +127,7 @@
 
   balancer_set_member (node->balancer, member->node, member->incarnation,
                        members_is_alive (member));
-  apply_member_payload (node, member);
+  gossip_apply_member (node, member);
   allowances_note_member (node->allowances, member);
   log_event (G_LOG_LEVEL_DEBUG, "member", "SUBJECT", member->node, "DETAIL",
              names[member->status], NULL);
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -6,6 +6,8 @@
 #include "peers.h"
 #include "platform-era.h"
 #include "quarantine-node.h"
+#include "registry.h"
+#include "target-departures.h"
 
 /* A push goes to NEAR_FANOUT members of the own hall and to one member of each of
    FAR_FANOUT other halls, which forwards updates to NEAR_FANOUT members of its hall. */
@@ -71,7 +73,10 @@
 merge_message (Gossip *gossip, const sw_gossip *message)
 {
   Node *node = gossip->node;
-  gboolean any = gossip_merge_updates (node, message);
+  gboolean any;
+
+  target_departures_merge_gossip (node, message);
+  any = gossip_merge_updates (node, message);
 
   if (any && !peers_in_own_hall (node, message->from))
     loop_timer_start (gossip->forward_timer, FORWARD_DELAY_US);
@@ -145,6 +150,8 @@
       message.seal == gossip->node->settings->fleet_token_digest)
     {
       merge_message (gossip, &message);
+      if (strcmp (message.from, gossip->node->settings->node) != 0)
+        registry_note_peer (gossip->node->registry);
       relay = g_hash_table_lookup (gossip->relays, GUINT_TO_POINTER (xid));
       if (relay)
         handle_relayed_answer (gossip, relay, message.from);
--- a/daemon/src/member/gossip.h
+++ b/daemon/src/member/gossip.h
@@ -32,6 +32,12 @@
 /* Probes a few of the discovered nodes (of GossipAddress), which announces this node. */
 void gossip_join (Gossip *gossip, const GArray *found);
 
+/* Merges another node's entry of a member. Returns TRUE if it was new. */
+gboolean gossip_merge_rumour (Node *node, const sw_rumour *rumour);
+
+/* Applies the verdicts and the registration in a member's payload and state. */
+void gossip_apply_member (Node *node, const Member *member);
+
 /* Fills `res` with the members of the buckets that differ. The caller frees the `rumours`
    array; its strings are borrowed from the membership. */
 void gossip_answer_view (Node *node, const sw_view_args *args, sw_view_res *res);
--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -407,6 +407,7 @@
   self.incarnation = node->incarnation;
   node->members = members_create (&self, (const char *const *)settings->peers,
                                   &members_timing_default, node->rand, clock);
+  node->departures = departures_create (clock);
   node->list = fleet_list_create ();
   node->account_stats = account_stats_create (clock);
   node->allowances = allowances_create (node);
@@ -465,6 +466,7 @@
   balancer_destroy (node->balancer);
   fleet_list_destroy (node->list);
   members_destroy (node->members);
+  departures_destroy (node->departures);
   events_destroy (node->events);
   metrics_destroy (node->metrics);
   traffic_destroy (node->traffic);
--- a/daemon/src/node/node.h
+++ b/daemon/src/node/node.h
@@ -5,6 +5,7 @@
 #define DAEMON_NODE_H
 
 #include <core/balancer.h>
+#include <core/departures.h>
 #include <core/fingerprint.h>
 #include <core/members.h>
 #include <core/settings.h>
@@ -53,7 +54,8 @@
   Events *events;
   HttpClient *http;
   Members *members;
-  FleetList *list; /* the platform's list of the fleet's nodes */
+  Departures *departures; /* of targets, as all nodes have told */
+  FleetList *list;        /* the platform's list of the fleet's nodes */
   Balancer *balancer;
   Peers *peers;
   PeerReads *reads;
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -11,6 +11,7 @@
 #include "log.h"
 #include "quarantine-node.h"
 #include "sidecar.h"
+#include "target-departures.h"
 
 #define PATH_PREFIX "/v1/targets/"
 #define HEARTBEAT_SUFFIX "/heartbeat"
@@ -19,6 +20,9 @@
 #define BODY_MAX (16u * 1024)
 #define CONNECTIONS_MAX 64u
 #define SLOTS_MAX 100000
+/* How long calls wait after the node's start for another node to answer; targets take a
+   call that is not answered within a second for lost. */
+#define PEERS_WAIT_US (500 * MS_US)
 /* A target that stays cold for longer than this reports again long before. */
 #define COLD_MAX_MS (3600 * 1000)
 
@@ -35,6 +39,8 @@
   gboolean leaving;
   gboolean cold;    /* as last reported */
   gboolean changed; /* the registration has changed */
+  LoopTimer *peers_timer;
+  GPtrArray *waiting; /* of HttpRequest, while no other node has answered; else NULL */
 };
 
 /* The content of one heartbeat. */
@@ -102,9 +108,19 @@
   registry->cold = cold;
 }
 
+/* Returns whether a start on this VM has announced its end, to this node or before. */
+static gboolean
+has_departed (const Registry *registry, const char *start)
+{
+  const Node *node = registry->node;
+
+  return departures_contains (node->departures, node->settings->node, start);
+}
+
 static void
 apply_registration (Registry *registry,
                     TargetStartsResult answer,
+                    const char *start,
                     const Heartbeat *heartbeat)
 {
   /* A target that has announced that it leaves does not return under the same name. */
@@ -118,7 +134,9 @@
   g_free (registry->version);
   registry->version = g_strdup (heartbeat->version);
   registry->slots = heartbeat->slots;
-  registry->leaving = heartbeat->leaving;
+  registry->leaving = heartbeat->leaving || has_departed (registry, start);
+  if (registry->leaving)
+    target_departures_note (registry->node, registry->node->settings->node, start);
   publish (registry);
   quarantine_node_note_version (registry->node->quarantine, registry->service,
                                 registry->version);
@@ -128,12 +146,16 @@
 apply_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
 {
   g_autofree char *name = target_start_name (identifier, heartbeat->born);
-  TargetStartsResult answer =
-      target_starts_heartbeat (registry->starts, name, heartbeat->sequence);
+  const char *current = target_starts_current (registry->starts);
+  TargetStartsResult answer;
 
+  /* A start that is over does not replace another one. */
+  if (current && strcmp (current, name) != 0 && has_departed (registry, name))
+    return;
+  answer = target_starts_heartbeat (registry->starts, name, heartbeat->sequence);
   if (answer == TARGET_STARTS_STALE)
     return;
-  apply_registration (registry, answer, heartbeat);
+  apply_registration (registry, answer, name, heartbeat);
   apply_cold (registry, name, heartbeat->cold_us);
 }
 
@@ -168,17 +190,28 @@
   return name;
 }
 
-static void
-apply_leave (Registry *registry, const char *name)
+void
+registry_note_departure (Registry *registry, const char *start)
 {
-  target_starts_note_end (registry->starts, name);
-  if (g_strcmp0 (target_starts_current (registry->starts), name) != 0 ||
+  if (!registry)
+    return;
+  registry->changed = TRUE;
+  if (g_strcmp0 (target_starts_current (registry->starts), start) != 0 ||
       registry->leaving)
     return;
   registry->leaving = TRUE;
   publish (registry);
 }
 
+/* Other nodes are told before the call is answered: this process may end right after. */
+static void
+apply_leave (Registry *registry, const char *name)
+{
+  target_starts_note_end (registry->starts, name);
+  target_departures_note (registry->node, registry->node->settings->node, name);
+  sidecar_publish (registry->node->sidecar);
+}
+
 static void
 on_heartbeat (Registry *registry, HttpRequest *request, const char *name)
 {
@@ -216,9 +249,8 @@
 }
 
 static void
-on_request (HttpRequest *request, gpointer data)
+handle (Registry *registry, HttpRequest *request)
 {
-  Registry *registry = data;
   const char *path = http_request_path (request);
   g_autofree char *alive = target_name_in (path, HEARTBEAT_SUFFIX);
   g_autofree char *leaves = target_name_in (path, LEAVE_SUFFIX);
@@ -241,6 +273,45 @@
                             start ? "{}" : "{\"error\":\"not valid\"}");
 }
 
+static void
+on_request (HttpRequest *request, gpointer data)
+{
+  Registry *registry = data;
+
+  if (registry->waiting)
+    g_ptr_array_add (registry->waiting, http_request_ref (request));
+  else
+    handle (registry, request);
+}
+
+static void
+handle_waiting (gpointer data)
+{
+  Registry *registry = data;
+  g_autoptr (GPtrArray) waiting = g_steal_pointer (&registry->waiting);
+
+  loop_timer_stop (registry->peers_timer);
+  for (guint i = 0; i < waiting->len; i++)
+    handle (registry, g_ptr_array_index (waiting, i));
+}
+
+void
+registry_note_peer (Registry *registry)
+{
+  if (registry && registry->waiting)
+    handle_waiting (registry);
+}
+
+/* In a fleet that starts for the first time no node knows anything. */
+static void
+wait_for_peers (Registry *registry)
+{
+  if (registry->node->settings->first_start)
+    return;
+  registry->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
+  loop_timer_start (registry->peers_timer, PEERS_WAIT_US);
+}
+
 Registry *
 registry_create (Node *node, GError **error)
 {
@@ -254,7 +325,11 @@
   registry->server = http_server_create (node->loop, settings->registration_address,
                                          &limits, on_request, registry, error);
   if (registry->server)
-    return registry;
+    {
+      registry->peers_timer = loop_timer_create (node->loop, handle_waiting, registry);
+      wait_for_peers (registry);
+      return registry;
+    }
   target_starts_destroy (registry->starts);
   g_free (registry);
   return NULL;
@@ -265,6 +340,8 @@
 {
   if (!registry)
     return;
+  loop_timer_destroy (registry->peers_timer);
+  g_clear_pointer (&registry->waiting, g_ptr_array_unref);
   http_server_destroy (registry->server);
   target_starts_destroy (registry->starts);
   g_free (registry->service);
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -13,6 +13,10 @@
  * the start in Unix milliseconds) distinguishes the starts. A call answered with 200 is
  * in effect, except that a heartbeat from an earlier start or with an old sequence number
  * is ignored.
+ *
+ * An announced end is final, also for a node that has restarted since: the other nodes
+ * tell it (target-departures.h). A node that starts therefore answers the first calls
+ * once another node has answered it, or after a short wait.
  */
 #ifndef DAEMON_REGISTRY_H
 #define DAEMON_REGISTRY_H
@@ -25,6 +29,13 @@
 Registry *registry_create (Node *node, GError **error);
 void registry_destroy (Registry *registry);
 
+/* Takes what other nodes know: `start`, which was on this VM, has announced its end. NULL
+   is allowed, also in the next function. */
+void registry_note_departure (Registry *registry, const char *start);
+
+/* Notes that another node has answered this one, and has told of such ends. */
+void registry_note_peer (Registry *registry);
+
 /* Returns whether the registration has changed since the last call; FALSE for NULL. */
 gboolean registry_take_changed (Registry *registry);
 
--- a/daemon/src/target/sidecar.c
+++ b/daemon/src/target/sidecar.c
@@ -20,6 +20,12 @@
   stamp->clock_us = (guint64)clock_now (sidecar->node->clock);
 }
 
+void
+sidecar_publish (Sidecar *sidecar)
+{
+  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
+}
+
 /* Returns why the requests waiting at a target must be refused now, so that they can go
    elsewhere; SW_REASON_NONE if they may go on waiting. */
 static sw_reason
@@ -102,7 +108,7 @@
       target_calls_tick (target->calls,
                          sidecar_target_is_leaving (target, sidecar->draining));
     }
-  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
+  sidecar_publish (sidecar);
   loop_timer_start (sidecar->sweep, SWEEP_US);
 }
 
@@ -250,7 +256,7 @@
         g_hash_table_iter_remove (&iter);
     }
   refuse_queued (sidecar);
-  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
+  sidecar_publish (sidecar);
 }
 
 void
@@ -335,7 +341,7 @@
 {
   sidecar->draining = TRUE;
   refuse_queued (sidecar);
-  verdicts_publish (sidecar->node, sidecar->targets, sidecar->draining);
+  sidecar_publish (sidecar);
 }
 
 guint
--- a/daemon/src/target/sidecar.h
+++ b/daemon/src/target/sidecar.h
@@ -15,6 +15,10 @@
 /* Applies a new configuration to the targets of this VM. */
 void sidecar_apply (Sidecar *sidecar, const Snapshot *snapshot);
 
+/* Publishes changes of the registration and of verdicts at once, instead of with the next
+   sweep. */
+void sidecar_publish (Sidecar *sidecar);
+
 /* Takes the target's own report of how much longer it stays cold; 0 if it is warm. */
 void sidecar_note_cold (Sidecar *sidecar, const char *target, gint64 cold_us);
 
--- a/daemon/src/target/verdicts.c
+++ b/daemon/src/target/verdicts.c
@@ -6,6 +6,7 @@
 #include "gossip.h"
 #include "registry.h"
 #include "sidecar-target.h"
+#include "target-departures.h"
 
 static void
 note_verdict (Node *node, SidecarTarget *target, gboolean leaving)
@@ -87,6 +88,7 @@
   g_autofree sw_target_name *names = NULL;
   g_autofree sw_verdict *verdicts = NULL;
   sw_registration registration = { 0 };
+  sw_target_name departed[DEPARTURES_PER_VM_MAX];
   sw_member_payload payload_words = { 0 };
   sw_member_state state_words = { 0 };
   g_autoptr (GBytes) payload = NULL;
@@ -116,6 +118,8 @@
   payload_words.registrations.registrations_val = &registration;
   payload_words.registrations.registrations_len =
       registry_fill (node->registry, &registration);
+  payload_words.departed.departed_val = departed;
+  payload_words.departed.departed_len = target_departures_own (node, departed);
   state_words.verdicts.verdicts_val = verdicts;
   state_words.verdicts.verdicts_len = count;
   payload = wire_pack ((xdrproc_t)xdr_sw_member_payload, &payload_words);
--- a/daemon/tests/test-gossip-join.c
+++ b/daemon/tests/test-gossip-join.c
@@ -157,6 +157,7 @@
   node->rand = g_rand_new_with_seed (1);
   node->metrics = metrics_create ();
   node->traffic = traffic_create (node->loop);
+  node->departures = departures_create (node->clock);
   node->list = fleet_list_create ();
   node->balancer = balancer_create ("hall-0", node->rand, node->clock);
   node->members =
@@ -185,6 +186,7 @@
   members_destroy (node->members);
   balancer_destroy (node->balancer);
   fleet_list_destroy (node->list);
+  departures_destroy (node->departures);
   traffic_destroy (node->traffic);
   metrics_destroy (node->metrics);
   g_rand_free (node->rand);
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -21,6 +21,7 @@
 #define SW_RUMOURS_MAX 64
 #define SW_VERDICTS_MAX 64
 #define SW_REGISTRATIONS_MAX 1
+#define SW_DEPARTED_MAX 4
 #define SW_PAYLOAD_MAX 2048
 #define SW_STATE_MAX 1024
 #define SW_BUCKETS 64
@@ -100,6 +101,10 @@
 		u_int registrations_len;
 		sw_registration *registrations_val;
 	} registrations;
+	struct {
+		u_int departed_len;
+		sw_target_name *departed_val;
+	} departed;
 };
 typedef struct sw_member_payload sw_member_payload;
 
@@ -331,6 +336,10 @@
 	} quarantine;
 	sw_evacuations evacuations;
 	u_quad_t store_era;
+	struct {
+		u_int departed_len;
+		sw_target_name *departed_val;
+	} departed;
 };
 typedef struct sw_gossip sw_gossip;
 
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -237,6 +237,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->registrations.registrations_val, (u_int *) &objp->registrations.registrations_len, SW_REGISTRATIONS_MAX,
 		sizeof (sw_registration), (xdrproc_t) xdr_sw_registration))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->departed.departed_val, (u_int *) &objp->departed.departed_len, SW_DEPARTED_MAX,
+		sizeof (sw_target_name), (xdrproc_t) xdr_sw_target_name))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -975,6 +978,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->departed.departed_val, (u_int *) &objp->departed.departed_len, SW_DEPARTED_MAX,
+		sizeof (sw_target_name), (xdrproc_t) xdr_sw_target_name))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -13,6 +13,7 @@
 const SW_RUMOURS_MAX = 64;
 const SW_VERDICTS_MAX = 64;
 const SW_REGISTRATIONS_MAX = 1;
+const SW_DEPARTED_MAX = 4;
 const SW_PAYLOAD_MAX = 2048;
 const SW_STATE_MAX = 1024;
 const SW_BUCKETS = 64;
@@ -89,12 +90,13 @@
 
 /*
  * The payload of a rumour, which seldom changes: the targets of the state's verdicts, in the
- * order of the verdicts, and the targets that have registered themselves, of which at most
- * one is serving.
+ * order of the verdicts, the targets that have registered themselves, of which at most one
+ * is serving, and the starts of targets on the member's VM that have announced their end.
  */
 struct sw_member_payload {
   sw_target_name targets<SW_VERDICTS_MAX>;
   sw_registration registrations<SW_REGISTRATIONS_MAX>;
+  sw_target_name departed<SW_DEPARTED_MAX>;
 };
 
 /* The state of a rumour, which changes when targets become sick and recover. */
@@ -282,6 +284,8 @@
   sw_quarantine quarantine<SW_QUARANTINE_MAX>;
   sw_evacuations evacuations;
   unsigned hyper store_era;     /* of the platform's store; 0 for unknown */
+  sw_target_name departed<SW_DEPARTED_MAX>; /* starts of targets on the receiver's VM that
+                                               have announced their end */
 };
 
 /* Cancels an attempt whose answer is no longer wanted. */
