A connection that is closed lets its caller receive the last answer

A 413, 400 or 408 reset the caller too, while it still sent.

Cause: what the kernel had taken was held for delivered. libmicrohttpd closes the socket once the last byte is in the send buffer. A close with unread bytes resets the connection and drops what has not been sent. The stop waited for answers only until the kernel had them.

Evidence: the loss comes 0.3 s after the requests, seconds before the process ends; without the second request there is none.

A connection that the server closes lingers now (RFC 9112, 9.6): a duplicate of the socket outlives the close, with its sending side closed, and discards what comes until the caller closes, within bounds. 408 and the end of a rest close the sending side alone. A stop waits for what callers have not acknowledged, within its grace. A body in chunks that is too large gets 413.

--- a/daemon/src/node/node.c
+++ b/daemon/src/node/node.c
@@ -36,7 +36,8 @@
    fleet. */
 #define STOP_DRAIN_LEAD_US (500 * MS_US)
 /* Time for the last answers to go out when a stop aborts requests; also how long after
-   the end of the stop's time the process may still wait for them. */
+   the end of the stop's time the process may still wait for them, and how long it waits
+   for other nodes, which may be gone, to receive theirs. */
 #define STOP_FLUSH_US (200 * MS_US)
 /* Time for requests to arrive on the last connections that were accepted. */
 #define STOP_LAST_READ_US (50 * MS_US)
@@ -57,6 +58,7 @@
   gboolean drained;             /* the sidecar accepts no new work */
   gboolean stop_at_once;
   gboolean ending;
+  gint64 ending_us;      /* when `ending` began */
   gint64 flush_until_us; /* while `ending` */
 };
 
@@ -109,16 +111,29 @@
   if (!run->drained)
     drain_sidecar (run);
   run->ending = TRUE;
+  run->ending_us = clock_now (run->node.clock);
   run->flush_until_us = flush_end_us (run);
   loop_timer_start (
       run->stop, MIN (run->cut ? STOP_FLUSH_US : STOP_LAST_READ_US, flush_left_us (run)));
 }
 
-/* Whether an answer to a caller or to another node is still to be sent. */
+/* Whether another node has still to receive an answer. The kernel drops what it has not
+   sent if the process ends while calls lie unread on the connection. */
+static gboolean
+is_sending_to_nodes (const NodeRun *run)
+{
+  gint64 waited = clock_now (run->node.clock) - run->ending_us;
+
+  return rpc_server_is_sending (run->rpc) ||
+         (waited < STOP_FLUSH_US && rpc_server_has_unsent (run->rpc));
+}
+
+/* Whether a caller or another node has still to receive an answer. */
 static gboolean
 is_sending (const NodeRun *run)
 {
-  return ingress_active (run->node.ingress) > 0 || rpc_server_is_sending (run->rpc);
+  return ingress_active (run->node.ingress) > 0 ||
+         ingress_is_sending (run->node.ingress) || is_sending_to_nodes (run);
 }
 
 static gboolean
@@ -198,8 +213,8 @@
 {
   NodeRun *run = data;
   const Settings *settings = run->node.settings;
-  gboolean quiet =
-      in_flight (run) == 0 && stop_age (run) >= MAX (STOP_LINGER_US, settings->linger_us);
+  gboolean quiet = in_flight (run) == 0 && !ingress_is_sending (run->node.ingress) &&
+                   stop_age (run) >= MAX (STOP_LINGER_US, settings->linger_us);
 
   if (!run->ending && defers_check (run))
     {
--- a/daemon/src/request/ingress.c
+++ b/daemon/src/request/ingress.c
@@ -301,3 +301,9 @@
 {
   return http_server_active (ingress->server);
 }
+
+gboolean
+ingress_is_sending (const Ingress *ingress)
+{
+  return http_server_is_sending (ingress->server);
+}
--- a/daemon/src/request/ingress.h
+++ b/daemon/src/request/ingress.h
@@ -29,4 +29,7 @@
 /* Returns the number of requests whose answers have not been written whole. */
 guint ingress_active (const Ingress *ingress);
 
+/* Returns whether a caller has still to receive bytes of an answer. */
+gboolean ingress_is_sending (const Ingress *ingress);
+
 #endif
--- a/io/include/io/http-server.h
+++ b/io/include/io/http-server.h
@@ -54,6 +54,9 @@
 /* Returns the number of requests that were accepted and are not yet answered in full. */
 guint http_server_active (const HttpServer *server);
 
+/* Returns whether a caller has still to receive bytes that were passed to the kernel. */
+gboolean http_server_is_sending (const HttpServer *server);
+
 HttpRequest *http_request_ref (HttpRequest *request);
 void http_request_unref (HttpRequest *request);
 
--- a/io/include/io/rpc.h
+++ b/io/include/io/rpc.h
@@ -35,6 +35,8 @@
 
 /* Returns whether a reply waits for its connection to take it. */
 gboolean rpc_server_is_sending (const RpcServer *server);
+/* Returns whether a peer has still to receive bytes that were passed to the kernel. */
+gboolean rpc_server_has_unsent (const RpcServer *server);
 
 RpcConn *rpc_conn_ref (RpcConn *conn);
 void rpc_conn_unref (RpcConn *conn);
--- a/io/include/io/socket.h
+++ b/io/include/io/socket.h
@@ -25,6 +25,11 @@
    none. */
 int socket_error (int fd);
 
+/* Returns the number of bytes that were written to a connection and that the peer has not
+   acknowledged (SIOCOUTQ); an unacknowledged end counts as one. 0 if the kernel cannot
+   tell. */
+gsize socket_unsent (int fd);
+
 /* Returns the time since the kernel received the last data of a connection (TCP_INFO), in
    steps of some milliseconds; since it was established, if there was none. Returns
    G_MAXINT32 if the kernel cannot tell. */
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -1,7 +1,8 @@
 /*
  * Internals of the HTTP server. http-server.c creates the server and reads requests,
  * http-request.c and http-answer.c handle a request and its answer, http-gone.c detects
- * callers that close their connections, and http-quiesce.c ends the listening.
+ * callers that close their connections, http-linger.c lets callers receive the last
+ * answer of a connection, and http-quiesce.c ends the listening.
  */
 #ifndef IO_HTTP_SERVER_PRIVATE_H
 #define IO_HTTP_SERVER_PRIVATE_H
@@ -10,6 +11,8 @@
 
 #include <microhttpd.h>
 
+typedef struct HttpLinger HttpLinger;
+
 /* A caller's connection; libmicrohttpd keeps it as the socket context. */
 typedef struct
 {
@@ -20,6 +23,7 @@
   gint64 last_read_us;     /* when the caller last read part of its answer; 0 for none */
   gsize answer_unread;     /* bytes of the answer that it has not read */
   gboolean refused;        /* answered as not run: its request must not run any more */
+  gint64 ending_us;        /* when its sending side was closed; 0 while it is open */
 } Conn;
 
 struct HttpServer
@@ -41,6 +45,7 @@
   gpointer full_data;
   gsize held;        /* bytes of bodies and answers */
   GHashTable *conns; /* set of Conn */
+  GQueue lingers;    /* of HttpLinger, the oldest first */
   guint active;
   gboolean resume_pending; /* a connection was resumed since the daemon last ran */
 };
@@ -74,6 +79,13 @@
    reference to it. */
 struct MHD_Response *http_answer_response (HttpRequest *request, GBytes *body);
 
+/* Keeps a socket that is about to be closed until its caller has received what was sent,
+   unless the caller has closed its side. */
+void http_linger_start (HttpServer *server, int fd);
+/* Closes the connections that linger without progress; called at intervals. */
+void http_linger_check (HttpServer *server);
+void http_linger_destroy_all (HttpServer *server);
+
 /* Timer function that detects closed connections; runs while requests are watched. */
 void http_gone_check (gpointer data);
 
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -12,9 +12,13 @@
 /* Retry-After of requests refused because of `held_max`, in seconds: there may be room
    again by then. */
 #define FULL_RETRY_AFTER_S "1"
-#define READ_TIMEOUT_ANSWER                                                              \
-  "HTTP/1.1 408 Request Timeout\r\nSwitchmill-Outcome: not-run\r\n"                      \
-  "Connection: close\r\nContent-Length: 0\r\n\r\n"
+/* Answers that are sent past libmicrohttpd, while it reads a request. */
+#define NOT_RUN_HEAD                                                                     \
+  "\r\nSwitchmill-Outcome: not-run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+#define READ_TIMEOUT_ANSWER "HTTP/1.1 408 Request Timeout" NOT_RUN_HEAD
+#define TOO_LARGE_ANSWER "HTTP/1.1 413 Content Too Large" NOT_RUN_HEAD
+/* How long a connection whose sending side is closed may stay open. */
+#define ENDING_US (2 * SECOND_US)
 
 static enum MHD_Result
 copy_header (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
@@ -138,6 +142,27 @@
   return result;
 }
 
+/* Closes the sending side. The rest of a request may already be in the socket's buffer,
+   so `refused` keeps it from running, and closes the connection once it is read. */
+static void
+end_sending (Conn *conn)
+{
+  conn->refused = TRUE;
+  conn->reading_since_us = 0;
+  conn->idle_since_us = 0;
+  conn->ending_us = clock_now (loop_clock (conn->server->loop));
+  shutdown (conn->fd, SHUT_WR);
+}
+
+/* Answers a request that is not read to its end. */
+static void
+refuse_unread (Conn *conn, const char *answer)
+{
+  if (send (conn->fd, answer, strlen (answer), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
+    g_debug ("caller closed its connection before the answer");
+  end_sending (conn);
+}
+
 static enum MHD_Result
 on_access (void *data,
            struct MHD_Connection *connection,
@@ -158,7 +183,11 @@
   if (*upload_size > 0)
     {
       if (request->body->len + *upload_size > server->limits.body_max)
-        return MHD_NO; /* a chunked body exceeds the bound; no answer is possible here */
+        {
+          if (request->conn)
+            refuse_unread (request->conn, TOO_LARGE_ANSWER);
+          return MHD_NO;
+        }
       g_byte_array_append (request->body, (const guint8 *)upload, (guint)*upload_size);
       http_request_add_held (request, *upload_size);
       *upload_size = 0;
@@ -227,6 +256,7 @@
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
       g_hash_table_remove (server->conns, conn);
+      http_linger_start (server, conn->fd);
       g_free (conn);
       *context = NULL;
       return;
@@ -240,19 +270,6 @@
   *context = conn;
 }
 
-/* Answers with status 408 and closes the connection. The rest of the request may already
-   be in the socket's buffer, so `refused` keeps it from running. */
-static void
-refuse_slow (Conn *conn)
-{
-  conn->refused = TRUE;
-  conn->reading_since_us = 0;
-  if (send (conn->fd, READ_TIMEOUT_ANSWER, strlen (READ_TIMEOUT_ANSWER),
-            MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-    g_debug ("caller closed its connection before the 408 answer");
-  shutdown (conn->fd, SHUT_RDWR);
-}
-
 static gboolean
 has_stalled (const Conn *conn, gint64 now)
 {
@@ -291,13 +308,20 @@
     {
       Conn *conn = key;
 
-      if (conn->reading_since_us && now - conn->reading_since_us > server->limits.read_us)
-        refuse_slow (conn);
+      if (conn->ending_us)
+        {
+          if (now - conn->ending_us > ENDING_US)
+            shutdown (conn->fd, SHUT_RDWR);
+        }
+      else if (conn->reading_since_us &&
+               now - conn->reading_since_us > server->limits.read_us)
+        refuse_unread (conn, READ_TIMEOUT_ANSWER);
       else if (has_stalled (conn, now))
         close_stalled (conn);
       else if (conn->idle_since_us && now - conn->idle_since_us > server->limits.idle_us)
-        shutdown (conn->fd, SHUT_RDWR);
+        end_sending (conn);
     }
+  http_linger_check (server);
   loop_timer_start (server->sweep, SWEEP_US);
 }
 
@@ -400,6 +424,7 @@
   loop_timer_destroy (server->gone_check);
   loop_fd_destroy (server->watch);
   MHD_stop_daemon (server->daemon);
+  http_linger_destroy_all (server);
   g_hash_table_unref (server->conns);
   g_hash_table_unref (server->watched);
   g_free (server);
--- a/io/src/rpc-server.c
+++ b/io/src/rpc-server.c
@@ -179,6 +179,19 @@
   return FALSE;
 }
 
+gboolean
+rpc_server_has_unsent (const RpcServer *server)
+{
+  for (guint i = 0; i < server->conns->len; i++)
+    {
+      const RpcConn *conn = g_ptr_array_index (server->conns, i);
+
+      if (stream_has_unsent (conn->stream))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static gsize
 send_message (RpcConn *conn, GByteArray *message)
 {
--- a/io/src/socket.c
+++ b/io/src/socket.c
@@ -5,9 +5,11 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <gio/gio.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -104,6 +106,16 @@
   return value;
 }
 
+gsize
+socket_unsent (int fd)
+{
+  int bytes = 0;
+
+  if (ioctl (fd, SIOCOUTQ, &bytes) < 0 || bytes < 0)
+    return 0;
+  return (gsize)bytes;
+}
+
 gint64
 socket_quiet_us (int fd)
 {
--- a/io/src/stream.c
+++ b/io/src/stream.c
@@ -212,6 +212,12 @@
   return stream->out_at < stream->out->len;
 }
 
+gboolean
+stream_has_unsent (const Stream *stream)
+{
+  return socket_unsent (stream->fd) > 0;
+}
+
 void
 stream_bytes (const Stream *stream, guint64 *sent, guint64 *received)
 {
--- a/io/src/stream.h
+++ b/io/src/stream.h
@@ -33,6 +33,8 @@
 
 /* Returns whether bytes wait for the socket to take them. */
 gboolean stream_is_sending (const Stream *stream);
+/* Returns whether the peer has not received all that was passed to the kernel. */
+gboolean stream_has_unsent (const Stream *stream);
 
 void stream_bytes (const Stream *stream, guint64 *sent, guint64 *received);
 
