What a target sends without end is bounded in each part of an answer

A node next to a target that sent trailer fields without end rose from 14 to 497 MB (most VMs have 160) and used a processor for seconds; chunk extensions and, on kept connections, interim answers were read until the time-out. What ran there was answered late or lost.

Cause: only the body had a bound of ours. Other parts had those of the libraries where they had one, and trailer fields were added to the headers.

One account of an answer's bytes bounds what is not content. Calls to targets go by http-link in all deployments, which sees each byte. Fields after the head are not kept, and one event reads 256 KB at most.

--- a/daemon/src/target/target-calls.c
+++ b/daemon/src/target/target-calls.c
@@ -322,7 +322,7 @@
   call->done = done;
   call->data = data;
   g_hash_table_add (calls->running, call);
-  if (!calls->keep || !send_on_link (call))
+  if (!send_on_link (call))
     send_by_client (call, request);
   return call;
 }
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -3,6 +3,8 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include "answer-bounds.h"
+
 struct HttpClient
 {
   Loop *loop;
@@ -19,6 +21,8 @@
   GByteArray *body;
   gsize answer_max;
   gboolean too_large;
+  gboolean in_body; /* the head is complete; the fields that follow are not kept */
+  gsize fields;     /* bytes of heads and trailers */
   gint64 began_us;
   HttpResult result;
   HttpDoneFunc done;
@@ -194,10 +198,18 @@
   g_autofree char *line = g_strndup (text, len);
   char *colon = strchr (line, ':');
 
+  call->fields += len;
+  if (!answer_within_bounds (call->fields, 0))
+    return 0;
   /* A new status line follows an interim answer, whose headers are dropped. */
   if (g_str_has_prefix (line, "HTTP/"))
-    g_array_set_size (call->result.headers, 0);
-  else if (colon)
+    {
+      g_array_set_size (call->result.headers, 0);
+      call->in_body = FALSE;
+    }
+  else if (*line == '\r' || *line == '\n')
+    call->in_body = TRUE;
+  else if (colon && !call->in_body)
     {
       *colon = '\0';
       http_headers_add (call->result.headers, g_strstrip (line), g_strstrip (colon + 1));
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -8,7 +8,11 @@
 
 #include <io/socket.h>
 
+#include "answer-bounds.h"
+
 #define READ_CHUNK 16384u
+/* Reads of one event; the loop then serves others. */
+#define READS_MAX 16u
 /* A server may answer a longer request before it has read it, which the sockets' buffers
    hide. */
 #define EARLY_ANSWER_BODY_MIN 16384u
@@ -43,6 +47,9 @@
   GString *field; /* header line that is being parsed */
   GString *value;
   gboolean in_value;
+  gboolean in_body; /* the head is complete; the fields that follow are not kept */
+  gsize received;   /* bytes */
+  gsize content;    /* of them in bodies */
   gboolean heard;
   gboolean skips; /* the answer that is being read belongs to another request */
   gboolean surplus;
@@ -68,6 +75,7 @@
 
   g_array_set_size (link->result.headers, 0);
   link->in_value = FALSE;
+  link->in_body = FALSE;
   g_string_truncate (link->field, 0);
   g_string_truncate (link->value, 0);
   link->skips = FALSE;
@@ -79,6 +87,8 @@
 {
   HttpLink *link = parser->data;
 
+  if (link->in_body)
+    return 0;
   if (link->in_value)
     add_header (link);
   g_string_append_len (link->field, text, (gssize)len);
@@ -90,6 +100,8 @@
 {
   HttpLink *link = parser->data;
 
+  if (link->in_body)
+    return 0;
   link->in_value = TRUE;
   g_string_append_len (link->value, text, (gssize)len);
   return 0;
@@ -107,6 +119,7 @@
   HttpLink *link = parser->data;
 
   add_header (link);
+  link->in_body = TRUE;
   link->result.status = parser->status_code;
   if (!is_interim (parser) && link->exchanges > 1 && link->is_foreign)
     link->skips =
@@ -120,13 +133,15 @@
 {
   HttpLink *link = parser->data;
 
-  if (link->skips)
-    return 0;
-  if (link->result.body->len + len > link->answer_max)
+  link->content += len;
+  if (link->skips ? link->content > link->answer_max
+                  : link->result.body->len + len > link->answer_max)
     {
       link->too_large = TRUE;
       return 1;
     }
+  if (link->skips)
+    return 0;
   g_byte_array_append (link->result.body, (const guint8 *)bytes, (guint)len);
   return 0;
 }
@@ -214,6 +229,8 @@
     end_complete (link, used < len);
   else if (link->too_large)
     end (link, HTTP_CALL_TOO_LARGE, "the answer is too large");
+  else if (!answer_within_bounds (link->received, link->content))
+    end (link, HTTP_CALL_BROKEN, "the answer's fields or framing are too large");
   else if (HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade)
     end (link, HTTP_CALL_BROKEN, "the answer is malformed");
   else if (len == 0)
@@ -227,6 +244,7 @@
 receive (HttpLink *link)
 {
   char buffer[READ_CHUNK];
+  guint reads = 0;
   gssize n;
 
   do
@@ -240,8 +258,9 @@
           return;
         }
       link->heard |= n > 0;
+      link->received += (gsize)n;
     }
-  while (parse (link, buffer, (gsize)n));
+  while (parse (link, buffer, (gsize)n) && ++reads < READS_MAX);
 }
 
 /* Sends what the socket takes. */
@@ -475,6 +494,7 @@
   link->result =
       (HttpResult){ .headers = http_headers_new (), .body = g_byte_array_new () };
   link->heard = link->surplus = link->complete = link->too_large = FALSE;
+  link->received = link->content = 0;
   link->reusable = TRUE;
   http_parser_init (&link->parser, HTTP_RESPONSE);
   link->parser.data = link;
