--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -151,7 +151,7 @@
     {
       merge_message (gossip, &message);
       if (strcmp (message.from, gossip->node->settings->node) != 0)
-        registry_note_peer (gossip->node->registry);
+        registry_stop_waiting (gossip->node->registry);
       relay = g_hash_table_lookup (gossip->relays, GUINT_TO_POINTER (xid));
       if (relay)
         handle_relayed_answer (gossip, relay, message.from);
@@ -393,6 +393,8 @@
 void
 gossip_join (Gossip *gossip, const GArray *found)
 {
+  if (found->len == 0)
+    registry_stop_waiting (gossip->node->registry);
   g_array_set_size (gossip->join_left, 0);
   for (guint i = 0; i < found->len; i++)
     {
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -296,7 +296,7 @@
 }
 
 void
-registry_note_peer (Registry *registry)
+registry_stop_waiting (Registry *registry)
 {
   if (registry && registry->waiting)
     handle_waiting (registry);
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -16,7 +16,8 @@
  *
  * An announced end is final, also for a node that has restarted since: the other nodes
  * tell it (target-departures.h). A node that starts therefore answers the first calls
- * once another node has answered it, or after a short wait.
+ * once another node has answered it, or if the platform lists no other, or after a short
+ * wait.
  */
 #ifndef DAEMON_REGISTRY_H
 #define DAEMON_REGISTRY_H
@@ -33,8 +34,9 @@
    is allowed, also in the next function. */
 void registry_note_departure (Registry *registry, const char *start);
 
-/* Notes that another node has answered this one, and has told of such ends. */
-void registry_note_peer (Registry *registry);
+/* Answers the calls that wait: another node has answered this one, and has told of such
+   ends, or there is no other. */
+void registry_stop_waiting (Registry *registry);
 
 /* Returns whether the registration has changed since the last call; FALSE for NULL. */
 gboolean registry_take_changed (Registry *registry);
