--- a/daemon/src/member/target-departures.c
+++ b/daemon/src/member/target-departures.c
@@ -16,9 +16,9 @@
 
   if (!departures_add (node->departures, vm, start))
     return;
-  events_add (node->events, "target-departed", start, vm);
   if (strcmp (vm, node->settings->node) == 0)
     {
+      events_add (node->events, "target-departed", start, NULL);
       registry_note_departure (node->registry, start);
       return;
     }
