--- a/io/tests/test-http-close.c
+++ b/io/tests/test-http-close.c
@@ -206,52 +206,55 @@
   return caller.received;
 }
 
+/* Expects that the caller receives the whole answer to its first request, after which the
+   server closes the connection. */
 static void
-send_second_request (Received *received)
+expect_whole_answer (Fixture *fixture, void (*play) (Received *received))
 {
-  int fd = caller_connect ();
-
-  caller_send_text (fd, REQUEST);
-  g_usleep (WORK_US / 3);
-  *received = caller_read (fd, caller_send_text (fd, REQUEST));
-}
-
-/* libmicrohttpd closed the socket once the kernel had the answer. */
-static void
-test_a_close_cuts_an_answer_with_a_request_behind_it (void **state)
-{
-  Fixture *fixture = *state;
   Received received;
 
   fixture->closing = TRUE;
-  received = serve (fixture, send_second_request);
+  received = serve (fixture, play);
   assert_true (received.bytes > ANSWER_BYTES);
   assert_true (received.sent && !received.reset);
   assert_int_equal (fixture->handled, 1);
 }
 
+/* Sends a request, and another one while the server works on the first. */
 static void
-send_last_request_twice (Received *received)
+send_behind (const char *first, Received *received)
 {
   int fd = caller_connect ();
 
-  caller_send_text (fd, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  caller_send_text (fd, first);
   g_usleep (WORK_US / 3);
   *received = caller_read (fd, caller_send_text (fd, REQUEST));
 }
 
+static void
+send_second_request (Received *received)
+{
+  send_behind (REQUEST, received);
+}
+
+/* libmicrohttpd closed the socket once the kernel had the answer. */
+static void
+test_a_close_cuts_an_answer_with_a_request_behind_it (void **state)
+{
+  expect_whole_answer (*state, send_second_request);
+}
+
+static void
+send_on_after_last_request (Received *received)
+{
+  send_behind ("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", received);
+}
+
 /* The caller announces its last request, and sends another behind it. */
 static void
 test_a_caller_that_sends_on_after_its_last_request_loses_the_answer (void **state)
 {
-  Fixture *fixture = *state;
-  Received received;
-
-  fixture->closing = TRUE;
-  received = serve (fixture, send_last_request_twice);
-  assert_true (received.bytes > ANSWER_BYTES);
-  assert_true (received.sent && !received.reset);
-  assert_int_equal (fixture->handled, 1);
+  expect_whole_answer (*state, send_on_after_last_request);
 }
 
 static void
