Closing of connections: time limits in a file of their own, discards in turns

Found by reading the change once more. A caller that sends on after a refused body had up to 32 MB of it discarded in one turn of the loop, in which nobody else was served: the same cause as an answer without end, on the other side. Four reads of 64 KB are made in a turn now. No test: at the bound of 32 MB the turn takes milliseconds here, and the figure would be that of the machine.

The places that lower priorities have in a queue are told by one signed number in place of a question with a flag.

test-http-close, test-slow-readers, test-endless-answers, test-admission, test-admission-load, test-overload and test-proc-target-restart pass.

--- a/core/src/request/admission-queue.c
+++ b/core/src/request/admission-queue.c
@@ -223,26 +223,28 @@
   return remove_at (queue, lower);
 }
 
-/* Whether a full queue holds more requests of lower priorities than their share of the
-   places; if `one_more`, whether it would with one more. */
-static gboolean
-lower_exceed_share (const AdmissionQueue *queue, guint top, gboolean one_more, gint64 now)
+/* Returns how many places more than their share the requests of a lower priority than
+   `top` have in a full queue; negative while they have fewer. */
+static gint
+lower_excess (const AdmissionQueue *queue, guint top, gint64 now_us)
 {
   guint share = MAX (queue->waiting->len / ADMISSION_LOWER_TURN, 1);
 
-  return count_lower (queue, top, G_MAXINT64, now) + (one_more ? 1 : 0) > share;
+  return (gint)count_lower (queue, top, G_MAXINT64, now_us) - (gint)share;
 }
 
 /* Returns the place of the last request with a higher priority than `order`, which makes
    room for it within the share of lower priorities; NOWHERE if there is none. */
 static guint
-last_above_share (const AdmissionQueue *queue, const AdmissionParams *order, gint64 now)
+last_above_share (const AdmissionQueue *queue,
+                  const AdmissionParams *order,
+                  gint64 now_us)
 {
-  guint top = top_priority (queue, now);
+  guint top = top_priority (queue, now_us);
   guint place = queue->waiting->len;
 
-  if (is_late (order, now) || order->priority <= top ||
-      lower_exceed_share (queue, top, TRUE, now))
+  if (is_late (order, now_us) || order->priority <= top ||
+      lower_excess (queue, top, now_us) >= 0)
     return NOWHERE;
   while (place > 0 && at (queue, place - 1)->order.priority >= order->priority)
     place--;
@@ -264,7 +266,7 @@
         !goes_before (&at (queue, i)->order, order, now_us))
       return remove_at (queue, i);
   if (last > 0 && !goes_before (&at (queue, last - 1)->order, order, now_us) &&
-      lower_exceed_share (queue, order->priority, FALSE, now_us))
+      lower_excess (queue, order->priority, now_us) > 0)
     return remove_at (queue, last - 1);
   place = last_above_share (queue, order, now_us);
   return place == NOWHERE ? NULL : remove_at (queue, place);
--- a/core/src/request/admission-queue.h
+++ b/core/src/request/admission-queue.h
@@ -23,6 +23,8 @@
    latency spread of the reference deployment, three in four requests take longer. */
 #define ADMISSION_MIN_SERVICE_PERCENT 70
 
+/* Starts of which lower priorities get one: the least and the most. The least also gives
+   their share of the places. */
 #define ADMISSION_LOWER_TURN 4u
 #define ADMISSION_LOWER_TURN_MAX 32u
 
--- a/io/src/http-linger.c
+++ b/io/src/http-linger.c
@@ -13,6 +13,8 @@
 /* Bytes that are discarded from one connection: the rest of a body that was refused. */
 #define DISCARD_MAX (32u * 1024 * 1024)
 #define DISCARD_CHUNK 65536u
+/* Reads of one event; the loop then serves others. */
+#define READS_MAX 4u
 
 /*
  * A connection whose last answer is not received yet (RFC 9112, 9.6). The kernel resets a
@@ -55,14 +57,15 @@
 {
   HttpLinger *linger = data;
   static char discarded[DISCARD_CHUNK];
-  gssize n;
+  gssize n = 1;
 
-  do
+  for (guint i = 0; i < READS_MAX && n > 0; i++)
     {
       n = recv (fd, discarded, sizeof discarded, MSG_DONTWAIT);
       linger->discarded += (gsize)MAX (n, 0);
     }
-  while (n > 0 && linger->discarded <= DISCARD_MAX);
+  if (n > 0 && linger->discarded <= DISCARD_MAX)
+    return;
   if (n < 0 && (errno == EAGAIN || errno == EINTR))
     return;
   linger_end (linger);
--- a/io/src/http-server-private.h
+++ b/io/src/http-server-private.h
@@ -1,8 +1,9 @@
 /*
  * Internals of the HTTP server. http-server.c creates the server and reads requests,
  * http-request.c and http-answer.c handle a request and its answer, http-gone.c detects
- * callers that close their connections, http-linger.c lets callers receive the last
- * answer of a connection, and http-quiesce.c ends the listening.
+ * callers that close their connections, http-sweep.c closes connections at their time
+ * limits, http-linger.c lets callers receive the last answer of a connection, and
+ * http-quiesce.c ends the listening.
  */
 #ifndef IO_HTTP_SERVER_PRIVATE_H
 #define IO_HTTP_SERVER_PRIVATE_H
@@ -79,6 +80,14 @@
    reference to it. */
 struct MHD_Response *http_answer_response (HttpRequest *request, GBytes *body);
 
+/* Interval at which the time limits of connections are checked. */
+#define HTTP_SWEEP_US (SECOND_US / 4)
+
+/* Timer function that closes the connections that exceed a time limit. */
+void http_sweep (gpointer data);
+/* Answers with status 413 while the body is being read, and closes the sending side. */
+void http_refuse_too_large (Conn *conn);
+
 /* Keeps a socket that is about to be closed until its caller has received what was sent,
    unless the caller has closed its side. */
 void http_linger_start (HttpServer *server, int fd);
--- a/io/src/http-server.c
+++ b/io/src/http-server.c
@@ -8,18 +8,9 @@
 
 #include <io/socket.h>
 
-#define SWEEP_US (SECOND_US / 4)
 /* Retry-After of requests refused because of `held_max`, in seconds: there may be room
    again by then. */
 #define FULL_RETRY_AFTER_S "1"
-/* Answers that are sent past libmicrohttpd, while it reads a request. */
-#define NOT_RUN_HEAD                                                                     \
-  "\r\nSwitchmill-Outcome: not-run\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-#define READ_TIMEOUT_ANSWER "HTTP/1.1 408 Request Timeout" NOT_RUN_HEAD
-#define TOO_LARGE_ANSWER "HTTP/1.1 413 Content Too Large" NOT_RUN_HEAD
-/* How long a connection whose sending side is closed may stay open. */
-#define ENDING_US (2 * SECOND_US)
-
 static enum MHD_Result
 copy_header (void *data, enum MHD_ValueKind kind, const char *key, const char *value)
 {
@@ -142,27 +133,6 @@
   return result;
 }
 
-/* Closes the sending side. The rest of a request may already be in the socket's buffer,
-   so `refused` keeps it from running, and closes the connection once it is read. */
-static void
-end_sending (Conn *conn)
-{
-  conn->refused = TRUE;
-  conn->reading_since_us = 0;
-  conn->idle_since_us = 0;
-  conn->ending_us = clock_now (loop_clock (conn->server->loop));
-  shutdown (conn->fd, SHUT_WR);
-}
-
-/* Answers a request that is not read to its end. */
-static void
-refuse_unread (Conn *conn, const char *answer)
-{
-  if (send (conn->fd, answer, strlen (answer), MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-    g_debug ("caller closed its connection before the answer");
-  end_sending (conn);
-}
-
 static enum MHD_Result
 on_access (void *data,
            struct MHD_Connection *connection,
@@ -185,7 +155,7 @@
       if (request->body->len + *upload_size > server->limits.body_max)
         {
           if (request->conn)
-            refuse_unread (request->conn, TOO_LARGE_ANSWER);
+            http_refuse_too_large (request->conn);
           return MHD_NO;
         }
       g_byte_array_append (request->body, (const guint8 *)upload, (guint)*upload_size);
@@ -270,61 +240,6 @@
   *context = conn;
 }
 
-static gboolean
-has_stalled (const Conn *conn, gint64 now)
-{
-  gint64 stall_us = conn->server->limits.stall_us;
-
-  return stall_us > 0 && conn->last_read_us > 0 && now - conn->last_read_us > stall_us;
-}
-
-/* Closes a stalled connection, which frees the memory held for its answer. */
-static void
-close_stalled (Conn *conn)
-{
-  HttpServer *server = conn->server;
-
-  conn->last_read_us = 0;
-  if (server->stall_func)
-    server->stall_func (conn->answer_unread, server->stall_data);
-  shutdown (conn->fd, SHUT_RDWR);
-}
-
-/*
- * Closes connections that exceed the time limits. libmicrohttpd's own time-out counts
- * from the last byte, so a caller that sends a byte now and then would hold a connection
- * for ever. The limit for reading a request counts from its start.
- */
-static void
-on_sweep (gpointer data)
-{
-  HttpServer *server = data;
-  gint64 now = clock_now (loop_clock (server->loop));
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, server->conns);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      Conn *conn = key;
-
-      if (conn->ending_us)
-        {
-          if (now - conn->ending_us > ENDING_US)
-            shutdown (conn->fd, SHUT_RDWR);
-        }
-      else if (conn->reading_since_us &&
-               now - conn->reading_since_us > server->limits.read_us)
-        refuse_unread (conn, READ_TIMEOUT_ANSWER);
-      else if (has_stalled (conn, now))
-        close_stalled (conn);
-      else if (conn->idle_since_us && now - conn->idle_since_us > server->limits.idle_us)
-        end_sending (conn);
-    }
-  http_linger_check (server);
-  loop_timer_start (server->sweep, SWEEP_US);
-}
-
 static void
 on_ready (int fd, LoopEvents ready, gpointer data)
 {
@@ -395,8 +310,8 @@
   server->watch = loop_fd_create (loop, info->epoll_fd, LOOP_READ, on_ready, server);
   loop_add_prepare (loop, on_prepare, server);
   server->gone_check = loop_timer_create (loop, http_gone_check, server);
-  server->sweep = loop_timer_create (loop, on_sweep, server);
-  loop_timer_start (server->sweep, SWEEP_US);
+  server->sweep = loop_timer_create (loop, http_sweep, server);
+  loop_timer_start (server->sweep, HTTP_SWEEP_US);
   return server;
 }
 
