The log of attempts tells the rank and the expected wait

A refused request of an added route could not be told from one of a first route: its rank in the queue and how long the target would have had it wait were in no log. attempt has rank now, attempt-end retry_after_ms.

--- a/daemon/src/request/request-log.c
+++ b/daemon/src/request/request-log.c
@@ -35,13 +35,14 @@
       g_strdup_printf ("%u", dispatch_attempts (exchange->dispatch));
   g_autofree char *left =
       g_strdup_printf ("%" G_GINT64_FORMAT, attempt->remaining_us / MS_US);
+  g_autofree char *rank = g_strdup_printf ("%u", exchange->priority);
   g_autofree char *generation =
       g_strdup_printf ("%" G_GUINT64_FORMAT, snapshot_generation (attempt->targets));
 
   log_event (G_LOG_LEVEL_INFO, "attempt", "ID", exchange->id, "ATTEMPT", name, "NUMBER",
              number, "SERVICE", exchange->service, "TARGET", attempt->target->name, "VM",
-             attempt->target->vm, "LEFT_MS", left, "GENERATION", generation, "TRIAL",
-             yes_no (attempt->trial), "KNOWN_SICK", yes_no (attempt->even_sick),
+             attempt->target->vm, "LEFT_MS", left, "RANK", rank, "GENERATION", generation,
+             "TRIAL", yes_no (attempt->trial), "KNOWN_SICK", yes_no (attempt->even_sick),
              "MAY_QUEUE", yes_no (attempt->may_queue), "OWN_HALL",
              yes_no (attempt->local), NULL);
 }
@@ -67,6 +68,7 @@
   g_autofree char *name = NULL;
   g_autofree char *in_use = NULL;
   g_autofree char *queued = NULL;
+  g_autofree char *wait = NULL;
 
   /* request_log_end reports the target's answer. */
   if (answered && res->result == SW_DONE)
@@ -76,12 +78,13 @@
     {
       in_use = g_strdup_printf ("%u", res->state.in_use);
       queued = g_strdup_printf ("%u", res->state.queued);
+      wait = g_strdup_printf ("%u", res->retry_after_ms);
     }
   log_event (G_LOG_LEVEL_INFO, "attempt-end", "ID", attempt->exchange->id, "ATTEMPT",
              name, "TARGET", attempt->target->name, "CALL", outcomes[outcome], "RESULT",
              answered ? result_name (res->result) : NULL, "REASON",
              answered ? reason_name ((Reason)res->reason) : NULL, "IN_USE", in_use,
-             "QUEUED", queued, NULL);
+             "QUEUED", queued, "RETRY_AFTER_MS", wait, NULL);
 }
 
 void
