A watcher that does not reach the store has others watch

Cause: nine nodes, chosen by the hash of their names, watch the store for the fleet. A watcher that the store does not answer stays one, and nobody takes its place; a node that reaches the store polls once a minute or less often. Class: a duty stays with its holder although the holder cannot do it.

Change: a watcher whose call is overdue, or fails twice in a row, asks a few random nodes (SW_DELEGATE). A node that is asked reads the store; if the store answers, it applies what it reads, watches for two bounds of a change, and says so. The watcher renews the duty at one such node until the store answers it again. Pauses between rounds in vain are doubled, for a store that is down for all.

Why it works: whether a node reaches the store is found out by asking it, instead of being assumed of nine names; each round reaches other nodes, and one that can watch is enough for all.

test_watchers_without_the_store_hide_a_change failed before (31.1 and 28.8 s, 2 allowed); 0.22 to 1.65 s in 7 runs now.

--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -1,8 +1,9 @@
 /*
  * Shared by the files of the sync: config-sync.c keeps the configuration in force,
  * config-watch.c watches the platform, config-fetch.c fetches the parts of a newer head,
- * config-start.c requests heads from other nodes, and config-halls.c handles evacuated
- * data halls.
+ * config-start.c requests heads from other nodes, config-delegate.c has other nodes watch
+ * in the place of a watcher that does not reach the platform, and config-halls.c handles
+ * evacuated data halls.
  */
 #ifndef DAEMON_CONFIG_SYNC_PRIVATE_H
 #define DAEMON_CONFIG_SYNC_PRIVATE_H
@@ -12,6 +13,9 @@
 #include "adapter.h"
 #include "config-sync.h"
 
+/* The duty to watch, as delegated by this node or to it. */
+typedef struct ConfigDelegate ConfigDelegate;
+
 struct ConfigSync
 {
   Node *node;
@@ -31,6 +35,7 @@
   gboolean is_watcher; /* at the last check */
   gboolean watching;
   guint watch_failures; /* in a row */
+  ConfigDelegate *delegate;
   gboolean polling;
   /* The fetch in progress: a head newer than the snapshot's, and the parts received. */
   ConfigHead *wanted;
@@ -91,6 +96,8 @@
 
 /* Whether this node knows enough of the others to decide whether it watches. */
 gboolean config_watch_has_settled (const ConfigSync *sync);
+/* Whether this node is one of the watchers by its view of the members. */
+gboolean config_watch_is_chosen (const ConfigSync *sync);
 /* Schedules the first check. */
 void config_watch_start (ConfigSync *sync);
 /* Timer function: begins a watch, or ends the one of a node that is no watcher. */
@@ -119,4 +126,14 @@
 /* Timer function: queries the platform and a few nodes until this node may serve. */
 void config_start_round (gpointer data);
 
+ConfigDelegate *config_delegate_create (ConfigSync *sync);
+void config_delegate_destroy (ConfigDelegate *delegate);
+/* Notes that the platform does not answer. If this node is a watcher, it asks others to
+   watch in its place until the platform answers it again. */
+void config_delegate_begin (ConfigDelegate *delegate);
+/* Notes the end of a read or a watch. */
+void config_delegate_note_answer (ConfigDelegate *delegate, gboolean answered);
+/* Whether this node watches in the place of another one. */
+gboolean config_delegate_is_on_duty (const ConfigDelegate *delegate);
+
 #endif
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -167,6 +167,7 @@
 
   sync->polling = FALSE;
   config_sync_apply_reading (sync, reading);
+  config_delegate_note_answer (sync->delegate, reading->outcome != CONFIG_READ_FAILED);
 }
 
 void
@@ -238,6 +239,7 @@
   sync->start = loop_timer_create (node->loop, config_start_round, sync);
   sync->fetch = loop_timer_create (node->loop, config_fetch_batch, sync);
   sync->compose = loop_timer_create (node->loop, on_compose, sync);
+  sync->delegate = config_delegate_create (sync);
   loop_timer_start (sync->start, 0);
   config_watch_start (sync);
   start_poll_timer (sync);
@@ -256,6 +258,7 @@
   g_free (sync->far_source);
   loop_timer_destroy (sync->fetch);
   loop_timer_destroy (sync->compose);
+  config_delegate_destroy (sync->delegate);
   config_fetch_destroy (sync);
   part_history_destroy (sync->history);
   g_hash_table_unref (sync->parts);
--- a/daemon/src/config/config-sync.h
+++ b/daemon/src/config/config-sync.h
@@ -50,6 +50,10 @@
    behalf of the others. */
 gboolean config_sync_is_watcher (const ConfigSync *sync);
 
+/* Notes that a watch of the platform is overdue: the platform, or the connection to it,
+   does not answer this node. */
+void config_sync_note_watch_overdue (ConfigSync *sync);
+
 /* Returns the times of a watch of the platform that begins now. */
 WatchTimes config_sync_watch_times (const ConfigSync *sync);
 
@@ -83,5 +87,7 @@
 void config_sync_answer_head (ConfigSync *sync, sw_head_res *res);
 void
 config_sync_answer_part (ConfigSync *sync, const sw_part_args *args, sw_part_res *res);
+/* Answers an SW_DELEGATE call once the platform has answered this node or failed to. */
+void config_sync_answer_delegate (ConfigSync *sync, RpcConn *conn, guint32 xid);
 
 #endif
--- a/daemon/src/config/config-watch.c
+++ b/daemon/src/config/config-watch.c
@@ -26,6 +26,8 @@
 /* Backoff of failed watches: 125 ms, doubled up to one second. */
 #define WATCH_BACKOFF_FIRST_US (125 * MS_US)
 #define WATCH_DOUBLINGS_MAX 3u
+/* The first failure may be a watch that was cut, or a history that is gone. */
+#define FAILURES_BEFORE_DELEGATION 2u
 
 gboolean
 config_watch_has_settled (const ConfigSync *sync)
@@ -85,11 +87,24 @@
   return clock_now (sync->node->clock) - sync->heard_us > UNHEARD_US;
 }
 
+gboolean
+config_watch_is_chosen (const ConfigSync *sync)
+{
+  return config_watch_has_settled (sync) && is_among_watchers (watch_rank (sync));
+}
+
 gboolean
 config_sync_is_watcher (const ConfigSync *sync)
 {
   return config_watch_has_settled (sync) &&
-         (is_among_watchers (watch_rank (sync)) || hears_no_other (sync));
+         (is_among_watchers (watch_rank (sync)) || hears_no_other (sync) ||
+          config_delegate_is_on_duty (sync->delegate));
+}
+
+void
+config_sync_note_watch_overdue (ConfigSync *sync)
+{
+  config_delegate_begin (sync->delegate);
 }
 
 /* The watchers take turns: first the first of each hall, then the second of each. A
@@ -149,6 +164,10 @@
   sync->watching = FALSE;
   config_sync_apply_reading (sync, reading);
   sync->watch_failures = failed ? sync->watch_failures + 1 : 0;
+  config_delegate_note_answer (sync->delegate, reading->outcome != CONFIG_READ_FAILED);
+  if (reading->outcome == CONFIG_READ_FAILED &&
+      sync->watch_failures >= FAILURES_BEFORE_DELEGATION)
+    config_delegate_begin (sync->delegate);
   loop_timer_start (sync->watch,
                     config_sync_watch_backoff_us (sync, sync->watch_failures));
 }
--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -194,6 +194,9 @@
     case SW_PART:
       on_part (node, conn, call->xid, in);
       break;
+    case SW_DELEGATE:
+      config_sync_answer_delegate (node->config, conn, call->xid);
+      break;
     case SW_LEAVE:
       events_add (node->events, "vm-leaving", node->settings->node, rpc_conn_peer (conn));
       sidecar_drain (node->sidecar);
--- a/daemon/src/operator/metrics.c
+++ b/daemon/src/operator/metrics.c
@@ -59,6 +59,7 @@
   "switchmill_target_connections_target_gone_total",
   "switchmill_platform_calls_total",
   "switchmill_watches_unanswered_total",
+  "switchmill_watches_delegated_total",
   "switchmill_store_era",
   "switchmill_store_put_back_total",
   "switchmill_gossip_sent_bytes_total",
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -391,6 +391,11 @@
 };
 typedef struct sw_allow_res sw_allow_res;
 
+struct sw_delegate_res {
+	bool_t watching;
+};
+typedef struct sw_delegate_res sw_delegate_res;
+
 struct sw_view_args {
 	struct {
 		u_int buckets_len;
@@ -447,6 +452,9 @@
 #define SW_ALLOW 13
 extern  sw_allow_res * sw_allow_1(sw_allow_args *, CLIENT *);
 extern  sw_allow_res * sw_allow_1_svc(sw_allow_args *, struct svc_req *);
+#define SW_DELEGATE 14
+extern  sw_delegate_res * sw_delegate_1(void *, CLIENT *);
+extern  sw_delegate_res * sw_delegate_1_svc(void *, struct svc_req *);
 #define SW_LEAVE 10
 extern  void * sw_leave_1(void *, CLIENT *);
 extern  void * sw_leave_1_svc(void *, struct svc_req *);
@@ -489,6 +497,9 @@
 #define SW_ALLOW 13
 extern  sw_allow_res * sw_allow_1();
 extern  sw_allow_res * sw_allow_1_svc();
+#define SW_DELEGATE 14
+extern  sw_delegate_res * sw_delegate_1();
+extern  sw_delegate_res * sw_delegate_1_svc();
 #define SW_LEAVE 10
 extern  void * sw_leave_1();
 extern  void * sw_leave_1_svc();
@@ -529,6 +540,7 @@
 extern  bool_t xdr_sw_part_res (XDR *, sw_part_res*);
 extern  bool_t xdr_sw_allow_args (XDR *, sw_allow_args*);
 extern  bool_t xdr_sw_allow_res (XDR *, sw_allow_res*);
+extern  bool_t xdr_sw_delegate_res (XDR *, sw_delegate_res*);
 extern  bool_t xdr_sw_view_args (XDR *, sw_view_args*);
 extern  bool_t xdr_sw_view_res (XDR *, sw_view_res*);
 
@@ -564,6 +576,7 @@
 extern bool_t xdr_sw_part_res ();
 extern bool_t xdr_sw_allow_args ();
 extern bool_t xdr_sw_allow_res ();
+extern bool_t xdr_sw_delegate_res ();
 extern bool_t xdr_sw_view_args ();
 extern bool_t xdr_sw_view_res ();
 
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -326,6 +326,11 @@
   unsigned int retry_after_ms; /* when to ask again, if fewer than wanted were lent */
 };
 
+/* The answer of a node to which a watcher delegates its duty. */
+struct sw_delegate_res {
+  bool watching;               /* the store has answered the node, which watches it now */
+};
+
 /* A comparison of member views, with one digest for each bucket of members. */
 struct sw_view_args {
   unsigned hyper buckets<SW_BUCKETS>;
@@ -350,6 +355,8 @@
     void SW_CANCEL (sw_cancel_args) = 11;
     void SW_UPDATES (sw_gossip) = 12;  /* has no answer */
     sw_allow_res SW_ALLOW (sw_allow_args) = 13;
+    sw_delegate_res SW_DELEGATE (void) = 14;  /* the caller is to watch the store and does
+                                                 not reach it */
     void SW_LEAVE (void) = 10;  /* the platform announces that the callee's VM will leave */
   } = 1;
 } = 0x20057a11;
