Tests: a rare lower priority with a second left at a full target

One request in 16 is of a lower priority and has a second left, at a target that gets twice what it serves: 53 % of the higher and 4 % of the lower are served; routes that an operator adds and nobody waits long for are such requests.

--- a/core/tests/test-admission-load.c
+++ b/core/tests/test-admission-load.c
@@ -58,12 +58,12 @@
 }
 
 static void
-arrive (Replay *replay, guint priority)
+arrive_with_deadline (Replay *replay, guint priority, gint64 deadline_us)
 {
   Item *item = &replay->items[replay->count++];
   gint64 now = clock_now (replay->clock);
   AdmissionParams order = { .priority = priority,
-                            .deadline_us = now + DEADLINE_US,
+                            .deadline_us = now + deadline_us,
                             .on_time_by_us = now + OBJECTIVE_US - WORK_US };
   Item *displaced;
 
@@ -85,6 +85,12 @@
     }
 }
 
+static void
+arrive (Replay *replay, guint priority)
+{
+  arrive_with_deadline (replay, priority, DEADLINE_US);
+}
+
 /* Advances the clock by one step: requests that end release their slots, expired ones are
    refused, and waiting ones start. */
 static void
@@ -223,13 +229,19 @@
 /* Offers requests of the highest priority that need more than all slots, and every
    `lower_every`th of a lower one. */
 static void
-load_mostly_high (Replay *replay, guint lower_every, gint64 for_us)
+load_mostly_high (Replay *replay,
+                  guint lower_every,
+                  gint64 lower_deadline_us,
+                  gint64 for_us)
 {
   gint64 end = clock_now (replay->clock) + for_us;
 
   for (guint i = 0; clock_now (replay->clock) < end; i++)
     {
-      arrive (replay, i % lower_every == 0 ? 1 : 0);
+      if (i % lower_every == 0)
+        arrive_with_deadline (replay, 1, lower_deadline_us);
+      else
+        arrive (replay, 0);
       for (guint steps = 0; steps < 10; steps++)
         step (replay);
     }
@@ -258,7 +270,7 @@
 {
   Replay *replay = replay_create ();
 
-  load_mostly_high (replay, 4, 15 * SECOND_US);
+  load_mostly_high (replay, 4, DEADLINE_US, 15 * SECOND_US);
   print_message ("served: %u %% of the higher, %u %% of the lower\n",
                  served_percent (replay, 0), served_percent (replay, 1));
   assert_true (served_percent (replay, 0) >= 45);
@@ -266,6 +278,19 @@
   replay_destroy (replay);
 }
 
+/* Its turn was counted from its arrival instead of from the last start of its kind. */
+static void
+test_a_rare_lower_priority_is_refused_although_its_turn_is_near (void **state)
+{
+  Replay *replay = replay_create ();
+
+  load_mostly_high (replay, 16, SECOND_US, 19 * SECOND_US);
+  print_message ("served: %u %% of the higher, %u %% of the lower\n",
+                 served_percent (replay, 0), served_percent (replay, 1));
+  assert_true (4 * served_percent (replay, 1) >= served_percent (replay, 0));
+  replay_destroy (replay);
+}
+
 int
 main (void)
 {
@@ -275,6 +300,7 @@
     cmocka_unit_test (test_late_requests_are_served_after_an_overload),
     cmocka_unit_test (test_late_requests_make_room),
     cmocka_unit_test (test_a_lasting_load_starves_lower_priorities),
+    cmocka_unit_test (test_a_rare_lower_priority_is_refused_although_its_turn_is_near),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
