The turn of a lower priority counts from its last start

They are the lowest in rank, rare, and have a second left.

Cause: at a full target a lower priority gets one start in up to 32. The queue starts the next one once so many starts have passed since the last; the estimate of the wait, by which a request is refused, counted the whole turn from its arrival. A request whose turn was next was refused for a wait of seconds. Class: an estimate that follows another rule than the queue that it is made for.

Why it works: the estimate counts the starts that the queue will make.

--- a/core/src/request/admission-queue.c
+++ b/core/src/request/admission-queue.c
@@ -179,15 +179,18 @@
 {
   guint top = top_priority (queue, now_us);
   guint ahead = 0;
-  guint lower;
+  guint turn;
+  guint next; /* starts before the next one of a lower priority */
 
   for (guint i = 0; i < queue->waiting->len; i++)
     if (goes_before (&at (queue, i)->order, order, now_us))
       ahead++;
   if (order->priority <= top || is_late (order, now_us))
     return ahead;
-  lower = count_lower (queue, top, latest_start_us (order), now_us);
-  return MIN (ahead, (lower + 1) * lower_turn (queue, top) - 1);
+  turn = lower_turn (queue, top);
+  next = turn - MIN (queue->turns + 1, turn);
+  return MIN (ahead,
+              next + turn * count_lower (queue, top, latest_start_us (order), now_us));
 }
 
 void
