Each lower priority has a share of its own of a full target

Cause: all priorities below the highest that waits had one share of the starts and of the places together. A priority in the middle used it up: it filled the places, and each of its starts put off the turn of the lowest.

Change: each lower priority has a credit that grows by its share with each start, up to one start; a request starts when its priority has credit. The shares are half of those of the offers as before, at least one in 16 (32 before), and together one in four at most. The places are dealt out alike.

Why it works: what one priority takes is no longer taken from another one's share, and a rare one does not depend on a place being free by chance.

--- a/core/src/request/admission-queue.h
+++ b/core/src/request/admission-queue.h
@@ -9,10 +9,11 @@
  * Rule: requests that can still be answered within their objective start first, by
  * priority and then by arrival. Requests that are already late get the remaining slots,
  * in the same order, so they do not delay requests that are still on time. While requests
- * of several priorities wait, the lower ones together get a share of the starts, by their
- * latest start, and of the places, so that a lasting load of a higher priority does not
- * starve them: half of their share of the offers, but at most one in
- * ADMISSION_LOWER_TURN.
+ * of several priorities wait, each lower one has a share of the starts, by their latest
+ * start, and of the places, so that a lasting load of a higher priority does not starve
+ * it: half of its share of the offers, at least one in ADMISSION_LOWER_TURN_MAX, and
+ * together at most one in ADMISSION_LOWER_TURN. A priority that has not used its share
+ * has credit for one start, which the estimate of the wait counts.
  */
 #ifndef CORE_REQUEST_ADMISSION_QUEUE_H
 #define CORE_REQUEST_ADMISSION_QUEUE_H
@@ -26,7 +27,7 @@
 /* Starts of which lower priorities get one: the least and the most. The least also gives
    their share of the places. */
 #define ADMISSION_LOWER_TURN 4u
-#define ADMISSION_LOWER_TURN_MAX 32u
+#define ADMISSION_LOWER_TURN_MAX 16u
 
 typedef struct AdmissionQueue AdmissionQueue;
 
--- a/core/tests/test-admission-load.c
+++ b/core/tests/test-admission-load.c
@@ -291,6 +291,29 @@
   replay_destroy (replay);
 }
 
+/* The share of all lower priorities together was used up by the one in the middle. */
+static void
+test_a_middle_priority_uses_up_the_share_of_the_lowest (void **state)
+{
+  Replay *replay = replay_create ();
+  gint64 end = clock_now (replay->clock) + 19 * SECOND_US;
+
+  for (guint i = 0; clock_now (replay->clock) < end; i++)
+    {
+      if (i % 16 == 5)
+        arrive_with_deadline (replay, 2, SECOND_US);
+      else
+        arrive (replay, i % 3 == 0 ? 0 : 1);
+      for (guint steps = 0; steps < 10; steps++)
+        step (replay);
+    }
+  print_message ("served: %u, %u and %u %%\n", served_percent (replay, 0),
+                 served_percent (replay, 1), served_percent (replay, 2));
+  assert_true (4 * served_percent (replay, 2) >= served_percent (replay, 0));
+  assert_true (4 * served_percent (replay, 2) >= served_percent (replay, 1));
+  replay_destroy (replay);
+}
+
 int
 main (void)
 {
@@ -301,6 +324,7 @@
     cmocka_unit_test (test_late_requests_make_room),
     cmocka_unit_test (test_a_lasting_load_starves_lower_priorities),
     cmocka_unit_test (test_a_rare_lower_priority_is_refused_although_its_turn_is_near),
+    cmocka_unit_test (test_a_middle_priority_uses_up_the_share_of_the_lowest),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
