A late request is displaced by one rule; a refused watcher has a test

It looks at lower priorities alone now.

test_a_watcher_that_the_store_refuses_asks_no_other: a watch that fails at once, twice; fails without the call in config-watch.c.

--- a/core/src/request/admission-queue.c
+++ b/core/src/request/admission-queue.c
@@ -324,7 +324,8 @@
 last_lower (const AdmissionQueue *queue, const AdmissionParams *order, gint64 now_us)
 {
   for (guint i = queue->waiting->len; i-- > 0;)
-    if (!goes_before (&at (queue, i)->order, order, now_us) &&
+    if (at (queue, i)->order.priority > order->priority &&
+        !goes_before (&at (queue, i)->order, order, now_us) &&
         is_above_share (queue, i, order->priority, now_us))
       return i;
   return NOWHERE;
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -474,6 +474,58 @@
   lone_node_clear (&node);
 }
 
+static void
+refuse_watch (gpointer source,
+              const WatchTimes *times,
+              ConfigReadDone done,
+              gpointer data)
+{
+  static const ConfigReading failed = { .outcome = CONFIG_READ_FAILED };
+
+  done (&failed, data);
+}
+
+/* The store refuses this node alone, and answers at once. */
+static void
+test_a_watcher_that_the_store_refuses_asks_no_other (void **state)
+{
+  static const RpcLimits limits = { 4, 60 * SECOND_US };
+  static const ConfigSource refusing = { .create = source_create,
+                                         .destroy = source_destroy,
+                                         .read = read_nothing,
+                                         .watch = refuse_watch,
+                                         .unwatch = end_watch,
+                                         .part = source_part,
+                                         .serves_empty = TRUE };
+  static const Adapter refused = { .config = &refusing };
+  HeadRequests requests = { 0 };
+  Node node = lone_node (0);
+  RpcServer *server = rpc_server_create (node.loop, OTHER_ADDRESS, &limits,
+                                         on_other_called, &requests, NULL);
+  Member other = { .node = "other",
+                   .hall = "hall",
+                   .address = OTHER_ADDRESS,
+                   .incarnation = 1,
+                   .status = MEMBER_ALIVE };
+
+  assert_non_null (server);
+  node.adapter = &refused;
+  node.traffic = traffic_create (node.loop);
+  node.metrics = metrics_create ();
+  node.reads = peer_reads_create (&node);
+  node.config = config_sync_create (&node);
+  run_for (STEP_US);
+  members_merge (node.members, &other);
+  run_for (3 * SECOND_US);
+  pass_messages ();
+  assert_true (requests.count > 0);
+  peer_reads_destroy (node.reads);
+  rpc_server_destroy (server);
+  traffic_destroy (node.traffic);
+  metrics_destroy (node.metrics);
+  lone_node_clear (&node);
+}
+
 int
 main (void)
 {
@@ -482,6 +534,7 @@
     cmocka_unit_test (test_a_node_that_is_outranked_goes_on_watching),
     cmocka_unit_test (test_a_node_that_hears_of_no_other_does_not_watch),
     cmocka_unit_test (test_a_node_that_announces_a_change_while_asked_is_not_asked_again),
+    cmocka_unit_test (test_a_watcher_that_the_store_refuses_asks_no_other),
     cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
                                      teardown),
   };
