A part is asked of another node when the first goes silent

Cause: a node that has read a head from another one asks it alone for the parts. When the path between the two is cut in between, it waits for a second; asks the platform, which has no single parts; rests for 250 ms; and asks one random node, which may be cut off or gone as well: 1.25 s for each. Class: a wait for one other, in series, of a length that is comparable with the bound.

One more wait of that kind goes past it. Ruled out: the head, which is asked of up to four; the watchers, all of which had the version by 2.44 s; nodes that start, which read it from the store.

Change: another node is asked 200 ms after the one before, up to four, first those that have announced the newest generation; the first answer counts. Reads that are begun while the reads are destroyed end at once.

Why it works: the time lost by a silent node is 200 ms instead of 1.25 s, and the next one has been heard since the change.

test_a_node_that_goes_silent_in_a_fetch_delays_a_change failed before.

--- a/daemon/src/config/config-fetch.c
+++ b/daemon/src/config/config-fetch.c
@@ -11,18 +11,26 @@
 #define FETCHES_MAX 8u
 /* A part that another node has not delivered by then is fetched from the platform. */
 #define PART_TIMEOUT_MAX_US (1 * SECOND_US)
+/* Nodes that are asked for one part: another one is asked when one has not answered for
+   ASK_NEXT_US, or has answered without the part. A node may be gone, or cut off from this
+   one, some seconds before the members show it. */
+#define SOURCES_MAX 4u
+#define ASK_NEXT_US (200 * MS_US)
 /* Pause after a batch that has brought no part. */
 #define FETCH_PAUSE_US (250 * MS_US)
 
+/* A fetch of one part. It is referenced by its calls and by the worker. */
 typedef struct
 {
   ConfigSync *sync;
   char *key;
   char *digest;
   sw_part_args args;
-  char *source; /* the node that is asked; NULL for the platform */
-  gint64 began_us;
-  guint head; /* number of the head that it was begun for */
+  guint head;       /* number of the head that it was begun for */
+  GPtrArray *asked; /* names of the nodes asked so far */
+  guint calls;      /* in flight */
+  gboolean over;    /* no more calls are made, and answers are ignored */
+  LoopTimer *next;
   /* Set once the part has been received. */
   GBytes *bytes;
   gboolean packed;
@@ -30,12 +38,21 @@
   JsonFaults *faults;
 } Fetch;
 
+/* A call of a fetch to another node. */
+typedef struct
+{
+  Fetch *fetch;
+  const char *vm; /* borrowed from fetch->asked */
+  gint64 began_us;
+} PartCall;
+
 static const RpcProcedure part_procedure = { SW_PART, (xdrproc_t)xdr_sw_part_args,
                                              (xdrproc_t)xdr_sw_part_res,
                                              sizeof (sw_part_res) };
 
 static void fetch_more (ConfigSync *sync);
 static void fetch_from_platform (Fetch *fetch);
+static void ask_next (gpointer data);
 
 void
 config_fetch_reset (ConfigSync *sync)
@@ -66,9 +83,11 @@
 static Fetch *
 fetch_create (ConfigSync *sync, const char *key, const char *digest)
 {
-  Fetch *fetch = g_new0 (Fetch, 1);
+  Fetch *fetch = g_rc_box_new0 (Fetch);
 
   fetch->sync = sync;
+  fetch->asked = g_ptr_array_new_with_free_func (g_free);
+  fetch->next = loop_timer_create (sync->node->loop, ask_next, fetch);
   fetch->key = g_strdup (key);
   fetch->digest = g_strdup (digest);
   fetch->args.digest = fetch->digest;
@@ -77,17 +96,23 @@
 }
 
 static void
-fetch_free (gpointer job)
+fetch_clear (gpointer data)
 {
-  Fetch *fetch = job;
+  Fetch *fetch = data;
 
+  loop_timer_destroy (fetch->next);
+  g_ptr_array_unref (fetch->asked);
   config_part_unref (fetch->part);
   json_faults_destroy (fetch->faults);
   g_clear_pointer (&fetch->bytes, g_bytes_unref);
   g_free (fetch->key);
   g_free (fetch->digest);
-  g_free (fetch->source);
-  g_free (fetch);
+}
+
+static void
+fetch_unref (gpointer fetch)
+{
+  g_rc_box_release_full (fetch, fetch_clear);
 }
 
 /* Continues after the end of a fetch, unless its head is no longer wanted. */
@@ -107,7 +132,7 @@
   ConfigSync *sync = fetch->sync;
   guint head = fetch->head;
 
-  fetch_free (fetch);
+  fetch_unref (fetch);
   note_fetch_ended (sync, head);
 }
 
@@ -169,7 +194,7 @@
   fetch->bytes = g_bytes_ref (bytes);
   fetch->packed = packed;
   fetch->faults = json_faults_create ();
-  worker_add (fetch->sync->node->worker, fetch, parse_part, fetch_free, on_parsed, NULL);
+  worker_add (fetch->sync->node->worker, fetch, parse_part, fetch_unref, on_parsed, NULL);
 }
 
 static void
@@ -191,27 +216,123 @@
   sync->kind->part (sync->source_data, fetch->digest, on_source_part, fetch);
 }
 
+/* Returns the name of a random other node that is alive, or NULL if there is none. The
+   caller frees it. */
+static char *
+random_peer (ConfigSync *sync)
+{
+  Node *node = sync->node;
+  GPtrArray *all = members_all (node->members);
+  guint first = (guint)g_rand_int_range (node->rand, 0, (gint32)all->len);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      const Member *member = g_ptr_array_index (all, (first + i) % all->len);
+
+      if (member != members_self (node->members) && member->status == MEMBER_ALIVE)
+        return g_strdup (member->node);
+    }
+  return NULL;
+}
+
+/* Ends the calls to other nodes: the part has come, or the platform is asked for it. */
+static void
+end_calls (Fetch *fetch)
+{
+  fetch->over = TRUE;
+  loop_timer_stop (fetch->next);
+}
+
 static void
 on_peer_part (RpcOutcome outcome, void *result, gpointer data)
 {
-  Fetch *fetch = data;
-  sw_part_res *res = result;
+  PartCall *call = data;
+  Fetch *fetch = call->fetch;
+  const sw_part_res *res = result;
 
+  fetch->calls--;
   config_sync_note_read (fetch->sync, &(ConfigPeerRead){ .event = "config-part-late",
                                                          .subject = fetch->key,
-                                                         .vm = fetch->source,
+                                                         .vm = call->vm,
                                                          .outcome = outcome,
-                                                         .began_us = fetch->began_us });
-  if (outcome == RPC_OK && res->found)
+                                                         .began_us = call->began_us });
+  if (!fetch->over && outcome == RPC_OK && res->found)
     {
       g_autoptr (GBytes) packed = g_bytes_new (res->part.part_val, res->part.part_len);
 
+      end_calls (fetch);
       parse_on_worker (fetch, packed, TRUE);
+    }
+  else if (!fetch->over)
+    {
+      /* A newer head may have brought another source meanwhile. */
+      if (outcome != RPC_OK && g_strcmp0 (call->vm, fetch->sync->source) == 0)
+        g_clear_pointer (&fetch->sync->source, g_free);
+      ask_next (fetch);
+    }
+  fetch_unref (fetch);
+  g_free (call);
+}
+
+static void
+ask (Fetch *fetch, const char *vm)
+{
+  ConfigSync *sync = fetch->sync;
+  PartCall *call = g_new0 (PartCall, 1);
+
+  call->fetch = g_rc_box_acquire (fetch);
+  call->vm = g_strdup (vm);
+  call->began_us = clock_now (sync->node->clock);
+  g_ptr_array_add (fetch->asked, (gpointer)call->vm);
+  fetch->calls++;
+  loop_timer_start (fetch->next, ASK_NEXT_US);
+  peer_reads_call (sync->node->reads, vm, &part_procedure, &fetch->args,
+                   config_sync_patience_us (sync, PART_TIMEOUT_MAX_US), on_peer_part,
+                   call);
+}
+
+static gboolean
+was_asked (const Fetch *fetch, const char *vm)
+{
+  return g_ptr_array_find_with_equal_func (fetch->asked, vm, g_str_equal, NULL);
+}
+
+/* Returns the name of a node to ask next, or NULL: first of those that have announced the
+   newest generation lately, then of all. The caller frees it. */
+static char *
+next_source (const Fetch *fetch)
+{
+  ConfigSync *sync = fetch->sync;
+  char *random;
+
+  for (guint i = sync->holders->len; i-- > 0;)
+    if (!was_asked (fetch, g_ptr_array_index (sync->holders, i)))
+      return g_strdup (g_ptr_array_index (sync->holders, i));
+  random = random_peer (sync);
+  if (random && was_asked (fetch, random))
+    g_clear_pointer (&random, g_free);
+  return random;
+}
+
+/* Asks another node for the part; when there is none, and none is left to answer, the
+   platform. Also the function of the fetch's timer. */
+static void
+ask_next (gpointer data)
+{
+  Fetch *fetch = data;
+  g_autofree char *vm = fetch->asked->len < SOURCES_MAX ? next_source (fetch) : NULL;
+
+  if (vm)
+    {
+      ask (fetch, vm);
+      return;
+    }
+  if (fetch->calls > 0)
+    {
+      loop_timer_start (fetch->next, ASK_NEXT_US);
       return;
     }
-  /* A newer head may have brought another source meanwhile. */
-  if (outcome != RPC_OK && g_strcmp0 (fetch->source, fetch->sync->source) == 0)
-    g_clear_pointer (&fetch->sync->source, g_free);
+  end_calls (fetch);
   fetch_from_platform (fetch);
 }
 
@@ -219,14 +340,11 @@
 start_fetch (ConfigSync *sync, const char *key, const char *digest)
 {
   Fetch *fetch = fetch_create (sync, key, digest);
+  g_autofree char *source = g_strdup (sync->source);
 
-  fetch->source = g_strdup (sync->source);
-  fetch->began_us = clock_now (sync->node->clock);
   sync->fetching++;
-  if (fetch->source)
-    peer_reads_call (sync->node->reads, fetch->source, &part_procedure, &fetch->args,
-                     config_sync_patience_us (sync, PART_TIMEOUT_MAX_US), on_peer_part,
-                     fetch);
+  if (source)
+    ask (fetch, source);
   else
     fetch_from_platform (fetch);
 }
@@ -254,25 +372,6 @@
   return missing;
 }
 
-/* Returns the name of a random other node that is alive, or NULL if there is none. The
-   caller frees it. */
-static char *
-random_peer (ConfigSync *sync)
-{
-  Node *node = sync->node;
-  GPtrArray *all = members_all (node->members);
-  guint first = (guint)g_rand_int_range (node->rand, 0, (gint32)all->len);
-
-  for (guint i = 0; i < all->len; i++)
-    {
-      const Member *member = g_ptr_array_index (all, (first + i) % all->len);
-
-      if (member != members_self (node->members) && member->status == MEMBER_ALIVE)
-        return g_strdup (member->node);
-    }
-  return NULL;
-}
-
 /*
  * Returns the node from which to fetch the parts of a head that the platform has
  * delivered, or NULL for the platform. A starting node needs all parts, and a whole hall
--- a/daemon/src/config/config-start.c
+++ b/daemon/src/config/config-start.c
@@ -16,6 +16,8 @@
    announce a change at once, and several of them are asked, each once at a time, because
    one may be gone. */
 #define ANNOUNCED_REQUESTS_MAX 4u
+/* Nodes remembered that have announced the highest generation. */
+#define HOLDERS_MAX 8u
 /* Delay before a generation that was announced from another hall is requested there.
    Within it a node of the own hall announces it too, because each hall has nodes that
    watch the store. Traffic between halls is expensive. */
@@ -160,10 +162,28 @@
     request_announced_head (sync, vm, sync->far_generation);
 }
 
+static void
+note_holder (ConfigSync *sync, const char *vm, guint64 generation)
+{
+  guint at;
+
+  if (generation < sync->holders_generation)
+    return;
+  if (generation > sync->holders_generation)
+    g_ptr_array_set_size (sync->holders, 0);
+  sync->holders_generation = generation;
+  if (g_ptr_array_find_with_equal_func (sync->holders, vm, g_str_equal, &at))
+    g_ptr_array_remove_index (sync->holders, at);
+  g_ptr_array_add (sync->holders, g_strdup (vm));
+  if (sync->holders->len > HOLDERS_MAX)
+    g_ptr_array_remove_index (sync->holders, 0);
+}
+
 void
 config_sync_note_generation (ConfigSync *sync, const char *vm, guint64 generation)
 {
   sync->heard_us = clock_now (sync->node->clock);
+  note_holder (sync, vm, generation);
   if (!is_newer_generation (sync, generation))
     return;
   if (peers_in_own_hall (sync->node, vm))
--- a/daemon/src/config/config-sync-private.h
+++ b/daemon/src/config/config-sync-private.h
@@ -58,6 +58,9 @@
   /* The nodes from which a head is being requested that they have announced: name → the
      highest generation (guint64) that each has announced. */
   GHashTable *announcers;
+  /* The nodes that have announced the highest generation heard of, the latest last. */
+  GPtrArray *holders; /* of char * */
+  guint64 holders_generation;
   /* A newer generation announced from another hall. Its head is requested after a delay,
      in which a node of the own hall may announce it. */
   LoopTimer *far;
--- a/daemon/src/config/config-sync.c
+++ b/daemon/src/config/config-sync.c
@@ -232,6 +232,7 @@
                                        (GDestroyNotify)config_part_unref);
   sync->history =
       part_history_create (node->clock, node->settings->apply_us, HISTORY_BYTES_MAX);
+  sync->holders = g_ptr_array_new_with_free_func (g_free);
   sync->announcers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sync->poll = loop_timer_create (node->loop, on_poll_timer, sync);
   sync->watch = loop_timer_create (node->loop, config_watch_check, sync);
@@ -263,6 +264,7 @@
   part_history_destroy (sync->history);
   g_hash_table_unref (sync->parts);
   g_hash_table_unref (sync->announcers);
+  g_ptr_array_unref (sync->holders);
   snapshot_unref (sync->snapshot);
   snapshot_unref (sync->base);
   directory_destroy (sync->directory);
--- a/daemon/src/member/peer-reads.c
+++ b/daemon/src/member/peer-reads.c
@@ -245,7 +245,7 @@
   Node *node = read->reads->node;
   sw_hello_args args = { .token = node->settings->fleet_token };
 
-  read->link = ensure_link (read->reads, read->vm);
+  read->link = read->reads->closing ? NULL : ensure_link (read->reads, read->vm);
   if (!read->link)
     {
       read_finish (read, RPC_UNSENT, NULL);
--- a/daemon/src/member/peer-reads.h
+++ b/daemon/src/member/peer-reads.h
@@ -16,7 +16,8 @@
 
 /*
  * Reads from a node within `timeout_us`. `args` is borrowed until `done` is called, which
- * is exactly once: inside this function with RPC_UNSENT if the node's address is unknown.
+ * is exactly once: inside this function with RPC_UNSENT if the node's address is unknown,
+ * or while the reads are being destroyed.
  */
 void peer_reads_call (PeerReads *reads,
                       const char *vm,
--- a/daemon/tests/test-config-sync.c
+++ b/daemon/tests/test-config-sync.c
@@ -5,6 +5,10 @@
 #include <stddef.h>
 #include <cmocka.h>
 
+#include <string.h>
+
+#include <core/config-draft.h>
+
 #include "adapter.h"
 #include "config-sync.h"
 #include "peer-reads.h"
@@ -474,6 +478,107 @@
   lone_node_clear (&node);
 }
 
+#define THIRD_ADDRESS "127.0.0.1:18299"
+
+/* A node that welcomes this one, tells its head, and never sends a part. */
+typedef struct
+{
+  char *name;
+  char *head;
+  guint64 generation;
+  guint parts_asked;
+} Holder;
+
+static void
+on_holder_called (RpcConn *conn, const WireCall *call, XDR *in, gpointer data)
+{
+  Holder *holder = data;
+  sw_hello_res hello = { .welcome = TRUE, .stamp.node = holder->name };
+  sw_head_res head = { .generation = holder->generation };
+
+  if (call->procedure == SW_HELLO)
+    {
+      rpc_conn_reply (conn, call->xid, (xdrproc_t)xdr_sw_hello_res, &hello);
+    }
+  else if (call->procedure == SW_HEAD)
+    {
+      head.head.head_val = holder->head;
+      head.head.head_len = (u_int)strlen (holder->head);
+      rpc_conn_reply (conn, call->xid, (xdrproc_t)xdr_sw_head_res, &head);
+    }
+  else if (call->procedure == SW_PART)
+    {
+      holder->parts_asked++;
+    }
+}
+
+/* Returns the head of a configuration with one service. */
+static char *
+some_head (guint64 generation)
+{
+  g_autoptr (GPtrArray) none = g_ptr_array_new ();
+  Service service = {
+    .name = (char *)"pay", .tenant = (char *)"default", .dynamic = TRUE, .targets = none
+  };
+  ConfigDraft *draft = config_draft_create ();
+  g_autoptr (GPtrArray) parts = NULL;
+  ConfigHead *head;
+  char *text;
+
+  config_draft_add_service (draft, &service);
+  parts = config_draft_parts (draft);
+  config_draft_destroy (draft);
+  head = config_draft_head (parts, generation);
+  text = config_head_text (head);
+  config_head_destroy (head);
+  return text;
+}
+
+/* It sat out a second before it asked another node. */
+static void
+test_a_node_that_goes_silent_in_a_fetch_delays_a_change (void **state)
+{
+  static const RpcLimits limits = { 4, 60 * SECOND_US };
+  g_autofree char *head = some_head (5);
+  Holder silent = { (char *)"other", head, 5, 0 };
+  Holder third = { (char *)"third", head, 5, 0 };
+  Node node = lone_node (0);
+  RpcServer *servers[] = { rpc_server_create (node.loop, OTHER_ADDRESS, &limits,
+                                              on_holder_called, &silent, NULL),
+                           rpc_server_create (node.loop, THIRD_ADDRESS, &limits,
+                                              on_holder_called, &third, NULL) };
+  Member other = { .node = "other",
+                   .hall = "hall",
+                   .address = OTHER_ADDRESS,
+                   .incarnation = 1,
+                   .status = MEMBER_ALIVE };
+
+  assert_non_null (servers[0]);
+  assert_non_null (servers[1]);
+  node.traffic = traffic_create (node.loop);
+  node.metrics = metrics_create ();
+  node.reads = peer_reads_create (&node);
+  node.config = config_sync_create (&node);
+  run_for (STEP_US);
+  members_merge (node.members, &other);
+  config_sync_note_generation (node.config, "other", 5);
+  pass_messages ();
+  assert_true (silent.parts_asked > 0);
+  other.node = "third";
+  other.address = THIRD_ADDRESS;
+  members_merge (node.members, &other);
+  config_sync_note_generation (node.config, "third", 5);
+  run_for (300 * MS_US);
+  pass_messages ();
+  assert_true (third.parts_asked > 0);
+  peer_reads_destroy (node.reads);
+  rpc_server_destroy (servers[0]);
+  rpc_server_destroy (servers[1]);
+  traffic_destroy (node.traffic);
+  metrics_destroy (node.metrics);
+  lone_node_clear (&node);
+}
+
 static void
 refuse_watch (gpointer source,
               const WatchTimes *times,
@@ -535,6 +640,7 @@
     cmocka_unit_test (test_a_node_that_hears_of_no_other_does_not_watch),
     cmocka_unit_test (test_a_node_that_announces_a_change_while_asked_is_not_asked_again),
     cmocka_unit_test (test_a_watcher_that_the_store_refuses_asks_no_other),
+    cmocka_unit_test (test_a_node_that_goes_silent_in_a_fetch_delays_a_change),
     cmocka_unit_test_setup_teardown (test_nodes_that_start_together_poll_apart, setup,
                                      teardown),
   };
