--- a/daemon/src/config/config-delegate.c
+++ b/daemon/src/config/config-delegate.c
@@ -34,6 +34,7 @@
   /* While another watcher's duty is delegated to this node. */
   gint64 duty_until_us;
   gboolean reaches_store; /* by the last answer, or the lack of it */
+  gint64 answered_us;     /* when the store has last answered */
   gint64 failed_us;       /* when the last read has failed */
   GArray *callers;        /* of Caller */
 };
@@ -253,7 +254,9 @@
   delegate->reaches_store = answered;
   if (answered && delegate->active)
     end (delegate);
-  if (!answered)
+  if (answered)
+    delegate->answered_us = now_us (delegate);
+  else
     delegate->failed_us = now_us (delegate);
   if (answered && callers->len > 0)
     take_duty (delegate);
@@ -269,13 +272,24 @@
          now_us (delegate) - delegate->failed_us < bound_us (delegate) / ROUNDS_PER_BOUND;
 }
 
+/* Returns whether this node watches a store that answers it. A watcher that has not been
+   answered for a while may have lost the store as well, and not know it yet. */
+static gboolean
+is_watching (const ConfigDelegate *delegate)
+{
+  gint64 age_us = now_us (delegate) - delegate->answered_us;
+
+  return delegate->reaches_store && delegate->sync->is_watcher &&
+         (is_on_duty (delegate) || age_us < bound_us (delegate) / ROUNDS_PER_BOUND);
+}
+
 void
 config_sync_answer_delegate (ConfigSync *sync, RpcConn *conn, guint32 xid)
 {
   ConfigDelegate *delegate = sync->delegate;
   Caller caller = { conn, xid };
 
-  if (delegate->reaches_store && sync->is_watcher)
+  if (is_watching (delegate))
     {
       take_duty (delegate);
       reply (delegate, &caller, TRUE);
