Rare lower priorities get no more starts than they have offers

A priority with less than one offer in 16 now gets its whole share of the offers instead of half, no more, and all lower ones together half of theirs and one start in 32.

The tests of the shares pass unchanged: 59 and 25 %, 50 and 45 %, 99, 27 and 33 %; core/test-admission, bench/test-overload and test-proc-priorities pass.

--- a/core/src/request/admission-queue.c
+++ b/core/src/request/admission-queue.c
@@ -8,7 +8,7 @@
 #define OFFERS_MAX 256u
 /* Credits and shares of starts are counted in parts of one start. */
 #define ONE_START 65536u
-#define SHARE_MIN (ONE_START / ADMISSION_LOWER_TURN_MAX)
+#define SHARE_RARE (ONE_START / ADMISSION_LOWER_TURN_RARE)
 #define SHARES_MAX (ONE_START / ADMISSION_LOWER_TURN)
 /* No place in the queue. */
 #define NOWHERE G_MAXUINT
@@ -78,22 +78,27 @@
 {
   guint first = rank_of (top);
   guint all = 1;
+  guint lower = 0; /* the offers of all lower ones, as shares */
   guint sum = 0;
+  guint most;
 
   memset (shares, 0, PRIORITIES_MAX * sizeof *shares);
   for (guint i = first; i < PRIORITIES_MAX; i++)
     all += queue->offers[i];
   for (guint i = first + 1; i < PRIORITIES_MAX; i++)
     {
-      if (queue->offers[i] > 0)
-        shares[i] = MAX (queue->offers[i] * (ONE_START / 2) / all, SHARE_MIN);
+      guint offered = queue->offers[i] * ONE_START / all;
+
+      shares[i] = MAX (offered / 2, MIN (offered, SHARE_RARE));
+      lower += offered;
       sum += shares[i];
     }
-  if (sum <= SHARES_MAX)
+  most = MIN (lower / 2 + SHARE_RARE / 2, SHARES_MAX);
+  if (sum <= most)
     return sum;
   for (guint i = first + 1; i < PRIORITIES_MAX; i++)
-    shares[i] = (guint)((guint64)shares[i] * SHARES_MAX / sum);
-  return SHARES_MAX;
+    shares[i] = (guint)((guint64)shares[i] * most / sum);
+  return most;
 }
 
 static const Waiting *
