--- a/core/src/request/admission-queue.c
+++ b/core/src/request/admission-queue.c
@@ -1,15 +1,9 @@
 #include "admission-queue.h"
 
-#include <string.h>
-
-/* Priorities that are told apart; the lowest ones are counted together. */
-#define PRIORITIES_MAX 64u
+/* Priorities whose offers are told apart; the lowest ones are counted together. */
+#define PRIORITIES_MAX 32u
 /* The counts are halved when their sum reaches this. */
 #define OFFERS_MAX 256u
-/* Credits and shares of starts are counted in parts of one start. */
-#define ONE_START 65536u
-#define SHARE_RARE (ONE_START / ADMISSION_LOWER_TURN_RARE)
-#define SHARES_MAX (ONE_START / ADMISSION_LOWER_TURN)
 /* No place in the queue. */
 #define NOWHERE G_MAXUINT
 
@@ -22,9 +16,9 @@
 struct AdmissionQueue
 {
   GArray *waiting; /* of Waiting, sorted by priority and then by arrival */
+  guint turns;     /* starts since the last one of a lower priority */
   guint offers[PRIORITIES_MAX];
   guint offers_total;
-  guint credits[PRIORITIES_MAX]; /* at most ONE_START */
 };
 
 AdmissionQueue *
@@ -51,16 +45,10 @@
   return queue->waiting->len;
 }
 
-static guint
-rank_of (guint priority)
-{
-  return MIN (priority, PRIORITIES_MAX - 1);
-}
-
 void
 admission_queue_note_offer (AdmissionQueue *queue, guint priority)
 {
-  queue->offers[rank_of (priority)]++;
+  queue->offers[MIN (priority, PRIORITIES_MAX - 1)]++;
   if (++queue->offers_total < OFFERS_MAX)
     return;
   queue->offers_total = 0;
@@ -71,34 +59,21 @@
     }
 }
 
-/* Stores in `shares` the share of the starts of each priority lower than `top`, and 0 for
-   the others. Returns their sum. */
+/* Returns how many starts there are for one of a priority lower than `top`. */
 static guint
-lower_shares (const AdmissionQueue *queue, guint top, guint shares[PRIORITIES_MAX])
+lower_turn (const AdmissionQueue *queue, guint top)
 {
-  guint first = rank_of (top);
-  guint all = 1;
-  guint lower = 0; /* the offers of all lower ones, as shares */
-  guint sum = 0;
-  guint most;
-
-  memset (shares, 0, PRIORITIES_MAX * sizeof *shares);
-  for (guint i = first; i < PRIORITIES_MAX; i++)
-    all += queue->offers[i];
-  for (guint i = first + 1; i < PRIORITIES_MAX; i++)
-    {
-      guint offered = queue->offers[i] * ONE_START / all;
+  guint lower = 0;
+  guint all = 0;
 
-      shares[i] = MAX (offered / 2, MIN (offered, SHARE_RARE));
-      lower += offered;
-      sum += shares[i];
+  for (guint i = MIN (top, PRIORITIES_MAX - 1); i < PRIORITIES_MAX; i++)
+    {
+      all += queue->offers[i];
+      lower += i > top ? queue->offers[i] : 0;
     }
-  most = MIN (lower / 2 + SHARE_RARE / 2, SHARES_MAX);
-  if (sum <= most)
-    return sum;
-  for (guint i = first + 1; i < PRIORITIES_MAX; i++)
-    shares[i] = (guint)((guint64)shares[i] * most / sum);
-  return most;
+  if (lower == 0)
+    return ADMISSION_LOWER_TURN;
+  return CLAMP (2 * all / lower, ADMISSION_LOWER_TURN, ADMISSION_LOWER_TURN_MAX);
 }
 
 static const Waiting *
@@ -142,11 +117,10 @@
   return order->on_time_by_us > 0 ? MIN (latest, order->on_time_by_us) : latest;
 }
 
-/* Returns the place of the request that must start first among those that are not late,
-   have a lower priority than `priority`, and whose priority has credit for a start;
-   NOWHERE if there is none. */
+/* Returns the place of the request that must start first among those that are not late
+   and have a lower priority than `priority`; NOWHERE if there is none. */
 static guint
-first_with_credit (const AdmissionQueue *queue, guint priority, gint64 now_us)
+first_lower (const AdmissionQueue *queue, guint priority, gint64 now_us)
 {
   guint first = NOWHERE;
 
@@ -154,9 +128,7 @@
     {
       const Waiting *waiting = at (queue, i);
 
-      if (waiting->order.priority > priority &&
-          queue->credits[rank_of (waiting->order.priority)] >= ONE_START &&
-          !is_late (&waiting->order, now_us) &&
+      if (waiting->order.priority > priority && !is_late (&waiting->order, now_us) &&
           (first == NOWHERE || latest_start_us (&waiting->order) <
                                    latest_start_us (&at (queue, first)->order)))
         first = i;
@@ -164,15 +136,15 @@
   return first;
 }
 
-/* Counts the requests that are not late, have this rank, and must start by `before_us`.
- */
+/* Counts the requests that are not late, have a lower priority than `priority`, and must
+   start by `before_us`. */
 static guint
-count_rank (const AdmissionQueue *queue, guint rank, gint64 before_us, gint64 now_us)
+count_lower (const AdmissionQueue *queue, guint priority, gint64 before_us, gint64 now_us)
 {
   guint count = 0;
 
   for (guint i = 0; i < queue->waiting->len; i++)
-    count += rank_of (at (queue, i)->order.priority) == rank &&
+    count += at (queue, i)->order.priority > priority &&
              !is_late (&at (queue, i)->order, now_us) &&
              latest_start_us (&at (queue, i)->order) <= before_us;
   return count;
@@ -200,27 +172,6 @@
   return waiting->priority <= order->priority;
 }
 
-/* Returns how many starts there are before that of a new request of a lower priority than
-   `top`, if only the credit of its priority lets it start. */
-static guint
-starts_before (const AdmissionQueue *queue,
-               const AdmissionParams *order,
-               guint top,
-               gint64 now_us)
-{
-  guint rank = rank_of (order->priority);
-  guint shares[PRIORITIES_MAX];
-  guint needed = ONE_START;
-
-  lower_shares (queue, top, shares);
-  if (shares[rank] == 0)
-    return G_MAXUINT;
-  needed *= 1 + count_rank (queue, rank, latest_start_us (order), now_us);
-  if (needed <= queue->credits[rank])
-    return 0;
-  return (needed - queue->credits[rank] - 1) / shares[rank];
-}
-
 guint
 admission_queue_ahead (const AdmissionQueue *queue,
                        const AdmissionParams *order,
@@ -228,13 +179,18 @@
 {
   guint top = top_priority (queue, now_us);
   guint ahead = 0;
+  guint turn;
+  guint next; /* starts before the next one of a lower priority */
 
   for (guint i = 0; i < queue->waiting->len; i++)
     if (goes_before (&at (queue, i)->order, order, now_us))
       ahead++;
   if (order->priority <= top || is_late (order, now_us))
     return ahead;
-  return MIN (ahead, starts_before (queue, order, top, now_us));
+  turn = lower_turn (queue, top);
+  next = turn - MIN (queue->turns + 1, turn);
+  return MIN (ahead,
+              next + turn * count_lower (queue, top, latest_start_us (order), now_us));
 }
 
 void
@@ -248,17 +204,6 @@
   g_array_insert_val (queue->waiting, place, waiting);
 }
 
-/* Adds one start's credit to the priorities lower than `top`. */
-static void
-add_credits (AdmissionQueue *queue, guint top)
-{
-  guint shares[PRIORITIES_MAX];
-
-  lower_shares (queue, top, shares);
-  for (guint i = rank_of (top) + 1; i < PRIORITIES_MAX; i++)
-    queue->credits[i] = MIN (queue->credits[i] + shares[i], ONE_START);
-}
-
 gpointer
 admission_queue_take (AdmissionQueue *queue, gint64 now_us)
 {
@@ -271,69 +216,42 @@
   if (first == NOWHERE)
     return remove_at (queue, 0);
   top = at (queue, first)->order.priority;
-  add_credits (queue, top);
-  lower = first_with_credit (queue, top, now_us);
-  if (lower == NOWHERE)
-    return remove_at (queue, first);
-  queue->credits[rank_of (at (queue, lower)->order.priority)] -= ONE_START;
+  lower = first_lower (queue, top, now_us);
+  if (lower == NOWHERE || queue->turns + 1 < lower_turn (queue, top))
+    {
+      queue->turns = MIN (queue->turns + 1, ADMISSION_LOWER_TURN_MAX);
+      return remove_at (queue, first);
+    }
+  queue->turns = 0;
   return remove_at (queue, lower);
 }
 
-/* Returns how many places of a full queue the requests of a rank lower than `top` have
-   for themselves: at least one, and together one in ADMISSION_LOWER_TURN. */
-static guint
-places_of (const AdmissionQueue *queue, guint rank, guint top)
-{
-  guint shares[PRIORITIES_MAX];
-  guint sum = lower_shares (queue, top, shares);
-  guint places = queue->waiting->len / ADMISSION_LOWER_TURN;
-
-  return sum > 0 ? MAX (places * shares[rank] / sum, 1) : 1;
-}
-
-/* Whether the request at this place has to make room for another one's share: it has the
-   highest priority, or its priority has more places than its share. */
-static gboolean
-is_above_share (const AdmissionQueue *queue, guint place, guint top, gint64 now_us)
+/* Returns how many places more than their share the requests of a lower priority than
+   `top` have in a full queue; negative while they have fewer. */
+static gint
+lower_excess (const AdmissionQueue *queue, guint top, gint64 now_us)
 {
-  guint priority = at (queue, place)->order.priority;
-  guint rank = rank_of (priority);
+  guint share = MAX (queue->waiting->len / ADMISSION_LOWER_TURN, 1);
 
-  return priority <= top ||
-         count_rank (queue, rank, G_MAXINT64, now_us) > places_of (queue, rank, top);
+  return (gint)count_lower (queue, top, G_MAXINT64, now_us) - (gint)share;
 }
 
-/* Returns the place of the last request that makes room for one that arrives with `order`
-   within the share of its priority; NOWHERE if there is none. */
+/* Returns the place of the last request with a higher priority than `order`, which makes
+   room for it within the share of lower priorities; NOWHERE if there is none. */
 static guint
 last_above_share (const AdmissionQueue *queue,
                   const AdmissionParams *order,
                   gint64 now_us)
 {
   guint top = top_priority (queue, now_us);
-  guint rank = rank_of (order->priority);
+  guint place = queue->waiting->len;
 
   if (is_late (order, now_us) || order->priority <= top ||
-      count_rank (queue, rank, G_MAXINT64, now_us) >= places_of (queue, rank, top))
+      lower_excess (queue, top, now_us) >= 0)
     return NOWHERE;
-  for (guint i = queue->waiting->len; i-- > 0;)
-    if (rank_of (at (queue, i)->order.priority) != rank &&
-        is_above_share (queue, i, top, now_us))
-      return i;
-  return NOWHERE;
-}
-
-/* Returns the place of the last request of a lower priority than `order` which is not
-   within the share of its own; NOWHERE if there is none. */
-static guint
-last_lower (const AdmissionQueue *queue, const AdmissionParams *order, gint64 now_us)
-{
-  for (guint i = queue->waiting->len; i-- > 0;)
-    if (at (queue, i)->order.priority > order->priority &&
-        !goes_before (&at (queue, i)->order, order, now_us) &&
-        is_above_share (queue, i, order->priority, now_us))
-      return i;
-  return NOWHERE;
+  while (place > 0 && at (queue, place - 1)->order.priority >= order->priority)
+    place--;
+  return place > 0 ? place - 1 : NOWHERE;
 }
 
 gpointer
@@ -341,17 +259,19 @@
                           const AdmissionParams *order,
                           gint64 now_us)
 {
+  guint last = queue->waiting->len;
   guint place;
 
   /* Late requests are displaced first, because they have missed their objective already;
      among them the last one with the lowest priority. */
-  for (guint i = queue->waiting->len; i-- > 0;)
+  for (guint i = last; i-- > 0;)
     if (is_late (&at (queue, i)->order, now_us) &&
         !goes_before (&at (queue, i)->order, order, now_us))
       return remove_at (queue, i);
-  place = last_lower (queue, order, now_us);
-  if (place == NOWHERE)
-    place = last_above_share (queue, order, now_us);
+  if (last > 0 && !goes_before (&at (queue, last - 1)->order, order, now_us) &&
+      lower_excess (queue, order->priority, now_us) > 0)
+    return remove_at (queue, last - 1);
+  place = last_above_share (queue, order, now_us);
   return place == NOWHERE ? NULL : remove_at (queue, place);
 }
 
--- a/core/src/request/admission-queue.h
+++ b/core/src/request/admission-queue.h
@@ -9,12 +9,10 @@
  * Rule: requests that can still be answered within their objective start first, by
  * priority and then by arrival. Requests that are already late get the remaining slots,
  * in the same order, so they do not delay requests that are still on time. While requests
- * of several priorities wait, each lower one has a share of the starts, by their latest
- * start, and of the places, so that a lasting load of a higher priority does not starve
- * it: half of its share of the offers, or up to one in ADMISSION_LOWER_TURN_RARE the
- * whole of it. Together they have little more than half of their offers, and at most one
- * in ADMISSION_LOWER_TURN. A priority that has not
- * used its share has credit for one start, which the estimate of the wait counts.
+ * of several priorities wait, the lower ones together get a share of the starts, by their
+ * latest start, and of the places, so that a lasting load of a higher priority does not
+ * starve them: half of their share of the offers, but at most one in
+ * ADMISSION_LOWER_TURN.
  */
 #ifndef CORE_REQUEST_ADMISSION_QUEUE_H
 #define CORE_REQUEST_ADMISSION_QUEUE_H
@@ -25,10 +23,10 @@
    latency spread of the reference deployment, three in four requests take longer. */
 #define ADMISSION_MIN_SERVICE_PERCENT 70
 
-/* Of so many starts, and places, lower priorities together get at most one. */
+/* Starts of which lower priorities get one: the least and the most. The least also gives
+   their share of the places. */
 #define ADMISSION_LOWER_TURN 4u
-/* A priority with less than one offer in so many gets as many starts as offers. */
-#define ADMISSION_LOWER_TURN_RARE 16u
+#define ADMISSION_LOWER_TURN_MAX 32u
 
 typedef struct AdmissionQueue AdmissionQueue;
 
