--- a/daemon/src/member/target-departures.c
+++ b/daemon/src/member/target-departures.c
@@ -5,6 +5,7 @@
 #include <wire/convert.h>
 
 #include "gossip.h"
+#include "log.h"
 #include "registry.h"
 
 G_STATIC_ASSERT (SW_DEPARTED_MAX == DEPARTURES_PER_VM_MAX);
@@ -22,6 +23,7 @@
       registry_note_departure (node->registry, start);
       return;
     }
+  log_event (G_LOG_LEVEL_INFO, "departure-learned", "SUBJECT", start, "VM", vm, NULL);
   member = members_find (node->members, vm);
   if (member)
     gossip_apply_member (node, member);
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -160,10 +160,14 @@
 }
 
 /* Returns the name of the start that leaves: the one given by "born" in the body or, if
-   that is missing, the current one if it has this identifier. Logs and returns NULL if
-   the body is not valid. The caller frees the name. */
+   that is missing, the current one if it has this identifier. Stores in `*named_by` where
+   the name comes from. Logs and returns NULL if the body is not valid. The caller frees
+   the name. */
 static char *
-leaving_start (Registry *registry, const char *identifier, const GByteArray *body)
+leaving_start (Registry *registry,
+               const char *identifier,
+               const GByteArray *body,
+               const char **named_by)
 {
   const char *present = target_starts_current (registry->starts);
   g_autofree char *of_present = present ? target_start_identifier (present) : NULL;
@@ -186,6 +190,7 @@
     name = g_strdup (present);
   else
     name = target_start_name (identifier, born);
+  *named_by = born ? "call" : g_strcmp0 (name, present) == 0 ? "current" : "identifier";
   json_faults_destroy (faults);
   return name;
 }
@@ -255,6 +260,7 @@
   g_autofree char *alive = target_name_in (path, HEARTBEAT_SUFFIX);
   g_autofree char *leaves = target_name_in (path, LEAVE_SUFFIX);
   g_autofree char *start = NULL;
+  const char *named_by = NULL;
 
   if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
     {
@@ -266,9 +272,13 @@
       on_heartbeat (registry, request, alive);
       return;
     }
-  start = leaving_start (registry, leaves, http_request_body (request));
+  start = leaving_start (registry, leaves, http_request_body (request), &named_by);
   if (start)
-    apply_leave (registry, start);
+    {
+      apply_leave (registry, start);
+      log_event (G_LOG_LEVEL_INFO, "leave-acknowledged", "SUBJECT", start, "NAMED_BY",
+                 named_by, NULL);
+    }
   http_request_answer_json (request, start ? HTTP_OK : HTTP_BAD_REQUEST,
                             start ? "{}" : "{\"error\":\"not valid\"}");
 }
