An end names a start even where the node knows none

What callers saw: requests reached a target that had announced its end, after its node had been started again before the announcement (DRAIN).

Cause: a call without "born" was completed from what the process happens to know. A process that has just started knows no start, and recorded the end of the bare identifier; heartbeats come from IDENTIFIER.bTIME, so that nobody had ended. The same completion was missing elsewhere: an end announced in a heartbeat without "born" was taken for an older start's, acknowledged and ignored; a late heartbeat without it did not match the end of the start that had left.

Why it works: the end of a start is that of all earlier starts of the identifier, on every node. A call without a start time means the current start; a node that knows none ends all starts up to now, by the time of day of the machine on which the target has read its start time.

--- a/core/include/core/clock.h
+++ b/core/include/core/clock.h
@@ -1,7 +1,7 @@
 /*
  * Monotonic clock in microseconds, which includes the time for which the machine is
- * suspended. Tests use a manual clock that they advance. It is not wall-clock time, and
- * readings of different nodes must not be compared.
+ * suspended. Tests use a manual clock that they advance. Its readings are not wall-clock
+ * time, except for clock_unix_ms, and readings of different nodes must not be compared.
  */
 #ifndef CORE_CLOCK_H
 #define CORE_CLOCK_H
@@ -24,6 +24,10 @@
 /* Returns microseconds since an arbitrary origin; they never decrease. */
 gint64 clock_now (Clock *clock);
 
+/* Returns the time of day of this machine in Unix milliseconds, which may jump. Only for
+   comparison with times that a process on the same machine has read. */
+gint64 clock_unix_ms (Clock *clock);
+
 /* Returns the processor time of the calling thread in microseconds. */
 gint64 clock_thread_cpu (void);
 
--- a/core/include/core/departures.h
+++ b/core/include/core/departures.h
@@ -3,6 +3,9 @@
  * a heartbeat that was sent before it may arrive seconds later, after the node on the VM
  * has restarted and knows nothing of the target. Every node therefore remembers the ends
  * of all VMs, ignores later registrations of these starts, and tells the node on the VM.
+ *
+ * The end of a start is also that of all earlier starts of the same identifier
+ * (target_start_is_up_to).
  */
 #ifndef CORE_DEPARTURES_H
 #define CORE_DEPARTURES_H
@@ -20,7 +23,7 @@
 
 /*
  * Records that `start`, a name as of target_start_name, on `vm` has announced its end.
- * Returns TRUE if the end was not known.
+ * Returns TRUE if the end was not known. Ends that it includes are dropped.
  */
 gboolean departures_add (Departures *departures, const char *vm, const char *start);
 
--- a/core/include/core/target-starts.h
+++ b/core/include/core/target-starts.h
@@ -36,6 +36,10 @@
 /* Returns the identifier in the name of a start; the caller frees it. */
 char *target_start_identifier (const char *name);
 
+/* Returns whether both names have the same identifier and `name` does not start after
+   `other`. A name without a start time starts before all others. */
+gboolean target_start_is_up_to (const char *name, const char *other);
+
 /* Processes a heartbeat of the start `name`; `sequence` rises with each heartbeat of a
    start. */
 TargetStartsResult
--- a/core/src/base/clock.c
+++ b/core/src/base/clock.c
@@ -5,6 +5,7 @@
 typedef struct
 {
   gint64 (*now) (Clock *clock);
+  gint64 (*unix_ms) (Clock *clock);
 } ClockKind;
 
 struct Clock
@@ -34,8 +35,20 @@
   return now;
 }
 
-static const ClockKind boottime = { now_boottime };
-static const ClockKind manual = { now_manual };
+static gint64
+unix_ms_of_day (Clock *clock)
+{
+  return g_get_real_time () / MS_US;
+}
+
+static gint64
+unix_ms_manual (Clock *clock)
+{
+  return now_manual (clock) / MS_US;
+}
+
+static const ClockKind boottime = { now_boottime, unix_ms_of_day };
+static const ClockKind manual = { now_manual, unix_ms_manual };
 
 static Clock *
 create (const ClockKind *kind, gint64 now_us)
@@ -71,6 +84,12 @@
   return clock->kind->now (clock);
 }
 
+gint64
+clock_unix_ms (Clock *clock)
+{
+  return clock->kind->unix_ms (clock);
+}
+
 void
 clock_advance (Clock *clock, gint64 by_us)
 {
--- a/core/src/health/target-starts.c
+++ b/core/src/health/target-starts.c
@@ -85,14 +85,20 @@
   return mark ? (gint64)g_ascii_strtoull (mark + strlen (BORN_MARK), NULL, 16) : 0;
 }
 
-/* Returns whether `name` is an earlier start of the same identifier than `other`. */
-static gboolean
-is_earlier (const char *name, const char *other)
+gboolean
+target_start_is_up_to (const char *name, const char *other)
 {
   g_autofree char *identifier = target_start_identifier (name);
   g_autofree char *others = target_start_identifier (other);
 
-  return strcmp (identifier, others) == 0 && born_of (name) < born_of (other);
+  return strcmp (identifier, others) == 0 && born_of (name) <= born_of (other);
+}
+
+/* Returns whether `name` is an earlier start of the same identifier than `other`. */
+static gboolean
+is_earlier (const char *name, const char *other)
+{
+  return strcmp (name, other) != 0 && target_start_is_up_to (name, other);
 }
 
 TargetStarts *
--- a/core/src/member/departures.c
+++ b/core/src/member/departures.c
@@ -1,6 +1,6 @@
 #include <core/departures.h>
 
-#include <string.h>
+#include <core/target-starts.h>
 
 /* Heartbeats are late by seconds, and a target may serve on for minutes after it has
    announced its end. */
@@ -67,7 +67,8 @@
     {
       Departure *departure = item->data;
 
-      if (strcmp (departure->start, start) == 0 && !is_expired (departures, departure))
+      if (!is_expired (departures, departure) &&
+          target_start_is_up_to (start, departure->start))
         return departure;
     }
   return NULL;
@@ -95,6 +96,23 @@
   return queue;
 }
 
+static void
+drop_included (GQueue *queue, const char *start)
+{
+  GList *next;
+
+  for (GList *item = queue->head; item; item = next)
+    {
+      Departure *departure = item->data;
+
+      next = item->next;
+      if (!target_start_is_up_to (departure->start, start))
+        continue;
+      departure_free (departure);
+      g_queue_delete_link (queue, item);
+    }
+}
+
 gboolean
 departures_add (Departures *departures, const char *vm, const char *start)
 {
@@ -104,6 +122,7 @@
   if (find (departures, vm, start))
     return FALSE;
   queue = find_or_add_queue (departures, vm);
+  drop_included (queue, start);
   departure = g_new0 (Departure, 1);
   departure->start = g_strdup (start);
   departure->noted_us = clock_now (departures->clock);
--- a/core/tests/test-departures.c
+++ b/core/tests/test-departures.c
@@ -49,6 +49,28 @@
   assert_false (departures_contains (fixture->departures, "vm-2", "a"));
 }
 
+/* The end of a start held for other names of the same start, or for later ones. */
+static void
+test_an_end_holds_for_earlier_starts_and_no_later_one (void **state)
+{
+  const Fixture *fixture = *state;
+  const char *starts[DEPARTURES_PER_VM_MAX];
+
+  assert_true (departures_add (fixture->departures, "vm-1", "i-1.b10"));
+  assert_true (departures_contains (fixture->departures, "vm-1", "i-1"));
+  assert_true (departures_contains (fixture->departures, "vm-1", "i-1.bf"));
+  assert_true (departures_contains (fixture->departures, "vm-1", "i-1.b10"));
+  assert_false (departures_contains (fixture->departures, "vm-1", "i-1.b11"));
+  assert_false (departures_contains (fixture->departures, "vm-1", "i-2.b1"));
+  assert_false (departures_add (fixture->departures, "vm-1", "i-1"));
+  assert_true (departures_add (fixture->departures, "vm-1", "i-2"));
+  assert_false (departures_contains (fixture->departures, "vm-1", "i-2.b1"));
+  assert_true (departures_add (fixture->departures, "vm-1", "i-1.b20"));
+  assert_int_equal (departures_of_vm (fixture->departures, "vm-1", starts), 2);
+  assert_string_equal (starts[0], "i-1.b20");
+  assert_string_equal (starts[1], "i-2");
+}
+
 /* VMs whose targets restart for ever would fill the memory and the messages. */
 static void
 test_ends_of_one_vm_accumulate (void **state)
@@ -87,6 +109,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (
+        test_an_end_holds_for_earlier_starts_and_no_later_one, setup, teardown),
     cmocka_unit_test_setup_teardown (test_an_end_holds_for_its_start_and_its_vm_alone,
                                      setup, teardown),
     cmocka_unit_test_setup_teardown (test_ends_of_one_vm_accumulate, setup, teardown),
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -135,97 +135,117 @@
   registry->version = g_strdup (heartbeat->version);
   registry->slots = heartbeat->slots;
   registry->leaving = heartbeat->leaving || has_departed (registry, start);
-  if (registry->leaving)
-    target_departures_note (registry->node, registry->node->settings->node, start);
   publish (registry);
   quarantine_node_note_version (registry->node->quarantine, registry->service,
                                 registry->version);
 }
 
+/* Returns whether the current start has this identifier. */
+static gboolean
+is_current (const Registry *registry, const char *identifier)
+{
+  const char *current = target_starts_current (registry->starts);
+  g_autofree char *held = current ? target_start_identifier (current) : NULL;
+
+  return g_strcmp0 (held, identifier) == 0;
+}
+
+/* Returns the name of the start that sends a heartbeat. Without a start time it is the
+   current one if that has the identifier. The caller frees the name. */
+static char *
+heartbeat_start (const Registry *registry, const char *identifier, gint64 born)
+{
+  if (born == 0 && is_current (registry, identifier))
+    return g_strdup (target_starts_current (registry->starts));
+  return target_start_name (identifier, born);
+}
+
+/*
+ * Returns the name of the start that announces its end. A call without a start time ends
+ * the current start if that has the identifier. A node that has not heard of one since
+ * its own start ends all starts up to now: start times are of the same machine. Stores in
+ * `*named_by` where the name comes from. The caller frees it.
+ */
+static char *
+ending_start (const Registry *registry,
+              const char *identifier,
+              gint64 born,
+              const char **named_by)
+{
+  char *name;
+
+  *named_by = born > 0 ? "call" : "current";
+  if (born > 0 || is_current (registry, identifier))
+    return heartbeat_start (registry, identifier, born);
+  *named_by = "time";
+  name = target_start_name (identifier, clock_unix_ms (registry->node->clock));
+  if (names_valid (name))
+    return name;
+  g_free (name);
+  *named_by = "identifier";
+  return g_strdup (identifier);
+}
+
+/* Records the announced end of a start. Other nodes are told before the call is answered:
+   this process may end right after. */
 static void
+apply_end (Registry *registry, const char *start, const char *named_by)
+{
+  target_starts_note_end (registry->starts, start);
+  target_departures_note (registry->node, registry->node->settings->node, start);
+  sidecar_publish (registry->node->sidecar);
+  log_event (G_LOG_LEVEL_INFO, "leave-acknowledged", "SUBJECT", start, "NAMED_BY",
+             named_by, NULL);
+}
+
+/* Returns FALSE if a later heartbeat of the current start has been applied already. */
+static gboolean
 apply_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
 {
-  g_autofree char *name = target_start_name (identifier, heartbeat->born);
+  g_autofree char *name = heartbeat_start (registry, identifier, heartbeat->born);
   const char *current = target_starts_current (registry->starts);
   TargetStartsResult answer;
 
   /* A start that is over does not replace another one. */
   if (current && strcmp (current, name) != 0 && has_departed (registry, name))
-    return;
+    return TRUE;
   answer = target_starts_heartbeat (registry->starts, name, heartbeat->sequence);
   if (answer == TARGET_STARTS_STALE)
-    return;
+    return g_strcmp0 (current, name) != 0;
   apply_registration (registry, answer, name, heartbeat);
   apply_cold (registry, name, heartbeat->cold_us);
-}
-
-/* Returns the name of the start that leaves: the one given by "born" in the body or, if
-   that is missing, the current one if it has this identifier. Stores in `*named_by` where
-   the name comes from. Logs and returns NULL if the body is not valid. The caller frees
-   the name. */
-static char *
-leaving_start (Registry *registry,
-               const char *identifier,
-               const GByteArray *body,
-               const char **named_by)
-{
-  const char *present = target_starts_current (registry->starts);
-  g_autofree char *of_present = present ? target_start_identifier (present) : NULL;
-  JsonFaults *faults = json_faults_create ();
-  JsonView *view = NULL;
-  char *name = NULL;
-  gint64 born = 0;
-
-  if (body->len > 0)
-    view = json_view_parse ((const char *)body->data, body->len, faults);
-  if (view)
-    {
-      born = json_view_int (view, "born", 0, G_MAXINT64, 0);
-      json_view_release (view);
-    }
-  if (json_faults_count (faults) > 0)
-    log_event (G_LOG_LEVEL_WARNING, "leave-bad", "SUBJECT", identifier, "DETAIL",
-               json_faults_get (faults, 0), NULL);
-  else if (born == 0 && g_strcmp0 (of_present, identifier) == 0)
-    name = g_strdup (present);
-  else
-    name = target_start_name (identifier, born);
-  *named_by = born ? "call" : g_strcmp0 (name, present) == 0 ? "current" : "identifier";
-  json_faults_destroy (faults);
-  return name;
+  return TRUE;
 }
 
 void
 registry_note_departure (Registry *registry, const char *start)
 {
+  const char *current;
+
   if (!registry)
     return;
+  current = target_starts_current (registry->starts);
   registry->changed = TRUE;
-  if (g_strcmp0 (target_starts_current (registry->starts), start) != 0 ||
-      registry->leaving)
+  if (!current || registry->leaving || !target_start_is_up_to (current, start))
     return;
   registry->leaving = TRUE;
   publish (registry);
 }
 
-/* Other nodes are told before the call is answered: this process may end right after. */
-static void
-apply_leave (Registry *registry, const char *name)
-{
-  target_starts_note_end (registry->starts, name);
-  target_departures_note (registry->node, registry->node->settings->node, name);
-  sidecar_publish (registry->node->sidecar);
-}
-
 static void
 on_heartbeat (Registry *registry, HttpRequest *request, const char *name)
 {
   JsonFaults *faults = json_faults_create ();
   Heartbeat heartbeat = { 0 };
+  g_autofree char *ending = NULL;
+  const char *named_by;
 
   if (heartbeat_read (http_request_body (request), &heartbeat, faults))
     {
-      apply_heartbeat (registry, name, &heartbeat);
+      if (heartbeat.leaving)
+        ending = ending_start (registry, name, heartbeat.born, &named_by);
+      if (apply_heartbeat (registry, name, &heartbeat) && ending)
+        apply_end (registry, ending, named_by);
       http_request_answer_json (request, HTTP_OK, "{}");
     }
   else
@@ -238,6 +258,47 @@
   heartbeat_clear (&heartbeat);
 }
 
+/* Reads the start time in the body of a leave: 0 if it gives none. Returns FALSE if the
+   body is not valid. */
+static gboolean
+leave_read (const GByteArray *body, gint64 *born, JsonFaults *faults)
+{
+  JsonView *view = NULL;
+
+  *born = 0;
+  if (body->len > 0)
+    view = json_view_parse ((const char *)body->data, body->len, faults);
+  if (view)
+    {
+      *born = json_view_int (view, "born", 0, G_MAXINT64, 0);
+      json_view_release (view);
+    }
+  return json_faults_count (faults) == 0;
+}
+
+static void
+on_leave (Registry *registry, HttpRequest *request, const char *name)
+{
+  JsonFaults *faults = json_faults_create ();
+  g_autofree char *ending = NULL;
+  const char *named_by;
+  gint64 born;
+
+  if (leave_read (http_request_body (request), &born, faults))
+    {
+      ending = ending_start (registry, name, born, &named_by);
+      apply_end (registry, ending, named_by);
+      http_request_answer_json (request, HTTP_OK, "{}");
+    }
+  else
+    {
+      log_event (G_LOG_LEVEL_WARNING, "leave-bad", "SUBJECT", name, "DETAIL",
+                 json_faults_get (faults, 0), NULL);
+      http_request_answer_json (request, HTTP_BAD_REQUEST, "{\"error\":\"not valid\"}");
+    }
+  json_faults_destroy (faults);
+}
+
 /* Returns the name between PATH_PREFIX and `suffix`, or NULL if the path has no valid
    one. The caller frees it. */
 static char *
@@ -259,28 +320,13 @@
   const char *path = http_request_path (request);
   g_autofree char *alive = target_name_in (path, HEARTBEAT_SUFFIX);
   g_autofree char *leaves = target_name_in (path, LEAVE_SUFFIX);
-  g_autofree char *start = NULL;
-  const char *named_by = NULL;
 
   if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
-    {
-      http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
-      return;
-    }
-  if (alive)
-    {
-      on_heartbeat (registry, request, alive);
-      return;
-    }
-  start = leaving_start (registry, leaves, http_request_body (request), &named_by);
-  if (start)
-    {
-      apply_leave (registry, start);
-      log_event (G_LOG_LEVEL_INFO, "leave-acknowledged", "SUBJECT", start, "NAMED_BY",
-                 named_by, NULL);
-    }
-  http_request_answer_json (request, start ? HTTP_OK : HTTP_BAD_REQUEST,
-                            start ? "{}" : "{\"error\":\"not valid\"}");
+    http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
+  else if (alive)
+    on_heartbeat (registry, request, alive);
+  else
+    on_leave (registry, request, leaves);
 }
 
 static void
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -10,9 +10,10 @@
  *       The target is leaving and makes no more calls. Body: empty or {"born"}
  *
  * NAME is the target's identifier. It is new with each start, unless "born" (the time of
- * the start in Unix milliseconds) distinguishes the starts. A call answered with 200 is
- * in effect, except that a heartbeat from an earlier start or with an old sequence number
- * is ignored.
+ * the start in Unix milliseconds) distinguishes the starts. A call without "born" is of
+ * the current start with this identifier; if the node knows none, a leave ends all starts
+ * up to now. A call answered with 200 is in effect, except that a heartbeat with an old
+ * sequence number is ignored, and one from an earlier start unless it announces the end.
  *
  * An announced end is final, also for a node that has restarted since: the other nodes
  * tell it (target-departures.h). A node that starts therefore answers the first calls
