An end is acknowledged once the store or other nodes hold it

What callers saw: requests reached a target after its leave had been acknowledged, when all processes were killed at once, or a node that had reached nobody was.

Cause: the node acknowledged what only its own process held for sure. Up to six others were told by datagrams that nobody confirms, and any number of machines may be lost.

Change: a node saves the ends on its VM in its own object of the store, by a conditional write, and reads that object when it starts, before it answers the first calls. A leave is answered once the store has it. A write to the store was weighed before and not taken, since the acknowledgement would hang on it; now it does not.

--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -1,11 +1,14 @@
 #include "calls.h"
 
+#include <core/names.h>
+
 #include "allowances.h"
 #include "config-sync.h"
 #include "gossip.h"
 #include "log.h"
 #include "peers.h"
 #include "sidecar.h"
+#include "target-departures.h"
 
 /* Merges a caller's entry into the membership, and returns whether the member is alive in
    that incarnation. */
@@ -142,6 +145,22 @@
   xdr_free ((xdrproc_t)xdr_sw_view_args, (char *)&args);
 }
 
+/* The caller tells of a target on its own VM. */
+static void
+on_depart (Node *node, RpcConn *conn, guint32 xid, XDR *in)
+{
+  sw_depart_args args = { 0 };
+
+  if (xdr_sw_depart_args (in, &args) && names_valid (args.start))
+    {
+      target_departures_note (node, rpc_conn_peer (conn), args.start);
+      reply (node, conn, xid, TRAFFIC_CONTROL, wire_void, NULL);
+    }
+  else
+    rpc_conn_deny (conn, xid);
+  xdr_free ((xdrproc_t)xdr_sw_depart_args, (char *)&args);
+}
+
 static void
 on_allow (Node *node, RpcConn *conn, guint32 xid, XDR *in)
 {
@@ -205,6 +224,9 @@
     case SW_ALLOW:
       on_allow (node, conn, call->xid, in);
       break;
+    case SW_DEPART:
+      on_depart (node, conn, call->xid, in);
+      break;
     case SW_VIEW:
       on_view (node, conn, call->xid, in);
       break;
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -151,7 +151,7 @@
     {
       merge_message (gossip, &message);
       if (strcmp (message.from, gossip->node->settings->node) != 0)
-        registry_stop_waiting (gossip->node->registry);
+        registry_note_told (gossip->node->registry, REGISTRY_PEERS);
       relay = g_hash_table_lookup (gossip->relays, GUINT_TO_POINTER (xid));
       if (relay)
         handle_relayed_answer (gossip, relay, message.from);
@@ -214,10 +214,8 @@
                     members_next_tick_us (node->members) - clock_now (node->clock));
 }
 
-/* Returns live members other than self in random order: up to `near` of this hall, and
-   one of each of up to `far` other halls. */
-static GPtrArray *
-pick_members (const Gossip *gossip, guint near, guint far)
+GPtrArray *
+gossip_pick_members (const Gossip *gossip, guint near, guint far)
 {
   Node *node = gossip->node;
   g_autoptr (GPtrArray) all = g_ptr_array_copy (members_all (node->members), NULL, NULL);
@@ -244,7 +242,7 @@
 static void
 send_updates (Gossip *gossip, guint near, guint far)
 {
-  g_autoptr (GPtrArray) picked = pick_members (gossip, near, far);
+  g_autoptr (GPtrArray) picked = gossip_pick_members (gossip, near, far);
 
   for (guint i = 0; i < picked->len; i++)
     {
@@ -394,7 +392,7 @@
 gossip_join (Gossip *gossip, const GArray *found)
 {
   if (found->len == 0)
-    registry_stop_waiting (gossip->node->registry);
+    registry_note_told (gossip->node->registry, REGISTRY_PEERS);
   g_array_set_size (gossip->join_left, 0);
   for (guint i = 0; i < found->len; i++)
     {
--- a/daemon/src/member/gossip.h
+++ b/daemon/src/member/gossip.h
@@ -18,6 +18,11 @@
    the next probe. */
 void gossip_push (Gossip *gossip);
 
+/* Returns live members other than self in random order: up to `near` of this hall, and
+   one of each of up to `far` other halls. The Members are borrowed; the caller frees the
+   array. */
+GPtrArray *gossip_pick_members (const Gossip *gossip, guint near, guint far);
+
 /* Starts to send the quarantine's updates to a few members at intervals, until each has
    been sent often enough. */
 void gossip_schedule_quarantine_updates (Gossip *gossip);
--- a/daemon/src/member/peers.c
+++ b/daemon/src/member/peers.c
@@ -238,6 +238,7 @@
     case SW_FENCE:
     case SW_CANCEL:
     case SW_LEAVE:
+    case SW_DEPART:
       return TRAFFIC_CONTROL;
     case SW_HEAD:
     case SW_PART:
--- a/daemon/src/member/target-departures.c
+++ b/daemon/src/member/target-departures.c
@@ -4,6 +4,7 @@
 
 #include <wire/convert.h>
 
+#include "adapter.h"
 #include "gossip.h"
 #include "log.h"
 #include "registry.h"
@@ -21,6 +22,8 @@
     {
       events_add (node->events, "target-departed", start, NULL);
       registry_note_departure (node->registry, start);
+      if (node->adapter->save_departures && node->discovery)
+        node->adapter->save_departures (node->discovery, NULL, NULL);
       return;
     }
   log_event (G_LOG_LEVEL_INFO, "departure-learned", "SUBJECT", start, "VM", vm, NULL);
--- a/daemon/src/member/target-departures.h
+++ b/daemon/src/member/target-departures.h
@@ -1,7 +1,8 @@
 /*
  * Exchanges the announced ends of targets (core/departures.h) with other nodes. The node
- * on a VM publishes the ends there in its payload; every other node tells them to that
- * node with each message, because it forgets them when it restarts.
+ * on a VM publishes the ends there in its payload and saves them in the platform's store;
+ * every other node tells them to that node with each message, because it forgets them
+ * when it restarts.
  */
 #ifndef DAEMON_TARGET_DEPARTURES_H
 #define DAEMON_TARGET_DEPARTURES_H
--- a/daemon/src/node/adapter.h
+++ b/daemon/src/node/adapter.h
@@ -8,6 +8,9 @@
 #include "config-source.h"
 #include "dialect.h"
 
+/* Called once, possibly inside the call that saves. */
+typedef void (*DeparturesSavedFunc) (gboolean saved, gpointer data);
+
 typedef struct Adapter
 {
   const ConfigSource *config;
@@ -15,6 +18,11 @@
   /* Starts the discovery of other nodes; NULL where the settings name enough of them. */
   gpointer (*discovery_create) (Node *node);
   void (*discovery_destroy) (gpointer discovery);
+  /* Saves the announced ends of targets on this VM where they outlast all processes, and
+     repeats a call that fails; `saved` may be NULL. A discovery that starts reads them
+     and reports that with registry_note_told. NULL where the platform has no such place.
+   */
+  void (*save_departures) (gpointer discovery, DeparturesSavedFunc saved, gpointer data);
   /* Starts following the platform's list of evacuated data halls; NULL where the platform
      has none. */
   gpointer (*halls_create) (Node *node);
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -7,7 +7,9 @@
 #include <io/http-server.h>
 #include <core/http-status.h>
 
+#include "adapter.h"
 #include "config-sync.h"
+#include "leave-acks.h"
 #include "log.h"
 #include "quarantine-node.h"
 #include "sidecar.h"
@@ -20,9 +22,9 @@
 #define BODY_MAX (16u * 1024)
 #define CONNECTIONS_MAX 64u
 #define SLOTS_MAX 100000
-/* How long calls wait after the node's start for another node to answer; targets take a
-   call that is not answered within a second for lost. */
-#define PEERS_WAIT_US (500 * MS_US)
+/* How long calls wait after the node's start for others to tell it; targets take a call
+   that is not answered within a second for lost. */
+#define TOLD_WAIT_US (500 * MS_US)
 /* A target that stays cold for longer than this reports again long before. */
 #define COLD_MAX_MS (3600 * 1000)
 
@@ -39,8 +41,10 @@
   gboolean leaving;
   gboolean cold;    /* as last reported */
   gboolean changed; /* the registration has changed */
-  LoopTimer *peers_timer;
-  GPtrArray *waiting; /* of HttpRequest, while no other node has answered; else NULL */
+  LeaveAcks *acks;
+  gboolean told[REGISTRY_SOURCES];
+  LoopTimer *told_timer;
+  GPtrArray *waiting; /* of HttpRequest, until all sources have told; else NULL */
 };
 
 /* The content of one heartbeat. */
@@ -186,16 +190,19 @@
   return g_strdup (identifier);
 }
 
-/* Records the announced end of a start. Other nodes are told before the call is answered:
-   this process may end right after. */
+/* Records the announced end of a start, and acknowledges it once others hold it. */
 static void
-apply_end (Registry *registry, const char *start, const char *named_by)
+apply_end (Registry *registry,
+           HttpRequest *request,
+           const char *start,
+           const char *named_by)
 {
   target_starts_note_end (registry->starts, start);
   target_departures_note (registry->node, registry->node->settings->node, start);
   sidecar_publish (registry->node->sidecar);
-  log_event (G_LOG_LEVEL_INFO, "leave-acknowledged", "SUBJECT", start, "NAMED_BY",
-             named_by, NULL);
+  log_event (G_LOG_LEVEL_INFO, "leave-announced", "SUBJECT", start, "NAMED_BY", named_by,
+             NULL);
+  leave_acks_add (registry->acks, request, start);
 }
 
 /* Returns FALSE if a later heartbeat of the current start has been applied already. */
@@ -245,8 +252,9 @@
       if (heartbeat.leaving)
         ending = ending_start (registry, name, heartbeat.born, &named_by);
       if (apply_heartbeat (registry, name, &heartbeat) && ending)
-        apply_end (registry, ending, named_by);
-      http_request_answer_json (request, HTTP_OK, "{}");
+        apply_end (registry, request, ending, named_by);
+      else
+        http_request_answer_json (request, HTTP_OK, "{}");
     }
   else
     {
@@ -287,8 +295,7 @@
   if (leave_read (http_request_body (request), &born, faults))
     {
       ending = ending_start (registry, name, born, &named_by);
-      apply_end (registry, ending, named_by);
-      http_request_answer_json (request, HTTP_OK, "{}");
+      apply_end (registry, request, ending, named_by);
     }
   else
     {
@@ -346,26 +353,36 @@
   Registry *registry = data;
   g_autoptr (GPtrArray) waiting = g_steal_pointer (&registry->waiting);
 
-  loop_timer_stop (registry->peers_timer);
+  loop_timer_stop (registry->told_timer);
   for (guint i = 0; i < waiting->len; i++)
     handle (registry, g_ptr_array_index (waiting, i));
 }
 
 void
-registry_stop_waiting (Registry *registry)
+registry_note_told (Registry *registry, RegistrySource source)
 {
-  if (registry && registry->waiting)
+  if (!registry)
+    return;
+  registry->told[source] = TRUE;
+  for (guint i = 0; i < REGISTRY_SOURCES; i++)
+    if (!registry->told[i])
+      return;
+  if (registry->waiting)
     handle_waiting (registry);
 }
 
-/* In a fleet that starts for the first time no node knows anything. */
+/* In a fleet that starts for the first time nobody knows anything. */
 static void
-wait_for_peers (Registry *registry)
+wait_until_told (Registry *registry)
 {
-  if (registry->node->settings->first_start)
+  gboolean first = registry->node->settings->first_start;
+
+  registry->told[REGISTRY_PEERS] = first;
+  registry->told[REGISTRY_STORE] = first || !registry->node->adapter->save_departures;
+  if (first)
     return;
   registry->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)http_request_unref);
-  loop_timer_start (registry->peers_timer, PEERS_WAIT_US);
+  loop_timer_start (registry->told_timer, TOLD_WAIT_US);
 }
 
 Registry *
@@ -382,8 +399,9 @@
                                          &limits, on_request, registry, error);
   if (registry->server)
     {
-      registry->peers_timer = loop_timer_create (node->loop, handle_waiting, registry);
-      wait_for_peers (registry);
+      registry->told_timer = loop_timer_create (node->loop, handle_waiting, registry);
+      registry->acks = leave_acks_create (node);
+      wait_until_told (registry);
       return registry;
     }
   target_starts_destroy (registry->starts);
@@ -396,8 +414,9 @@
 {
   if (!registry)
     return;
-  loop_timer_destroy (registry->peers_timer);
+  loop_timer_destroy (registry->told_timer);
   g_clear_pointer (&registry->waiting, g_ptr_array_unref);
+  leave_acks_destroy (registry->acks);
   http_server_destroy (registry->server);
   target_starts_destroy (registry->starts);
   g_free (registry->service);
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -16,9 +16,9 @@
  * sequence number is ignored, and one from an earlier start unless it announces the end.
  *
  * An announced end is final, also for a node that has restarted since: the other nodes
- * tell it (target-departures.h). A node that starts therefore answers the first calls
- * once another node has answered it, or if the platform lists no other, or after a short
- * wait.
+ * and the platform's store tell it (target-departures.h). A node that starts therefore
+ * answers the first calls once both have, or after a short wait. It acknowledges an end
+ * when others hold it (leave-acks.h).
  */
 #ifndef DAEMON_REGISTRY_H
 #define DAEMON_REGISTRY_H
@@ -35,9 +35,16 @@
    is allowed, also in the next function. */
 void registry_note_departure (Registry *registry, const char *start);
 
-/* Answers the calls that wait: another node has answered this one, and has told of such
-   ends, or there is no other. */
-void registry_stop_waiting (Registry *registry);
+/* Who tells a starting node of such ends. */
+typedef enum
+{
+  REGISTRY_PEERS, /* another node has answered this one, or there is no other */
+  REGISTRY_STORE, /* the platform's store, where it keeps them */
+  REGISTRY_SOURCES
+} RegistrySource;
+
+/* Notes that a source has told. The calls that wait are answered once all have. */
+void registry_note_told (Registry *registry, RegistrySource source);
 
 /* Returns whether the registration has changed since the last call; FALSE for NULL. */
 gboolean registry_take_changed (Registry *registry);
--- a/wire/gen/switchmill.h
+++ b/wire/gen/switchmill.h
@@ -391,6 +391,11 @@
 };
 typedef struct sw_allow_res sw_allow_res;
 
+struct sw_depart_args {
+	char *start;
+};
+typedef struct sw_depart_args sw_depart_args;
+
 struct sw_delegate_res {
 	bool_t watching;
 };
@@ -455,6 +460,9 @@
 #define SW_DELEGATE 14
 extern  sw_delegate_res * sw_delegate_1(void *, CLIENT *);
 extern  sw_delegate_res * sw_delegate_1_svc(void *, struct svc_req *);
+#define SW_DEPART 15
+extern  void * sw_depart_1(sw_depart_args *, CLIENT *);
+extern  void * sw_depart_1_svc(sw_depart_args *, struct svc_req *);
 #define SW_LEAVE 10
 extern  void * sw_leave_1(void *, CLIENT *);
 extern  void * sw_leave_1_svc(void *, struct svc_req *);
@@ -500,6 +508,9 @@
 #define SW_DELEGATE 14
 extern  sw_delegate_res * sw_delegate_1();
 extern  sw_delegate_res * sw_delegate_1_svc();
+#define SW_DEPART 15
+extern  void * sw_depart_1();
+extern  void * sw_depart_1_svc();
 #define SW_LEAVE 10
 extern  void * sw_leave_1();
 extern  void * sw_leave_1_svc();
@@ -540,6 +551,7 @@
 extern  bool_t xdr_sw_part_res (XDR *, sw_part_res*);
 extern  bool_t xdr_sw_allow_args (XDR *, sw_allow_args*);
 extern  bool_t xdr_sw_allow_res (XDR *, sw_allow_res*);
+extern  bool_t xdr_sw_depart_args (XDR *, sw_depart_args*);
 extern  bool_t xdr_sw_delegate_res (XDR *, sw_delegate_res*);
 extern  bool_t xdr_sw_view_args (XDR *, sw_view_args*);
 extern  bool_t xdr_sw_view_res (XDR *, sw_view_res*);
@@ -576,6 +588,7 @@
 extern bool_t xdr_sw_part_res ();
 extern bool_t xdr_sw_allow_args ();
 extern bool_t xdr_sw_allow_res ();
+extern bool_t xdr_sw_depart_args ();
 extern bool_t xdr_sw_delegate_res ();
 extern bool_t xdr_sw_view_args ();
 extern bool_t xdr_sw_view_res ();
--- a/wire/gen/switchmill_xdr.c
+++ b/wire/gen/switchmill_xdr.c
@@ -1068,6 +1068,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_sw_depart_args (XDR *xdrs, sw_depart_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->start, SW_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_sw_delegate_res (XDR *xdrs, sw_delegate_res *objp)
 {
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -326,6 +326,11 @@
   unsigned int retry_after_ms; /* when to ask again, if fewer than wanted were lent */
 };
 
+/* A start of a target on the caller's VM that has announced its end. */
+struct sw_depart_args {
+  string start<SW_NAME_MAX>;
+};
+
 /* The answer of a node to which a watcher delegates its duty. */
 struct sw_delegate_res {
   bool watching;               /* the store has answered the node, which watches it now */
@@ -357,6 +362,7 @@
     sw_allow_res SW_ALLOW (sw_allow_args) = 13;
     sw_delegate_res SW_DELEGATE (void) = 14;  /* the caller is to watch the store and does
                                                  not reach it */
+    void SW_DEPART (sw_depart_args) = 15;  /* answered once the callee holds the end */
     void SW_LEAVE (void) = 10;  /* the platform announces that the callee's VM will leave */
   } = 1;
 } = 0x20057a11;
