A node that was told of no end takes no heartbeat

What callers saw: requests reached a target that had left, for as long as its restarted node knew no other node. A starting node answered the first heartbeats after half a second, whether or not anybody had told it which targets have left.

Why it works: a heartbeat is answered 503 until the store or another node has told, and the target calls again. A node that neither reaches has no configuration and serves nothing anyway. The first members that it learns of are probed at once, for their answer tells.

--- a/daemon/src/member/gossip-private.h
+++ b/daemon/src/member/gossip-private.h
@@ -23,6 +23,7 @@
   guint join_rounds;        /* further rounds of such probes */
   GHashTable *relays;       /* xid → Relay */
   guint32 relay_sequence;
+  guint first_questions; /* sent by gossip_ask_first */
 };
 
 /* Send a call or a reply that carries this node's updates for `to`, NULL for an unknown
@@ -47,6 +48,10 @@
    allowances; `data` is the Node. */
 void gossip_on_changed (const Member *member, gpointer data);
 
+/* Probes a member that a starting node has just learned of, unless another node has
+   answered it already: the answer tells which targets have left. */
+void gossip_ask_first (Gossip *gossip, const Member *member);
+
 /* Compares the views bucket by bucket with member `from` if its `digest` differs from
    this node's and a comparison is due. */
 void gossip_repair (Gossip *gossip, const char *from, guint64 digest);
--- a/daemon/src/member/gossip-updates.c
+++ b/daemon/src/member/gossip-updates.c
@@ -128,6 +128,7 @@
   balancer_set_member (node->balancer, member->node, member->incarnation,
                        members_is_alive (member));
   gossip_apply_member (node, member);
+  gossip_ask_first (node->gossip, member);
   allowances_note_member (node->allowances, member);
   log_event (G_LOG_LEVEL_DEBUG, "member", "SUBJECT", member->node, "DETAIL",
              names[member->status], NULL);
--- a/daemon/src/member/gossip.c
+++ b/daemon/src/member/gossip.c
@@ -42,6 +42,8 @@
 #define SPREAD_FIRST_US (10 * MS_US)
 #define SPREAD_URGENT_US (100 * MS_US)
 #define SPREAD_INTERVAL_US (600 * MS_US)
+/* Members that a starting node probes as it learns of them. */
+#define FIRST_QUESTIONS_MAX 3u
 /* Set in the sequence numbers of relayed probes, joins and pushes; the numbers of the
    membership's own probes are below it. */
 #define RELAY_SEQUENCE_BIT 0x80000000u
@@ -253,6 +255,17 @@
     }
 }
 
+void
+gossip_ask_first (Gossip *gossip, const Member *member)
+{
+  if (!members_is_alive (member) || gossip->first_questions >= FIRST_QUESTIONS_MAX ||
+      registry_is_told (gossip->node->registry, REGISTRY_PEERS))
+    return;
+  gossip->first_questions++;
+  gossip_send_call (gossip, member->address, member->node, SW_PROBE, NULL,
+                    RELAY_SEQUENCE_BIT | ++gossip->relay_sequence);
+}
+
 void
 gossip_push (Gossip *gossip)
 {
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -330,6 +330,8 @@
 
   if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
     http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
+  else if (alive && !registry->told[REGISTRY_PEERS] && !registry->told[REGISTRY_STORE])
+    http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"error\":\"starting\"}");
   else if (alive)
     on_heartbeat (registry, request, alive);
   else
@@ -358,6 +360,12 @@
     handle (registry, g_ptr_array_index (waiting, i));
 }
 
+gboolean
+registry_is_told (const Registry *registry, RegistrySource source)
+{
+  return !registry || registry->told[source];
+}
+
 void
 registry_note_told (Registry *registry, RegistrySource source)
 {
--- a/daemon/src/target/registry.h
+++ b/daemon/src/target/registry.h
@@ -17,8 +17,8 @@
  *
  * An announced end is final, also for a node that has restarted since: the other nodes
  * and the platform's store tell it (target-departures.h). A node that starts therefore
- * answers the first calls once both have, or after a short wait. It acknowledges an end
- * when others hold it (leave-acks.h).
+ * answers the first calls once both have, or after a short wait, and heartbeats with 503
+ * as long as neither has. It acknowledges an end when others hold it (leave-acks.h).
  */
 #ifndef DAEMON_REGISTRY_H
 #define DAEMON_REGISTRY_H
@@ -45,6 +45,8 @@
 
 /* Notes that a source has told. The calls that wait are answered once all have. */
 void registry_note_told (Registry *registry, RegistrySource source);
+/* Returns whether a source has told, or none needs to; TRUE if `registry` is NULL. */
+gboolean registry_is_told (const Registry *registry, RegistrySource source);
 
 /* Returns whether the registration has changed since the last call; FALSE for NULL. */
 gboolean registry_take_changed (Registry *registry);
