A start's name that is too long to be sent is refused; registration calls have a module

What callers saw: nothing yet; found while looking for incomplete names. A heartbeat with "born" and an identifier of over 50 characters gives a name that the nodes' protocol does not carry, so that the node publishes an empty payload: its target is used by nobody, and its ends are told to nobody, without a word. It is answered 400 and logged now (test_malformed_registrations_are_refused, 200 before).

registration-call.c reads the calls; registry.c keeps what they do.

--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -12,24 +12,16 @@
 #include "leave-acks.h"
 #include "log.h"
 #include "quarantine-node.h"
+#include "registration-call.h"
 #include "sidecar.h"
 #include "target-departures.h"
 
-#define PATH_PREFIX "/v1/targets/"
-#define HEARTBEAT_SUFFIX "/heartbeat"
-#define LEAVE_SUFFIX "/leave"
 /* A heartbeat has a few hundred bytes, and its answer must stay under 4 KB. */
 #define BODY_MAX (16u * 1024)
 #define CONNECTIONS_MAX 64u
-#define SLOTS_MAX 100000
 /* How long calls wait after the node's start for others to tell it; targets take a call
    that is not answered within a second for lost. */
 #define TOLD_WAIT_US (500 * MS_US)
-/* A target that stays cold for longer than this reports again long before. */
-#define COLD_MAX_MS (3600 * 1000)
-
-static const char *const state_names[] = { "serving", "leaving", NULL };
-
 struct Registry
 {
   Node *node;
@@ -47,43 +39,6 @@
   GPtrArray *waiting; /* of HttpRequest, until all sources have told; else NULL */
 };
 
-/* The content of one heartbeat. */
-typedef struct
-{
-  char *service;
-  char *version;
-  guint slots;
-  gboolean leaving;
-  gint64 sequence;
-  gint64 cold_us;
-  gint64 born; /* start time in Unix milliseconds; 0 if not reported */
-} Heartbeat;
-
-static void
-heartbeat_clear (Heartbeat *heartbeat)
-{
-  g_free (heartbeat->service);
-  g_free (heartbeat->version);
-}
-
-static gboolean
-heartbeat_read (const GByteArray *body, Heartbeat *heartbeat, JsonFaults *faults)
-{
-  JsonView *view = json_view_parse ((const char *)body->data, body->len, faults);
-
-  if (!view)
-    return FALSE;
-  heartbeat->service = g_strdup (names_required (view, "service"));
-  heartbeat->version = g_strdup (json_view_string (view, "version", BODY_MAX, ""));
-  heartbeat->slots = (guint)json_view_clamped_int (view, "slots", 1, SLOTS_MAX, 1);
-  heartbeat->leaving = json_view_choice (view, "state", state_names, 0) == 1;
-  heartbeat->sequence = json_view_clamped_int (view, "sequence", 0, G_MAXINT64, 0);
-  heartbeat->cold_us = MS_US * json_view_clamped_int (view, "cold_ms", 0, COLD_MAX_MS, 0);
-  heartbeat->born = json_view_int (view, "born", 0, G_MAXINT64, 0);
-  json_view_release (view);
-  return json_faults_count (faults) == 0;
-}
-
 /* Applies the registration on this node, and marks it for publication to the others. */
 static void
 publish (Registry *registry)
@@ -125,7 +80,7 @@
 apply_registration (Registry *registry,
                     TargetStartsResult answer,
                     const char *start,
-                    const Heartbeat *heartbeat)
+                    const RegistrationCall *heartbeat)
 {
   /* A target that has announced that it leaves does not return under the same name. */
   if (answer == TARGET_STARTS_CURRENT &&
@@ -207,9 +162,10 @@
 
 /* Returns FALSE if a later heartbeat of the current start has been applied already. */
 static gboolean
-apply_heartbeat (Registry *registry, const char *identifier, const Heartbeat *heartbeat)
+apply_heartbeat (Registry *registry, const RegistrationCall *heartbeat)
 {
-  g_autofree char *name = heartbeat_start (registry, identifier, heartbeat->born);
+  g_autofree char *name =
+      heartbeat_start (registry, heartbeat->identifier, heartbeat->born);
   const char *current = target_starts_current (registry->starts);
   TargetStartsResult answer;
 
@@ -240,104 +196,55 @@
 }
 
 static void
-on_heartbeat (Registry *registry, HttpRequest *request, const char *name)
+apply (Registry *registry, HttpRequest *request, const RegistrationCall *call)
 {
-  JsonFaults *faults = json_faults_create ();
-  Heartbeat heartbeat = { 0 };
   g_autofree char *ending = NULL;
   const char *named_by;
 
-  if (heartbeat_read (http_request_body (request), &heartbeat, faults))
-    {
-      if (heartbeat.leaving)
-        ending = ending_start (registry, name, heartbeat.born, &named_by);
-      if (apply_heartbeat (registry, name, &heartbeat) && ending)
-        apply_end (registry, request, ending, named_by);
-      else
-        http_request_answer_json (request, HTTP_OK, "{}");
-    }
+  /* A heartbeat may change which start is current. */
+  if (call->leave || call->leaving)
+    ending = ending_start (registry, call->identifier, call->born, &named_by);
+  if ((call->leave || apply_heartbeat (registry, call)) && ending)
+    apply_end (registry, request, ending, named_by);
   else
-    {
-      log_event (G_LOG_LEVEL_WARNING, "heartbeat-bad", "SUBJECT", name, "DETAIL",
-                 json_faults_get (faults, 0), NULL);
-      http_request_answer_json (request, HTTP_BAD_REQUEST, "{\"error\":\"not valid\"}");
-    }
-  json_faults_destroy (faults);
-  heartbeat_clear (&heartbeat);
+    http_request_answer_json (request, HTTP_OK, "{}");
 }
 
-/* Reads the start time in the body of a leave: 0 if it gives none. Returns FALSE if the
-   body is not valid. */
+/* Returns whether anybody has told which targets have left. */
 static gboolean
-leave_read (const GByteArray *body, gint64 *born, JsonFaults *faults)
+is_told (const Registry *registry)
 {
-  JsonView *view = NULL;
-
-  *born = 0;
-  if (body->len > 0)
-    view = json_view_parse ((const char *)body->data, body->len, faults);
-  if (view)
-    {
-      *born = json_view_int (view, "born", 0, G_MAXINT64, 0);
-      json_view_release (view);
-    }
-  return json_faults_count (faults) == 0;
+  return registry->told[REGISTRY_PEERS] || registry->told[REGISTRY_STORE];
 }
 
 static void
-on_leave (Registry *registry, HttpRequest *request, const char *name)
+handle (Registry *registry, HttpRequest *request)
 {
+  g_autoptr (RegistrationCall) call = registration_call_create (request);
   JsonFaults *faults = json_faults_create ();
-  g_autofree char *ending = NULL;
-  const char *named_by;
-  gint64 born;
 
-  if (leave_read (http_request_body (request), &born, faults))
+  if (!call)
+    {
+      http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
+    }
+  else if (!call->leave && !is_told (registry))
+    {
+      http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"error\":\"starting\"}");
+    }
+  else if (registration_call_read_body (call, http_request_body (request), faults))
     {
-      ending = ending_start (registry, name, born, &named_by);
-      apply_end (registry, request, ending, named_by);
+      apply (registry, request, call);
     }
   else
     {
-      log_event (G_LOG_LEVEL_WARNING, "leave-bad", "SUBJECT", name, "DETAIL",
-                 json_faults_get (faults, 0), NULL);
+      log_event (G_LOG_LEVEL_WARNING, call->leave ? "leave-bad" : "heartbeat-bad",
+                 "SUBJECT", call->identifier, "DETAIL", json_faults_get (faults, 0),
+                 NULL);
       http_request_answer_json (request, HTTP_BAD_REQUEST, "{\"error\":\"not valid\"}");
     }
   json_faults_destroy (faults);
 }
 
-/* Returns the name between PATH_PREFIX and `suffix`, or NULL if the path has no valid
-   one. The caller frees it. */
-static char *
-target_name_in (const char *path, const char *suffix)
-{
-  g_autofree char *name = NULL;
-
-  if (!g_str_has_prefix (path, PATH_PREFIX) || !g_str_has_suffix (path, suffix) ||
-      strlen (path) <= strlen (PATH_PREFIX) + strlen (suffix))
-    return NULL;
-  path += strlen (PATH_PREFIX);
-  name = g_strndup (path, strlen (path) - strlen (suffix));
-  return names_valid (name) ? g_steal_pointer (&name) : NULL;
-}
-
-static void
-handle (Registry *registry, HttpRequest *request)
-{
-  const char *path = http_request_path (request);
-  g_autofree char *alive = target_name_in (path, HEARTBEAT_SUFFIX);
-  g_autofree char *leaves = target_name_in (path, LEAVE_SUFFIX);
-
-  if (strcmp (http_request_method (request), "POST") != 0 || (!alive && !leaves))
-    http_request_answer_json (request, HTTP_NOT_FOUND, "{\"error\":\"not found\"}");
-  else if (alive && !registry->told[REGISTRY_PEERS] && !registry->told[REGISTRY_STORE])
-    http_request_answer_json (request, HTTP_UNAVAILABLE, "{\"error\":\"starting\"}");
-  else if (alive)
-    on_heartbeat (registry, request, alive);
-  else
-    on_leave (registry, request, leaves);
-}
-
 static void
 on_request (HttpRequest *request, gpointer data)
 {
