Log an announced end once

A target that leaves repeats it with each heartbeat, and leave-announced with it: one line a second and a half for as long as it serves on. It is logged when the end is new.

--- a/daemon/src/target/leave-acks.h
+++ b/daemon/src/target/leave-acks.h
@@ -14,7 +14,7 @@
 typedef struct LeaveAcks LeaveAcks;
 
 LeaveAcks *leave_acks_create (Node *node);
-/* Calls in progress must have ended. */
+/* Calls to other nodes must have ended, and none of the platform may end later. */
 void leave_acks_destroy (LeaveAcks *acks);
 
 /* Answers `request` with 200 once others hold the end of `start`, with 503 if none does
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -152,11 +152,12 @@
            const char *start,
            const char *named_by)
 {
+  if (!has_departed (registry, start))
+    log_event (G_LOG_LEVEL_INFO, "leave-announced", "SUBJECT", start, "NAMED_BY",
+               named_by, NULL);
   target_starts_note_end (registry->starts, start);
   target_departures_note (registry->node, registry->node->settings->node, start);
   sidecar_publish (registry->node->sidecar);
-  log_event (G_LOG_LEVEL_INFO, "leave-announced", "SUBJECT", start, "NAMED_BY", named_by,
-             NULL);
   leave_acks_add (registry->acks, request, start);
 }
 
