--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from fleet2 import HOST, TROUBLE, http, play, read_body, read_head  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 MACHINES = 3
 CLIENTS = 8
 CONTACT_S = 3.0
@@ -74,4 +76,4 @@
             f"ended with {node.ends}"]
 
 
-play(__file__, MACHINES, case)
+play(RECORD, MACHINES, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,6 +8,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from fleet2 import TROUBLE, Store, Worker, http, play  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 MACHINES = 4
 CONTACT_S = 3.0
 DRAIN_S = 2.0
@@ -110,4 +112,4 @@
             f"{min(after):.1f} to {max(after):.1f} s after it"]
 
 
-play(__file__, MACHINES, case, worker=Leaver)
+play(RECORD, MACHINES, case, worker=Leaver)
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -163,8 +163,8 @@
 # --- the record ---
 
 class Record:
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def say(self, text):
@@ -444,9 +444,8 @@
 class Fleet:
     contracts = ["base", "drain", "config", "cost", "retry", "recover", "health", "platform"]
 
-    def __init__(self, script, nodes, worker=Worker, services=None):
-        self.case = os.path.dirname(os.path.abspath(script))
-        self.record = Record(self.case)
+    def __init__(self, record, nodes, worker=Worker, services=None):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = 64 + os.getpid() % 160
         self.worker_class = worker
@@ -559,11 +558,11 @@
         return text
 
 
-def play(script, nodes, case, **more):
-    """Runs `case (fleet)`, a coroutine that returns the list of breaches, and exits: 1 for
-    a broken rule, 0 if it held, 2 if the case could not run."""
+def play(record, nodes, case, **more):
+    """Runs `case (fleet)`, a coroutine that returns the list of breaches, writes `record`,
+    and exits: 1 for a broken rule, 0 if it held, 2 if the case could not run."""
     async def whole():
-        fleet = Fleet(script, nodes, **more)
+        fleet = Fleet(record, nodes, **more)
         fleet.record.say(f"TROUBLE={'1' if TROUBLE else '0'}")
         try:
             breaches = await case(fleet)
