--- a/core/src/base/json-view.c
+++ b/core/src/base/json-view.c
@@ -3,6 +3,8 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include <core/json-text.h>
+
 /* Bounds the memory for faults of a malicious text. */
 #define FAULTS_MAX 100u
 
@@ -95,18 +97,18 @@
 JsonView *
 json_view_parse (const char *text, gssize len, JsonFaults *faults)
 {
-  g_autoptr (JsonParser) parser = json_parser_new_immutable ();
   g_autoptr (GError) error = NULL;
+  g_autoptr (JsonNode) root = json_text_parse (text, len, &error);
   JsonView *view;
 
-  if (!json_parser_load_from_data (parser, text, len, &error))
+  if (!root)
     {
       json_faults_add (faults, "$", "not JSON: %s", error->message);
       return NULL;
     }
-  view = json_view_create (json_parser_get_root (parser), "$", faults);
+  view = json_view_create (root, "$", faults);
   if (view)
-    view->root = json_node_ref (json_parser_get_root (parser));
+    view->root = g_steal_pointer (&root);
   return view;
 }
 
