--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -3,6 +3,7 @@
 #include <core/names.h>
 
 #include "allowances.h"
+#include "adapter.h"
 #include "config-sync.h"
 #include "gossip.h"
 #include "log.h"
@@ -145,6 +146,44 @@
   xdr_free ((xdrproc_t)xdr_sw_view_args, (char *)&args);
 }
 
+typedef struct
+{
+  Node *node;
+  RpcConn *conn;
+  guint32 xid;
+} DepartCall;
+
+static void
+on_departure_saved (gboolean saved, gpointer data)
+{
+  g_autofree DepartCall *call = data;
+
+  if (saved)
+    reply (call->node, call->conn, call->xid, TRAFFIC_CONTROL, wire_void, NULL);
+  else
+    rpc_conn_deny (call->conn, call->xid);
+  rpc_conn_unref (call->conn);
+}
+
+/* Answers once the end outlasts the processes that hold it, if the platform has a place
+   for that. */
+static void
+save_departure (Node *node, RpcConn *conn, guint32 xid, const char *start)
+{
+  DepartCall *call = g_new0 (DepartCall, 1);
+
+  call->node = node;
+  call->conn = rpc_conn_ref (conn);
+  call->xid = xid;
+  if (!node->adapter->save_departure_of)
+    on_departure_saved (TRUE, call);
+  else if (!node->discovery)
+    on_departure_saved (FALSE, call);
+  else
+    node->adapter->save_departure_of (node->discovery, rpc_conn_peer (conn), start,
+                                      on_departure_saved, call);
+}
+
 /* The caller tells of a target on its own VM. */
 static void
 on_depart (Node *node, RpcConn *conn, guint32 xid, XDR *in)
@@ -154,7 +193,7 @@
   if (xdr_sw_depart_args (in, &args) && names_valid (args.start))
     {
       target_departures_note (node, rpc_conn_peer (conn), args.start);
-      reply (node, conn, xid, TRAFFIC_CONTROL, wire_void, NULL);
+      save_departure (node, conn, xid, args.start);
     }
   else
     rpc_conn_deny (conn, xid);
--- a/daemon/src/node/adapter.h
+++ b/daemon/src/node/adapter.h
@@ -23,6 +23,13 @@
      and reports that with registry_note_told. NULL where the platform has no such place.
    */
   void (*save_departures) (gpointer discovery, DeparturesSavedFunc saved, gpointer data);
+  /* Saves the end of a target on another VM in the same place, for the node there. NULL
+     together with save_departures. */
+  void (*save_departure_of) (gpointer discovery,
+                             const char *vm,
+                             const char *start,
+                             DeparturesSavedFunc saved,
+                             gpointer data);
   /* Starts following the platform's list of evacuated data halls; NULL where the platform
      has none. */
   gpointer (*halls_create) (Node *node);
--- a/daemon/src/target/leave-acks.c
+++ b/daemon/src/target/leave-acks.c
@@ -8,7 +8,7 @@
 #include "log.h"
 #include "peer-reads.h"
 
-/* The store answers in milliseconds. After this other nodes are asked to hold the end. */
+/* The store answers in milliseconds. After this other nodes are asked to save the end. */
 #define STORE_WAIT_US (100 * MS_US)
 /* Targets take a call that is not answered within a second for lost. */
 #define ANSWER_MAX_US (700 * MS_US)
@@ -27,14 +27,14 @@
   gboolean saving;  /* the store has not answered */
   gboolean asked;   /* other nodes have been */
   guint unanswered; /* of them */
-  guint holders;    /* that have answered */
+  guint holders;    /* of them: those that hold it, or have saved it */
 } LeaveAck;
 
 struct LeaveAcks
 {
   Node *node;
   GHashTable *open; /* set of LeaveAck */
-  char *safe;       /* the last start whose end was acknowledged; NULL for none */
+  char *safe;       /* the last start whose end is held; NULL for none */
 };
 
 static const RpcProcedure depart = { SW_DEPART, (xdrproc_t)xdr_sw_depart_args, wire_void,
@@ -60,6 +60,13 @@
     g_hash_table_remove (ack->acks->open, ack);
 }
 
+static void
+note_safe (LeaveAcks *acks, const char *start)
+{
+  g_free (acks->safe);
+  acks->safe = g_strdup (start);
+}
+
 /* `held_by` names who holds the end; NULL for nobody. */
 static void
 answer (LeaveAck *ack, const char *held_by)
@@ -70,10 +77,7 @@
                                            clock_now (acks->node->clock) - ack->began_us);
 
   if (held_by)
-    {
-      g_free (acks->safe);
-      acks->safe = g_strdup (ack->start);
-    }
+    note_safe (acks, ack->start);
   log_event (held_by ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING,
              held_by ? "leave-acknowledged" : "leave-unacknowledged", "SUBJECT",
              ack->start, "HELD_BY", held_by, "HOLDERS", holders, "TOOK_US", took, NULL);
@@ -83,11 +87,27 @@
   loop_timer_stop (ack->timer);
 }
 
+static gboolean
+has_store (const LeaveAck *ack)
+{
+  return ack->acks->node->adapter->save_departures != NULL;
+}
+
 /* Answers by what the other nodes have said. */
 static void
 answer_by_nodes (LeaveAck *ack)
 {
-  answer (ack, ack->holders > 0 ? "nodes" : NULL);
+  const char *holder = has_store (ack) ? "store-by-node" : "nodes";
+
+  answer (ack, ack->holders > 0 ? holder : NULL);
+}
+
+/* Returns whether nothing more is to be learnt about who holds the end: it is saved if
+   one node has saved it. */
+static gboolean
+is_settled (const LeaveAck *ack)
+{
+  return (has_store (ack) && ack->holders > 0) || (ack->unanswered == 0 && !ack->saving);
 }
 
 static void
@@ -97,7 +117,7 @@
 
   ack->unanswered--;
   ack->holders += outcome == RPC_OK;
-  if (ack->request && ack->unanswered == 0 && !ack->saving)
+  if (ack->request && is_settled (ack))
     answer_by_nodes (ack);
   release (ack);
 }
@@ -126,7 +146,7 @@
                        on_told, ack);
     }
   ack->unanswered--;
-  if (ack->request && ack->unanswered == 0 && !ack->saving)
+  if (ack->request && is_settled (ack))
     answer_by_nodes (ack);
 }
 
@@ -136,6 +156,8 @@
   LeaveAck *ack = data;
 
   ack->saving = FALSE;
+  if (saved)
+    note_safe (ack->acks, ack->start);
   if (ack->request && saved)
     answer (ack, "store");
   else if (ack->request && !ack->asked)
@@ -157,7 +179,7 @@
   release (ack);
 }
 
-/* Returns whether there is nobody who could hold an end. */
+/* Returns whether there is nobody who could hold an end for this node. */
 static gboolean
 is_alone (const Node *node)
 {
--- a/wire/switchmill.x
+++ b/wire/switchmill.x
@@ -362,7 +362,8 @@
     sw_allow_res SW_ALLOW (sw_allow_args) = 13;
     sw_delegate_res SW_DELEGATE (void) = 14;  /* the caller is to watch the store and does
                                                  not reach it */
-    void SW_DEPART (sw_depart_args) = 15;  /* answered once the callee holds the end */
+    void SW_DEPART (sw_depart_args) = 15;  /* answered once the platform's store holds the
+                                              end; without one, once the callee does */
     void SW_LEAVE (void) = 10;  /* the platform announces that the callee's VM will leave */
   } = 1;
 } = 0x20057a11;
