An answer with an invalid status is malformed (MIXED)

Callers: a target's answer with the status 000, 20, 099 or 101 kept them waiting until their deadline, although another target was free; 600 and 999 reached them as they were.

Cause: http_parser takes any status up to 999, and the link took each below 200 for an interim answer.

A status of four digits is not noticed.

--- a/io/tests/test-http-link.c
+++ b/io/tests/test-http-link.c
@@ -270,6 +270,25 @@
   expect_last ("", TRUE, HTTP_CALL_BROKEN);
 }
 
+/* An invalid status was waited on as an interim answer, or reached the caller. */
+static void
+test_an_invalid_status_is_taken_for_an_answer (void **state)
+{
+  static const char *const invalid[] = { "000", "0", "20", "099", "101", "600", "999" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      g_autofree char *bare = g_strdup_printf (
+          "HTTP/1.1 %s Odd\r\nContent-Length: 5\r\nId: own\r\n\r\nhello", invalid[i]);
+      g_autofree char *before_answer = g_strconcat (bare, WHOLE ("own"), NULL);
+
+      expect_last (bare, FALSE, HTTP_CALL_BROKEN);
+      expect_last (before_answer, FALSE, HTTP_CALL_BROKEN);
+    }
+  expect_last ("HTTP/1.1 599 Odd\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+               FALSE, HTTP_CALL_OK);
+}
+
 static void
 test_an_answer_that_is_reset_in_transit_is_not_whole (void **state)
 {
@@ -443,6 +462,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_link_carries_several_exchanges),
     cmocka_unit_test (test_answers_after_which_a_link_is_not_used_again),
+    cmocka_unit_test (test_an_invalid_status_is_taken_for_an_answer),
     cmocka_unit_test (test_an_answer_that_is_reset_in_transit_is_not_whole),
     cmocka_unit_test (test_an_answer_to_an_earlier_request_is_skipped),
     cmocka_unit_test (test_an_answer_before_a_long_request_was_read_ends_the_link),
