Deep or unreadable parts of the store's answers cost themselves alone

Callers: with one object of another writer among the nodes' objects, 100,000 arrays deep, all nodes ended with SIGSEGV at each reading of the list, again at each start, and nobody was served. With bytes that are not UTF-8, or an escape of half a character, the whole list was refused: after a kill of all, nodes did not find each other.

Cause: json-glib recurses into nested values without a bound, and refuses a text with one unreadable string; a page of the list is one text of many writers.

Change: json_text_parse bounds the depth, and refuses comments and single quotes, in which brackets could hide. json_text_parse_parts, for texts of several writers, replaces such parts instead: too deep values by null, bytes and escapes by U+FFFD.

--- a/client/src/api.c
+++ b/client/src/api.c
@@ -3,6 +3,8 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include <core/json-text.h>
+
 #define CONNECT_TIMEOUT_S 5L
 #define CALL_TIMEOUT_S 60L
 
@@ -28,7 +30,6 @@
 api_call (const Api *api, const char *method, const char *path, const char *body)
 {
   g_autofree char *url = g_strdup_printf ("http://%s%s", api->address, path);
-  g_autoptr (JsonParser) parser = json_parser_new ();
   struct curl_slist *headers = make_headers (api);
   ApiResult *result = g_new0 (ApiResult, 1);
   GString *text = g_string_new (NULL);
@@ -54,8 +55,7 @@
   else
     result->error = g_strdup_printf ("%s: %s", api->address, curl_easy_strerror (code));
   result->text = g_string_free (text, FALSE);
-  if (json_parser_load_from_data (parser, result->text, -1, NULL))
-    result->root = json_parser_steal_root (parser);
+  result->root = json_text_parse (result->text, -1, NULL);
   curl_slist_free_all (headers);
   curl_easy_cleanup (easy);
   return result;
--- a/client/src/log-line.c
+++ b/client/src/log-line.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <core/json-text.h>
+
 LogLine
 log_line_parse (const char *line, gssize len, JsonNode **node)
 {
@@ -11,7 +13,7 @@
 
   if (!brace)
     return LOG_LINE_OTHER;
-  parsed = json_from_string (brace, NULL);
+  parsed = json_text_parse_parts (brace, -1, NULL, NULL);
   if (!parsed)
     return LOG_LINE_BAD;
   if (!JSON_NODE_HOLDS_OBJECT (parsed))
--- a/daemon/src/member/vm-list.c
+++ b/daemon/src/member/vm-list.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <core/json-text.h>
+
 #include "config-sync.h"
 #include "peers.h"
 #include "platform.h"
@@ -80,13 +82,9 @@
 static void
 apply_list (VmList *list, const char *text, gsize len)
 {
-  g_autoptr (JsonParser) parser = json_parser_new_immutable ();
-  JsonNode *root;
+  g_autoptr (JsonNode) root = json_text_parse_parts (text, (gssize)len, NULL, NULL);
   JsonArray *array;
 
-  if (!json_parser_load_from_data (parser, text, (gssize)len, NULL))
-    return;
-  root = json_parser_get_root (parser);
   if (!root || !JSON_NODE_HOLDS_ARRAY (root))
     return;
   array = json_node_get_array (root);
