--- a/client/src/commands.c
+++ b/client/src/commands.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <core/json-member.h>
 #include <core/settings.h>
 #include <core/http-status.h>
 
@@ -22,13 +23,14 @@
 static void
 print_faults (JsonObject *object)
 {
-  JsonArray *faults;
+  JsonArray *faults = json_member_array (object, "faults");
 
-  if (!json_object_has_member (object, "faults"))
-    return;
-  faults = json_object_get_array_member (object, "faults");
-  for (guint i = 0; i < json_array_get_length (faults); i++)
-    fprintf (stderr, "  %s\n", json_array_get_string_element (faults, i));
+  for (guint i = 0; faults && i < json_array_get_length (faults); i++)
+    {
+      const char *fault = json_element_text (faults, i);
+
+      fprintf (stderr, "  %s\n", fault ? fault : "");
+    }
 }
 
 ExitCode
@@ -45,11 +47,10 @@
     fputs (result->text, stdout);
   if (object)
     {
-      fprintf (stderr, "switchmill: %s\n",
-               json_object_get_string_member_with_default (object, "error", "failed"));
+      fprintf (stderr, "switchmill: %s\n", json_member_text (object, "error", "failed"));
       print_faults (object);
       if (json_object_has_member (object, "advice"))
-        fprintf (stderr, "  %s\n", json_object_get_string_member (object, "advice"));
+        fprintf (stderr, "  %s\n", json_member_text (object, "advice", ""));
     }
   switch (result->status)
     {
@@ -189,7 +190,7 @@
     fputs (result->text, stdout);
   else
     printf ("accepted as generation %" G_GINT64_FORMAT "\n",
-            json_object_get_int_member (command_object (result), "generation"));
+            json_member_int (command_object (result), "generation", 0));
   /* Without an answer it is unknown whether the plan was written. */
   if (result->status == 0)
     {
@@ -218,15 +219,15 @@
     printf ("%s\n", result->text);
   else if (!options->json)
     print_plan (object);
-  if (json_object_get_boolean_member (object, "below_floor") && !options->force)
+  if (json_member_bool (object, "below_floor", FALSE) && !options->force)
     {
       fprintf (stderr, "switchmill: the plan takes healthy capacity below a floor\n"
                        "  change it, or confirm it with --force\n");
       code = CODE_BELOW_FLOOR;
     }
   else if (confirm_it)
-    code = confirm (options, intent, json_object_get_string_member (object, "id"),
-                    json_object_get_int_member (object, "base_generation"));
+    code = confirm (options, intent, json_member_text (object, "id", ""),
+                    json_member_int (object, "base_generation", 0));
   api_result_free (result);
   return code;
 }
--- a/client/src/print.c
+++ b/client/src/print.c
@@ -3,24 +3,24 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <core/json-member.h>
+
 static const char *
 text_of (JsonObject *object, const char *name)
 {
-  return json_object_get_string_member_with_default (object, name, "");
+  return json_member_text (object, name, "");
 }
 
 static gint64
 int_of (JsonObject *object, const char *name)
 {
-  return json_object_get_int_member_with_default (object, name, 0);
+  return json_member_int (object, name, 0);
 }
 
 static JsonArray *
 array_of (JsonObject *object, const char *name)
 {
-  return json_object_has_member (object, name)
-             ? json_object_get_array_member (object, name)
-             : NULL;
+  return json_member_array (object, name);
 }
 
 static guint
@@ -40,17 +40,20 @@
   if (length_of (changes) == 0)
     printf ("  no changes\n");
   for (guint i = 0; i < length_of (changes); i++)
-    printf ("  %s\n", json_array_get_string_element (changes, i));
+    {
+      const char *change = json_element_text (changes, i);
+
+      printf ("  %s\n", change ? change : "");
+    }
   for (guint i = 0; i < length_of (capacity); i++)
     {
-      JsonObject *item = json_array_get_object_element (capacity, i);
+      JsonObject *item = json_element_object (capacity, i);
 
       printf ("  capacity %s: %" G_GINT64_FORMAT " healthy slots now, %" G_GINT64_FORMAT
               " after, floor %" G_GINT64_FORMAT "%s\n",
               text_of (item, "service"), int_of (item, "healthy_slots_now"),
               int_of (item, "healthy_slots_after"), int_of (item, "floor_slots"),
-              json_object_get_boolean_member (item, "below_floor") ? "  BELOW THE FLOOR"
-                                                                   : "");
+              json_member_bool (item, "below_floor", FALSE) ? "  BELOW THE FLOOR" : "");
     }
 }
 
@@ -63,7 +66,7 @@
           "IN SERVICE", "TARGETS");
   for (guint i = 0; i < length_of (services); i++)
     {
-      JsonObject *service = json_array_get_object_element (services, i);
+      JsonObject *service = json_element_object (services, i);
 
       if (only && strcmp (text_of (service, "name"), only) != 0)
         continue;
@@ -85,14 +88,14 @@
           "SEVERITY", "IN USE", "MEAN MS", "FAILED %");
   for (guint i = 0; i < length_of (services); i++)
     {
-      JsonObject *service = json_array_get_object_element (services, i);
+      JsonObject *service = json_element_object (services, i);
       JsonArray *targets = array_of (service, "targets");
 
       if (only && strcmp (text_of (service, "name"), only) != 0)
         continue;
       for (guint j = 0; j < length_of (targets); j++)
         {
-          JsonObject *target = json_array_get_object_element (targets, j);
+          JsonObject *target = json_element_object (targets, j);
 
           printf ("%-18s %-14s %-14s %-20s %8" G_GINT64_FORMAT " %6" G_GINT64_FORMAT
                   " %9.1f %9.1f\n",
@@ -116,15 +119,15 @@
           " routes, %" G_GINT64_FORMAT " accounts, %" G_GINT64_FORMAT
           " requests in flight\n",
           int_of (status, "generation"),
-          json_object_get_boolean_member (status, "ready") ? "ready" : "not ready",
-          json_object_get_boolean_member (status, "stopping") ? ", stopping" : "",
+          json_member_bool (status, "ready", FALSE) ? "ready" : "not ready",
+          json_member_bool (status, "stopping", FALSE) ? ", stopping" : "",
           int_of (status, "routes"), int_of (status, "accounts"),
           int_of (status, "requests_in_flight"));
   print_services (status, NULL);
   print_targets (status, NULL);
   for (guint i = 0; i < length_of (members); i++)
     {
-      JsonObject *member = json_array_get_object_element (members, i);
+      JsonObject *member = json_element_object (members, i);
 
       printf ("member %-14s %-14s %-22s %s\n", text_of (member, "node"),
               text_of (member, "hall"), text_of (member, "address"),
@@ -137,7 +140,7 @@
 {
   for (guint i = 0; i < length_of (events); i++)
     {
-      JsonObject *event = json_array_get_object_element (events, i);
+      JsonObject *event = json_element_object (events, i);
 
       printf ("%6" G_GINT64_FORMAT " s ago  %-16s %-20s %s\n",
               int_of (event, "seconds_ago"), text_of (event, "event"),
@@ -148,7 +151,7 @@
 static double
 double_of (JsonObject *object, const char *name)
 {
-  return json_object_get_double_member_with_default (object, name, 0);
+  return json_member_double (object, name, 0);
 }
 
 void
@@ -160,7 +163,7 @@
           "PRIORITY", "KEYS", "DONE", "NOT RUN", "UNKNOWN", "EXCEEDED");
   for (guint i = 0; i < length_of (accounts); i++)
     {
-      JsonObject *item = json_array_get_object_element (accounts, i);
+      JsonObject *item = json_element_object (accounts, i);
       /* The node counts keys only if one account is queried. */
       g_autofree char *keys =
           json_object_has_member (item, "keys")
@@ -185,7 +188,7 @@
           "LAST END S AGO", "NEXT TRIAL S");
   for (guint i = 0; i < length_of (requests); i++)
     {
-      JsonObject *item = json_array_get_object_element (requests, i);
+      JsonObject *item = json_element_object (requests, i);
 
       printf ("%-10s %-8s %5" G_GINT64_FORMAT " %7" G_GINT64_FORMAT " %14.1f %14.1f\n",
               text_of (item, "request"), text_of (item, "state"), int_of (item, "ends"),
--- a/daemon/src/member/calls.c
+++ b/daemon/src/member/calls.c
@@ -170,18 +170,24 @@
 static void
 save_departure (Node *node, RpcConn *conn, guint32 xid, const char *start)
 {
-  DepartCall *call = g_new0 (DepartCall, 1);
+  DepartCall *call;
 
+  if (!node->adapter->save_departure_of)
+    {
+      reply (node, conn, xid, TRAFFIC_CONTROL, wire_void, NULL);
+      return;
+    }
+  if (!node->discovery)
+    {
+      rpc_conn_deny (conn, xid);
+      return;
+    }
+  call = g_new0 (DepartCall, 1);
   call->node = node;
   call->conn = rpc_conn_ref (conn);
   call->xid = xid;
-  if (!node->adapter->save_departure_of)
-    on_departure_saved (TRUE, call);
-  else if (!node->discovery)
-    on_departure_saved (FALSE, call);
-  else
-    node->adapter->save_departure_of (node->discovery, rpc_conn_peer (conn), start,
-                                      on_departure_saved, call);
+  node->adapter->save_departure_of (node->discovery, rpc_conn_peer (conn), start,
+                                    on_departure_saved, call);
 }
 
 /* The caller tells of a target on its own VM. */
--- a/daemon/src/member/vm-list.c
+++ b/daemon/src/member/vm-list.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include <core/json-member.h>
 #include <core/json-text.h>
 
 #include "config-sync.h"
@@ -90,13 +91,10 @@
   array = json_node_get_array (root);
   for (guint i = 0; i < json_array_get_length (array); i++)
     {
-      JsonNode *item = json_array_get_element (array, i);
-      JsonObject *vm = JSON_NODE_HOLDS_OBJECT (item) ? json_node_get_object (item) : NULL;
-      const char *state =
-          vm ? json_object_get_string_member_with_default (vm, "state", "") : "";
+      JsonObject *vm = json_element_object (array, i);
 
-      if (strcmp (state, "leaving") == 0)
-        notify_vm (list, json_object_get_string_member_with_default (vm, "name", ""));
+      if (strcmp (json_member_text (vm, "state", ""), "leaving") == 0)
+        notify_vm (list, json_member_text (vm, "name", ""));
     }
 }
 
