--- a/core/include/core/json-view.h
+++ b/core/include/core/json-view.h
@@ -54,6 +54,8 @@
 const char *json_view_text (JsonView *view, const char *key);
 gint64
 json_view_int (JsonView *view, const char *key, gint64 min, gint64 max, gint64 fallback);
+/* Like json_view_int, but notes a fault and returns `min` when the member is missing. */
+gint64 json_view_required_int (JsonView *view, const char *key, gint64 min, gint64 max);
 /*
  * Reads a number from a system that may send other values than ours: rounds a fraction
  * down and clamps the value to the range. Only a member that is no number is a fault.
--- a/core/src/base/json-view.c
+++ b/core/src/base/json-view.c
@@ -275,6 +275,14 @@
   return value;
 }
 
+gint64
+json_view_required_int (JsonView *view, const char *key, gint64 min, gint64 max)
+{
+  if (!json_view_has (view, key))
+    fault_at (view, key, "is missing");
+  return json_view_int (view, key, min, max, min);
+}
+
 static gboolean
 holds_number (JsonNode *node)
 {
--- a/daemon/src/target/registration-call.c
+++ b/daemon/src/target/registration-call.c
@@ -11,6 +11,7 @@
 #define LEAVE_SUFFIX "/leave"
 #define SLOTS_MAX 100000
 #define VERSION_LEN_MAX 16384u
+#define STATE_LEN_MAX 64u
 /* A target that stays cold for longer than this reports again long before. */
 #define COLD_MAX_MS (3600 * 1000)
 
@@ -58,14 +59,17 @@
   g_free (call);
 }
 
+/* Another writer's heartbeat may lack any member: it names no target to use. */
 static void
 read_heartbeat (RegistrationCall *call, JsonView *view)
 {
   call->service = g_strdup (names_required (view, "service"));
-  call->version = g_strdup (json_view_string (view, "version", VERSION_LEN_MAX, ""));
-  call->slots = (guint)json_view_clamped_int (view, "slots", 1, SLOTS_MAX, 1);
+  names_required_address (view, "address");
+  json_view_required (view, "state", STATE_LEN_MAX);
   call->leaving = json_view_choice (view, "state", state_names, 0) == 1;
-  call->sequence = json_view_clamped_int (view, "sequence", 0, G_MAXINT64, 0);
+  call->version = g_strdup (json_view_string (view, "version", VERSION_LEN_MAX, ""));
+  call->slots = (guint)json_view_required_int (view, "slots", 1, SLOTS_MAX);
+  call->sequence = json_view_required_int (view, "sequence", 0, G_MAXINT64);
   call->cold_us = MS_US * json_view_clamped_int (view, "cold_ms", 0, COLD_MAX_MS, 0);
 }
 
--- a/daemon/src/target/registry.c
+++ b/daemon/src/target/registry.c
@@ -161,8 +161,7 @@
   leave_acks_add (registry->acks, request, start);
 }
 
-/* Returns FALSE if a later heartbeat of the current start has been applied already. */
-static gboolean
+static void
 apply_heartbeat (Registry *registry, const RegistrationCall *heartbeat)
 {
   g_autofree char *name =
@@ -172,13 +171,12 @@
 
   /* A start that is over does not replace another one. */
   if (current && strcmp (current, name) != 0 && has_departed (registry, name))
-    return TRUE;
+    return;
   answer = target_starts_heartbeat (registry->starts, name, heartbeat->sequence);
   if (answer == TARGET_STARTS_STALE)
-    return g_strcmp0 (current, name) != 0;
+    return;
   apply_registration (registry, answer, name, heartbeat);
   apply_cold (registry, name, heartbeat->cold_us);
-  return TRUE;
 }
 
 void
@@ -205,7 +203,10 @@
   /* A heartbeat may change which start is current. */
   if (call->leave || call->leaving)
     ending = ending_start (registry, call->identifier, call->born, &named_by);
-  if ((call->leave || apply_heartbeat (registry, call)) && ending)
+  if (!call->leave)
+    apply_heartbeat (registry, call);
+  /* An announced end is final, and so also counts in a heartbeat that comes late. */
+  if (ending)
     apply_end (registry, request, ending, named_by);
   else
     http_request_answer_json (request, HTTP_OK, "{}");
