--- a/daemon/src/config/config-watch.c
+++ b/daemon/src/config/config-watch.c
@@ -13,6 +13,12 @@
 #define WATCH_SETTLE_US (1500 * MS_US)
 /* The same for a fleet's first start, until the platform's list names the other nodes. */
 #define WATCH_SETTLE_FIRST_US (10 * SECOND_US)
+/* Nodes of the platform's list that are gone hold places among the watchers. While a node
+   starts up, its rank by the list is halved at this interval, so that others take these
+   places within seconds, and few at a time where the listed ones are merely unheard of.
+ */
+#define LIST_RANK_HALVING_US (500 * MS_US)
+#define LIST_RANK_HALVINGS_MAX 16
 /* A node that has heard no other for this time watches whatever its rank is: nodes hear
    others every second, and those that outrank it by the platform's list may be gone. */
 #define UNHEARD_US (2 * SECOND_US)
@@ -48,6 +54,17 @@
   guint halls; /* in the fleet */
 } WatchRank;
 
+static guint
+list_rank (const ConfigSync *sync)
+{
+  const Member *self = members_self (sync->node->members);
+  gint64 age = clock_now (sync->node->clock) - sync->created_us;
+  gint64 halvings = MAX (0, age - WATCH_SETTLE_US) / LIST_RANK_HALVING_US;
+
+  return fleet_list_rank_in_hall (sync->node->list, self->node, self->hall) >>
+         MIN (halvings, LIST_RANK_HALVINGS_MAX);
+}
+
 /* Nodes are ranked by a hash of their names (rendezvous hashing), so that those with the
    same view of the members agree on the watchers of each hall. */
 static WatchRank
@@ -63,8 +80,7 @@
   if (members_is_starting_up (members))
     {
       halls = MAX (halls, fleet_list_count_halls (list));
-      rank = MAX (rank, fleet_list_rank_in_hall (list, members_self (members)->node,
-                                                 members_self (members)->hall));
+      rank = MAX (rank, list_rank (sync));
     }
   return (WatchRank){ rank, halls };
 }
