--- a/io/include/io/http-types.h
+++ b/io/include/io/http-types.h
@@ -25,4 +25,9 @@
    for each connection. */
 gboolean http_header_is_hop (const char *name);
 
+/* Returns whether an answer may have this status: one of three digits in a class that
+   exists (RFC 9110, section 15), and not the one that switches protocols, which no
+   request asks for. */
+gboolean http_status_is_valid (guint status);
+
 #endif
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -5,6 +5,8 @@
 
 #include "answer-bounds.h"
 
+#define STATUS_DIGITS 3u
+
 struct HttpClient
 {
   Loop *loop;
@@ -190,6 +192,23 @@
   g_free (client);
 }
 
+/* Returns whether a status line, "HTTP/1.1 200 OK", has a valid status of three digits.
+ */
+static gboolean
+is_valid_status_line (const char *line)
+{
+  const char *space = strchr (line, ' ');
+  guint status = 0;
+
+  for (guint i = 1; i <= STATUS_DIGITS; i++)
+    {
+      if (!space || !g_ascii_isdigit (space[i]))
+        return FALSE;
+      status = status * 10 + (guint)g_ascii_digit_value (space[i]);
+    }
+  return !g_ascii_isalnum (space[STATUS_DIGITS + 1]) && http_status_is_valid (status);
+}
+
 static size_t
 on_header (char *text, size_t size, size_t count, void *data)
 {
@@ -202,6 +221,8 @@
   if (!answer_within_bounds (call->fields, 0))
     return 0;
   /* A new status line follows an interim answer, whose headers are dropped. */
+  if (g_str_has_prefix (line, "HTTP/") && !is_valid_status_line (line))
+    return 0;
   if (g_str_has_prefix (line, "HTTP/"))
     {
       g_array_set_size (call->result.headers, 0);
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -18,11 +18,8 @@
 #define EARLY_ANSWER_BODY_MIN 16384u
 /* A link at rest does not hold the memory of a longer request. */
 #define OUT_KEPT_MAX 16384u
-/* Classes of status codes: interim ones come before final ones. */
-#define STATUS_MIN 100u
-#define STATUS_SWITCHING 101u
+/* Lower status codes are of interim answers. */
 #define STATUS_FINAL_MIN 200u
-#define STATUS_MAX 599u
 
 struct HttpLink
 {
@@ -118,20 +115,12 @@
   return parser->status_code < STATUS_FINAL_MIN;
 }
 
-/* Returns whether an answer may have this status (RFC 9110, section 15). No request asks
-   to switch protocols. */
-static gboolean
-is_valid_status (guint status)
-{
-  return status >= STATUS_MIN && status <= STATUS_MAX && status != STATUS_SWITCHING;
-}
-
 static int
 on_headers_complete (http_parser *parser)
 {
   HttpLink *link = parser->data;
 
-  if (!is_valid_status (parser->status_code))
+  if (!http_status_is_valid (parser->status_code))
     return -1;
   add_header (link);
   link->in_body = TRUE;
--- a/io/src/http-types.c
+++ b/io/src/http-types.c
@@ -1,5 +1,9 @@
 #include <io/http-types.h>
 
+#define STATUS_MIN 100u
+#define STATUS_SWITCHING 101u
+#define STATUS_MAX 599u
+
 static void
 clear_header (gpointer data)
 {
@@ -53,3 +57,9 @@
       return TRUE;
   return FALSE;
 }
+
+gboolean
+http_status_is_valid (guint status)
+{
+  return status >= STATUS_MIN && status <= STATUS_MAX && status != STATUS_SWITCHING;
+}
