A reset during an upload does not complete an answer without a length

What callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the node was still writing. The caller got the part as a whole answer with a Content-Length.

Cause: the kernel reports the error of a reset once. http-link's send() took it and went on, since the server may have answered before it closed; the recv() that followed then returned 0, which ends an answer until close.

Fix: a failed send is remembered as a reset, and an end of the connection after it breaks the answer. EPIPE is left out: on Linux it tells that the peer had closed its sending side in order before it reset the connection, and the end of the answer has then been received. What is framed by a length or chunks is read on as before.

A reset after the whole request was read was handled already (502); the tests are kept.

--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -55,6 +55,7 @@
   gsize received;   /* bytes */
   gsize content;    /* of them in bodies */
   gboolean heard;
+  gboolean reset; /* sending has failed for want of a connection */
   gboolean skips; /* the answer that is being read belongs to another request */
   gboolean surplus;
   gboolean complete;
@@ -267,7 +268,9 @@
       n = recv (link->fd, buffer, sizeof buffer, 0);
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-      if (n < 0)
+      /* The error of a reset is reported once. If sending got it, the reset reads as an
+         orderly end. */
+      if (n < 0 || (n == 0 && link->reset))
         {
           end (link, HTTP_CALL_BROKEN, "the connection was reset");
           return;
@@ -295,7 +298,9 @@
         break;
       if (n < 0)
         {
-          /* The server may have answered before it closed. */
+          /* The server may have answered before it closed. EPIPE tells that it closed in
+             order; the end of its answer has then been received. */
+          link->reset = errno != EPIPE;
           link->sent = out_len (link);
           link->reusable = FALSE;
           break;
@@ -519,7 +524,7 @@
   link->began_us = clock_now (loop_clock (link->loop));
   link->result =
       (HttpResult){ .headers = http_headers_new (), .body = g_byte_array_new () };
-  link->heard = link->surplus = link->complete = link->too_large = FALSE;
+  link->heard = link->surplus = link->complete = link->too_large = link->reset = FALSE;
   link->received = link->content = 0;
   link->reusable = TRUE;
   http_parser_init (&link->parser, HTTP_RESPONSE);
--- /dev/null
+++ b/io/tests/test-broken-answers.c
@@ -0,0 +1,333 @@
+/* Answers that a server breaks off, and answers that are whole although they look
+   unusual, as read by each reader of answers. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include <string.h>
+#include <sys/socket.h>
+
+#include <io/http-client.h>
+#include <io/http-link.h>
+#include <io/socket.h>
+
+#include "answer-server.h"
+
+#define ANSWER_MAX (1024u * 1024)
+#define TIMEOUT_US (5 * SECOND_US)
+/* Long before the time-out. */
+#define ENDED_WITHIN_US (2 * SECOND_US)
+/* Time in which a server's thread answers and ends the connection. */
+#define STALL_US (100 * MS_US)
+/* More than the sockets' buffers take: the client still has bytes to write. */
+#define UPLOAD_LEN (8u * 1024 * 1024)
+
+typedef struct
+{
+  Loop *loop;
+  const char *address;
+  const char *method;
+  gsize body_len; /* of the request */
+  HttpCallOutcome outcome;
+  guint status;
+  char *detail;
+  GString *body;
+  GArray *headers;
+} Exchange;
+
+typedef void (*Reader) (Exchange *exchange);
+
+static char upload[UPLOAD_LEN];
+
+static void
+on_done (const HttpResult *result, gpointer data)
+{
+  Exchange *exchange = data;
+
+  exchange->outcome = result->outcome;
+  exchange->status = result->status;
+  exchange->detail = g_strdup (result->detail);
+  g_string_append_len (exchange->body, (const char *)result->body->data,
+                       result->body->len);
+  exchange->headers = g_array_ref (result->headers);
+  loop_quit (exchange->loop);
+}
+
+static void
+run_link (Exchange *exchange, HttpLink *link, gint64 stall_us)
+{
+  HttpLinkRequest request = { .method = exchange->method,
+                              .path = "/",
+                              .body = upload,
+                              .body_len = exchange->body_len,
+                              .has_body = exchange->body_len > 0,
+                              .timeout_us = TIMEOUT_US,
+                              .answer_max = ANSWER_MAX };
+
+  http_link_send (link, &request, on_done, exchange);
+  g_usleep ((gulong)stall_us);
+  loop_run (exchange->loop);
+  http_link_destroy (link);
+}
+
+static void
+read_by_link (Exchange *exchange)
+{
+  run_link (exchange, http_link_create (exchange->loop, exchange->address), 0);
+}
+
+/* The server has answered and ended the connection before the link looks. */
+static void
+read_by_stalled_link (Exchange *exchange)
+{
+  int fd = socket_connect (exchange->address);
+  HttpLink *link;
+
+  while (socket_error (fd) == 0 && send (fd, "", 0, MSG_NOSIGNAL) < 0)
+    continue;
+  link = http_link_adopt (exchange->loop, exchange->address, fd);
+  run_link (exchange, link, STALL_US);
+}
+
+static void
+read_by_client (Exchange *exchange)
+{
+  g_autofree char *url = g_strdup_printf ("http://%s/", exchange->address);
+  HttpCallParams order = { .method = exchange->method,
+                           .url = url,
+                           .body = upload,
+                           .body_len = exchange->body_len,
+                           .has_body = exchange->body_len > 0,
+                           .timeout_us = TIMEOUT_US,
+                           .answer_max = ANSWER_MAX };
+  HttpClient *client = http_client_create (exchange->loop);
+
+  http_client_send (client, &order, on_done, exchange);
+  loop_run (exchange->loop);
+  http_client_destroy (client);
+}
+
+static const struct
+{
+  const char *name;
+  Reader read;
+} readers[] = { { "link", read_by_link },
+                { "stalled link", read_by_stalled_link },
+                { "client", read_by_client } };
+#define LINK 0
+#define STALLED_LINK 1
+#define READERS G_N_ELEMENTS (readers)
+
+/* Plays one exchange. The caller clears the result. */
+static Exchange
+play (const AnswerScript *script, Reader reader, const char *method, gsize body_len)
+{
+  AnswerServer *server = answer_server_create ("127.0.0.1:0", script);
+  Clock *clock = clock_create_boottime ();
+  gint64 began_us = clock_now (clock);
+  Exchange exchange = { .loop = loop_create (clock),
+                        .address = answer_server_address (server),
+                        .method = method,
+                        .body_len = body_len,
+                        .body = g_string_new (NULL) };
+
+  reader (&exchange);
+  assert_in_range (clock_now (clock) - began_us, 0, ENDED_WITHIN_US);
+  answer_server_destroy (server);
+  loop_destroy (exchange.loop);
+  clock_destroy (clock);
+  return exchange;
+}
+
+static void
+exchange_clear (Exchange *exchange)
+{
+  g_free (exchange->detail);
+  g_string_free (exchange->body, TRUE);
+  g_array_unref (exchange->headers);
+}
+
+/* What a table calls an answer in messages. */
+static char *
+describe (const AnswerScript *script, const char *reader)
+{
+  g_autofree char *start = g_strescape (script->answer, NULL);
+
+  return g_strdup_printf ("%.100s (end %d, pause %d ms, %s)", start, script->end,
+                          (int)(script->pause_us / 1000), reader);
+}
+
+static void
+expect_broken_at (guint reader,
+                  const AnswerScript *script,
+                  const char *method,
+                  gsize body_len)
+{
+  Exchange exchange = play (script, readers[reader].read, method, body_len);
+  g_autofree char *name = describe (script, readers[reader].name);
+
+  if (exchange.outcome != HTTP_CALL_BROKEN)
+    fail_msg ("%s: outcome %d, status %u, %zu bytes", name, exchange.outcome,
+              exchange.status, exchange.body->len);
+  exchange_clear (&exchange);
+}
+
+static void
+expect_broken (const AnswerScript *script, const char *method, gsize body_len)
+{
+  for (guint i = 0; i < READERS; i++)
+    expect_broken_at (i, script, method, body_len);
+}
+
+static void
+expect_whole_at (guint reader,
+                 const AnswerScript *script,
+                 const char *method,
+                 gsize body_len,
+                 const char *body)
+{
+  Exchange exchange = play (script, readers[reader].read, method, body_len);
+  g_autofree char *name = describe (script, readers[reader].name);
+
+  if (exchange.outcome != HTTP_CALL_OK || strcmp (exchange.body->str, body) != 0)
+    fail_msg ("%s: outcome %d (%s), status %u, %zu bytes", name, exchange.outcome,
+              exchange.detail, exchange.status, exchange.body->len);
+  exchange_clear (&exchange);
+}
+
+static void
+expect_whole (const AnswerScript *script,
+              const char *method,
+              gsize body_len,
+              const char *body)
+{
+  for (guint i = 0; i < READERS; i++)
+    expect_whole_at (i, script, method, body_len, body);
+}
+
+#define UNTIL_CLOSE "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+#define PART "a part of the body"
+
+static void
+test_a_reset_during_an_upload_ends_no_answer (void **state)
+{
+  static const char *const answers[] = {
+    UNTIL_CLOSE PART,
+    UNTIL_CLOSE,
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" PART,
+    "HTTP/1.0 200 OK\r\n\r\n" PART,
+    "HTTP/1.1 201 Created\r\n\r\n" PART,
+    "HTTP/1.1 100 Continue\r\n\r\n" UNTIL_CLOSE PART,
+    "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" PART,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  static const gint64 pauses_us[] = { 0, 50 * MS_US, 400 * MS_US };
+  static const AnswerEnd ends[] = { ANSWER_RESETS, ANSWER_CLOSES };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (pauses_us); j++)
+      for (gsize k = 0; k < G_N_ELEMENTS (ends); k++)
+        {
+          AnswerScript script = { .answer = answers[i],
+                                  .moment = ANSWER_EARLY,
+                                  .end = ends[k],
+                                  .pause_us = pauses_us[j] };
+
+          expect_broken (&script, "POST", UPLOAD_LEN);
+        }
+}
+
+static void
+test_a_reset_after_a_request_ends_no_answer (void **state)
+{
+  static const gint64 pauses_us[] = { 0, 50 * MS_US };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (pauses_us); i++)
+    {
+      AnswerScript script = { .answer = UNTIL_CLOSE PART,
+                              .end = ANSWER_RESETS,
+                              .pause_us = pauses_us[i] };
+
+      expect_broken (&script, "GET", 0);
+      expect_broken (&script, "POST", UPLOAD_LEN);
+    }
+}
+
+/* libcurl fails a call whose request it could not send, also if the answer is whole. */
+static void
+test_an_early_answer_that_is_framed_is_whole (void **state)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+  };
+  static const AnswerEnd ends[] = { ANSWER_RESETS, ANSWER_CLOSES, ANSWER_SHUTS,
+                                    ANSWER_SHUTS_RESETS, ANSWER_STAYS };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (ends); j++)
+      {
+        AnswerScript script = { .answer = answers[i],
+                                .moment = ANSWER_EARLY,
+                                .end = ends[j],
+                                .pause_us = 5 * MS_US };
+
+        expect_whole_at (LINK, &script, "POST", UPLOAD_LEN, "hello");
+        expect_whole_at (STALLED_LINK, &script, "POST", UPLOAD_LEN, "hello");
+      }
+}
+
+/* The end came in order; only the rest of the request is reset after it. */
+static void
+test_an_early_answer_until_an_orderly_end_is_whole (void **state)
+{
+  static const AnswerEnd ends[] = { ANSWER_SHUTS, ANSWER_SHUTS_RESETS };
+  static const gint64 pauses_us[] = { 0, 50 * MS_US };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (ends); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (pauses_us); j++)
+      {
+        AnswerScript script = { .answer = UNTIL_CLOSE PART,
+                                .moment = ANSWER_EARLY,
+                                .end = ends[i],
+                                .pause_us = pauses_us[j] };
+
+        expect_whole_at (LINK, &script, "POST", UPLOAD_LEN, PART);
+        expect_whole_at (STALLED_LINK, &script, "POST", UPLOAD_LEN, PART);
+      }
+}
+
+static void
+test_an_answer_until_an_orderly_end_is_whole (void **state)
+{
+  static const gint64 pauses_us[] = { 0, 50 * MS_US };
+  static const AnswerEnd ends[] = { ANSWER_CLOSES, ANSWER_SHUTS };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (pauses_us); i++)
+    for (gsize j = 0; j < G_N_ELEMENTS (ends); j++)
+      {
+        AnswerScript script = { .answer = UNTIL_CLOSE PART,
+                                .end = ends[j],
+                                .pause_us = pauses_us[i] };
+
+        expect_whole (&script, "GET", 0, PART);
+        expect_whole (&script, "POST", UPLOAD_LEN, PART);
+      }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_reset_during_an_upload_ends_no_answer),
+    cmocka_unit_test (test_a_reset_after_a_request_ends_no_answer),
+    cmocka_unit_test (test_an_early_answer_that_is_framed_is_whole),
+    cmocka_unit_test (test_an_early_answer_until_an_orderly_end_is_whole),
+    cmocka_unit_test (test_an_answer_until_an_orderly_end_is_whole),
+  };
+
+  cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
