A malformed status line does not begin an answer

What callers saw: an answer with the status 0200 as a 200 (told as open in the postmortem of the invalid status).

Cause: what a status line is was left to the parsers, and Debian's http_parser is built without its strict checks.

Fix: AnswerHead takes the head line by line and checks its grammar, for both readers; http-link hands a line to http_parser once it has been checked, http-client gets whole lines from libcurl. It also holds the fields, which each reader collected by itself. A line is bounded by what a whole head may take.

Evidence: test_a_malformed_status_line_begins_no_answer (26 lines, three readers) failed before; test_an_unusual_status_line_begins_an_answer passed before and does.

--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -4,8 +4,7 @@
 #include <string.h>
 
 #include "answer-bounds.h"
-
-#define STATUS_DIGITS 3u
+#include "answer-head.h"
 
 struct HttpClient
 {
@@ -23,8 +22,9 @@
   GByteArray *body;
   gsize answer_max;
   gboolean too_large;
-  gboolean in_body; /* the head is complete; the fields that follow are not kept */
-  gsize fields;     /* bytes of heads and trailers */
+  AnswerHead *head;
+  const char *fault; /* why a line is malformed; NULL for none */
+  gsize fields;      /* bytes of heads and trailers */
   gint64 began_us;
   HttpResult result;
   HttpDoneFunc done;
@@ -40,7 +40,7 @@
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   g_byte_array_unref (call->body);
-  g_array_unref (call->result.headers);
+  answer_head_destroy (call->head);
   g_byte_array_unref (call->result.body);
   g_free (call);
 }
@@ -63,6 +63,14 @@
     }
 }
 
+static const char *
+detail_of (const HttpCall *call, CURLcode code)
+{
+  if (call->fault)
+    return call->fault;
+  return code == CURLE_OK ? "" : curl_easy_strerror (code);
+}
+
 static void
 reap (gpointer data)
 {
@@ -73,17 +81,14 @@
   while ((message = curl_multi_info_read (client->multi, &left)))
     {
       HttpCall *call;
-      long status = 0;
 
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-      curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       call->result.outcome = outcome_of (call, message->data.result);
-      call->result.status = (guint)status;
-      call->result.detail = message->data.result == CURLE_OK
-                                ? ""
-                                : curl_easy_strerror (message->data.result);
+      call->result.status = answer_head_status (call->head);
+      call->result.headers = answer_head_fields (call->head);
+      call->result.detail = detail_of (call, message->data.result);
       call->result.took_us = clock_now (loop_clock (client->loop)) - call->began_us;
       call->done (&call->result, call->data);
       call_free (call);
@@ -192,50 +197,18 @@
   g_free (client);
 }
 
-/* Returns whether a status line, "HTTP/1.1 200 OK", has a valid status of three digits.
- */
-static gboolean
-is_valid_status_line (const char *line)
-{
-  const char *space = strchr (line, ' ');
-  guint status = 0;
-
-  for (guint i = 1; i <= STATUS_DIGITS; i++)
-    {
-      if (!space || !g_ascii_isdigit (space[i]))
-        return FALSE;
-      status = status * 10 + (guint)g_ascii_digit_value (space[i]);
-    }
-  return !g_ascii_isalnum (space[STATUS_DIGITS + 1]) && http_status_is_valid (status);
-}
-
+/* libcurl passes each line of heads and trailers whole. */
 static size_t
 on_header (char *text, size_t size, size_t count, void *data)
 {
   HttpCall *call = data;
   size_t len = size * count;
-  g_autofree char *line = g_strndup (text, len);
-  char *colon = strchr (line, ':');
 
   call->fields += len;
   if (!answer_within_bounds (call->fields, 0))
     return 0;
-  /* A new status line follows an interim answer, whose headers are dropped. */
-  if (g_str_has_prefix (line, "HTTP/") && !is_valid_status_line (line))
-    return 0;
-  if (g_str_has_prefix (line, "HTTP/"))
-    {
-      g_array_set_size (call->result.headers, 0);
-      call->in_body = FALSE;
-    }
-  else if (*line == '\r' || *line == '\n')
-    call->in_body = TRUE;
-  else if (colon && !call->in_body)
-    {
-      *colon = '\0';
-      http_headers_add (call->result.headers, g_strstrip (line), g_strstrip (colon + 1));
-    }
-  return len;
+  call->fault = answer_head_take (call->head, text, len);
+  return call->fault ? 0 : len;
 }
 
 static size_t
@@ -331,7 +304,7 @@
   call->answer_max = order->answer_max;
   call->began_us = clock_now (loop_clock (client->loop));
   call->body = g_byte_array_new ();
-  call->result.headers = http_headers_new ();
+  call->head = answer_head_create ();
   call->result.body = g_byte_array_new ();
   call->easy = curl_easy_init ();
   set_options (call, order);
--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -9,6 +9,7 @@
 #include <io/socket.h>
 
 #include "answer-bounds.h"
+#include "answer-head.h"
 
 #define READ_CHUNK 16384u
 /* Reads of one event; the loop then serves others. */
@@ -18,8 +19,14 @@
 #define EARLY_ANSWER_BODY_MIN 16384u
 /* A link at rest does not hold the memory of a longer request. */
 #define OUT_KEPT_MAX 16384u
-/* Lower status codes are of interim answers. */
-#define STATUS_FINAL_MIN 200u
+
+/* What the next bytes of the answer are. Lines are checked one by one before the parser
+   gets them. */
+typedef enum
+{
+  PART_HEAD, /* lines of a head or a trailer */
+  PART_BODY
+} AnswerPart;
 
 struct HttpLink
 {
@@ -48,12 +55,12 @@
   gboolean no_body; /* answers to this method have none */
   gint64 began_us;
   HttpResult result;
-  GString *field; /* header line that is being parsed */
-  GString *value;
-  gboolean in_value;
-  gboolean in_body; /* the head is complete; the fields that follow are not kept */
-  gsize received;   /* bytes */
-  gsize content;    /* of them in bodies */
+  AnswerHead *head;
+  AnswerPart part;
+  GString *line;     /* that is not yet complete */
+  const char *fault; /* why a line is malformed; NULL for none */
+  gsize received;    /* bytes */
+  gsize content;     /* of them in bodies */
   gboolean heard;
   gboolean reset; /* sending has failed for want of a connection */
   gboolean skips; /* the answer that is being read belongs to another request */
@@ -63,59 +70,19 @@
   gboolean reusable;
 };
 
-static void
-add_header (HttpLink *link)
-{
-  if (link->in_value)
-    http_headers_add (link->result.headers, link->field->str, link->value->str);
-  link->in_value = FALSE;
-  g_string_truncate (link->field, 0);
-  g_string_truncate (link->value, 0);
-}
-
 static int
 on_message_begin (http_parser *parser)
 {
   HttpLink *link = parser->data;
 
-  g_array_set_size (link->result.headers, 0);
-  link->in_value = FALSE;
-  link->in_body = FALSE;
-  g_string_truncate (link->field, 0);
-  g_string_truncate (link->value, 0);
   link->skips = FALSE;
   return 0;
 }
 
-static int
-on_header_field (http_parser *parser, const char *text, size_t len)
-{
-  HttpLink *link = parser->data;
-
-  if (link->in_body)
-    return 0;
-  if (link->in_value)
-    add_header (link);
-  g_string_append_len (link->field, text, (gssize)len);
-  return 0;
-}
-
-static int
-on_header_value (http_parser *parser, const char *text, size_t len)
-{
-  HttpLink *link = parser->data;
-
-  if (link->in_body)
-    return 0;
-  link->in_value = TRUE;
-  g_string_append_len (link->value, text, (gssize)len);
-  return 0;
-}
-
 static gboolean
-is_interim (const http_parser *parser)
+is_interim (const HttpLink *link)
 {
-  return parser->status_code < STATUS_FINAL_MIN;
+  return !answer_head_is_complete (link->head);
 }
 
 static int
@@ -123,15 +90,12 @@
 {
   HttpLink *link = parser->data;
 
-  if (!http_status_is_valid (parser->status_code))
-    return -1;
-  add_header (link);
-  link->in_body = TRUE;
-  link->result.status = parser->status_code;
-  if (!is_interim (parser) && link->exchanges > 1 && link->is_foreign)
-    link->skips =
-        link->is_foreign (parser->status_code, link->result.headers, link->data);
+  link->result.status = answer_head_status (link->head);
+  if (!is_interim (link) && link->exchanges > 1 && link->is_foreign)
+    link->skips = link->is_foreign (link->result.status, answer_head_fields (link->head),
+                                    link->data);
   link->surplus |= link->skips;
+  link->part = PART_BODY;
   return link->no_body ? 1 : 0;
 }
 
@@ -158,7 +122,13 @@
 {
   HttpLink *link = parser->data;
 
-  if (is_interim (parser) || link->skips)
+  link->part = PART_HEAD;
+  if (link->skips)
+    {
+      answer_head_clear (link->head);
+      return 0;
+    }
+  if (is_interim (link))
     return 0;
   link->complete = TRUE;
   link->reusable = http_should_keep_alive (parser) != 0;
@@ -168,8 +138,6 @@
 
 static const http_parser_settings parser_settings = {
   .on_message_begin = on_message_begin,
-  .on_header_field = on_header_field,
-  .on_header_value = on_header_value,
   .on_headers_complete = on_headers_complete,
   .on_body = on_body,
   .on_message_complete = on_message_complete,
@@ -204,9 +172,9 @@
   loop_fd_set (link->watch, 0);
   result.outcome = outcome;
   result.detail = detail;
+  result.headers = g_array_ref (answer_head_fields (link->head));
   result.took_us = clock_now (loop_clock (link->loop)) - link->began_us;
   link->reusable &= outcome == HTTP_CALL_OK;
-  link->result.headers = NULL;
   link->result.body = NULL;
   link->done = NULL;
   link->body = NULL;
@@ -234,19 +202,72 @@
   end (link, HTTP_CALL_OK, "");
 }
 
-/* Feeds bytes to the parser; none at the end of the connection. Returns FALSE if the
+static gsize
+feed (HttpLink *link, const char *bytes, gsize len)
+{
+  return http_parser_execute (&link->parser, &parser_settings, bytes, len);
+}
+
+/* Takes bytes up to the end of a line. Returns their number. */
+static gsize
+take_line (HttpLink *link, const char *bytes, gsize len)
+{
+  const char *end = memchr (bytes, '\n', len);
+  gsize taken = end ? (gsize)(end - bytes) + 1 : len;
+
+  g_string_append_len (link->line, bytes, (gssize)taken);
+  if (!end)
+    {
+      if (link->line->len > ANSWER_OVERHEAD_MAX)
+        link->fault = "a line is too long";
+      return taken;
+    }
+  link->fault = answer_head_take (link->head, link->line->str, link->line->len);
+  if (!link->fault)
+    feed (link, link->line->str, link->line->len);
+  g_string_truncate (link->line, 0);
+  return taken;
+}
+
+/* Whether no more of the answer is read. */
+static gboolean
+has_answer_ended (const HttpLink *link)
+{
+  return link->fault || link->complete || link->too_large ||
+         HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade;
+}
+
+/* Takes bytes of the answer. Returns the number of those that belong to it. */
+static gsize
+take_bytes (HttpLink *link, const char *bytes, gsize len)
+{
+  gsize taken = 0;
+
+  while (taken < len && !has_answer_ended (link))
+    taken += link->part == PART_BODY ? feed (link, bytes + taken, len - taken)
+                                     : take_line (link, bytes + taken, len - taken);
+  return taken;
+}
+
+/* Parses bytes of the answer; none at the end of the connection. Returns FALSE if the
    exchange has ended. */
 static gboolean
 parse (HttpLink *link, const char *bytes, gsize len)
 {
-  gsize used = http_parser_execute (&link->parser, &parser_settings, bytes, len);
+  gsize used = 0;
 
+  if (len > 0)
+    used = take_bytes (link, bytes, len);
+  else if (link->line->len == 0)
+    feed (link, NULL, 0);
   if (link->complete)
     end_complete (link, used < len);
   else if (link->too_large)
     end (link, HTTP_CALL_TOO_LARGE, "the answer is too large");
   else if (!answer_within_bounds (link->received, link->content))
     end (link, HTTP_CALL_BROKEN, "the answer's fields or framing are too large");
+  else if (link->fault)
+    end (link, HTTP_CALL_BROKEN, link->fault);
   else if (HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade)
     end (link, HTTP_CALL_BROKEN, "the answer is malformed");
   else if (len == 0)
@@ -413,8 +434,8 @@
   link->watch = loop_fd_create (loop, fd, 0, on_ready, link);
   link->timer = loop_timer_create (loop, on_timeout, link);
   link->out = g_byte_array_new ();
-  link->field = g_string_new (NULL);
-  link->value = g_string_new (NULL);
+  link->head = answer_head_create ();
+  link->line = g_string_new (NULL);
   return link;
 }
 
@@ -444,10 +465,9 @@
   loop_timer_destroy (link->timer);
   close (link->fd);
   g_byte_array_unref (link->out);
-  g_clear_pointer (&link->result.headers, g_array_unref);
   g_clear_pointer (&link->result.body, g_byte_array_unref);
-  g_string_free (link->field, TRUE);
-  g_string_free (link->value, TRUE);
+  answer_head_destroy (link->head);
+  g_string_free (link->line, TRUE);
   g_free (link->address);
   g_free (link);
 }
@@ -522,8 +542,11 @@
   link->no_body = strcmp (request->method, "HEAD") == 0;
   link->body_len = request->has_body ? request->body_len : 0;
   link->began_us = clock_now (loop_clock (link->loop));
-  link->result =
-      (HttpResult){ .headers = http_headers_new (), .body = g_byte_array_new () };
+  link->result = (HttpResult){ .body = g_byte_array_new () };
+  answer_head_clear (link->head);
+  link->part = PART_HEAD;
+  g_string_truncate (link->line, 0);
+  link->fault = NULL;
   link->heard = link->surplus = link->complete = link->too_large = link->reset = FALSE;
   link->received = link->content = 0;
   link->reusable = TRUE;
--- a/io/tests/test-broken-answers.c
+++ b/io/tests/test-broken-answers.c
@@ -317,6 +317,73 @@
       }
 }
 
+static void
+expect_all_broken (const char *const *answers, gsize count)
+{
+  for (gsize i = 0; i < count; i++)
+    {
+      AnswerScript script = { .answer = answers[i], .end = ANSWER_CLOSES };
+
+      expect_broken (&script, "GET", 0);
+    }
+}
+
+static void
+expect_all_whole (const char *const *answers, gsize count, const char *body)
+{
+  for (gsize i = 0; i < count; i++)
+    {
+      AnswerScript script = { .answer = answers[i], .end = ANSWER_CLOSES };
+
+      expect_whole (&script, "GET", 0, body);
+    }
+}
+
+#define HELLO "Content-Length: 5\r\n\r\nhello"
+
+static void
+test_a_malformed_status_line_begins_no_answer (void **state)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 0200 OK\r\n" HELLO,      "HTTP/1.1 2000 OK\r\n" HELLO,
+    "HTTP/1.1 000 OK\r\n" HELLO,       "HTTP/1.1 099 OK\r\n" HELLO,
+    "HTTP/1.1 101 OK\r\n" HELLO,       "HTTP/1.1 600 OK\r\n" HELLO,
+    "HTTP/1.1 20 OK\r\n" HELLO,        "HTTP/1.1 -200 OK\r\n" HELLO,
+    "HTTP/1.1 2x0 OK\r\n" HELLO,       "HTTP/1.1 200OK\r\n" HELLO,
+    "HTTP/1.1  200 OK\r\n" HELLO,      "HTTP/1.1\t200 OK\r\n" HELLO,
+    "HTTP/1.1 200\tOK\r\n" HELLO,      "HTTP/1.1 200 O\001K\r\n" HELLO,
+    "HTTP/1.1 200 OK\rX: y\r\n" HELLO, "HTTP/1.1 200 OK\177\r\n" HELLO,
+    "HXXX/1.1 200 OK\r\n" HELLO,       "http/1.1 200 OK\r\n" HELLO,
+    "HTTP/2.0 200 OK\r\n" HELLO,       "HTTP/0.9 200 OK\r\n" HELLO,
+    "HTTP/1.10 200 OK\r\n" HELLO,      "HTTP/1 200 OK\r\n" HELLO,
+    " HTTP/1.1 200 OK\r\n" HELLO,      "200 OK\r\n" HELLO,
+    "HTTP/1.1 OK\r\n" HELLO,           "HTTP/1.1\r\n" HELLO,
+  };
+
+  expect_all_broken (answers, G_N_ELEMENTS (answers));
+}
+
+static void
+test_an_unusual_status_line_begins_an_answer (void **state)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 200 OK\r\n" HELLO,
+    "HTTP/1.1 200 \r\n" HELLO,
+    "HTTP/1.1 200\r\n" HELLO,
+    "HTTP/1.0 200 OK\r\n" HELLO,
+    "HTTP/1.1 200 O\tK\r\n" HELLO,
+    "HTTP/1.1 200 d\303\251j\303\240 \377\r\n" HELLO,
+    "HTTP/1.1 200 HTTP/1.1 404 Not Found\r\n" HELLO,
+    "HTTP/1.1 599 Odd\r\n" HELLO,
+    "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" HELLO,
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+    "HTTP/1.1 200 OK\r\n" HELLO,
+    "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello",
+  };
+
+  expect_all_whole (answers, G_N_ELEMENTS (answers), "hello");
+}
+
 int
 main (void)
 {
@@ -326,6 +393,8 @@
     cmocka_unit_test (test_an_early_answer_that_is_framed_is_whole),
     cmocka_unit_test (test_an_early_answer_until_an_orderly_end_is_whole),
     cmocka_unit_test (test_an_answer_until_an_orderly_end_is_whole),
+    cmocka_unit_test (test_a_malformed_status_line_begins_no_answer),
+    cmocka_unit_test (test_an_unusual_status_line_begins_an_answer),
   };
 
   cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
--- a/io/tests/test-endless-answers.c
+++ b/io/tests/test-endless-answers.c
@@ -25,6 +25,16 @@
 #define REPEATS 64u
 #define HEAD "HTTP/1.1 200 OK\r\n"
 #define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
+/* A body lets the framing be as much longer. */
+#define X16 "xxxxxxxxxxxxxxxx"
+#define X256 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16 X16
+#define X4096                                                                            \
+  X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256 X256
+#define X65536                                                                           \
+  X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096 X4096    \
+      X4096 X4096
+#define BODY_CHUNK                                                                       \
+  "80000\r\n" X65536 X65536 X65536 X65536 X65536 X65536 X65536 X65536 "\r\n"
 
 /* The address sanitizer reads its options here. It would keep memory that the code has
    freed, and the resident memory would not be the code's. */
@@ -58,6 +68,7 @@
   { "chunk extensions", CHUNKED, "1;a=b;c=d;e=f\r\nx\r\n", HTTP_CALL_BROKEN },
   { "chunks", CHUNKED, "1\r\nx\r\n", HTTP_CALL_TOO_LARGE },
   { "trailer value", CHUNKED "0\r\nX: ", "x", HTTP_CALL_BROKEN },
+  { "trailer value behind a body", CHUNKED BODY_CHUNK "0\r\nX: ", "x", HTTP_CALL_BROKEN },
   { "trailer fields", CHUNKED "0\r\n", "X: y\r\n", HTTP_CALL_BROKEN },
   { "body to the close", HEAD "\r\n", "xxxxxxxx", HTTP_CALL_TOO_LARGE },
 };
--- a/io/tests/test-http-link.c
+++ b/io/tests/test-http-link.c
@@ -274,7 +274,8 @@
 static void
 test_an_invalid_status_is_taken_for_an_answer (void **state)
 {
-  static const char *const invalid[] = { "000", "0", "20", "099", "101", "600", "999" };
+  static const char *const invalid[] = { "000", "0",   "20",  "099",
+                                         "101", "600", "999", "0200" };
 
   for (gsize i = 0; i < G_N_ELEMENTS (invalid); i++)
     {
