A field whose name is no token makes an answer malformed

What callers saw: an answer with a blank in the name of a field, or a line that begins with a blank, as an answer, the line passed on. With Content-Length or Transfer-Encoding as that name the body was not the target's: read until close, and with its chunk framing in it.

Cause: names and values were taken as the parsers gave them. http_parser lets blanks in names pass and joins folded lines; libcurl lets all but NUL pass (a tab, BEL, ESC, DEL, CR, a name of no characters).

Fix: AnswerHead requires each name of a head or trailer to be a token right before its colon, and each line to be free of control characters. A folded line has no such name. The check of tokens is shared with that of requests (http-grammar).

Handled already: control bytes in names, by http_parser.

--- a/io/src/answer-head.c
+++ b/io/src/answer-head.c
@@ -4,6 +4,8 @@
 
 #include <io/http-types.h>
 
+#include "http-grammar.h"
+
 /* "HTTP/1.1 200", of which the rest is optional: servers without a reason phrase often
    leave out the space before it. */
 #define VERSION "HTTP/1."
@@ -59,17 +61,6 @@
   head->status = 0;
 }
 
-/* Returns whether a text holds a control character other than a tab. A carriage return
-   within a line is one. */
-static gboolean
-has_control (const char *text, gsize len)
-{
-  for (gsize i = 0; i < len; i++)
-    if (g_ascii_iscntrl (text[i]) && text[i] != '\t')
-      return TRUE;
-  return FALSE;
-}
-
 static const char *
 take_status_line (AnswerHead *head, const char *line, gsize len)
 {
@@ -86,7 +77,7 @@
     }
   if ((len > STATUS_END && line[STATUS_END] != ' ') || !http_status_is_valid (status))
     return "the status is invalid";
-  if (has_control (line, len))
+  if (http_has_control (line, len))
     return "the status line holds a control character";
   drop_fields (head);
   head->status = status;
@@ -94,17 +85,26 @@
   return NULL;
 }
 
+/* A line that begins with a blank has no name. It would continue the line before it,
+   which only requests and answers in media of the type message/http may do (RFC 9112,
+   section 5.2). */
 static const char *
 take_field (AnswerHead *head, const char *line, gsize len)
 {
-  g_autofree char *text = g_strndup (line, len);
-  char *colon = strchr (text, ':');
-
-  if (!colon)
-    return "a field has no colon";
-  *colon = '\0';
-  if (head->part == IN_FIELDS)
-    http_headers_add (head->fields, text, g_strstrip (colon + 1));
+  const char *colon = memchr (line, ':', len);
+  gsize name_len = colon ? (gsize)(colon - line) : 0;
+  g_autofree char *name = NULL;
+  g_autofree char *value = NULL;
+
+  if (!http_is_token (line, name_len))
+    return "a field's name is no token";
+  if (http_has_control (line, len))
+    return "a field's value holds a control character";
+  if (head->part != IN_FIELDS)
+    return NULL;
+  name = g_strndup (line, name_len);
+  value = g_strndup (colon + 1, len - name_len - 1);
+  http_headers_add (head->fields, name, g_strstrip (value));
   return NULL;
 }
 
--- a/io/src/http-framing.c
+++ b/io/src/http-framing.c
@@ -4,6 +4,8 @@
 
 #include <io/http-types.h>
 
+#include "http-grammar.h"
+
 static guint
 count_headers (const GArray *headers, const char *name)
 {
@@ -15,28 +17,6 @@
   return count;
 }
 
-/* Returns whether a text is a token (RFC 9110, section 5.6.2). */
-static gboolean
-is_token (const char *text)
-{
-  if (!*text)
-    return FALSE;
-  for (; *text; text++)
-    if (!g_ascii_isalnum (*text) && !strchr ("!#$%&'*+-.^_`|~", *text))
-      return FALSE;
-  return TRUE;
-}
-
-/* Returns whether a value holds a control character other than a tab. */
-static gboolean
-has_control (const char *value)
-{
-  for (; *value; value++)
-    if (g_ascii_iscntrl (*value) && *value != '\t')
-      return TRUE;
-  return FALSE;
-}
-
 /* Returns why a name or a value is malformed, or NULL. With a blank before its colon,
    Content-Length would be read as another header's name, and the body as the next request
    (RFC 9112, section 5.1). */
@@ -47,9 +27,9 @@
     {
       const HttpHeader *header = &g_array_index (headers, HttpHeader, i);
 
-      if (!is_token (header->name))
+      if (!http_is_token (header->name, strlen (header->name)))
         return "a header's name is no token";
-      if (has_control (header->value))
+      if (http_has_control (header->value, strlen (header->value)))
         return "a header's value holds a control character";
     }
   return NULL;
--- a/io/tests/test-broken-answers.c
+++ b/io/tests/test-broken-answers.c
@@ -384,6 +384,99 @@
   expect_all_whole (answers, G_N_ELEMENTS (answers), "hello");
 }
 
+#define OK "HTTP/1.1 200 OK\r\n"
+
+static void
+test_a_malformed_field_makes_an_answer_malformed (void **state)
+{
+  static const char *const answers[] = {
+    OK "Con tent: x\r\n" HELLO,
+    OK "Trailing : x\r\n" HELLO,
+    OK "Tab\t: x\r\n" HELLO,
+    OK " Leading: x\r\n" HELLO,
+    OK "X: y\r\n folded\r\n" HELLO,
+    OK "X: y\r\n\tfolded: z\r\n" HELLO,
+    OK " \r\n" HELLO,
+    OK "Content-Length : 5\r\n\r\nhello",
+    OK "Content Length: 5\r\n\r\nhello",
+    OK "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    OK "Content-Length: 5\r\n  0\r\n\r\nhello",
+    OK "X\001Y: z\r\n" HELLO,
+    OK "X\aY: z\r\n" HELLO,
+    OK "X\rY: z\r\n" HELLO,
+    OK "X\033Y: z\r\n" HELLO,
+    OK "X\177Y: z\r\n" HELLO,
+    OK "X\303\251: z\r\n" HELLO,
+    OK "X(Y): z\r\n" HELLO,
+    OK "X\"Y: z\r\n" HELLO,
+    OK ": z\r\n" HELLO,
+    OK "no colon\r\n" HELLO,
+    OK "nocolon\r\n" HELLO,
+    OK "X: y\001z\r\n" HELLO,
+    OK "X: y\rz\r\n" HELLO,
+    OK "X: y\177z\r\n" HELLO,
+    "HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\n" OK HELLO,
+  };
+
+  expect_all_broken (answers, G_N_ELEMENTS (answers));
+}
+
+static void
+test_a_null_byte_makes_an_answer_malformed (void **state)
+{
+#define WITH_LEN(bytes)                                                                  \
+  {                                                                                      \
+    bytes, sizeof bytes - 1                                                              \
+  }
+  static const struct
+  {
+    const char *bytes;
+    gsize len;
+  } answers[] = { WITH_LEN (OK "X\0Y: z\r\n" HELLO), WITH_LEN (OK "X: y\0z\r\n" HELLO),
+                  WITH_LEN ("HTTP/1.1 200 O\0K\r\n" HELLO),
+                  WITH_LEN ("HTTP/1.1 200\0OK\r\n" HELLO) };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      AnswerScript script = { .answer = answers[i].bytes,
+                              .answer_len = answers[i].len,
+                              .end = ANSWER_CLOSES };
+
+      expect_broken (&script, "GET", 0);
+    }
+}
+
+/* Plays an answer with a field, which must arrive with the value. */
+static void
+expect_field (const char *line, const char *name, const char *value)
+{
+  g_autofree char *answer = g_strconcat (OK, line, "\r\n" HELLO, NULL);
+  AnswerScript script = { .answer = answer, .end = ANSWER_CLOSES };
+
+  for (guint i = 0; i < READERS; i++)
+    {
+      Exchange exchange = play (&script, readers[i].read, "GET", 0);
+      const char *found = http_headers_get (exchange.headers, name);
+
+      assert_int_equal (exchange.outcome, HTTP_CALL_OK);
+      assert_string_equal (exchange.body->str, "hello");
+      assert_string_equal (found ? found : "none", value);
+      exchange_clear (&exchange);
+    }
+}
+
+static void
+test_an_unusual_field_arrives_as_it_was_sent (void **state)
+{
+  expect_field ("!#$%&'*+-.^_`|~09azAZ: x", "!#$%&'*+-.^_`|~09azAZ", "x");
+  expect_field ("X:y", "X", "y");
+  expect_field ("X:  \t y \t ", "X", "y");
+  expect_field ("X:", "X", "");
+  expect_field ("X: y\tz", "X", "y\tz");
+  expect_field ("X: \303\251\377\200", "X", "\303\251\377\200");
+  expect_field ("X: a: b: c", "X", "a: b: c");
+}
+
 int
 main (void)
 {
@@ -395,6 +488,9 @@
     cmocka_unit_test (test_an_answer_until_an_orderly_end_is_whole),
     cmocka_unit_test (test_a_malformed_status_line_begins_no_answer),
     cmocka_unit_test (test_an_unusual_status_line_begins_an_answer),
+    cmocka_unit_test (test_a_malformed_field_makes_an_answer_malformed),
+    cmocka_unit_test (test_a_null_byte_makes_an_answer_malformed),
+    cmocka_unit_test (test_an_unusual_field_arrives_as_it_was_sent),
   };
 
   cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
