An answer with ambiguous framing, or a transfer coding that is not decoded, is malformed

What callers saw: the content of Transfer-Encoding: gzip, or of any coding but chunked, without the field that explains it, which is hop-by-hop; chunks with their framing in the body where the coding's name was nearly right; a 204 with a body; and, from libcurl, what follows Content-Length: 5x, 5, 5,  or two of them.

Cause: which framing fields may stand together, and which transfer codings are understood, was left to the parsers. http_parser takes an unknown coding for a body until close, and decodes chunked as the last of several; libcurl reads the digits of a length, and until close where they overflow.

Fix: AnswerHead checks the framing at the end of each head (RFC 9112, section 6): one length of digits, or chunked alone; none of it where a status has no body; no coding in HTTP/1.0. The checks of duplicates and codings are those of requests.

--- a/core/include/core/http-status.h
+++ b/core/include/core/http-status.h
@@ -6,8 +6,9 @@
 
 enum
 {
-  HTTP_OK = 200,
+  HTTP_OK = 200, /* lower codes are of interim answers */
   HTTP_CREATED = 201,
+  HTTP_NO_CONTENT = 204,
   HTTP_NOT_MODIFIED = 304,
   HTTP_BAD_REQUEST = 400,
   HTTP_UNAUTHORIZED = 401,
--- a/io/src/answer-head.c
+++ b/io/src/answer-head.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
 #include <io/http-types.h>
 
+#include "http-framing.h"
 #include "http-grammar.h"
 
 /* "HTTP/1.1 200", of which the rest is optional: servers without a reason phrase often
@@ -12,8 +14,6 @@
 #define STATUS_AT 9u
 #define STATUS_DIGITS 3u
 #define STATUS_END (STATUS_AT + STATUS_DIGITS)
-/* Lower status codes are of interim answers. */
-#define STATUS_FINAL_MIN 200u
 
 typedef enum
 {
@@ -25,6 +25,7 @@
 struct AnswerHead
 {
   HeadPart part;
+  guint minor; /* version of HTTP */
   guint status;
   GArray *fields;
 };
@@ -80,6 +81,7 @@
   if (http_has_control (line, len))
     return "the status line holds a control character";
   drop_fields (head);
+  head->minor = (guint)g_ascii_digit_value (line[strlen (VERSION)]);
   head->status = status;
   head->part = IN_FIELDS;
   return NULL;
@@ -112,8 +114,8 @@
 static const char *
 end_head (AnswerHead *head)
 {
-  head->part = head->status < STATUS_FINAL_MIN ? AWAITING_STATUS : IN_TRAILER;
-  return NULL;
+  head->part = head->status < HTTP_OK ? AWAITING_STATUS : IN_TRAILER;
+  return http_framing_answer_fault (head->minor, head->status, head->fields);
 }
 
 /* Returns the length of a line without its terminator; a single LF is one, too (RFC 9112,
--- a/io/src/http-framing.c
+++ b/io/src/http-framing.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include <core/http-status.h>
 #include <io/http-types.h>
 
 #include "http-grammar.h"
@@ -35,15 +36,13 @@
   return NULL;
 }
 
-const char *
-http_framing_fault (const GArray *headers)
+/* Returns why the fields that frame a body are ambiguous or not understood, or NULL. */
+static const char *
+body_fault (const GArray *headers)
 {
   guint lengths = count_headers (headers, "Content-Length");
   guint encodings = count_headers (headers, "Transfer-Encoding");
-  const char *fault = header_fault (headers);
 
-  if (fault)
-    return fault;
   if (lengths > 1 || encodings > 1)
     return "more than one Content-Length or Transfer-Encoding";
   if (lengths && encodings)
@@ -53,3 +52,30 @@
     return "a transfer coding other than chunked";
   return NULL;
 }
+
+const char *
+http_framing_fault (const GArray *headers)
+{
+  const char *fault = header_fault (headers);
+
+  return fault ? fault : body_fault (headers);
+}
+
+const char *
+http_framing_answer_fault (guint minor, guint status, const GArray *headers)
+{
+  const char *fault = body_fault (headers);
+  const char *length = http_headers_get (headers, "Content-Length");
+  gboolean encoded = http_headers_get (headers, "Transfer-Encoding") != NULL;
+  guint64 bytes = 0;
+
+  if (fault)
+    return fault;
+  if (length && !g_ascii_string_to_unsigned (length, 10, 0, G_MAXINT64, &bytes, NULL))
+    return "Content-Length is no number of bytes";
+  if (encoded && minor == 0)
+    return "a transfer coding in HTTP/1.0";
+  if ((status < HTTP_OK || status == HTTP_NO_CONTENT) && (encoded || bytes > 0))
+    return "a body is announced for a status that has none";
+  return NULL;
+}
--- a/io/tests/test-broken-answers.c
+++ b/io/tests/test-broken-answers.c
@@ -477,6 +477,75 @@
   expect_field ("X: a: b: c", "X", "a: b: c");
 }
 
+#define CHUNKS "\r\n5\r\nhello\r\n0\r\n\r\n"
+
+static void
+test_ambiguous_framing_makes_an_answer_malformed (void **state)
+{
+  static const char *const answers[] = {
+    OK "Content-Length: +5\r\n\r\nhello",
+    OK "Content-Length: -5\r\n\r\nhello",
+    OK "Content-Length: 5x\r\n\r\nhello",
+    OK "Content-Length: 0x5\r\n\r\nhello",
+    OK "Content-Length: 5 5\r\n\r\nhello",
+    OK "Content-Length: 5, 5\r\n\r\nhello",
+    OK "Content-Length: 5,\r\n\r\nhello",
+    OK "Content-Length:\r\n\r\nhello",
+    OK "Content-Length: five\r\n\r\nhello",
+    OK "Content-Length: 99999999999999999999\r\n\r\nhello",
+    OK "Content-Length: 18446744073709551621\r\n\r\nhello",
+    OK "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    OK "Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+    OK "Content-Length:\r\nContent-Length: 5\r\n\r\nhello",
+    OK "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n" CHUNKS,
+    OK "Transfer-Encoding: gzip\r\n\r\nhello",
+    OK "Transfer-Encoding: identity\r\n\r\nhello",
+    OK "Transfer-Encoding: unknown\r\n\r\nhello",
+    OK "Transfer-Encoding:\r\n\r\nhello",
+    OK "Transfer-Encoding: gzip, chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: identity, chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunked, gzip\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunked, chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunked;q=1\r\n" CHUNKS,
+    OK "Transfer-Encoding: chunkedx\r\n" CHUNKS,
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+    "HTTP/1.1 204 No Content\r\n" HELLO,
+    "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n" CHUNKS,
+    "HTTP/1.1 103 Early Hints\r\n" HELLO OK HELLO,
+    "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n" CHUNKS OK HELLO,
+  };
+
+  expect_all_broken (answers, G_N_ELEMENTS (answers));
+}
+
+static void
+test_unambiguous_framing_is_understood (void **state)
+{
+  static const char *const answers[] = {
+    OK "Content-Length: 5\r\n\r\nhello",
+    OK "content-length:5  \r\n\r\nhello",
+    OK "Content-Length: 005\r\n\r\nhello",
+    OK "Transfer-Encoding: chunked\r\n" CHUNKS,
+    OK "transfer-encoding: Chunked \r\n" CHUNKS,
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" OK HELLO,
+    "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    OK "\r\nhello",
+    "HTTP/1.0 200 OK\r\n\r\nhello",
+  };
+  static const char *const empty[] = {
+    "HTTP/1.1 204 No Content\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n",
+  };
+
+  expect_all_whole (answers, G_N_ELEMENTS (answers), "hello");
+  expect_all_whole (empty, G_N_ELEMENTS (empty), "");
+}
+
 int
 main (void)
 {
@@ -491,6 +560,8 @@
     cmocka_unit_test (test_a_malformed_field_makes_an_answer_malformed),
     cmocka_unit_test (test_a_null_byte_makes_an_answer_malformed),
     cmocka_unit_test (test_an_unusual_field_arrives_as_it_was_sent),
+    cmocka_unit_test (test_ambiguous_framing_makes_an_answer_malformed),
+    cmocka_unit_test (test_unambiguous_framing_is_understood),
   };
 
   cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
