A head that stops in the middle is no answer for the HTTP client

What callers saw: nothing was seen here. A target that is called by the HTTP client (no link could be made) would have passed a 200 with an empty body; a store's 2xx whose body is not needed would have counted as an acknowledgement.

Cause: libcurl takes the end of the connection for the end of the head, once the status line is whole, and succeeds.

Fix: a call is successful only if the empty line after the head of a final answer was received.

Evidence: test_a_head_that_stops_in_the_middle_is_no_answer cuts four heads at each byte, by close, half close and reset, for GET and HEAD.

--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -53,7 +53,8 @@
   switch (code)
     {
     case CURLE_OK:
-      return HTTP_CALL_OK;
+      /* An end of the connection ends a head for libcurl. */
+      return answer_head_is_complete (call->head) ? HTTP_CALL_OK : HTTP_CALL_BROKEN;
     case CURLE_COULDNT_CONNECT:
       return HTTP_CALL_UNSENT;
     case CURLE_OPERATION_TIMEDOUT:
@@ -68,7 +69,9 @@
 {
   if (call->fault)
     return call->fault;
-  return code == CURLE_OK ? "" : curl_easy_strerror (code);
+  if (code != CURLE_OK)
+    return curl_easy_strerror (code);
+  return answer_head_is_complete (call->head) ? "" : "the connection ended in the head";
 }
 
 static void
