A 304 with a length ends with its head

What callers saw: a 304 that names the length of the body which a GET would have got was waited on until the time-out, and was a broken answer where the target closed. Found while looking at the framing of answers.

Cause: http_parser reads a body of that length for any status.

Fix: http-link tells it that nothing follows the head of an interim answer, a 204 or a 304 (RFC 9112, section 6.3).

Evidence: test_an_answer_without_a_body_ends_with_its_head failed before at its first case (5.0 s, the time-out) and passes.

--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <core/http-status.h>
 #include <io/socket.h>
 
 #include "answer-bounds.h"
@@ -90,6 +91,17 @@
   return !answer_head_is_complete (link->head);
 }
 
+/* Whether a body follows the head (RFC 9112, section 6.3). http_parser would wait for one
+   of the length that a 304 tells of another answer. */
+static gboolean
+has_body (const HttpLink *link)
+{
+  guint status = answer_head_status (link->head);
+
+  return !link->no_body && !is_interim (link) && status != HTTP_NO_CONTENT &&
+         status != HTTP_NOT_MODIFIED;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -101,7 +113,7 @@
                                     link->data);
   link->surplus |= link->skips;
   link->part = parser->flags & F_CHUNKED ? PART_CHUNK_SIZE : PART_BODY;
-  return link->no_body ? 1 : 0;
+  return has_body (link) ? 0 : 1;
 }
 
 static int
--- a/io/tests/test-broken-answers.c
+++ b/io/tests/test-broken-answers.c
@@ -671,6 +671,34 @@
   expect_all_whole (hex, G_N_ELEMENTS (hex), "0123456789");
 }
 
+/* The lengths are those of the bodies that GET would have got. */
+static void
+test_an_answer_without_a_body_ends_with_its_head (void **state)
+{
+  static const struct
+  {
+    const char *method;
+    const char *answer;
+  } cases[] = {
+    { "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 600\r\nETag: x\r\n\r\n" },
+    { "GET", "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" },
+    { "GET", "HTTP/1.1 204 No Content\r\n\r\n" },
+    { "HEAD", OK "Content-Length: 600\r\n\r\n" },
+    { "HEAD", OK "Transfer-Encoding: chunked\r\n\r\n" },
+    { "HEAD", OK "\r\n" },
+  };
+  static const AnswerEnd ends[] = { ANSWER_STAYS, ANSWER_CLOSES };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (gsize k = 0; k < G_N_ELEMENTS (ends); k++)
+      {
+        AnswerScript script = { .answer = cases[i].answer, .end = ends[k] };
+
+        expect_whole_at (LINK, &script, cases[i].method, 0, "");
+        expect_whole_at (CLIENT, &script, cases[i].method, 0, "");
+      }
+}
+
 int
 main (void)
 {
@@ -691,6 +719,7 @@
     cmocka_unit_test (test_malformed_chunks_make_an_answer_malformed),
     cmocka_unit_test (test_chunks_that_stop_in_the_middle_are_no_answer),
     cmocka_unit_test (test_unusual_chunks_are_understood),
+    cmocka_unit_test (test_an_answer_without_a_body_ends_with_its_head),
   };
 
   cmocka_set_test_filter (g_getenv ("CMOCKA_TEST_FILTER"));
