A target's answers are read by links alone

Weighed: where no link could be made, a target was called by the HTTP client, a second reader of its answers with leniencies of its own. http_link_create fails if an address is no IPv4 address with a port, which settings, registrations and intents reject, if no socket can be had, or if a connection fails at once; libcurl needs a socket to the same address and would fare no better.

Change: such a call ends as unsent, from the loop, as libcurl ended it (CURLE_COULDNT_CONNECT).

--- a/daemon/src/target/target-calls.c
+++ b/daemon/src/target/target-calls.c
@@ -34,9 +34,9 @@
 struct TargetCall
 {
   TargetCalls *calls;
-  HttpLink *link; /* NULL for a call on a new connection of the HTTP client */
-  HttpCall *http;
-  gboolean kept; /* the link had carried an earlier call */
+  HttpLink *link;    /* NULL if none could be made */
+  LoopTimer *failed; /* ends such a call; NULL otherwise */
+  gboolean kept;     /* the link had carried an earlier call */
   ConnectionRest rest;
   HttpLinkRequest request;
   ConnectionUse use;
@@ -62,6 +62,7 @@
 {
   g_array_unref ((GArray *)call->request.headers);
   g_hash_table_remove (call->calls->running, call);
+  loop_timer_destroy (call->failed);
   g_free (call);
 }
 
@@ -220,24 +221,6 @@
     }
 }
 
-static void
-on_http_done (const HttpResult *result, gpointer data)
-{
-  TargetCall *call = data;
-  HttpDoneFunc done = call->done;
-  gpointer user = call->data;
-
-  call_free (call);
-  done (result, user);
-}
-
-/* The HTTP client is destroyed, and frees the call with it. */
-static void
-on_http_abandoned (gpointer data)
-{
-  ((TargetCall *)data)->http = NULL;
-}
-
 static gboolean
 is_foreign (guint status, const GArray *headers, gpointer data)
 {
@@ -287,23 +270,22 @@
   return TRUE;
 }
 
+/* Ends a call for which no socket could be had. */
 static void
-send_by_client (TargetCall *call, const HttpLinkRequest *request)
+on_failed (gpointer data)
 {
-  const TargetCalls *calls = call->calls;
-  g_autofree char *url = g_strdup_printf ("http://%s%s", calls->address, request->path);
-  HttpCallParams order = { .method = request->method,
-                           .url = url,
-                           .headers = request->headers,
-                           .body = request->body,
-                           .body_len = request->body_len,
-                           .has_body = request->has_body,
-                           .timeout_us = request->timeout_us,
-                           .answer_max = request->answer_max,
-                           .abandon = on_http_abandoned };
-
-  metrics_add (calls->node->metrics, METRIC_CONNECTIONS_OPENED, 1);
-  call->http = http_client_send (calls->node->http, &order, on_http_done, call);
+  TargetCall *call = data;
+  HttpDoneFunc done = call->done;
+  gpointer user = call->data;
+  g_autoptr (GArray) headers = http_headers_new ();
+  g_autoptr (GByteArray) body = g_byte_array_new ();
+  const HttpResult result = { .outcome = HTTP_CALL_UNSENT,
+                              .headers = headers,
+                              .body = body,
+                              .detail = "cannot connect" };
+
+  call_free (call);
+  done (&result, user);
 }
 
 TargetCall *
@@ -323,15 +305,16 @@
   call->data = data;
   g_hash_table_add (calls->running, call);
   if (!send_on_link (call))
-    send_by_client (call, request);
+    {
+      call->failed = loop_timer_create (calls->node->loop, on_failed, call);
+      loop_timer_start (call->failed, 0);
+    }
   return call;
 }
 
 void
 target_call_cancel (TargetCall *call)
 {
-  if (call->http)
-    http_call_cancel (call->http);
   if (call->link)
     {
       connection_pool_note_closed (call->calls->pool, CONNECTION_UNFIT);
