The operators' tool reads answers with the HTTP client

What operators saw: nothing was reported. A confirm whose answer was cut in its head, or malformed, was reported as status 200 without a body, and not with the advice that the plan may have been accepted.

Cause: the tool used libcurl by itself, without the checks of the HTTP client.

Fix: api_call runs the HTTP client on a loop of its own. The bound of 5 s on the connection is kept (connect_timeout_us).

Evidence: test_a_broken_answer_does_not_confirm (an answer cut at each byte, three ends) and test_a_malformed_answer_does_not_confirm failed before and pass; test_a_whole_answer_confirms passed before and does.

--- a/client/src/api.c
+++ b/client/src/api.c
@@ -1,64 +1,74 @@
 #include "api.h"
 
-#include <curl/curl.h>
 #include <string.h>
 
 #include <core/json-text.h>
+#include <io/http-client.h>
 
-#define CONNECT_TIMEOUT_S 5L
-#define CALL_TIMEOUT_S 60L
+#define CONNECT_TIMEOUT_US (5 * SECOND_US)
+#define CALL_TIMEOUT_US (60 * SECOND_US)
+/* Bounds the memory that a server which is no node can take. */
+#define ANSWER_MAX (256u * 1024 * 1024)
 
-static size_t
-on_body (char *bytes, size_t size, size_t count, void *data)
+typedef struct
 {
-  g_string_append_len (data, bytes, (gssize)(size * count));
-  return size * count;
-}
+  const Api *api;
+  Loop *loop;
+  ApiResult *result;
+} Call;
 
-static struct curl_slist *
+static GArray *
 make_headers (const Api *api)
 {
-  g_autofree char *authorization =
-      g_strconcat ("Authorization: Bearer ", api->token, NULL);
-  struct curl_slist *headers = curl_slist_append (NULL, authorization);
+  g_autofree char *authorization = g_strconcat ("Bearer ", api->token, NULL);
+  GArray *headers = http_headers_new ();
 
-  headers = curl_slist_append (headers, "Content-Type: application/json");
-  return curl_slist_append (headers, "Expect:");
+  http_headers_add (headers, "Authorization", authorization);
+  http_headers_add (headers, "Content-Type", "application/json");
+  return headers;
+}
+
+static void
+on_done (const HttpResult *answer, gpointer data)
+{
+  Call *call = data;
+  ApiResult *result = call->result;
+
+  if (answer->outcome == HTTP_CALL_OK)
+    result->status = answer->status;
+  else
+    result->error = g_strdup_printf ("%s: %s", call->api->address, answer->detail);
+  result->text = g_string_free (
+      g_string_new_len ((const char *)answer->body->data, answer->body->len), FALSE);
+  if (!result->error)
+    result->root = json_text_parse (result->text, -1, NULL);
+  loop_quit (call->loop);
 }
 
 ApiResult *
 api_call (const Api *api, const char *method, const char *path, const char *body)
 {
   g_autofree char *url = g_strdup_printf ("http://%s%s", api->address, path);
-  struct curl_slist *headers = make_headers (api);
-  ApiResult *result = g_new0 (ApiResult, 1);
-  GString *text = g_string_new (NULL);
-  CURL *easy = curl_easy_init ();
-  CURLcode code;
+  g_autoptr (GArray) headers = make_headers (api);
+  Clock *clock = clock_create_boottime ();
+  Call call = { api, loop_create (clock), g_new0 (ApiResult, 1) };
+  HttpClient *client = http_client_create (call.loop);
+  const HttpCallParams order = { .method = method,
+                                 .url = url,
+                                 .headers = headers,
+                                 .body = body,
+                                 .body_len = body ? strlen (body) : 0,
+                                 .has_body = body != NULL,
+                                 .timeout_us = CALL_TIMEOUT_US,
+                                 .connect_timeout_us = CONNECT_TIMEOUT_US,
+                                 .answer_max = ANSWER_MAX };
 
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT, CONNECT_TIMEOUT_S);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, CALL_TIMEOUT_S);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  if (body)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)strlen (body));
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-    }
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  code = curl_easy_perform (easy);
-  if (code == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &result->status);
-  else
-    result->error = g_strdup_printf ("%s: %s", api->address, curl_easy_strerror (code));
-  result->text = g_string_free (text, FALSE);
-  result->root = json_text_parse (result->text, -1, NULL);
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  return result;
+  http_client_send (client, &order, on_done, &call);
+  loop_run (call.loop);
+  http_client_destroy (client);
+  loop_destroy (call.loop);
+  clock_destroy (clock);
+  return call.result;
 }
 
 void
--- a/io/include/io/http-client.h
+++ b/io/include/io/http-client.h
@@ -44,6 +44,7 @@
   gsize body_len;
   gboolean has_body;
   gint64 timeout_us;
+  gint64 connect_timeout_us; /* of it for the connection; 0 for no bound of its own */
   gsize answer_max;
   GDestroyNotify abandon; /* frees `data` if the client is destroyed during the call */
   gboolean reuse; /* allows a reused connection, for calls that are safe to repeat */
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -280,6 +280,9 @@
   curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)MAX (1, order->timeout_us / MS_US));
+  if (order->connect_timeout_us > 0)
+    curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                      (long)MAX (1, order->connect_timeout_us / MS_US));
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, order->reuse ? 0L : 1L);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, order->reuse ? 0L : 1L);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
