A link at rest does not hold the fields or a long line of its last answer

Review: heads are kept by the link since they are checked by line; a kept connection would hold the last one while it rests. No behaviour changes; test-http-link, test-broken-answers and test-proc-broken-answers pass.

--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -19,8 +19,8 @@
 /* A server may answer a longer request before it has read it, which the sockets' buffers
    hide. */
 #define EARLY_ANSWER_BODY_MIN 16384u
-/* A link at rest does not hold the memory of a longer request. */
-#define OUT_KEPT_MAX 16384u
+/* A link at rest does not hold the memory of a longer request or line. */
+#define KEPT_MAX 16384u
 
 /* What the next bytes of the answer are. Lines are checked one by one before the parser
    gets them. */
@@ -179,15 +179,27 @@
   return link->out->len + link->body_after;
 }
 
+/* Lets go of what belongs to the exchange alone. */
 static void
-clear_out (HttpLink *link)
+clear_exchange (HttpLink *link)
 {
-  if (link->out->len > OUT_KEPT_MAX)
+  if (link->out->len > KEPT_MAX)
     {
       g_byte_array_unref (link->out);
       link->out = g_byte_array_new ();
     }
+  if (link->line->allocated_len > KEPT_MAX)
+    {
+      g_string_free (link->line, TRUE);
+      link->line = g_string_new (NULL);
+    }
   g_byte_array_set_size (link->out, 0);
+  g_string_truncate (link->line, 0);
+  answer_head_clear (link->head);
+  link->result.body = NULL;
+  link->done = NULL;
+  link->body = NULL;
+  link->body_after = 0;
 }
 
 /* Ends the exchange. The link may have been destroyed on return. */
@@ -204,11 +216,7 @@
   result.headers = g_array_ref (answer_head_fields (link->head));
   result.took_us = clock_now (loop_clock (link->loop)) - link->began_us;
   link->reusable &= outcome == HTTP_CALL_OK;
-  link->result.body = NULL;
-  link->done = NULL;
-  link->body = NULL;
-  link->body_after = 0;
-  clear_out (link);
+  clear_exchange (link);
   done (&result, link->data);
   g_array_unref (result.headers);
   g_byte_array_unref (result.body);
@@ -579,7 +587,7 @@
   put (link, "\r\n");
   if (!request->has_body)
     return;
-  if (request->body_len <= OUT_KEPT_MAX)
+  if (request->body_len <= KEPT_MAX)
     {
       g_byte_array_append (link->out, request->body, (guint)request->body_len);
       return;
@@ -612,9 +620,7 @@
   link->body_len = request->has_body ? request->body_len : 0;
   link->began_us = clock_now (loop_clock (link->loop));
   link->result = (HttpResult){ .body = g_byte_array_new () };
-  answer_head_clear (link->head);
   link->part = PART_HEAD;
-  g_string_truncate (link->line, 0);
   link->fault = NULL;
   link->heard = link->surplus = link->complete = link->too_large = link->reset = FALSE;
   link->received = link->content = 0;
