--- a/io/src/http-link.c
+++ b/io/src/http-link.c
@@ -1,17 +1,13 @@
 #include <io/http-link.h>
 
 #include <errno.h>
-#include <http_parser.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <core/http-status.h>
 #include <io/socket.h>
 
-#include "answer-bounds.h"
-#include "answer-head.h"
-#include "http-chunk.h"
+#include "answer-reader.h"
 
 #define READ_CHUNK 16384u
 /* Reads of one event; the loop then serves others. */
@@ -19,19 +15,8 @@
 /* A server may answer a longer request before it has read it, which the sockets' buffers
    hide. */
 #define EARLY_ANSWER_BODY_MIN 16384u
-/* A link at rest does not hold the memory of a longer request or line. */
-#define KEPT_MAX 16384u
-
-/* What the next bytes of the answer are. Lines are checked one by one before the parser
-   gets them. */
-typedef enum
-{
-  PART_HEAD, /* lines of a head or a trailer */
-  PART_BODY, /* which is not in chunks */
-  PART_CHUNK_SIZE,
-  PART_CHUNK,
-  PART_CHUNK_END
-} AnswerPart;
+/* A link at rest does not hold the memory of a longer request. */
+#define OUT_KEPT_MAX 16384u
 
 struct HttpLink
 {
@@ -40,7 +25,6 @@
   int fd;
   LoopFd *watch;
   LoopTimer *timer;
-  http_parser parser;
   guint exchanges;
   gboolean connected;
   HttpLinkLostFunc lost; /* set at rest */
@@ -48,7 +32,6 @@
   /* The present exchange, or the last one. */
   HttpDoneFunc done; /* NULL when it has ended */
   gpointer data;
-  HttpLinkForeignFunc is_foreign;
   GByteArray *out;    /* the head, and a short body */
   const guint8 *body; /* a longer one; borrowed */
   gsize body_after;   /* bytes of it, which follow `out` */
@@ -56,122 +39,14 @@
   gboolean probing;   /* nothing of `out` is sent yet */
   gint64 timeout_us;
   gsize body_len;
-  gsize answer_max;
-  gboolean no_body; /* answers to this method have none */
   gint64 began_us;
-  HttpResult result;
-  AnswerHead *head;
-  AnswerPart part;
-  guint64 chunk_left; /* bytes */
-  GString *line;      /* that is not yet complete */
-  const char *fault;  /* why a line is malformed; NULL for none */
-  gsize received;     /* bytes */
-  gsize content;      /* of them in bodies */
+  AnswerReader *reader;
   gboolean heard;
   gboolean reset; /* sending has failed for want of a connection */
-  gboolean skips; /* the answer that is being read belongs to another request */
   gboolean surplus;
-  gboolean complete;
-  gboolean too_large;
   gboolean reusable;
 };
 
-static int
-on_message_begin (http_parser *parser)
-{
-  HttpLink *link = parser->data;
-
-  link->skips = FALSE;
-  return 0;
-}
-
-static gboolean
-is_interim (const HttpLink *link)
-{
-  return !answer_head_is_complete (link->head);
-}
-
-/* Whether a body follows the head (RFC 9112, section 6.3). http_parser would wait for one
-   of the length that a 304 tells of another answer. */
-static gboolean
-has_body (const HttpLink *link)
-{
-  guint status = answer_head_status (link->head);
-
-  return !link->no_body && !is_interim (link) && status != HTTP_NO_CONTENT &&
-         status != HTTP_NOT_MODIFIED;
-}
-
-static int
-on_headers_complete (http_parser *parser)
-{
-  HttpLink *link = parser->data;
-
-  link->result.status = answer_head_status (link->head);
-  if (!is_interim (link) && link->exchanges > 1 && link->is_foreign)
-    link->skips = link->is_foreign (link->result.status, answer_head_fields (link->head),
-                                    link->data);
-  link->surplus |= link->skips;
-  link->part = parser->flags & F_CHUNKED ? PART_CHUNK_SIZE : PART_BODY;
-  return has_body (link) ? 0 : 1;
-}
-
-static int
-on_chunk_header (http_parser *parser)
-{
-  HttpLink *link = parser->data;
-
-  link->chunk_left = parser->content_length;
-  /* The last chunk is empty, and a trailer follows it. */
-  link->part = link->chunk_left > 0 ? PART_CHUNK : PART_HEAD;
-  return 0;
-}
-
-static int
-on_body (http_parser *parser, const char *bytes, size_t len)
-{
-  HttpLink *link = parser->data;
-
-  link->content += len;
-  if (link->skips ? link->content > link->answer_max
-                  : link->result.body->len + len > link->answer_max)
-    {
-      link->too_large = TRUE;
-      return 1;
-    }
-  if (link->skips)
-    return 0;
-  g_byte_array_append (link->result.body, (const guint8 *)bytes, (guint)len);
-  return 0;
-}
-
-static int
-on_message_complete (http_parser *parser)
-{
-  HttpLink *link = parser->data;
-
-  link->part = PART_HEAD;
-  if (link->skips)
-    {
-      answer_head_clear (link->head);
-      return 0;
-    }
-  if (is_interim (link))
-    return 0;
-  link->complete = TRUE;
-  link->reusable = http_should_keep_alive (parser) != 0;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
-static const http_parser_settings parser_settings = {
-  .on_message_begin = on_message_begin,
-  .on_headers_complete = on_headers_complete,
-  .on_chunk_header = on_chunk_header,
-  .on_body = on_body,
-  .on_message_complete = on_message_complete,
-};
-
 /* Returns the length of the request. */
 static gsize
 out_len (const HttpLink *link)
@@ -179,27 +54,15 @@
   return link->out->len + link->body_after;
 }
 
-/* Lets go of what belongs to the exchange alone. */
 static void
-clear_exchange (HttpLink *link)
+clear_out (HttpLink *link)
 {
-  if (link->out->len > KEPT_MAX)
+  if (link->out->len > OUT_KEPT_MAX)
     {
       g_byte_array_unref (link->out);
       link->out = g_byte_array_new ();
     }
-  if (link->line->allocated_len > KEPT_MAX)
-    {
-      g_string_free (link->line, TRUE);
-      link->line = g_string_new (NULL);
-    }
   g_byte_array_set_size (link->out, 0);
-  g_string_truncate (link->line, 0);
-  answer_head_clear (link->head);
-  link->result.body = NULL;
-  link->done = NULL;
-  link->body = NULL;
-  link->body_after = 0;
 }
 
 /* Ends the exchange. The link may have been destroyed on return. */
@@ -207,19 +70,26 @@
 end (HttpLink *link, HttpCallOutcome outcome, const char *detail)
 {
   HttpDoneFunc done = link->done;
-  HttpResult result = link->result;
+  g_autoptr (GArray) headers = g_array_ref (answer_reader_fields (link->reader));
+  g_autoptr (GByteArray) body = g_byte_array_ref (answer_reader_body (link->reader));
+  const HttpResult result = { .outcome = outcome,
+                              .status = answer_reader_status (link->reader),
+                              .headers = headers,
+                              .body = body,
+                              .detail = detail,
+                              .took_us =
+                                  clock_now (loop_clock (link->loop)) - link->began_us };
 
   loop_timer_stop (link->timer);
   loop_fd_set (link->watch, 0);
-  result.outcome = outcome;
-  result.detail = detail;
-  result.headers = g_array_ref (answer_head_fields (link->head));
-  result.took_us = clock_now (loop_clock (link->loop)) - link->began_us;
+  link->surplus |= answer_reader_has_surplus (link->reader);
   link->reusable &= outcome == HTTP_CALL_OK;
-  clear_exchange (link);
+  link->done = NULL;
+  link->body = NULL;
+  link->body_after = 0;
+  clear_out (link);
+  answer_reader_clear (link->reader);
   done (&result, link->data);
-  g_array_unref (result.headers);
-  g_byte_array_unref (result.body);
 }
 
 /* Checks, as the answer is complete, that the request was sent before it and was most
@@ -227,131 +97,32 @@
 static gboolean
 is_in_step (const HttpLink *link)
 {
-  return link->sent == out_len (link) &&
-         (link->body_len < EARLY_ANSWER_BODY_MIN || link->result.status < 300);
-}
-
-static void
-end_complete (HttpLink *link, gboolean surplus)
-{
-  link->surplus |= surplus;
-  link->reusable &= !link->surplus && is_in_step (link);
-  end (link, HTTP_CALL_OK, "");
-}
-
-static gsize
-feed (HttpLink *link, const char *bytes, gsize len)
-{
-  return http_parser_execute (&link->parser, &parser_settings, bytes, len);
+  return link->sent == out_len (link) && (link->body_len < EARLY_ANSWER_BODY_MIN ||
+                                          answer_reader_status (link->reader) < 300);
 }
 
-/* Returns why the present line is malformed, or NULL. */
-static const char *
-check_line (HttpLink *link)
+/* Ends the exchange unless more of the answer is due. Returns whether it goes on. */
+static gboolean
+judge (HttpLink *link, AnswerState state)
 {
-  const char *line = link->line->str;
-  gsize len = link->line->len;
+  const AnswerReader *reader = link->reader;
 
-  switch (link->part)
+  switch (state)
     {
-    case PART_CHUNK_SIZE:
-      return http_chunk_line_fault (line, len);
-    case PART_CHUNK_END:
-      link->part = PART_CHUNK_SIZE;
-      return strcmp (line, "\r\n") == 0 ? NULL : "a chunk is longer than its size";
+    case ANSWER_READING:
+      return TRUE;
+    case ANSWER_COMPLETE:
+      link->reusable &= answer_reader_keeps_alive (reader) &&
+                        !answer_reader_has_surplus (reader) && is_in_step (link);
+      end (link, HTTP_CALL_OK, "");
+      return FALSE;
+    case ANSWER_TOO_LARGE:
+      end (link, HTTP_CALL_TOO_LARGE, answer_reader_fault (reader));
+      return FALSE;
     default:
-      return answer_head_take (link->head, line, len);
-    }
-}
-
-/* Takes bytes up to the end of a line. Returns their number. */
-static gsize
-take_line (HttpLink *link, const char *bytes, gsize len)
-{
-  const char *end = memchr (bytes, '\n', len);
-  gsize taken = end ? (gsize)(end - bytes) + 1 : len;
-
-  g_string_append_len (link->line, bytes, (gssize)taken);
-  if (!end)
-    {
-      if (link->line->len > ANSWER_OVERHEAD_MAX)
-        link->fault = "a line is too long";
-      return taken;
+      end (link, HTTP_CALL_BROKEN, answer_reader_fault (reader));
+      return FALSE;
     }
-  link->fault = check_line (link);
-  if (!link->fault)
-    feed (link, link->line->str, link->line->len);
-  g_string_truncate (link->line, 0);
-  return taken;
-}
-
-/* Takes bytes of a chunk. Returns their number. */
-static gsize
-take_chunk (HttpLink *link, const char *bytes, gsize len)
-{
-  gsize taken = feed (link, bytes, (gsize)MIN (len, link->chunk_left));
-
-  link->chunk_left -= taken;
-  if (link->chunk_left == 0)
-    link->part = PART_CHUNK_END;
-  return taken;
-}
-
-/* Whether no more of the answer is read. */
-static gboolean
-has_answer_ended (const HttpLink *link)
-{
-  return link->fault || link->complete || link->too_large ||
-         HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade;
-}
-
-/* Takes bytes of the answer. Returns the number of those that belong to it. */
-static gsize
-take_bytes (HttpLink *link, const char *bytes, gsize len)
-{
-  gsize taken = 0;
-
-  while (taken < len && !has_answer_ended (link))
-    switch (link->part)
-      {
-      case PART_BODY:
-        taken += feed (link, bytes + taken, len - taken);
-        break;
-      case PART_CHUNK:
-        taken += take_chunk (link, bytes + taken, len - taken);
-        break;
-      default:
-        taken += take_line (link, bytes + taken, len - taken);
-      }
-  return taken;
-}
-
-/* Parses bytes of the answer; none at the end of the connection. Returns FALSE if the
-   exchange has ended. */
-static gboolean
-parse (HttpLink *link, const char *bytes, gsize len)
-{
-  gsize used = 0;
-
-  if (len > 0)
-    used = take_bytes (link, bytes, len);
-  else if (link->line->len == 0)
-    feed (link, NULL, 0);
-  if (link->complete)
-    end_complete (link, used < len);
-  else if (link->too_large)
-    end (link, HTTP_CALL_TOO_LARGE, "the answer is too large");
-  else if (!answer_within_bounds (link->received, link->content))
-    end (link, HTTP_CALL_BROKEN, "the answer's fields or framing are too large");
-  else if (link->fault)
-    end (link, HTTP_CALL_BROKEN, link->fault);
-  else if (HTTP_PARSER_ERRNO (&link->parser) != HPE_OK || link->parser.upgrade)
-    end (link, HTTP_CALL_BROKEN, "the answer is malformed");
-  else if (len == 0)
-    end (link, HTTP_CALL_BROKEN, "the connection ended before the answer");
-  else
-    return TRUE;
-  return FALSE;
 }
 
 static void
@@ -359,6 +130,7 @@
 {
   char buffer[READ_CHUNK];
   guint reads = 0;
+  AnswerState state;
   gssize n;
 
   do
@@ -374,9 +146,10 @@
           return;
         }
       link->heard |= n > 0;
-      link->received += (gsize)n;
+      state = n > 0 ? answer_reader_take (link->reader, buffer, (gsize)n)
+                    : answer_reader_end (link->reader);
     }
-  while (parse (link, buffer, (gsize)n) && ++reads < READS_MAX);
+  while (judge (link, state) && ++reads < READS_MAX);
 }
 
 /* Sends what the socket takes. */
@@ -511,8 +284,7 @@
   link->watch = loop_fd_create (loop, fd, 0, on_ready, link);
   link->timer = loop_timer_create (loop, on_timeout, link);
   link->out = g_byte_array_new ();
-  link->head = answer_head_create ();
-  link->line = g_string_new (NULL);
+  link->reader = answer_reader_create ();
   return link;
 }
 
@@ -542,9 +314,7 @@
   loop_timer_destroy (link->timer);
   close (link->fd);
   g_byte_array_unref (link->out);
-  g_clear_pointer (&link->result.body, g_byte_array_unref);
-  answer_head_destroy (link->head);
-  g_string_free (link->line, TRUE);
+  answer_reader_destroy (link->reader);
   g_free (link->address);
   g_free (link);
 }
@@ -587,7 +357,7 @@
   put (link, "\r\n");
   if (!request->has_body)
     return;
-  if (request->body_len <= KEPT_MAX)
+  if (request->body_len <= OUT_KEPT_MAX)
     {
       g_byte_array_append (link->out, request->body, (guint)request->body_len);
       return;
@@ -605,6 +375,20 @@
   loop_fd_set (link->watch, LOOP_READ);
 }
 
+static void
+begin_answer (HttpLink *link, const HttpLinkRequest *request)
+{
+  const AnswerExpected expected = { .no_body = strcmp (request->method, "HEAD") == 0,
+                                    .body_max = request->answer_max,
+                                    .is_foreign =
+                                        link->exchanges > 1 ? request->is_foreign : NULL,
+                                    .data = link->data };
+
+  answer_reader_begin (link->reader, &expected);
+  link->heard = link->reset = link->surplus = FALSE;
+  link->reusable = TRUE;
+}
+
 void
 http_link_send (HttpLink *link,
                 const HttpLinkRequest *request,
@@ -614,19 +398,9 @@
   link->exchanges++;
   link->done = done;
   link->data = data;
-  link->is_foreign = request->is_foreign;
-  link->answer_max = request->answer_max;
-  link->no_body = strcmp (request->method, "HEAD") == 0;
   link->body_len = request->has_body ? request->body_len : 0;
   link->began_us = clock_now (loop_clock (link->loop));
-  link->result = (HttpResult){ .body = g_byte_array_new () };
-  link->part = PART_HEAD;
-  link->fault = NULL;
-  link->heard = link->surplus = link->complete = link->too_large = link->reset = FALSE;
-  link->received = link->content = 0;
-  link->reusable = TRUE;
-  http_parser_init (&link->parser, HTTP_RESPONSE);
-  link->parser.data = link;
+  begin_answer (link, request);
   g_byte_array_set_size (link->out, 0);
   link->body = NULL;
   link->body_after = 0;
