A tab behind a transfer coding does not make it another one

What callers saw: nothing was reported. "Transfer-Encoding: chunked" with a tab behind it, which the grammar allows, was taken for an unknown coding by http_parser: the body was read until close, with the framing of its chunks in it. A length with a tab behind it was refused.

Cause: http_parser strips blanks at the end of a value, but not tabs. The check of the framing strips both, so that the two disagreed.

Fix: lines are handed to http_parser without the blanks at their ends.

--- a/io/src/answer-reader.c
+++ b/io/src/answer-reader.c
@@ -162,6 +162,21 @@
     }
 }
 
+/* Hands the present line to the parser, without the blanks at its end. For the parser a
+   tab there would belong to the value, and chunked with a tab be another coding. */
+static void
+feed_line (AnswerReader *reader)
+{
+  GString *line = reader->line;
+  gsize len = line->len;
+
+  while (len > 0 && strchr (" \t\r\n", line->str[len - 1]))
+    len--;
+  g_string_truncate (line, len);
+  g_string_append (line, "\r\n");
+  feed (reader, line->str, line->len);
+}
+
 /* Takes bytes up to the end of a line. Returns their number. */
 static gsize
 take_line (AnswerReader *reader, const char *bytes, gsize len)
@@ -178,7 +193,7 @@
     }
   reader->fault = check_line (reader);
   if (!reader->fault)
-    feed (reader, reader->line->str, reader->line->len);
+    feed_line (reader);
   g_string_truncate (reader->line, 0);
   return taken;
 }
