--- a/io/src/answer-reader.c
+++ b/io/src/answer-reader.c
@@ -117,6 +117,8 @@
   AnswerReader *reader = parser->data;
 
   reader->part = PART_HEAD;
+  /* The bytes that follow are not the parser's yet. */
+  http_parser_pause (parser, 1);
   if (reader->skips)
     {
       answer_head_clear (reader->head);
@@ -126,7 +128,6 @@
     return 0;
   reader->complete = TRUE;
   reader->keeps_alive = http_should_keep_alive (parser) != 0;
-  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -137,10 +138,16 @@
   .on_message_complete = on_message_complete,
 };
 
+/* Gives bytes to the parser, up to the end of the answer. Returns their number. */
 static gsize
 feed (AnswerReader *reader, const char *bytes, gsize len)
 {
-  return http_parser_execute (&reader->parser, &parser_settings, bytes, len);
+  http_parser *parser = &reader->parser;
+  gsize taken = http_parser_execute (parser, &parser_settings, bytes, len);
+
+  if (HTTP_PARSER_ERRNO (parser) == HPE_PAUSED && !reader->complete)
+    http_parser_pause (parser, 0);
+  return taken;
 }
 
 /* Returns why the present line is malformed, or NULL. */
--- a/io/tests/test-http-link.c
+++ b/io/tests/test-http-link.c
@@ -321,6 +321,46 @@
   teardown (fixture);
 }
 
+/* The answer that is skipped and the one that is due come in one read. */
+static void
+test_an_answer_behind_a_skipped_one_is_read (void **state)
+{
+  static const char *const pairs[] = {
+    WHOLE ("other") WHOLE ("own"),
+    WHOLE ("other") "HTTP/1.1 103 Early Hints\r\n\r\n" WHOLE ("own"),
+    WHOLE ("other") WHOLE ("another") WHOLE ("own"),
+    "HTTP/1.1 204 No Content\r\nId: other\r\n\r\n" WHOLE ("own"),
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: other\r\n\r\n"
+    "2\r\nno\r\n0\r\n\r\n" WHOLE ("own"),
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (pairs); i++)
+    {
+      Fixture *fixture = setup ();
+
+      exchange_one (fixture, WHOLE ("own"));
+      exchange_one (fixture, pairs[i]);
+      if (fixture->outcome != HTTP_CALL_OK || strcmp (fixture->id->str, "own") != 0 ||
+          strcmp (fixture->body->str, "hello") != 0)
+        fail_msg ("%s: outcome %d, id %s", pairs[i], fixture->outcome, fixture->id->str);
+      assert_true (http_link_had_surplus (fixture->link));
+      assert_false (http_link_is_reusable (fixture->link));
+      teardown (fixture);
+    }
+}
+
+static void
+test_a_malformed_answer_behind_a_skipped_one_is_broken (void **state)
+{
+  Fixture *fixture = setup ();
+
+  exchange_one (fixture, WHOLE ("own"));
+  exchange_one (fixture, WHOLE ("other") "HTTP/1.1 200 OK\r\nId: own\r\nX Y: z\r\n"
+                                         "Content-Length: 5\r\n\r\nhello");
+  assert_int_equal (fixture->outcome, HTTP_CALL_BROKEN);
+  teardown (fixture);
+}
+
 static void
 test_an_answer_before_a_long_request_was_read_ends_the_link (void **state)
 {
@@ -466,6 +506,8 @@
     cmocka_unit_test (test_an_invalid_status_is_taken_for_an_answer),
     cmocka_unit_test (test_an_answer_that_is_reset_in_transit_is_not_whole),
     cmocka_unit_test (test_an_answer_to_an_earlier_request_is_skipped),
+    cmocka_unit_test (test_an_answer_behind_a_skipped_one_is_read),
+    cmocka_unit_test (test_a_malformed_answer_behind_a_skipped_one_is_broken),
     cmocka_unit_test (test_an_answer_before_a_long_request_was_read_ends_the_link),
     cmocka_unit_test (test_a_silent_server_ends_in_a_timeout),
     cmocka_unit_test (test_a_too_large_answer_is_not_held),
