--- a/io/tests/answer-server.c
+++ b/io/tests/answer-server.c
@@ -118,7 +118,8 @@
 static void
 write_answer (int fd, const AnswerScript *script, const char *head)
 {
-  g_autofree char *attempt = header (head, "Request-Attempt-Id");
+  g_autofree char *attempt =
+      script->attempt_name ? header (head, script->attempt_name) : NULL;
   g_auto (GStrv) parts = NULL;
   g_autofree char *text = NULL;
 
--- a/io/tests/answer-server.h
+++ b/io/tests/answer-server.h
@@ -7,7 +7,7 @@
 
 #include <glib.h>
 
-/* Stands in an answer for the value of the request's header Request-Attempt-Id. */
+/* Stands in an answer for the value of the request's header that the script names. */
 #define ANSWER_ATTEMPT "%ATTEMPT%"
 
 /* When the answer is written. */
@@ -30,7 +30,8 @@
 typedef struct
 {
   const char *answer;
-  gsize answer_len; /* 0 for a text */
+  gsize answer_len;         /* 0 for a text */
+  const char *attempt_name; /* a header of the request; NULL if no answer echoes one */
   AnswerMoment moment;
   AnswerEnd end;
   gint64 pause_us; /* between the answer and its end */
