Review: an answer's fields and buffers are made once

The reader was cleared at the end of an answer and again before the next, and each field was copied twice; both are on the path of a request.

--- a/io/src/answer-head.c
+++ b/io/src/answer-head.c
@@ -47,17 +47,11 @@
 }
 
 /* Fields that were handed out stay with their holders. */
-static void
-drop_fields (AnswerHead *head)
-{
-  g_array_unref (head->fields);
-  head->fields = http_headers_new ();
-}
-
 void
 answer_head_clear (AnswerHead *head)
 {
-  drop_fields (head);
+  g_array_unref (head->fields);
+  head->fields = http_headers_new ();
   head->part = AWAITING_STATUS;
   head->status = 0;
 }
@@ -80,7 +74,8 @@
     return "the status is invalid";
   if (http_has_control (line, len))
     return "the status line holds a control character";
-  drop_fields (head);
+  /* Those of an interim answer. */
+  g_array_set_size (head->fields, 0);
   head->minor = (guint)g_ascii_digit_value (line[strlen (VERSION)]);
   head->status = status;
   head->part = IN_FIELDS;
@@ -95,8 +90,7 @@
 {
   const char *colon = memchr (line, ':', len);
   gsize name_len = colon ? (gsize)(colon - line) : 0;
-  g_autofree char *name = NULL;
-  g_autofree char *value = NULL;
+  HttpHeader field;
 
   if (!http_is_token (line, name_len))
     return "a field's name is no token";
@@ -104,9 +98,9 @@
     return "a field's value holds a control character";
   if (head->part != IN_FIELDS)
     return NULL;
-  name = g_strndup (line, name_len);
-  value = g_strndup (colon + 1, len - name_len - 1);
-  http_headers_add (head->fields, name, g_strstrip (value));
+  field.name = g_strndup (line, name_len);
+  field.value = g_strstrip (g_strndup (colon + 1, len - name_len - 1));
+  g_array_append_val (head->fields, field);
   return NULL;
 }
 
--- a/io/src/answer-reader.c
+++ b/io/src/answer-reader.c
@@ -330,7 +330,6 @@
 void
 answer_reader_begin (AnswerReader *reader, const AnswerExpected *expected)
 {
-  answer_reader_clear (reader);
   reader->expected = *expected;
   http_parser_init (&reader->parser, HTTP_RESPONSE);
   reader->parser.data = reader;
--- a/io/src/answer-reader.h
+++ b/io/src/answer-reader.h
@@ -31,7 +31,8 @@
 AnswerReader *answer_reader_create (void);
 void answer_reader_destroy (AnswerReader *reader);
 
-/* Starts to read the answer to the next request. */
+/* Starts to read the answer to the next request. The last answer must have been cleared.
+ */
 void answer_reader_begin (AnswerReader *reader, const AnswerExpected *expected);
 /* Takes the next bytes of the connection. Once the state is not ANSWER_READING, nothing
    more may be given before the next answer_reader_begin(). */
@@ -39,7 +40,7 @@
 /* Takes the end of the connection, which must have come in order: it may complete the
    answer. Returns another state than ANSWER_READING. */
 AnswerState answer_reader_end (AnswerReader *reader);
-/* Lets go of what was read. */
+/* Lets go of what was read; done once after each answer. */
 void answer_reader_clear (AnswerReader *reader);
 
 /* Returns why the answer is broken or too large. */
--- a/io/src/http-chunk.c
+++ b/io/src/http-chunk.c
@@ -57,6 +57,7 @@
   const char *name = skip_blanks (at, end);
   const char *after;
   const char *equals;
+  const char *value_end;
 
   if (name == end || *name != ';')
     return at;
@@ -67,8 +68,8 @@
   equals = skip_blanks (after, end);
   if (equals == end || *equals != '=')
     return after;
-  name = skip_extension_value (equals + 1, end);
-  return name > equals + 1 ? name : at;
+  value_end = skip_extension_value (equals + 1, end);
+  return value_end > equals + 1 ? value_end : at;
 }
 
 const char *
