--- a/io/src/answer-head.c
+++ b/io/src/answer-head.c
@@ -1,4 +1,4 @@
-#include "answer-head.h"
+#include <io/answer-head.h>
 
 #include <string.h>
 
--- a/io/src/answer-reader.c
+++ b/io/src/answer-reader.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include <core/http-status.h>
+#include <io/answer-head.h>
 
 #include "answer-bounds.h"
-#include "answer-head.h"
 #include "http-chunk.h"
 
 /* A reader between two answers does not hold the memory of a longer line. */
--- a/io/src/http-client.c
+++ b/io/src/http-client.c
@@ -3,8 +3,9 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include <io/answer-head.h>
+
 #include "answer-bounds.h"
-#include "answer-head.h"
 
 struct HttpClient
 {
